--- /dev/null
+++ b/sumachook/__init__.py
@@ -0,0 +1,3 @@
+"""sumachook: a router and placer for many language models (docs/design.md)."""
+
+VERSION = "0.1.0"
--- /dev/null
+++ b/sumachook/pulse/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, pulses and the supervisor tree."""
--- /dev/null
+++ b/sumachook/rumour/member.py
@@ -0,0 +1,14 @@
+"""What is known of one node."""
+
+
+class Member:
+    """One node as rumoured; `news()` is how it travels (§3.1)."""
+
+    __slots__ = ("node", "address", "role", "area", "incarnation", "condition", "door", "since", "heardAt", "feed")
+
+    def __init__(self, news: tuple, now):
+        self.node, self.address, self.role, self.area, self.incarnation, self.condition, self.door = news
+        self.since, self.heardAt, self.feed = now, now, 0
+
+    def news(self) -> tuple:
+        return (self.node, self.address, self.role, self.area, self.incarnation, self.condition, self.door)
--- /dev/null
+++ b/sumachook/rumour/rumour.py
@@ -0,0 +1,231 @@
+"""The membership machine of one node."""
+
+from datetime import timedelta
+from math import ceil, log2
+from random import Random
+
+from sumachook.pulse.rising import Rising
+from sumachook.rumour.member import Member
+
+ALIVE, SUSPECT, GONE, LEFT = "alive", "suspect", "gone", "left"
+_WEIGHT = {ALIVE: 0, SUSPECT: 1, GONE: 2, LEFT: 3}
+
+
+class Rumour:
+    """Takes (message, now), gives messages; membership only advises (§3).
+
+    Gives: ("cast", address, message) and ("member", node, condition, news).
+    """
+
+    __slots__ = ("me", "seeds", "draw", "members", "spread", "turn", "nextProbe", "nextSeed", "pending", "relays",
+                 "number", "lastPulse", "_feedHeard", "wokeAt", "nextGone")
+
+    feedHeard = Rising("_feedHeard")
+    PROBE_EVERY = timedelta(seconds=0.3)
+    ACK_WITHIN = timedelta(seconds=0.25)
+    SUSPECT_FOR = timedelta(seconds=1.5)
+    SEED_EVERY = timedelta(seconds=2)
+    FORGET_AFTER = timedelta(minutes=10)
+    LATE_PULSE = timedelta(seconds=0.8)
+    HELPERS = 3
+    NEWS_A_PARCEL = 8
+
+    def __init__(self, me: tuple, seeds: tuple, draw: Random, now):
+        self.me, self.seeds, self.draw = Member(me, now), tuple(seeds), draw
+        self.members, self.spread, self.turn = {}, {}, []
+        self.nextProbe = self.nextSeed = self.nextGone = now
+        self.pending, self.relays, self.number = {}, {}, 0
+        self.lastPulse, self.wokeAt = now, now - self.SUSPECT_FOR * 4
+        self.spread[self.me.node] = 0
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "pulse":
+            return self._pulse(now, message[1])
+        if kind == "leave":
+            self.me.condition = LEFT
+            self.spread[self.me.node] = 0
+            return [("cast", member.address, ("join", (self.me.news(),))) for member in self._live()]
+        sender, address, body = message[1:4]
+        return getattr(self, "_on_" + body[0])(sender, address, body, now)
+
+    # probes -----------------------------------------------------------------
+
+    def _pulse(self, now, feed):
+        out = []
+        self.me.feed = feed
+        if now - self.lastPulse > self.LATE_PULSE:
+            self.wokeAt = now  # §3.3: it was me who was away; doubt nobody yet
+            self.pending.clear()
+        self.lastPulse = now
+        for number, (node, sentAt, asked) in list(self.pending.items()):
+            member = self.members.get(node)
+            if member is None:
+                del self.pending[number]
+            elif not asked and now - sentAt >= self.ACK_WITHIN:
+                self.pending[number] = (node, sentAt, True)
+                helpers = [other for other in self._live() if other.node != node]
+                for helper in self.draw.sample(helpers, min(self.HELPERS, len(helpers))):
+                    out.append(("cast", helper.address, ("probe_via", number, member.address, self._news())))
+            elif now - sentAt >= self.ACK_WITHIN * 3:
+                del self.pending[number]
+                if now - self.wokeAt > self.SUSPECT_FOR:
+                    out += self._learn(member.news()[:5] + (SUSPECT, member.door), now)
+        for member in list(self.members.values()):
+            if member.condition == SUSPECT and now - member.since >= self.SUSPECT_FOR:
+                out += self._learn(member.news()[:5] + (GONE, member.door), now)
+            elif member.condition in (GONE, LEFT) and now - member.since >= self.FORGET_AFTER:
+                del self.members[member.node]
+        for number, (_, _, at) in list(self.relays.items()):
+            if now - at > self.SUSPECT_FOR:
+                del self.relays[number]
+        if now >= self.nextProbe:
+            self.nextProbe = now + self.PROBE_EVERY
+            target = self._next_target()
+            if target:
+                self.number += 1
+                self.pending[self.number] = (target.node, now, False)
+                out.append(("cast", target.address, ("probe", self.number, self._news(target), self.me.feed)))
+        if now >= self.nextSeed:
+            self.nextSeed = now + self.SEED_EVERY * self.draw.uniform(0.8, 1.2)
+            out += self._knock()
+        return out
+
+    def _knock(self):
+        """Seeds are a way in; a gone member is asked now and then, so that halves find each other (§3.2)."""
+        known = {member.address for member in self._live()}
+        doors = [seed for seed in self.seeds if seed not in known and seed != self.me.address]
+        gone = [member.address for member in self.members.values() if member.condition == GONE]
+        if gone:
+            doors.append(self.draw.choice(gone))
+        return [("cast", door, ("join", (self.me.news(),))) for door in dict.fromkeys(doors)]
+
+    def _next_target(self):
+        while self.turn:
+            member = self.members.get(self.turn.pop())
+            if member and member.condition in (ALIVE, SUSPECT):
+                return member
+        self.turn = [member.node for member in self._live()]
+        self.draw.shuffle(self.turn)
+        return self.members[self.turn.pop()] if self.turn else None
+
+    def _on_probe(self, sender, address, body, now):
+        out = self._read(body[2], now)
+        self._heard(sender, now, body[3])
+        return out + [("cast", address, ("probe_ack", body[1], self._news(self.members.get(sender)), self.me.feed))]
+
+    def _on_probe_ack(self, sender, address, body, now):
+        self.pending.pop(body[1], None)
+        self._heard(sender, now, body[3])
+        return self._read(body[2], now)
+
+    def _on_probe_via(self, sender, address, body, now):
+        self.number += 1
+        self.relays[self.number] = (address, body[1], now)
+        return self._read(body[3], now) + [("cast", body[2], ("probe_for", self.number, self.me.address, self._news()))]
+
+    def _on_probe_for(self, sender, address, body, now):
+        return self._read(body[3], now) + [("cast", address, ("via_ack", body[1], self._news()))]
+
+    def _on_via_ack(self, sender, address, body, now):
+        out = self._read(body[2], now)
+        if body[1] in self.relays:
+            asker, number, _ = self.relays.pop(body[1])
+            out.append(("cast", asker, ("via_ack", number, self._news())))
+        else:
+            self.pending.pop(body[1], None)
+        return out
+
+    def _on_join(self, sender, address, body, now):
+        out = self._read(body[1], now)
+        whole = tuple(member.news() for member in self.members.values()) + (self.me.news(),)
+        return out + [("cast", address, ("roll", whole))]
+
+    def _on_roll(self, sender, address, body, now):
+        return self._read(body[1], now)
+
+    # news -------------------------------------------------------------------
+
+    def _live(self):
+        return [member for member in self.members.values() if member.condition in (ALIVE, SUSPECT)]
+
+    def _heard(self, node, now, feed):
+        self.feedHeard = feed
+        if node in self.members:
+            self.members[node].heardAt, self.members[node].feed = now, feed
+
+    def _news(self, target=None):
+        """Up to a parcel's worth; what we think ill of the receiver always goes along, so that it can object."""
+        bound = 3 * ceil(log2(len(self.members) + 2))
+        news = []
+        if target is not None and target.condition != ALIVE:
+            news.append(target.news())
+        for node in sorted(self.spread, key=self.spread.get)[: self.NEWS_A_PARCEL]:
+            member = self.me if node == self.me.node else self.members.get(node)
+            self.spread[node] += 1
+            if member is None or self.spread[node] > bound:
+                del self.spread[node]
+            elif member is not target:
+                news.append(member.news())
+        return tuple(news)
+
+    def _read(self, news, now):
+        out = []
+        for item in news:
+            out += self._learn(item, now)
+        return out
+
+    def _learn(self, news, now):
+        node, _, _, _, incarnation, condition, _ = news
+        if node == self.me.node:
+            if condition != ALIVE and self.me.condition == ALIVE and incarnation >= self.me.incarnation:
+                self.me.incarnation = incarnation + 1  # §3.2: objection
+                self.spread[node] = 0
+                return [("objected", self.me.incarnation)]
+            return []
+        known = self.members.get(node)
+        if known and (incarnation, _WEIGHT[condition]) <= (known.incarnation, _WEIGHT[known.condition]):
+            return []
+        if known is None and condition in (GONE, LEFT):
+            return []
+        self.spread[node] = 0
+        feed = known.feed if known else 0
+        fresh = self.members[node] = Member(news, now)
+        fresh.feed = feed
+        return [("member", node, condition, news)]
+
+
+def _pair():
+    zero = timedelta(0)
+    machines = {}
+    for name in ("a", "b", "c"):
+        me = (name, name, "edge", "hall", 1, ALIVE, name)
+        machines[name] = Rumour(me, ("a",), Random(name), zero)
+    return machines
+
+
+def _run(machines, start, end, cut=()):
+    now, heard = start, []
+    while now < end:
+        now += timedelta(seconds=0.05)
+        waiting = [(name, effect) for name, machine in machines.items() if name not in cut for effect in machine.take(("pulse", 0), now)]
+        while waiting:
+            name, effect = waiting.pop(0)
+            if effect[0] != "cast":
+                heard.append((name, *effect))
+            elif effect[1] in machines and effect[1] not in cut:
+                target = machines[effect[1]]
+                waiting += [(effect[1], more) for more in target.take(("heard", name, name, effect[2]), now)]
+    return heard
+
+
+def test_silence_is_suspected_then_removed_and_return_is_seen():
+    machines, second = _pair(), timedelta(seconds=1)
+    _run(machines, timedelta(0), second * 3)
+    assert set(machines["b"].members) == {"a", "c"}
+    heard = _run(machines, second * 3, second * 9, cut=("c",))
+    conditions = [item[3] for item in heard if item[0] == "a" and item[1:3] == ("member", "c")]
+    assert conditions == [SUSPECT, GONE]
+    _run(machines, second * 9, second * 16)
+    assert machines["a"].members["c"].condition == ALIVE
+    assert machines["a"].members["c"].incarnation == 2
--- /dev/null
+++ b/sumachook/vault/__init__.py
@@ -0,0 +1,1 @@
+"""The append-only file of checksummed records."""
--- /dev/null
+++ b/sumachook/vault/faults.py
@@ -0,0 +1,5 @@
+"""What can go wrong with a vault file."""
+
+from sumachook.fault import Fault
+
+DAMAGED = Fault("vault", "damaged in the middle")
--- /dev/null
+++ b/sumachook/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift messages between the system's own processes."""
--- /dev/null
+++ b/sumachook/wire/codec.py
@@ -0,0 +1,164 @@
+"""Message tuples to bounded thrift parcels and back."""
+
+import msgspec
+from thrift.protocol.TBase import TBase
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+from sumachook.wire import faults
+from sumachook.wire.shapes import FIELDS
+
+MOST_BYTES = 4 << 20
+MEMBER = ("node", "address", "role", "area", "incarnation", "condition", "door")
+
+
+def _struct(name, fields):
+    """A TBase class made from its fields; the spec replaces generated code (§2.1)."""
+    names = tuple(field[0] for field in fields)
+    spec = (None, *((place, kind, field, extra, None) for place, (field, kind, extra) in enumerate(fields, 1)))
+
+    def start(self, *values):
+        for field in names:
+            setattr(self, field, None)
+        for field, value in zip(names, values):
+            setattr(self, field, value)
+
+    return type(name, (TBase,), {"__slots__": names, "__init__": start, "thrift_spec": spec})
+
+
+MemberStruct = _struct(
+    "MemberStruct", [(field, TType.I64 if field == "incarnation" else TType.STRING, None if field == "incarnation" else "UTF8") for field in MEMBER]
+)
+_KINDS = {
+    "s": (TType.STRING, "UTF8"),
+    "i": (TType.I64, None),
+    "f": (TType.DOUBLE, None),
+    "b": (TType.BOOL, None),
+    "d": (TType.STRING, "BINARY"),
+    "m": (TType.LIST, (TType.STRUCT, [MemberStruct, MemberStruct.thrift_spec], False)),
+    "e": (TType.LIST, (TType.STRING, "BINARY", False)),
+}
+BODIES = {
+    kind: _struct("Body_" + kind, [(field, *_KINDS[letter]) for field, letter in fields])
+    for kind, fields in FIELDS.items()
+}
+Parcel = _struct(
+    "Parcel",
+    [
+        ("cluster", TType.STRING, "UTF8"),
+        ("sender", TType.STRING, "UTF8"),
+        ("address", TType.STRING, "UTF8"),
+        ("incarnation", TType.I64, None),
+        ("kind", TType.STRING, "UTF8"),
+        ("body", TType.STRING, "BINARY"),
+    ],
+)
+
+
+def as_tuples(value):
+    """JSON lists as tuples, all the way down.
+
+    >>> as_tuples([1, {"a": [2]}])
+    (1, {'a': (2,)})
+    """
+    if isinstance(value, list):
+        return tuple(as_tuples(item) for item in value)
+    if isinstance(value, dict):
+        return {key: as_tuples(item) for key, item in value.items()}
+    return value
+
+
+def pack_entry(change) -> bytes:
+    return msgspec.json.encode(change)
+
+
+def read_entry(entry: bytes):
+    return as_tuples(msgspec.json.decode(entry))
+
+
+def _to_field(letter, value):
+    if letter == "d":
+        return msgspec.json.encode(value)
+    if letter == "m":
+        return [MemberStruct(*member) for member in value]
+    if letter == "e":
+        return list(value)
+    return value
+
+
+def _from_field(letter, value):
+    if value is None:
+        raise ValueError("a field is missing")
+    if letter == "d":
+        return read_entry(value)
+    if letter == "m":
+        return tuple(tuple(getattr(member, field) for field in MEMBER) for member in value)
+    if letter == "e":
+        return tuple(value)
+    return value
+
+
+def _bytes_of(struct) -> bytes:
+    buffer = TMemoryBuffer()
+    struct.write(TBinaryProtocolAccelerated(buffer, fallback=True))
+    return buffer.getvalue()
+
+
+def _fill(struct, raw: bytes):
+    struct.read(TBinaryProtocolAccelerated(TMemoryBuffer(raw), len(raw), len(raw), fallback=True))
+    return struct
+
+
+class Codec:
+    """Packs one message of a node; the reading side is `read_parcel` (§2.2).
+
+    >>> codec = Codec("kosice", "core-1", "127.0.0.1:7001", 3)
+    >>> raw = codec.pack(("probe", 9, (), 41))
+    >>> read_parcel("kosice", raw)
+    ('core-1', '127.0.0.1:7001', 3, ('probe', 9, (), 41))
+    >>> read_parcel("java", raw) == faults.STRANGER, read_parcel("kosice", b"zzz") == faults.GARBAGE
+    (True, True)
+    """
+
+    __slots__ = ("cluster", "sender", "address", "incarnation")
+
+    def __init__(self, cluster: str, sender: str, address: str, incarnation: int):
+        self.cluster, self.sender, self.address, self.incarnation = cluster, sender, address, incarnation
+
+    def pack(self, message: tuple) -> bytes:
+        kind, *values = message
+        body = BODIES[kind](*(_to_field(letter, value) for (_, letter), value in zip(FIELDS[kind], values, strict=True)))
+        return _bytes_of(Parcel(self.cluster, self.sender, self.address, self.incarnation, kind, _bytes_of(body)))
+
+
+def read_parcel(cluster: str, raw: bytes):
+    """(sender, address, incarnation, message), or a fault that the port counts."""
+    if len(raw) > MOST_BYTES:
+        return faults.TOO_LONG
+    try:
+        parcel = _fill(Parcel(), raw)
+        if parcel.cluster != cluster:
+            return faults.STRANGER.because(str(parcel.cluster)[:40])
+        if parcel.kind not in BODIES:
+            return faults.UNKNOWN.because(str(parcel.kind)[:40])
+        body = _fill(BODIES[parcel.kind](), parcel.body)
+        values = (_from_field(letter, getattr(body, field)) for field, letter in FIELDS[parcel.kind])
+        return parcel.sender, parcel.address, parcel.incarnation, (parcel.kind, *values)
+    except Exception as error:  # thrift raises whatever its C reader meets; all of it is garbage to us
+        return faults.GARBAGE.because(type(error).__name__)
+
+
+def test_every_kind_survives_the_wire():
+    samples = {"s": "x", "i": 5, "f": 0.5, "b": True, "d": ((1, "a"), {"k": (2,)}), "e": (b"1", b"2"),
+               "m": (("n1", "127.0.0.1:1", "edge", "hall", 2, "alive", "127.0.0.1:2"),)}
+    codec = Codec("c", "n", "127.0.0.1:1", 1)
+    for kind, fields in FIELDS.items():
+        message = (kind, *(samples[letter] for _, letter in fields))
+        assert read_parcel("c", codec.pack(message))[3] == message
+
+
+def test_garbage_is_a_fault_at_every_cut():
+    raw = Codec("c", "n", "127.0.0.1:1", 1).pack(("beat", (1, "a"), 4, True, ("a", "b")))
+    assert all(isinstance(read_parcel("c", raw[:length]), type(faults.GARBAGE)) for length in range(len(raw)))
+    assert read_parcel("c", b"\0" * (MOST_BYTES + 1)) == faults.TOO_LONG
--- /dev/null
+++ b/sumachook/wire/shapes.py
@@ -0,0 +1,59 @@
+"""The kinds of message and their fields (§2.1).
+
+Letters: s string, i i64, f double, b bool, d document (JSON in a binary field),
+m list of member structs, e list of binary entries.
+"""
+
+SHAPES = {
+    # rumour
+    "probe": "number:i news:m feed:i",
+    "probe_ack": "number:i news:m feed:i",
+    "probe_via": "number:i target:s news:m",
+    "probe_for": "number:i origin:s news:m",
+    "via_ack": "number:i news:m",
+    "join": "news:m",
+    "roll": "news:m",
+    # accord
+    "blank": "seat:s",
+    "ask": "ballot:d",
+    "ask_yes": "ballot:d",
+    "stop": "ballot:d delivered:i roster:d",
+    "stopped": "ballot:d view:d delivered:i end:i first:i entries:e image:d",
+    "install": "ballot:d members:d first:i entries:e image:d",
+    "installed": "ballot:d",
+    "grow": "ballot:d first:i entries:e committed:i",
+    "grew": "ballot:d end:i",
+    "beat": "ballot:d committed:i fresh:b members:d",
+    "beat_ack": "ballot:d seen:d end:i blank:b",
+    "propose": "entry:d",
+    # rota
+    "bid": "duty:s fence:i round:i",
+    "vote": "duty:s fence:i round:i",
+    "renew": "duty:s fence:i sent:f",
+    "renewed": "duty:s fence:i sent:f",
+    # feed
+    "follow": "number:i",
+    "image": "number:i image:d",
+    "news": "first:i entries:e",
+    "feed_beat": "number:i",
+    "confirm": "number:i",
+    "confirmed": "node:s number:i",
+    # tally and credit
+    "open": "records:d",
+    "opened": "acks:d",
+    "close": "records:d",
+    "closed": "acks:d",
+    "hand": "records:d",
+    "handed": "acks:d",
+    "credit": "balance:f wanted:f",
+    "lend": "loan:s amount:f target:s",
+    "gift": "loan:s amount:f",
+    # loom
+    "demand": "counts:d",
+    # any
+    "leaving": "incarnation:i",
+    "find": "asker:s request:s",
+    "found": "asker:s record:d",
+}
+
+FIELDS = {kind: tuple(field.split(":") for field in text.split()) for kind, text in SHAPES.items()}
