--- /dev/null
+++ b/sumachook/accord/accord.py
@@ -0,0 +1,541 @@
+"""View-synchronous total order: one seat's machine."""
+
+from datetime import timedelta
+from random import Random
+
+from sumachook.accord import faults
+from sumachook.accord.chain import Chain
+from sumachook.pulse.rising import Rising
+from sumachook.wire.codec import pack_entry
+
+NO_BALLOT = (0, "")
+FILE = "accord"
+
+
+def most_of(roster) -> int:
+    return len(roster) // 2 + 1
+
+
+class Accord:
+    """Takes (message, now) and gives messages (§4).
+
+    In: ("pulse",), ("heard", seat, address, message), ("synced", what), ("propose", change).
+    Out: ("tell", address, message), ("disk" | "rewrite", FILE, records, followup),
+    ("deliver", number, change), ("restored", number, image), ("refused", change, fault),
+    ("view", ballot, members), ("log", ...).
+    """
+
+    __slots__ = ("seat", "address", "founding", "draw", "keep_image", "chain", "_promised", "view", "members", "delivered",
+                 "role", "ballot", "answers", "startedAt", "majorityAt", "retryAt", "acked", "heardFrom", "waiting",
+                 "syncing", "committed", "leaderHeard", "leader", "freshAt", "penalty", "blanks", "blankAt", "sentAt", "nextBeat",
+                 "outsiders", "awayFor", "synced", "syncAt", "yes", "newcomers", "_highest")
+
+    promised = Rising("_promised", NO_BALLOT)
+    highest = Rising("_highest")
+    BEAT = timedelta(seconds=0.2)
+    FRESH = timedelta(seconds=0.8)
+    SILENCE = timedelta(seconds=1)
+    ROUND = timedelta(seconds=0.8)
+    GATHER = timedelta(seconds=0.2)
+    RESEND = timedelta(seconds=0.4)
+    REJOIN = timedelta(seconds=1)
+    SEAT_AWAY = timedelta(seconds=10)
+    MOST_WAITING = 256
+    MOST_ENTRIES = 400
+
+    def __init__(self, seat, address, founding, draw: Random, keep_image, records=(), awayFor=None, now=timedelta(0)):
+        self.seat, self.address, self.founding, self.draw = seat, address, tuple(founding), draw
+        self.keep_image, self.awayFor = keep_image, awayFor or self.SEAT_AWAY
+        self.chain = Chain(0, None, {})
+        self.view, self.members, self.delivered, self.committed = NO_BALLOT, (), 0, 0
+        self.role, self.ballot, self.answers, self.startedAt, self.majorityAt = "idle", NO_BALLOT, {}, now, None
+        self.acked, self.heardFrom, self.waiting, self.syncing = {}, {}, [], False
+        self.leaderHeard = self.freshAt = now - self.SILENCE * 10
+        self.leader, self.penalty, self.blanks, self.blankAt, self.sentAt = None, {}, {}, now, now
+        self.nextBeat, self.outsiders, self.synced, self.syncAt = now, {}, 0, now
+        self.retryAt = now + timedelta(seconds=draw.uniform(0.3, 0.8))
+        self.yes, self.newcomers = set(), {}
+        self._replay(records)
+
+    # durable facts ------------------------------------------------------------
+
+    def _replay(self, records):
+        for record in records:
+            kind = record[0]
+            if kind == "promise":
+                self.promised = tuple(record[1])
+            elif kind == "image":
+                self.chain = Chain(record[1], record[2], record[3])
+                self.delivered = record[1]
+            elif kind == "view":
+                self.view, self.members = tuple(record[1]), tuple(record[2])
+                self.promised = self.view
+                self.chain.cut(record[3] - 1)
+                self.chain.extend(record[3], [entry.encode() for entry in record[4]])
+            elif kind == "grow":
+                self.chain.extend(record[1], [entry.encode() for entry in record[2]])
+        self.synced = self.chain.end
+        self.committed = self.delivered
+
+    def restore(self):
+        """What a start gives the state before anything is heard: the image only (§4.6)."""
+        return (self.chain.base, self.chain.image)
+
+    @property
+    def blank(self) -> bool:
+        return self.chain.end == 0 and self.view == NO_BALLOT
+
+    def fresh(self, now) -> bool:
+        """Whether this seat is in a working view, as far as it can know."""
+        if self.role == "leading":
+            return self._leads_well(now)
+        return self.role == "member" and now - self.freshAt < self.FRESH
+
+    def _leads_well(self, now) -> bool:
+        others = [seat for seat in self.members if seat != self.seat]
+        return all(now - self.heardFrom.get(seat, now - self.SILENCE * 9) < self.FRESH for seat in others)
+
+    # input ----------------------------------------------------------------------
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "heard":
+            return getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
+        return getattr(self, "_" + kind)(message, now)
+
+    def _pulse(self, message, now):
+        if self.blank and self.role == "idle":
+            return self._pulse_blank(now)
+        if self.role == "leading":
+            return self._pulse_leading(now)
+        if self.role == "stopping":
+            return self._pulse_stopping(now)
+        if self.role == "installing":
+            return self._pulse_installing(now)
+        if self.role == "asking" and now - self.startedAt > self.ROUND:
+            self._rest(now)
+        isLost = now - self.leaderHeard > self.SILENCE
+        if isLost and self.role in ("idle", "member") and now >= self.retryAt:
+            if self.seat in self.chain.roster():
+                return self._ask(now)
+        return []
+
+    def _rest(self, now):
+        self.role, self.answers = "idle", {}
+        self.retryAt = now + timedelta(seconds=self.draw.uniform(0.2, 0.9))
+
+    # founding -------------------------------------------------------------------
+
+    def _pulse_blank(self, now):
+        if now < self.blankAt:
+            return []
+        self.blankAt = now + timedelta(seconds=0.3)
+        out = [("tell", address, ("blank", self.seat)) for address in self.founding if address != self.address]
+        ready = {address: seat for address, (seat, at) in self.blanks.items() if now - at < timedelta(seconds=1)}
+        ready[self.address] = self.seat
+        isWhole = len(self.founding) == 3 and set(ready) == set(self.founding)
+        if isWhole and self.seat == min(ready.values()):
+            roster = {seat: address for address, seat in ready.items()}
+            self.chain.extend(1, [pack_entry(("found", roster))])
+            return out + self._start_ballot(now, ("grow", 1, tuple(entry.decode() for entry in self.chain.entries)))
+        return out
+
+    def _on_blank(self, seat, address, body, now):
+        if self.blank:
+            self.blanks[address] = (seat, now)
+        elif seat not in self.chain.roster():
+            first = self.newcomers[seat][0] if seat in self.newcomers else now
+            self.newcomers[seat] = (first, now, address)
+        return []
+
+    # ballots --------------------------------------------------------------------
+
+    def _others(self):
+        return {seat: address for seat, address in self.chain.roster().items() if seat != self.seat}
+
+    def _next_ballot(self):
+        highest = max(self.promised[0], self.view[0], self.ballot[0], self.highest)
+        return (highest + 1, self.seat)
+
+    def _ask(self, now):
+        """§4.3: a seat asks before it disturbs; those who hear a leader stay silent."""
+        self.role, self.startedAt, self.yes = "asking", now, {self.seat}
+        self.ballot = self._next_ballot()
+        return [("tell", address, ("ask", self.ballot)) for address in self._others().values()]
+
+    def _on_ask(self, seat, address, body, now):
+        hearsLeader = self.role == "leading" or now - self.leaderHeard < self.SILENCE
+        if hearsLeader or self.blank or seat not in self.chain.roster():
+            return []
+        return [("tell", address, ("ask_yes", body[1]))]
+
+    def _on_ask_yes(self, seat, address, body, now):
+        if self.role != "asking" or tuple(body[1]) != self.ballot:
+            return []
+        self.yes.add(seat)
+        return self._start_ballot(now) if len(self.yes) >= most_of(self.chain.roster()) else []
+
+    def _start_ballot(self, now, firstRecord=None):
+        self.role, self.startedAt, self.majorityAt = "stopping", now, None
+        self.ballot = self.promised = self._next_ballot()
+        self.answers, self.waiting, self.syncing = {}, [], False
+        records = [("promise", self.ballot)] + ([firstRecord] if firstRecord else [])
+        return [("disk", FILE, tuple(records), ("accord-synced", "own-stop", self.ballot))]
+
+    def _own_stop(self, ballot, now):
+        if self.role != "stopping" or ballot != self.ballot:
+            return []
+        self.answers[self.seat] = (self.view, self.delivered, self.chain.end, self.chain.base + 1, None, None)
+        self.syncAt = now
+        return self._send_stops(self._others())
+
+    def _send_stops(self, targets):
+        roster = self.chain.roster()
+        return [("tell", address, ("stop", self.ballot, self.delivered, roster)) for address in targets.values()]
+
+    def _on_stop(self, seat, address, body, now):
+        _, ballot, delivered, roster = body
+        ballot = tuple(ballot)
+        mine = self.chain.roster()
+        if ballot < self.promised or (ballot == self.promised and self.view == ballot):
+            return []
+        if (mine and seat not in mine) or self.seat not in roster:
+            return []
+        self.promised = ballot
+        self.role, self.leaderHeard, self.leader, self.waiting = "idle", now, None, []
+        self.retryAt = now + self.SILENCE + timedelta(seconds=self.draw.uniform(0.1, 0.9))
+        followup = ("accord-synced", "stopped", ballot, address, delivered)
+        return [("disk", FILE, (("promise", ballot),), followup)]
+
+    def _tail_for(self, delivered):
+        """(first, entries, image) that bring a seat from `delivered` to our end."""
+        if delivered < self.chain.base:
+            image = (self.chain.base, self.chain.image, self.chain.baseRoster)
+            return self.chain.base + 1, self.chain.since(self.chain.base + 1), image
+        return delivered + 1, self.chain.since(delivered + 1), None
+
+    def _answer_stop(self, ballot, address, delivered, now):
+        if ballot != self.promised:
+            return []
+        first, entries, image = self._tail_for(delivered)
+        return [("tell", address, ("stopped", ballot, self.view, self.delivered, self.chain.end, first, entries, image))]
+
+    def _on_stopped(self, seat, address, body, now):
+        _, ballot, view, delivered, end, first, entries, image = body
+        if self.role == "stopping" and tuple(ballot) == self.ballot:
+            self.answers[seat] = (tuple(view), delivered, end, first, entries, image)
+        return []
+
+    def _penalised(self, now):
+        return {seat for seat, (until, _) in self.penalty.items() if now < until}
+
+    def _pulse_stopping(self, now):
+        roster = self.chain.roster()
+        if len(self.answers) >= most_of(roster) and self.majorityAt is None:
+            self.majorityAt = now
+        isFull = set(roster) <= set(self.answers)
+        if self.majorityAt is not None and (isFull or now - self.majorityAt >= self.GATHER):
+            return self._install(now)
+        if now - self.startedAt > self.ROUND * 2:
+            self._rest(now)
+        elif self.answers and now - self.syncAt > self.RESEND:
+            self.syncAt = now
+            return self._send_stops({seat: address for seat, address in self._others().items() if seat not in self.answers})
+        return []
+
+    def _install(self, now):
+        """§4.3: trim to the longest log of the highest view, then everybody syncs it."""
+        best = max(self.answers, key=lambda seat: (self.answers[seat][0], self.answers[seat][2], seat))
+        _, _, _, first, entries, image = self.answers[best]
+        out = []
+        if best != self.seat:
+            if image is not None:
+                out += self._adopt_image(image)
+            self.chain.cut(first - 1)
+            self.chain.extend(first, entries)
+        roster = self.chain.roster()
+        members = tuple(sorted(seat for seat in self.answers if seat in roster))
+        unpunished = tuple(seat for seat in members if seat not in self._penalised(now))
+        if len(unpunished) >= most_of(roster):
+            members = unpunished
+        isFounding = self.chain.end == 1 and set(members) != set(roster)  # §4.2: founding needs all
+        if self.seat not in members or len(members) < most_of(roster) or isFounding:
+            self._rest(now)
+            return out + self._rewrite(None)
+        self.role, self.startedAt, self.members = "installing", now, members
+        self.view = self.ballot
+        self.acked = {}
+        out += self._rewrite(("accord-synced", "own-install", self.ballot))
+        return out + self._send_installs(members)
+
+    def _send_installs(self, targets):
+        out, roster = [], self.chain.roster()
+        for seat in targets:
+            if seat != self.seat:
+                first, entries, image = self._tail_for(self.answers[seat][1])
+                out.append(("tell", roster[seat], ("install", self.ballot, self.members, first, entries, image)))
+        return out
+
+    def _adopt_image(self, image):
+        base, state, roster = image
+        self.chain = Chain(base, state, roster)
+        if base > self.delivered:
+            self.delivered = self.committed = base
+            return [("restored", base, state)]
+        return []
+
+    def _records(self):
+        """The whole file anew: promise, image, view and the entries after the image."""
+        image = ("image", self.chain.base, self.chain.image, self.chain.baseRoster)
+        entries = tuple(entry.decode() for entry in self.chain.entries)
+        return (("promise", self.promised), image, ("view", self.view, self.members, self.chain.base + 1, entries))
+
+    def _rewrite(self, followup):
+        return [("rewrite", FILE, self._records(), followup)]
+
+    def _on_install(self, seat, address, body, now):
+        _, ballot, members, first, entries, image = body
+        ballot = tuple(ballot)
+        if ballot < self.promised or ballot == self.view:
+            return []
+        out = []
+        if image is not None:
+            out += self._adopt_image(image)
+        if first > self.chain.end + 1:
+            return []
+        self.chain.cut(first - 1)
+        self.chain.extend(first, entries)
+        self.promised = self.view = ballot
+        self.members, self.leader, self.leaderHeard = tuple(members), seat, now
+        self.role = "joining"
+        return out + self._rewrite(("accord-synced", "installed", ballot, address, self.chain.end))
+
+    def _on_installed(self, seat, address, body, now):
+        if self.role == "installing" and tuple(body[1]) == self.ballot:
+            self.acked[seat] = self.chain.end
+            self.heardFrom[seat] = now
+        return self._check_installed(now)
+
+    def _check_installed(self, now):
+        if self.role != "installing" or not set(self.members) <= set(self.acked):
+            return []
+        self.role, self.leader, self.outsiders, self.waiting, self.syncing = "leading", self.seat, {}, [], False
+        self.synced, self.nextBeat, self.leaderHeard = self.chain.end, now, now
+        for seat in self.chain.roster():
+            self.heardFrom[seat] = now
+        if self.chain.end == 1:
+            self.waiting.append(pack_entry(("founded",)))
+        note = ("log", "info", "accord", f"View {self.ballot[0]} leads.", {"members": list(self.members)})
+        return [note, ("view", self.ballot, self.members)] + self._commit(now) + self._flush(now)
+
+    def _pulse_installing(self, now):
+        if now - self.startedAt <= self.ROUND:
+            return []
+        slow = [seat for seat in self.members if seat not in self.acked and seat != self.seat]
+        for seat in slow:
+            self._punish(seat, now)
+        if self.seat not in self.acked:
+            self._rest(now)  # our own disk is the slow one
+            self.retryAt += self.SILENCE * 2
+            return []
+        return self._start_ballot(now)
+
+    def _punish(self, seat, now):
+        until, pause = self.penalty.get(seat, (now, timedelta(seconds=1)))
+        if now - until > timedelta(minutes=1):
+            pause = timedelta(seconds=1)
+        self.penalty[seat] = (now + pause, min(pause * 2, timedelta(seconds=30)))
+
+    # order ------------------------------------------------------------------------
+
+    def _propose(self, message, now):
+        entry = pack_entry(message[1])
+        if self.role == "leading" or (self.role in ("stopping", "installing")):
+            return self._admit(entry, message[1], now)
+        address = self.chain.roster().get(self.leader)
+        if address is None or now - self.leaderHeard > self.SILENCE:
+            return [("refused", message[1], faults.NO_VIEW.because("this seat hears no leader"))]
+        return [("tell", address, ("propose", message[1]))]
+
+    def _on_propose(self, seat, address, body, now):
+        if self.role != "leading":
+            return []
+        return self._admit(pack_entry(body[1]), body[1], now)
+
+    def _admit(self, entry, change, now):
+        if self.role != "leading":
+            return [("refused", change, faults.NO_VIEW.because("a change of view is under way"))]
+        if len(self.waiting) >= self.MOST_WAITING:
+            return [("refused", change, faults.TOO_MANY.because(f"{len(self.waiting)} wait"))]
+        self.waiting.append(entry)
+        return self._flush(now)
+
+    def _flush(self, now):
+        """One sync at a time, with all that came meanwhile."""
+        if self.syncing or not self.waiting:
+            return []
+        batch, self.waiting = tuple(self.waiting), []
+        first = self.chain.end + 1
+        self.chain.extend(first, batch)
+        self.syncing, self.syncAt = True, now
+        record = ("grow", first, tuple(entry.decode() for entry in batch))
+        out = [("disk", FILE, (record,), ("accord-synced", "own-grow", self.ballot, self.chain.end))]
+        return out + self._send_grow(first, [seat for seat in self.members if seat != self.seat], now)
+
+    def _send_grow(self, first, targets, now):
+        self.sentAt = now
+        roster, entries = self.chain.roster(), self.chain.since(first)
+        message = ("grow", self.ballot, first, entries, self.committed)
+        return [("tell", roster[seat], message) for seat in targets if seat in roster]
+
+    def _on_grow(self, seat, address, body, now):
+        _, ballot, first, entries, committed = body
+        if tuple(ballot) != self.view or self.view != self.promised or self.role != "member":
+            return []
+        self.leaderHeard = now
+        before = self.chain.end
+        self.chain.extend(first, entries)
+        out = self._deliver(min(committed, self.synced))
+        if self.chain.end > before:
+            fresh = tuple(entry.decode() for entry in self.chain.since(before + 1))
+            followup = ("accord-synced", "grown", self.view, address, self.chain.end)
+            return out + [("disk", FILE, (("grow", before + 1, fresh),), followup)]
+        return out + [("tell", address, ("grew", self.view, self.synced))]
+
+    def _on_grew(self, seat, address, body, now):
+        if self.role == "leading" and tuple(body[1]) == self.ballot and seat in self.members:
+            self.heardFrom[seat] = now
+            if body[2] > self.acked.get(seat, 0):
+                self.acked[seat] = body[2]
+                return self._commit(now)
+        return []
+
+    def _commit(self, now):
+        reached = min(self.acked.get(seat, 0) for seat in self.members)
+        if reached > self.committed:
+            self.committed = reached
+            return self._deliver(reached) + self._beat(now)
+        return []
+
+    def _deliver(self, upTo):
+        out = []
+        while self.delivered < upTo:
+            self.delivered += 1
+            entry = self.chain.entries[self.delivered - self.chain.base - 1]
+            out.append(("deliver", self.delivered, entry))
+        self.committed = max(self.committed, self.delivered)
+        if self.delivered - self.chain.base > self.MOST_ENTRIES:
+            out.append(("compact",))
+        return out
+
+    def _compact(self, message, now):
+        """Called by the node once the state has taken all that was delivered."""
+        if self.delivered - self.chain.base <= self.MOST_ENTRIES:
+            return []
+        self.chain.shorten(self.delivered, self.keep_image())
+        return self._rewrite(None)
+
+    def _accord_synced(self, message, now):
+        what, ballot = message[1], tuple(message[2])
+        if what == "own-stop":
+            return self._own_stop(ballot, now)
+        if what == "stopped":
+            return self._answer_stop(ballot, message[3], message[4], now)
+        if what == "own-install" and ballot == self.ballot:
+            self.acked[self.seat] = self.chain.end
+            return self._check_installed(now)
+        if what == "installed" and ballot == self.view == self.promised:
+            self.role, self.synced, self.leaderHeard = "member", message[4], now
+            return [("tell", message[3], ("installed", ballot)), ("view", self.view, self.members)]
+        if what == "own-grow" and ballot == self.ballot and self.role == "leading":
+            self.syncing, self.acked[self.seat], self.synced = False, message[3], message[3]
+            return self._commit(now) + self._flush(now)
+        if what == "grown" and ballot == self.view == self.promised:
+            self.synced = max(self.synced, message[4])
+            return [("tell", message[3], ("grew", ballot, self.synced))]
+        return []
+
+    # the leader's watch ---------------------------------------------------------------
+
+    def _beat(self, now):
+        self.nextBeat = now + self.BEAT
+        message = ("beat", self.ballot, self.committed, self._leads_well(now), self.members)
+        return [("tell", address, message) for address in self._others().values()]
+
+    def _on_beat(self, seat, address, body, now):
+        _, ballot, committed, isFresh, members = body
+        ballot = tuple(ballot)
+        if ballot < self.view or seat not in self.chain.roster():
+            if not self.blank:
+                return [("tell", address, ("beat_ack", ballot, self.promised, self.chain.end, self.blank))]
+        self.leaderHeard, self.leader = now, seat
+        out = []
+        if ballot == self.view == self.promised and self.role == "member":
+            if isFresh:
+                self.freshAt = now
+            out = self._deliver(min(committed, self.synced))
+        return out + [("tell", address, ("beat_ack", ballot, self.promised, self.synced, self.blank))]
+
+    def _on_beat_ack(self, seat, address, body, now):
+        _, ballot, seen, end, _ = body
+        self.highest = seen[0]
+        if self.role != "leading" or tuple(ballot) != self.ballot:
+            return []
+        self.heardFrom[seat] = now
+        if seat not in self.members:
+            since, at = self.outsiders.get(seat, (now, now))
+            self.outsiders[seat] = (since if now - at < self.SILENCE else now, now)
+        elif tuple(seen) > self.ballot:
+            self._rest(now)  # this view was stopped while we were away
+        elif end > self.acked.get(seat, 0):
+            self.acked[seat] = end
+            return self._commit(now)
+        return []
+
+    def _pulse_leading(self, now):
+        if self.syncing and now - self.syncAt > self.SILENCE:
+            self._rest(now)  # our own disk stalls: let another lead
+            self.retryAt += self.SILENCE * 2
+            return [("log", "warning", "accord", "Own disk stalls, stepping back.", {})]
+        roster = self.chain.roster()
+        for seat in self.members:
+            if seat == self.seat:
+                continue
+            silence = now - self.heardFrom[seat]
+            isSilent = silence > self.SILENCE
+            isStalled = self.acked.get(seat, 0) < self.synced and now - self.sentAt > self.SILENCE
+            if (isSilent or isStalled) and len(self.members) - 1 >= most_of(roster):
+                self._punish(seat, now)
+                return [("log", "warning", "accord", "A seat is put out of the view.", {"seat": seat})] + self._start_ballot(now)
+            if silence > self.SILENCE * 3:
+                self._rest(now)
+                return [("log", "warning", "accord", "No majority is heard, stepping back.", {})]
+        out = self._beat(now) if now >= self.nextBeat else []
+        late = [seat for seat in self.members if seat != self.seat and self.acked.get(seat, 0) < self.chain.end]
+        if late and now - self.sentAt > self.RESEND:
+            start = min(self.acked.get(seat, 0) for seat in late) + 1
+            keptAt = self.sentAt
+            out += self._send_grow(max(start, self.chain.base + 1), late, now)
+            self.sentAt = keptAt if now - keptAt < self.SILENCE else now
+        for seat, (since, at) in self.outsiders.items():
+            isSteady = now - since > self.REJOIN and now - at < self.SILENCE
+            if isSteady and seat in roster and seat not in self._penalised(now) and not self.syncing:
+                return out + [("log", "info", "accord", "A seat comes back into the view.", {"seat": seat})] + self._start_ballot(now)
+        return out + self._fill_vacant(roster, now)
+
+    def _fill_vacant(self, roster, now):
+        """§4.4: remove the seat that has been away, then add the blank one, one committed step each."""
+        if self.chain.end > self.committed or self.waiting:
+            return []
+        ready = [(seat, item[2]) for seat, item in self.newcomers.items()
+                 if now - item[1] < timedelta(seconds=1) and now - item[0] > self.REJOIN and seat not in roster]
+        if not ready:
+            return []
+        away = [seat for seat in roster if seat not in self.members and now - self.heardFrom.setdefault(seat, now) > self.awayFor]
+        if away and len(roster) >= 3:
+            return self._admit(pack_entry(("seat-out", away[0])), None, now)
+        if len(roster) < 3:
+            newSeat, address = min(ready)
+            del self.newcomers[newSeat]
+            return self._admit(pack_entry(("seat-in", newSeat, address)), None, now)
+        return []
--- /dev/null
+++ b/sumachook/atlas/__init__.py
@@ -0,0 +1,1 @@
+"""Catalogue, params and the ordered state."""
--- /dev/null
+++ b/sumachook/atlas/faults.py
@@ -0,0 +1,11 @@
+"""What is wrong with an operator's input."""
+
+from sumachook.fault import Fault
+
+NOT_JSON = Fault("atlas", "not JSON")
+REFUSED = Fault("atlas", "refused")
+STALE = Fault("atlas", "stale generation")
+EMPTY = Fault("atlas", "no catalogue yet")
+CUTOFF = Fault("atlas", "not acknowledged in time")
+UNREACHED = Fault("atlas", "no core answered")
+UNKNOWN = Fault("atlas", "unknown")
--- /dev/null
+++ b/sumachook/atlas/params.py
@@ -0,0 +1,71 @@
+"""What one process must know to start: the params file or flags."""
+
+import ipaddress
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from sumachook.atlas.catalogue import Name
+from sumachook.atlas.check import check
+
+
+class Params(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Addresses, area, three seeds; `read_params` checks them (§1.6)."""
+
+    node: Name
+    address: str
+    door: str
+    area: Name
+    seeds: tuple[str, ...]
+    cluster: Name = "sumachook"
+    founding: tuple[str, ...] = ()
+    data: str | None = None
+    platform: str | None = None
+    operatorKey: Annotated[str, Meta(min_length=8)] | None = None
+    seatAway: Annotated[float, Meta(ge=2, le=86400)] = 60.0
+    retention: Annotated[int, Meta(ge=100, le=10000000)] = 200000
+    logLevel: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+def _address_fault(text: str):
+    """
+    >>> _address_fault("127.0.0.1:7000"), _address_fault("[::1]:7000"), _address_fault("host:7000")
+    (None, None, "'host' is no IP number")
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return f"{host!r} is no IP number"
+    return None if port.isdigit() and 0 < int(port) < 65536 else f"{port!r} is no port"
+
+
+def read_params(doc, role: str):
+    """(Params or None, faults) for the role core or edge."""
+    params, faults = check(doc, Params)
+    if params is None:
+        return None, faults
+    found = []
+    addresses = [("address", params.address), ("door", params.door)]
+    for part in ("seeds", "founding"):
+        addresses += [(f"{part}[{place}]", address) for place, address in enumerate(getattr(params, part))]
+    for path, address in addresses:
+        if reason := _address_fault(address):
+            found.append((path, reason))
+    if params.address == params.door:
+        found.append(("door", "the same as address"))
+    if not 1 <= len(params.seeds) <= 3:
+        found.append(("seeds", f"{len(params.seeds)} given, one to three are needed"))
+    if role == "core" and params.data is None:
+        found.append(("data", "a core needs a data folder"))
+    if role == "core" and params.founding and (len(set(params.founding)) != 3 or params.address not in params.founding):
+        found.append(("founding", "three different addresses, one of them this core's"))
+    return (None, tuple(found)) if found else (params, ())
+
+
+def test_params_faults_are_named():
+    doc = {"node": "c1", "address": "127.0.0.1:1", "door": "127.0.0.1:1", "area": "a", "seeds": ["x:1"], "founding": ["127.0.0.1:1"]}
+    assert [path for path, _ in read_params(doc, "core")[1]] == ["seeds[0]", "door", "data", "founding"]
+    good = doc | {"door": "127.0.0.1:2", "seeds": ["127.0.0.1:1"], "founding": []}
+    assert read_params(good, "edge")[1] == ()
--- /dev/null
+++ b/sumachook/atlas/state.py
@@ -0,0 +1,186 @@
+"""The ordered state: what every core and edge works out from the same changes."""
+
+from sumachook.atlas import faults
+from sumachook.atlas.catalogue import merge, read_catalogue
+
+MOST_REQUESTS = 1000
+DUTIES = ("placer", "watcher", "accountant")
+
+
+class State:
+    """`apply(change)` is the only way in, the same on every node (§5.1).
+
+    >>> state = State()
+    >>> state.apply(1, ("evacuate", "op-1", "hall"))
+    ('refused', (('area', "no area 'hall'"),))
+    >>> state.apply(2, ("duty-fill", "placer", "core-1", 1)), state.apply(3, ("duty-fill", "placer", "core-2", 1))
+    (('ok',), ('refused', (('duty', 'not vacant'),)))
+    """
+
+    __slots__ = ("number", "generation", "doc", "catalogue", "evacuated", "servers", "duties", "pairs", "held", "requests",
+                 "roster")
+
+    def __init__(self):
+        self.number, self.generation, self.doc, self.catalogue = 0, 0, None, None
+        self.evacuated, self.servers, self.pairs, self.held, self.roster = (), {}, {}, {}, {}
+        self.duties = {duty: ("", 0) for duty in DUTIES}
+        self.requests = {}
+
+    def image(self) -> dict:
+        return {
+            "number": self.number, "generation": self.generation, "doc": self.doc, "evacuated": self.evacuated,
+            "servers": self.servers, "duties": self.duties, "pairs": self.pairs, "held": self.held, "roster": self.roster,
+            "requests": tuple(self.requests.items()),
+        }
+
+    def restore(self, image: dict):
+        self.number, self.generation, self.doc = image["number"], image["generation"], image["doc"]
+        self.catalogue = read_catalogue(self.doc)[0] if self.doc is not None else None
+        self.evacuated = tuple(image["evacuated"])
+        self.servers, self.pairs, self.roster = dict(image["servers"]), dict(image["pairs"]), dict(image["roster"])
+        self.held = {server: dict(items) for server, items in image["held"].items()}
+        self.duties = {duty: tuple(item) for duty, item in image["duties"].items()}
+        self.requests = {request: result for request, result in image["requests"]}
+
+    def apply(self, number: int, change) -> tuple:
+        self.number = number
+        return getattr(self, "_" + change[0].replace("-", "_"))(*change[1:])
+
+    def fence(self, duty: str, holder: str) -> int:
+        """The holder's fence, 0 for anybody else."""
+        return self.duties[duty][1] if self.duties[duty][0] == holder else 0
+
+    def is_open(self, area: str) -> bool:
+        return area not in self.evacuated
+
+    # the seats ----------------------------------------------------------------
+
+    def _found(self, roster):
+        self.roster = dict(roster)
+        return ("ok",)
+
+    def _founded(self):
+        return ("ok",)
+
+    def _seat_in(self, seat, address):
+        self.roster = {**self.roster, seat: address}
+        return ("ok",)
+
+    def _seat_out(self, seat):
+        self.roster = {other: address for other, address in self.roster.items() if other != seat}
+        return ("ok",)
+
+    # operators ------------------------------------------------------------------
+
+    def _once(self, request, work):
+        """§5.4: a repeat is answered with the first result."""
+        if request not in self.requests:
+            self.requests[request] = work()
+            while len(self.requests) > MOST_REQUESTS:
+                del self.requests[next(iter(self.requests))]
+        return self.requests[request]
+
+    def _apply(self, request, doc, isPart, ifGeneration):
+        return self._once(request, lambda: self._configure(doc, isPart, ifGeneration))
+
+    def _configure(self, doc, isPart, ifGeneration):
+        if ifGeneration is not None and ifGeneration != self.generation:
+            return ("stale", (("generation", f"{faults.STALE.name}: it is {self.generation}, not {ifGeneration}"),))
+        if isPart and self.doc is None:
+            return ("refused", (("$", faults.EMPTY.name),))
+        wanted = merge(self.doc, doc) if isPart else doc
+        catalogue, found = read_catalogue(wanted)
+        if catalogue is None:
+            return ("refused", found)
+        self.doc, self.catalogue = wanted, catalogue
+        self.evacuated = tuple(area for area in self.evacuated if area in catalogue.areas)
+        names = {model.name for model in catalogue.models}
+        self.pairs = {model: pair for model, pair in self.pairs.items() if model in names}
+        self.generation += 1
+        return ("ok", self.generation)
+
+    def _evacuate(self, request, area):
+        return self._once(request, lambda: self._turn(area, True))
+
+    def _restore(self, request, area):
+        return self._once(request, lambda: self._turn(area, False))
+
+    def _turn(self, area, isLeft):
+        if self.catalogue is None or area not in self.catalogue.areas:
+            return ("refused", (("area", f"no area {area!r}"),))
+        rest = tuple(other for other in self.evacuated if other != area)
+        self.evacuated = tuple(sorted((*rest, area))) if isLeft else rest
+        self.generation += 1
+        return ("ok", self.generation)
+
+    # duties -----------------------------------------------------------------------
+
+    def _duty_fill(self, duty, holder, fence):
+        current, last = self.duties[duty]
+        if current:
+            return ("refused", (("duty", "not vacant"),))
+        if fence != last + 1:
+            return ("refused", (("duty", f"fence {fence} after {last}"),))
+        self.duties[duty] = (holder, fence)
+        return ("ok",)
+
+    def _duty_vacate(self, duty, fence):
+        holder, last = self.duties[duty]
+        if holder and fence == last:
+            self.duties[duty] = ("", last)
+            return ("ok",)
+        return ("refused", (("duty", "not that fence"),))
+
+    def _ordered_by(self, duty, fence):
+        return self.duties[duty][0] and self.duties[duty][1] == fence
+
+    def _servers(self, fence, servers):
+        """The watcher's list; a server's state here is the platform's word."""
+        if not self._ordered_by("watcher", fence):
+            return ("refused", (("fence", "an older watcher"),))
+        self.servers = dict(servers)
+        self.held = {server: items for server, items in self.held.items() if server in self.servers}
+        return ("ok",)
+
+    def _pairs(self, fence, pairs):
+        if not self._ordered_by("placer", fence):
+            return ("refused", (("fence", "an older placer"),))
+        self.pairs = {model: tuple(pair) for model, pair in pairs.items()}
+        return ("ok",)
+
+    def _held(self, fence, held):
+        if not self._ordered_by("placer", fence):
+            return ("refused", (("fence", "an older placer"),))
+        for server, items in held.items():
+            if items is None:
+                self.held.pop(server, None)
+            elif server in self.servers:
+                self.held[server] = dict(items)
+        return ("ok",)
+
+
+def _doc():
+    return {"name": "c", "areas": ["a", "b"], "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}],
+            "lines": [{"name": "counter"}],
+            "callers": [{"name": "clerk", "key": "clerk-key", "line": "counter", "patience": 9.0}]}
+
+
+def test_repeats_races_and_stale_changes():
+    state = State()
+    assert state.apply(1, ("apply", "r1", _doc(), False, None)) == ("ok", 1)
+    assert state.apply(2, ("apply", "r1", _doc(), False, None)) == ("ok", 1)
+    assert state.apply(3, ("apply", "r2", {"routes": [{"name": "x", "target": "m"}]}, True, 1)) == ("ok", 2)
+    assert state.apply(4, ("apply", "r3", {"routes": [{"name": "y", "target": "m"}]}, True, 1))[0] == "stale"
+    assert state.apply(5, ("apply", "r4", {"routes": [{"name": "y", "target": "n"}]}, True, None))[0] == "refused"
+    assert [route.name for route in state.catalogue.routes] == ["x"] and state.generation == 2
+    assert state.apply(6, ("evacuate", "r5", "b")) == ("ok", 3) and not state.is_open("b")
+
+
+def test_image_brings_back_the_same_state():
+    state, again = State(), State()
+    state.apply(1, ("found", {"s": "x:1"}))
+    state.apply(2, ("apply", "r1", _doc(), False, None))
+    state.apply(3, ("duty-fill", "watcher", "s", 1))
+    state.apply(4, ("servers", 1, {"v": {"area": "a"}}))
+    again.restore(state.image())
+    assert again.image() == state.image() and again.catalogue == state.catalogue
--- /dev/null
+++ b/sumachook/rota/rota.py
@@ -0,0 +1,166 @@
+"""One core's part in the duties."""
+
+from datetime import timedelta
+from random import Random
+
+LEASE = timedelta(seconds=2)
+ORDER_TIMEOUT = timedelta(seconds=2)
+DRIFT = timedelta(seconds=0.5)
+VACANT_AFTER = LEASE + ORDER_TIMEOUT + DRIFT
+
+
+class Rota:
+    """Takes (message, now); reads the ordered duties of the state it is given (§6).
+
+    In: ("pulse", isFresh, isLeading), ("heard", seat, address, message), ("quit",).
+    Out: ("tell", address, message), ("propose", change), ("log", ...).
+    `holds(duty, now)` is the fence while the lease runs, else 0.
+    """
+
+    __slots__ = ("seat", "state", "draw", "leases", "answers", "renewedAt", "votes", "bids", "nextRenew", "isFresh",
+                 "watchedSince", "quitting", "known", "lastSent")
+
+    RENEW = timedelta(seconds=0.4)
+    BID_PAUSE = timedelta(seconds=0.5)
+
+    def __init__(self, seat: str, state, draw: Random, now):
+        self.seat, self.state, self.draw = seat, state, draw
+        self.leases, self.answers, self.renewedAt, self.votes, self.bids = {}, {}, {}, {}, {}
+        self.nextRenew, self.isFresh, self.watchedSince, self.quitting = now, False, now, False
+        self.known, self.lastSent = {}, {}
+
+    def holds(self, duty: str, now) -> int:
+        fence = self.state.fence(duty, self.seat)
+        leasedFence, until = self.leases.get(duty, (0, now))
+        return fence if fence and leasedFence == fence and now < until else 0
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "pulse":
+            return self._pulse(message[1], message[2], now)
+        if kind == "quit":
+            return self._quit()
+        return getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
+
+    def _most(self):
+        return len(self.state.roster) // 2 + 1
+
+    def _others(self):
+        return [address for seat, address in self.state.roster.items() if seat != self.seat]
+
+    def _pulse(self, isFresh, isLeading, now):
+        self.isFresh = isFresh
+        out = []
+        if not isLeading:
+            self.watchedSince = now
+        if now >= self.nextRenew:
+            self.nextRenew = now + self.RENEW
+            out += self._renew(now)
+        for duty, (holder, fence) in self.state.duties.items():
+            if self.known.get(duty) != (holder, fence):
+                self.known[duty] = (holder, fence)
+                self.renewedAt[duty] = now
+            if not holder and isFresh and not self.quitting and self.state.roster:
+                out += self._bid(duty, fence + 1, now)
+            elif holder and isLeading:
+                out += self._judge(duty, holder, fence, now)
+        return out
+
+    # keeping a duty -------------------------------------------------------------
+
+    def _renew(self, now):
+        out = []
+        for duty in self.state.duties:
+            fence = self.state.fence(duty, self.seat)
+            if fence and not self.quitting:
+                sent = now.total_seconds()
+                self.answers[(duty, fence, sent)] = {self.seat} if self.isFresh else set()
+                out += [("tell", address, ("renew", duty, fence, sent)) for address in self._others()]
+                self.renewedAt[duty] = now
+                self._count(duty, fence, sent, now)
+        horizon = (now - LEASE).total_seconds()
+        self.answers = {key: seats for key, seats in self.answers.items() if key[2] > horizon}
+        return out
+
+    def _on_renew(self, seat, address, body, now):
+        _, duty, fence, sent = body
+        if not self.isFresh or self.state.fence(duty, seat) != fence:
+            return []  # §6.2: a seat outside a working view prolongs nothing
+        self.renewedAt[duty] = now
+        return [("tell", address, ("renewed", duty, fence, sent))]
+
+    def _on_renewed(self, seat, address, body, now):
+        _, duty, fence, sent = body
+        if (duty, fence, sent) in self.answers and seat in self.state.roster:
+            self.answers[(duty, fence, sent)].add(seat)
+            self._count(duty, fence, sent, now)
+        return []
+
+    def _count(self, duty, fence, sent, now):
+        if len(self.answers[(duty, fence, sent)]) >= self._most():
+            until = timedelta(seconds=sent) + LEASE  # from when it was sent, on our own clock
+            if self.leases.get(duty, (0, now))[0] != fence or self.leases[duty][1] < until:
+                self.leases[duty] = (fence, until)
+
+    def _judge(self, duty, holder, fence, now):
+        """§6.3: the leader declares a vacancy only when no order of the old holder can be under way."""
+        silentSince = max(self.renewedAt.get(duty, now), self.watchedSince)
+        if now - silentSince > VACANT_AFTER and self._may_send(("vacate", duty), now):
+            note = ("log", "warning", "rota", "A duty falls vacant.", {"duty": duty, "holder": holder, "fence": fence})
+            return [note, ("propose", ("duty-vacate", duty, fence))]
+        return []
+
+    def _quit(self):
+        """On leaving, duties are given back at once; no order goes out after this."""
+        self.quitting = True
+        self.leases.clear()
+        mine = [(duty, fence) for duty, (holder, fence) in self.state.duties.items() if holder == self.seat]
+        return [("propose", ("duty-vacate", duty, fence)) for duty, fence in mine]
+
+    def _may_send(self, what, now):
+        if now - self.lastSent.get(what, now - self.BID_PAUSE * 9) < self.BID_PAUSE:
+            return False
+        self.lastSent[what] = now
+        return True
+
+    # winning a duty -----------------------------------------------------------------
+
+    def _bid(self, duty, fence, now):
+        key = (duty, fence)
+        current = self.bids.get(duty)
+        if current is None or current[0] != fence:
+            load = sum(holder == self.seat for holder, _ in self.state.duties.values())
+            wait = timedelta(seconds=self.draw.uniform(0.05, 0.3) + 0.3 * load)  # spread the duties out
+            self.bids[duty] = (fence, 0, now + wait, set())
+            return []
+        _, round_, at, votes = current
+        if now < at:
+            return []
+        round_ += 1
+        if self.votes.get(key, (self.seat, 0))[0] != self.seat and self.votes[key][1] >= round_:
+            round_ = self.votes[key][1] + 1
+        self.votes[key] = (self.seat, round_)
+        self.bids[duty] = (fence, round_, now + self.BID_PAUSE * self.draw.uniform(1, 2), {self.seat})
+        return [("tell", address, ("bid", duty, fence, round_)) for address in self._others()]
+
+    def _on_bid(self, seat, address, body, now):
+        _, duty, fence, round_ = body
+        holder, last = self.state.duties.get(duty, ("?", 0))
+        if holder or fence != last + 1 or not self.isFresh or seat not in self.state.roster:
+            return []
+        voted = self.votes.get((duty, fence))
+        if voted is None or round_ > voted[1] or (voted == (seat, round_)):
+            self.votes = {key: vote for key, vote in self.votes.items() if key[0] != duty}
+            self.votes[(duty, fence)] = (seat, round_)
+            return [("tell", address, ("vote", duty, fence, round_))]
+        return []
+
+    def _on_vote(self, seat, address, body, now):
+        _, duty, fence, round_ = body
+        current = self.bids.get(duty)
+        if current is None or current[:2] != (fence, round_) or self.state.duties[duty][0] or seat not in self.state.roster:
+            return []
+        current[3].add(seat)
+        if len(current[3]) == self._most():
+            return [("propose", ("duty-fill", duty, self.seat, fence))]
+        return []
