--- /dev/null
+++ b/sumachook/feed/follower.py
@@ -0,0 +1,134 @@
+"""The following end of the feed, in each edge."""
+
+from datetime import timedelta
+from random import Random
+
+from sumachook.pulse.rising import Rising
+from sumachook.wire.codec import read_entry
+
+EMPTY, WAITING, FRESH, CUT = "empty", "waiting", "fresh", "cut"
+
+
+class Follower:
+    """Keeps a State up to date and knows how far to trust it (§8.2).
+
+    In: ("pulse", cores, heardNumber), ("heard", node, address, message).
+    Out: ("tell", address, message), ("changed",). `trust(now)` is one of empty, waiting, fresh, cut.
+    """
+
+    __slots__ = ("state", "draw", "core", "_number", "nonce", "beatAt", "askedAt", "lastPulse", "woke", "behindSince", "_heard")
+
+    number = Rising("_number")
+    heard = Rising("_heard")
+    SILENCE = timedelta(seconds=1)
+    CUT_AFTER = timedelta(seconds=3)
+    LATE_PULSE = timedelta(seconds=1)
+    NEVER = timedelta(days=365)
+
+    def __init__(self, state, draw: Random, now):
+        self.state, self.draw, self.core, self.nonce = state, draw, None, draw.randrange(1, 1 << 30)
+        self.number = state.number
+        self.beatAt = now - self.NEVER
+        self.askedAt = now - self.SILENCE * 2
+        self.lastPulse, self.woke, self.behindSince = now, now, None
+
+    def trust(self, now) -> str:
+        if self.state.catalogue is None:
+            return EMPTY
+        if now - self.lastPulse > self.LATE_PULSE:
+            return WAITING
+        if now - self.beatAt < self.CUT_AFTER:
+            return FRESH
+        return WAITING if now - self.woke < self.CUT_AFTER else CUT
+
+    def take(self, message: tuple, now) -> list:
+        if message[0] == "pulse":
+            return self._pulse(message[1], message[2], now)
+        late = self._notice_late(now)
+        return late + getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
+
+    def _notice_late(self, now):
+        """§8.3: who froze believes no beat that may have lain in a buffer."""
+        if now - self.lastPulse <= self.LATE_PULSE:
+            return []
+        self.woke, self.lastPulse = now, now
+        self.beatAt = now - self.NEVER
+        return self._follow(now)
+
+    def _follow(self, now):
+        self.nonce += 1
+        self.askedAt = now
+        return [("tell", self.core, ("follow", self.number, self.nonce))] if self.core else []
+
+    def _pulse(self, cores, heardNumber, now):
+        out = self._notice_late(now)
+        self.lastPulse = now
+        self.heard = heardNumber
+        isBehind = self.heard > self.number
+        self.behindSince = (self.behindSince or now) if isBehind else None
+        isQuiet = now - max(self.beatAt, self.askedAt) > self.SILENCE
+        isStale = isBehind and now - self.behindSince > self.SILENCE and now - self.askedAt > self.SILENCE
+        if (isQuiet or isStale or self.core not in cores) and cores and now - self.askedAt > self.SILENCE / 2:
+            others = [core for core in cores if core != self.core] or list(cores)
+            self.core = self.draw.choice(others)
+            out += self._follow(now)
+        return out
+
+    def _on_image(self, node, address, body, now):
+        if body[1] <= self.number:
+            return []
+        self.state.restore(body[2])
+        self.number = self.state.number
+        return [("changed",), ("tell", address, ("confirm", self.number))]
+
+    def _on_news(self, node, address, body, now):
+        _, first, entries = body
+        before = self.number
+        for number, entry in enumerate(entries, first):
+            if number == self.number + 1:
+                self.state.apply(number, read_entry(entry))
+                self.number = number
+        if first > before + 1:
+            return self._follow(now)
+        return [("changed",), ("tell", address, ("confirm", self.number))] if self.number > before else []
+
+    def _on_feed_beat(self, node, address, body, now):
+        _, number, nonce = body
+        if nonce != self.nonce or address != self.core:
+            return []
+        if number > self.number and now - self.askedAt > self.SILENCE:
+            return self._follow(now)
+        if number < self.number:
+            return []  # a core that lags cannot vouch for us
+        if number == self.number:
+            self.beatAt = now
+        return [("tell", address, ("confirm", self.number))]
+
+
+def _follower():
+    from sumachook.atlas.state import State
+
+    follower = Follower(State(), Random(1), timedelta(0))
+    follower.state.catalogue = object()
+    return follower
+
+
+def test_follower_never_goes_back_and_distrusts_old_beats():
+    follower, second = _follower(), timedelta(seconds=1)
+    asked = follower.take(("pulse", ("core:1",), 0), second * 0.9)[-1]
+    assert asked[1:] == ("core:1", ("follow", 0, follower.nonce))
+    follower.take(("heard", "c", "core:1", ("news", 1, (b'["founded"]', b'["founded"]'))), second)
+    follower.take(("heard", "c", "core:1", ("feed_beat", 2, follower.nonce)), second)
+    assert follower.number == 2 and follower.trust(second) == FRESH
+    follower.take(("heard", "c", "core:1", ("news", 1, (b'["founded"]',))), second)
+    follower.take(("heard", "c", "core:1", ("image", 1, {})), second)
+    assert follower.number == 2
+    oldNonce, woken = follower.nonce, second * 9
+    assert follower.trust(woken) == WAITING
+    follower.take(("heard", "c", "core:1", ("feed_beat", 2, oldNonce)), woken)
+    assert follower.trust(woken) == WAITING
+    follower.take(("heard", "c", "core:1", ("feed_beat", 2, follower.nonce)), woken)
+    assert follower.trust(woken) == FRESH
+    for step in range(1, 80):
+        follower.take(("pulse", (), 0), woken + step * timedelta(seconds=0.05))
+    assert follower.trust(woken + 80 * timedelta(seconds=0.05)) == CUT
--- /dev/null
+++ b/sumachook/feed/source.py
@@ -0,0 +1,84 @@
+"""The giving end of the feed, in each core."""
+
+from collections import deque
+from datetime import timedelta
+
+MOST_KEPT = 600
+MOST_A_PARCEL = 64
+BEAT = timedelta(seconds=0.25)
+FORGET = timedelta(seconds=3)
+
+
+class Source:
+    """Takes (message, now) (§8.1).
+
+    In: ("pulse", isFresh), ("delivered", number, entry), ("restored", number), ("heard", node, address, message).
+    Out: ("tell", address, message).
+    """
+
+    __slots__ = ("state", "entries", "first", "followers", "confirmed", "nextBeat", "core_addresses")
+
+    def __init__(self, state, core_addresses, now):
+        self.state, self.core_addresses = state, core_addresses
+        self.entries, self.first = deque(), state.number + 1
+        self.followers, self.confirmed, self.nextBeat = {}, {}, now
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "delivered":
+            self.entries.append(message[2])
+            while len(self.entries) > MOST_KEPT:
+                self.entries.popleft()
+                self.first += 1
+            return []
+        if kind == "restored":
+            self.entries.clear()
+            self.first = message[1] + 1
+            return []
+        if kind == "pulse":
+            return self._pulse(message[1], now)
+        return getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
+
+    def _pulse(self, isFresh, now):
+        out = []
+        for node, follower in list(self.followers.items()):
+            if now - follower[2] > FORGET:
+                del self.followers[node]
+            else:
+                out += self._serve(node)
+        if now >= self.nextBeat:
+            self.nextBeat = now + BEAT
+            if isFresh:
+                out += [("tell", item[0], ("feed_beat", self.state.number, item[3])) for item in self.followers.values()]
+        return out
+
+    def _serve(self, node):
+        """What comes next for this follower: entries, or an image where the entries are gone."""
+        address, sent, heardAt, nonce = self.followers[node]
+        number = self.state.number
+        if sent >= number:
+            return []
+        if sent + 1 < self.first:
+            self.followers[node] = (address, number, heardAt, nonce)
+            return [("tell", address, ("image", number, self.state.image()))]
+        upTo = min(number, sent + MOST_A_PARCEL)
+        batch = tuple(self.entries[place] for place in range(sent + 1 - self.first, upTo + 1 - self.first))
+        self.followers[node] = (address, upTo, heardAt, nonce)
+        return [("tell", address, ("news", sent + 1, batch))]
+
+    def _on_follow(self, node, address, body, now):
+        self.followers[node] = (address, body[1], now, body[2])
+        return self._serve(node)
+
+    def _on_confirm(self, node, address, body, now):
+        if node in self.followers:
+            held = self.followers[node]
+            self.followers[node] = (held[0], held[1], now, held[3])
+        if self.confirmed.get(node) == body[1]:
+            return []
+        self.confirmed[node] = body[1]
+        return [("tell", core, ("confirmed", node, body[1])) for core in self.core_addresses()]
+
+    def _on_confirmed(self, node, address, body, now):
+        self.confirmed[body[1]] = max(self.confirmed.get(body[1], 0), body[2])
+        return []
--- /dev/null
+++ b/sumachook/ferry/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: the table, the retry design, streams."""
--- /dev/null
+++ b/sumachook/loom/__init__.py
@@ -0,0 +1,1 @@
+"""Placement: pairs, and the loads that bring them about."""
--- /dev/null
+++ b/sumachook/loom/placer.py
@@ -0,0 +1,206 @@
+"""The placer: the only one who orders model servers, while its fence holds."""
+
+from datetime import timedelta
+
+from reactivex import operators as ops
+from reactivex.subject import Subject
+
+from sumachook.ferry.port import OpenPort
+from sumachook.loom.orders import LOAD, draw_orders
+from sumachook.loom.plan import plan_pairs
+from sumachook.rota.rota import ORDER_TIMEOUT
+
+POLL_TIMEOUT = timedelta(seconds=1.5)
+HALF_LIFE = timedelta(seconds=60)
+
+
+class Placer:
+    """Takes (message, now) (§9).
+
+    In: ("pulse", fence), ("changed",), ("heard", node, address, ("demand", counts)), ("fetched", tid, ...).
+    Out: ("fetch", ...), ("propose", change), ("log", ...).
+    """
+
+    __slots__ = ("state", "port", "fence", "actual", "readAt", "fails", "inFlight", "budget", "budgetAt", "demand", "demandAt",
+                 "nextPoll", "nextPlan", "dirty", "news", "warmSince", "sentHeld", "sentPairs", "number", "models", "dark", "warmed")
+
+    POLL = timedelta(seconds=0.8)
+    PLAN = timedelta(seconds=4)
+    WARM = timedelta(seconds=6)
+    RESEND = timedelta(seconds=1)
+    DARK_AFTER = 3
+
+    def __init__(self, state, now):
+        self.state, self.port, self.fence = state, OpenPort(), 0
+        self.demand, self.demandAt, self.number, self.budgetAt, self.budget = {}, now, 0, now, 0.0
+        self.news = Subject()
+        self.dirty = True
+        wanted = ops.map(lambda state: (state.generation, state.evacuated, _outline(state.servers)))
+        self.news.pipe(wanted, ops.distinct_until_changed()).subscribe(self._mark)
+        self._start(now)
+
+    def _mark(self, _):
+        self.dirty = True
+
+    def _start(self, now):
+        """§9.4: a new holder knows nothing until it has read it from the servers."""
+        self.actual, self.readAt, self.fails, self.inFlight, self.models, self.dark = {}, {}, {}, {}, {}, set()
+        self.budget, self.budgetAt, self.nextPoll, self.nextPlan = 0.0, now, now, now + self.POLL * 2
+        self.warmSince, self.sentHeld, self.sentPairs, self.warmed = {}, now - self.RESEND, now - self.RESEND, set()
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "pulse":
+            return self._pulse(message[1], now)
+        if kind == "changed":
+            self.news.on_next(self.state)
+            return []
+        if kind == "heard":
+            return self._on_demand(message[3], now)
+        return self._on_fetched(message, now)
+
+    def _on_demand(self, body, now):
+        self._decay(now)
+        for name, count in body[1].items():
+            self.demand[name] = self.demand.get(name, 0.0) + count
+        return []
+
+    def _decay(self, now):
+        if now - self.demandAt > timedelta(seconds=1):
+            factor = 0.5 ** ((now - self.demandAt) / HALF_LIFE)
+            self.demand = {name: count * factor for name, count in self.demand.items() if count * factor > 0.05}
+            self.demandAt = now
+
+    def _pulse(self, fence, now):
+        if fence != self.fence:
+            self.fence = fence
+            self._start(now)
+        if not fence or self.state.catalogue is None:
+            return []
+        self._decay(now)
+        store = self.state.catalogue.store
+        self.budget = min(store.burst, self.budget + store.pace * (now - self.budgetAt).total_seconds())
+        self.budgetAt = now
+        out = []
+        if now >= self.nextPoll:
+            self.nextPoll = now + self.POLL
+            out += self._poll()
+        return out + self._tell_held(now) + self._plan(now) + self._order(now)
+
+    def _servers(self):
+        return {name: server for name, server in self.state.servers.items() if server["kind"] == "model"}
+
+    def _fetch(self, what, server, call, timeout):
+        self.number += 1
+        method, path, headers, body = call
+        url = f"http://{server['address']}{path}"
+        return ("fetch", ("placer", self.fence, *what, self.number), method, url, headers, body, timeout, timeout, "whole")
+
+    def _poll(self):
+        return [self._fetch(("models", name), server, self.port.MODELS, POLL_TIMEOUT) for name, server in self._servers().items()]
+
+    def _on_fetched(self, message, now):
+        _, (_, fence, what, name, *rest), outcome, *answer = message
+        server = self.state.servers.get(name)
+        if fence != self.fence or server is None:
+            return []
+        isGood = outcome == "done" and answer[0] == 200
+        if what == "order":
+            verb, item = rest[:2]
+            if not isGood:
+                self.inFlight.pop((name, item), None)
+                note = {"server": name, "verb": verb, "item": item, "answer": str(answer[:1])}
+                return [("log", "warning", "loom", "An order was not taken.", note)]
+            return []
+        read = None
+        if isGood:
+            read = self.port.read_models(answer[2]) if what == "models" else self.port.read_adapters(answer[2])
+        if read is None:
+            return self._on_fail(name, now)
+        if what == "models":
+            self.models[name] = read
+            return [self._fetch(("adapters", name), server, self.port.ADAPTERS, POLL_TIMEOUT)]
+        self.fails[name] = 0
+        if name in self.dark:
+            self.dark.discard(name)
+            self.dirty = True
+        self._learn(name, {**self.models.get(name, {}), **read}, now)
+        return []
+
+    def _on_fail(self, name, now):
+        self.fails[name] = self.fails.get(name, 0) + 1
+        if self.fails[name] == self.DARK_AFTER:
+            self.dark.add(name)
+            self.actual.pop(name, None)
+            self.readAt.pop(name, None)
+            self.dirty = True
+            return [("log", "warning", "loom", "A server is dark.", {"server": name})]
+        return []
+
+    def _learn(self, name, items, now):
+        """What the server says; what we ordered is forgotten once it shows, or after some polls without it."""
+        before = self.actual.get(name)
+        self.actual[name], self.readAt[name] = items, now
+        for (server, item), (verb, at) in list(self.inFlight.items()):
+            if server == name and ((verb == LOAD) == (item in items) or now - at > ORDER_TIMEOUT * 2):
+                del self.inFlight[(server, item)]
+        for item, condition in items.items():
+            isNew = before is not None and before.get(item) != "ready"
+            if condition == "ready" and isNew:
+                self.warmSince[(name, item)] = now
+
+    def _tell_held(self, now):
+        if now - self.sentHeld < self.RESEND / 4:
+            return []
+        changed = {}
+        for name in self._servers():
+            if name in self.dark:
+                told = None
+            elif name not in self.actual:
+                continue
+            else:
+                told = {item: "warm" if condition == "ready" and now - self.warmSince.get((name, item), -self.WARM) < self.WARM else condition
+                        for item, condition in self.actual[name].items()}
+            if told != self.state.held.get(name):
+                changed[name] = told
+        if not changed or now - self.sentHeld < self.RESEND / 2:
+            return []
+        self.sentHeld = now
+        return [("propose", ("held", self.fence, changed))]
+
+    def _plan(self, now):
+        isDue = now >= self.nextPlan or (self.dirty and now >= self.sentPairs + self.RESEND / 2)
+        if not isDue or any(name not in self.actual and name not in self.dark for name in self._servers()):
+            return []
+        self.nextPlan, self.dirty = now + self.PLAN, False
+        pairs = self.wanted_pairs()
+        if pairs == self.state.pairs:
+            return []
+        self.sentPairs, self.dirty = now, True
+        return [("propose", ("pairs", self.fence, pairs))]
+
+    def wanted_pairs(self):
+        state = self.state
+        return plan_pairs(state.catalogue, state.servers, state.evacuated, self.dark, self.demand, state.pairs, self.actual)
+
+    def _order(self, now):
+        """Only to servers that are read, staying and open."""
+        servers = {name: server for name, server in self._servers().items()
+                   if name in self.actual and not server["leaving"] and self.state.is_open(server["area"])}
+        if not servers or not self.state.pairs:
+            return []
+        actual = {name: self.actual[name] for name in servers}
+        flying = {key: verb for key, (verb, _) in self.inFlight.items()}
+        orders, begun = draw_orders(self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget)
+        self.budget -= begun
+        out = []
+        for name, verb, kind, item, _ in orders:
+            self.inFlight[(name, item)] = (verb, now)
+            call = self.port.order(verb, kind, item, self.fence)
+            out.append(self._fetch(("order", name, verb, item), servers[name], call, ORDER_TIMEOUT))
+            out.append(("log", "info", "loom", "Order goes out.", {"server": name, "verb": verb, "item": item, "fence": self.fence}))
+        return out
+
+
+def _outline(servers):
+    return tuple(sorted((name, server["area"], server["leaving"], server["memory"]) for name, server in servers.items()))
--- /dev/null
+++ b/sumachook/tally/keeper.py
@@ -0,0 +1,213 @@
+"""The keeping end of the ledger, in each core."""
+
+from datetime import timedelta
+
+from sumachook.tally.ranges import keepers_of, range_key
+
+FILE = "ledger"
+LOST, OPEN = "lost", "open"
+LOST_AFTER = timedelta(seconds=3)
+MOST_STORED = 20000
+
+
+class Keeper:
+    """Takes (message, now) (§11.3).
+
+    In: ("pulse", live: {node: incarnation}, roster), ("heard", node, address, message), ("keeper-synced", ...).
+    Out: ("tell", address, message), ("disk" | "rewrite", FILE, records, followup), ("journal", day, lines).
+    """
+
+    __slots__ = ("seat", "wall", "rows", "keys", "hints", "awaySince", "nextHand", "stored", "retention", "roster", "startedAt",
+                 "nextSweep", "openRows", "rewriting")
+
+    def __init__(self, seat, wall, retention, records, now):
+        self.seat, self.wall, self.retention = seat, wall, retention
+        self.rows, self.keys, self.hints, self.awaySince, self.openRows = {}, {}, {}, {}, {}
+        self.nextHand = self.nextSweep = self.startedAt = now
+        self.roster, self.stored, self.rewriting = {}, 0, False
+        for record in records:
+            self._keep(record[1], record[2])
+            self.stored += 1
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "pulse":
+            return self._pulse(message[1], message[2], now)
+        if kind == "keeper-synced":
+            return self._synced(message, now)
+        return getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
+
+    def find(self, request: str):
+        return self.rows.get(request)
+
+    # rows -----------------------------------------------------------------------
+
+    def _keep(self, record, hint):
+        """Merges a record into the rows; a close beats lost, lost beats open (§11.4)."""
+        request = record["request"]
+        known = self.rows.get(request)
+        if known is None or self._rank(record) > self._rank(known):
+            record = {**known, **record} if known else record
+            self.rows[request] = record
+            if record["state"] == OPEN:
+                self.openRows[request] = record
+            else:
+                self.openRows.pop(request, None)
+        if hint and hint != self.seat:
+            self.hints[request] = hint
+        if record.get("key"):
+            name = range_key(record)
+            if record.get("run") == "no" and record["state"] not in (OPEN, LOST):
+                if self.keys.get(name) == request:
+                    del self.keys[name]  # it did not run: the key may be used again
+            else:
+                self.keys.setdefault(name, request)
+        while len(self.rows) > self.retention:
+            oldest = next(iter(self.rows))
+            dropped = self.rows.pop(oldest)
+            self.hints.pop(oldest, None)
+            self.openRows.pop(oldest, None)
+            if dropped.get("key") and self.keys.get(range_key(dropped)) == oldest:
+                del self.keys[range_key(dropped)]
+
+    def _rank(self, record):
+        return {OPEN: 0, LOST: 1}.get(record["state"], 2)
+
+    def _on_open(self, node, address, body, now):
+        return self._store(address, "opened", body[1], now, node)
+
+    def _on_close(self, node, address, body, now):
+        return self._store(address, "closed", body[1], now, node)
+
+    def _on_hand(self, node, address, body, now):
+        return self._store(address, "handed", body[1], now, node)
+
+    def _store(self, address, answer, records, now, node):
+        acks, fresh = [], []
+        for record, hint in records:
+            request = record["request"]
+            first = self.keys.get(range_key(record)) if record.get("key") else None
+            if answer == "opened" and first is not None and first != request:
+                known = self.rows.get(first, {})
+                state = {"request": first, "state": known.get("state", OPEN), "run": known.get("run", "maybe")}
+                acks.append((request, "duplicate", state))
+                continue
+            before = self.rows.get(request)
+            self._keep(record, hint)
+            if self.rows.get(request) is not before:
+                fresh.append((record, hint))
+            acks.append((request, "ok", {"state": record["state"]}))
+        reply = ("tell", address, (answer, tuple(acks)))
+        return self._write(fresh, reply) if fresh else [reply]
+
+    def _write(self, fresh, reply):
+        records = tuple(("row", record, hint) for record, hint in fresh)
+        self.stored += len(records)
+        closed = [record for record, _ in fresh if record["state"] != OPEN]
+        return [("disk", FILE, records, ("keeper-synced", reply))] + self._journal(closed)
+
+    def _journal(self, closed):
+        if not closed:
+            return []
+        day = self.wall().date().isoformat()
+        return [("journal", f"day-{day}.jsonl", tuple(self.rows[record["request"]] for record in closed))]
+
+    def _synced(self, message, now):
+        if message[1] is None:
+            self.rewriting = False
+            return []
+        out = [message[1]]
+        if self.stored > MOST_STORED and not self.rewriting:
+            self.rewriting = True
+            closed = [row for row in self.rows.values() if row["state"] != OPEN]
+            kept = closed[-MOST_STORED // 4 :] + list(self.openRows.values())
+            self.stored = len(kept)
+            rows = tuple(("row", row, self.hints.get(row["request"], "")) for row in kept)
+            out.append(("rewrite", FILE, rows, ("keeper-synced", None)))
+        return out
+
+    # lost rows and repair ---------------------------------------------------------
+
+    def _pulse(self, live, roster, now):
+        if roster != self.roster:
+            self._learn_roster(roster)
+        out = []
+        if now >= self.nextSweep:
+            self.nextSweep = now + timedelta(seconds=0.5)
+            out += self._sweep(live, now)
+        if now >= self.nextHand:
+            self.nextHand = now + timedelta(seconds=0.5)
+            out += self._hand_over(live)
+        return out
+
+    def _learn_roster(self, roster):
+        """§11.5: a seat new to the roster is owed the rows it now owns."""
+        news = set(roster) - set(self.roster) - {self.seat}
+        if self.roster and news:
+            seats = tuple(sorted(roster))
+            for request, row in self.rows.items():
+                owed = news & set(keepers_of(range_key(row), seats)[:2])
+                if owed:
+                    self.hints[request] = min(owed)
+        self.roster = dict(roster)
+
+    def _sweep(self, live, now):
+        """Open rows whose edge is no more are closed as lost; that is how they get into the day's log."""
+        gone = []
+        for request, row in self.openRows.items():
+            writer = (row["edge"], row["incarnation"])
+            if live.get(writer[0]) == writer[1]:
+                self.awaySince.pop(writer, None)
+            elif now - self.awaySince.setdefault(writer, now) > LOST_AFTER:
+                gone.append({**row, "state": LOST, "class": LOST, "run": "maybe", "endedAt": self.wall().isoformat()})
+        if not gone:
+            return []
+        for row in gone:
+            self._keep(row, "")
+        return self._write([(row, "") for row in gone], ("log", "warning", "tally", "Open rows closed as lost.", {"rows": len(gone)}))
+
+    def _hand_over(self, live):
+        batches = {}
+        for request, owner in list(self.hints.items())[:2000]:
+            if owner not in self.roster:
+                del self.hints[request]
+            elif owner in live and request in self.rows and len(batches.setdefault(owner, [])) < 200:
+                batches[owner].append((self.rows[request], ""))
+        return [("tell", self.roster[owner], ("hand", tuple(rows))) for owner, rows in batches.items() if rows]
+
+    def _on_handed(self, node, address, body, now):
+        for request, _, stored in body[1]:
+            row = self.rows.get(request)
+            if self.hints.get(request) == node and (row is None or row["state"] == stored["state"]):
+                del self.hints[request]
+        return []
+
+
+def _keeper(records=()):
+    from datetime import datetime, timezone
+
+    return Keeper("a", lambda: datetime(2026, 1, 2, tzinfo=timezone.utc), 3, records, timedelta(0))
+
+
+def _row(request, state=OPEN, **more):
+    return {"request": request, "caller": "c", "key": "", "edge": "e", "incarnation": 1, "state": state, **more}
+
+
+def test_key_is_kept_until_it_did_not_run():
+    keeper, zero = _keeper(), timedelta(0)
+    keeper.take(("heard", "e", "e:1", ("open", ((_row("r1", key="k"), ""),))), zero)
+    (answer,) = keeper.take(("heard", "e", "e:1", ("open", ((_row("r2", key="k"), ""),))), zero)
+    assert answer[2][1][0][:2] == ("r2", "duplicate") and answer[2][1][0][2]["request"] == "r1"
+    keeper.take(("heard", "e", "e:1", ("close", ((_row("r1", "refused", key="k", run="no"), ""),))), zero)
+    answer = keeper.take(("heard", "e", "e:1", ("open", ((_row("r2", key="k"), ""),))), zero)[0]
+    assert answer[0] == "disk" and answer[3][1][2][1][0][:2] == ("r2", "ok")
+
+
+def test_rows_of_a_gone_edge_are_lost_until_its_word_comes():
+    keeper, second = _keeper(), timedelta(seconds=1)
+    keeper.take(("heard", "e", "e:1", ("open", ((_row("r1"), ""),))), second)
+    keeper.take(("pulse", {"e": 2}, {"a": "a:1"}), second)
+    out = keeper.take(("pulse", {"e": 2}, {"a": "a:1"}), second * 5)
+    assert keeper.find("r1")["state"] == LOST and any(effect[0] == "journal" for effect in out)
+    keeper.take(("heard", "e", "e:1", ("close", ((_row("r1", "done", run="yes"), ""),))), second * 6)
+    assert keeper.find("r1")["state"] == "done"
--- /dev/null
+++ b/sumachook/tally/quill.py
@@ -0,0 +1,103 @@
+"""The writing end of the ledger, in each edge."""
+
+from datetime import timedelta
+
+from sumachook.tally import faults
+from sumachook.tally.ranges import keepers_of, range_key
+
+MOST_WAITING = 20000
+
+
+class Entry:
+    """One record on its way to two keepers."""
+
+    __slots__ = ("record", "isClose", "isSafe", "acks", "askedAt", "startedAt", "settled", "sent")
+
+    def __init__(self, record, isClose, isSafe, now):
+        self.record, self.isClose, self.isSafe, self.startedAt = record, isClose, isSafe, now
+        self.acks, self.sent, self.askedAt, self.settled = set(), set(), now, isClose
+
+
+class Quill:
+    """Takes (message, now) (§11.1).
+
+    In: ("open", record, isSafe), ("close", record), ("pulse", roster, liveSeats), ("heard", seat, address, message).
+    Out: ("tell", address, message), ("recorded", request), ("unrecorded", request, fault), ("duplicate", request, first).
+    """
+
+    __slots__ = ("entries", "roster", "live", "batch", "lost")
+
+    HINT_AFTER = timedelta(seconds=0.15)
+    SAFE_WAIT = timedelta(seconds=0.4)
+    UNSAFE_WAIT = timedelta(seconds=1.5)
+    RESEND = timedelta(seconds=1)
+
+    def __init__(self):
+        self.entries, self.roster, self.live, self.batch, self.lost = {}, {}, set(), {}, 0
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind in ("open", "close"):
+            return self._start(message, now)
+        if kind == "pulse":
+            self.roster, self.live = message[1], message[2]
+            return self._pulse(now)
+        return self._on_acks(message[1], message[3], now)
+
+    def _start(self, message, now):
+        record, isClose = message[1], message[0] == "close"
+        isSafe = isClose or message[2]
+        entry = self.entries[(record["request"], isClose)] = Entry(record, isClose, isSafe, now)
+        if len(self.entries) > MOST_WAITING:
+            self.lost += 1
+            del self.entries[next(iter(self.entries))]
+        return self._send(entry, self._owners(record)[:2])
+
+    def _owners(self, record):
+        return keepers_of(range_key(record), tuple(sorted(self.roster)))
+
+    def _send(self, entry, seats, hint=""):
+        entry.sent.update(seats)
+        kind = "close" if entry.isClose else "open"
+        return [("tell", self.roster[seat], (kind, ((entry.record, hint),))) for seat in seats]
+
+    def _pulse(self, now):
+        out = []
+        for key, entry in list(self.entries.items()):
+            order = self._owners(entry.record)
+            if len(order) == 3 and order[2] not in entry.sent:
+                missing = [seat for seat in order[:2] if seat not in entry.acks]
+                isLate = now - entry.startedAt > self.HINT_AFTER
+                if missing and (isLate or any(seat not in self.live for seat in missing)):
+                    out += self._send(entry, order[2:], missing[0])
+            if now - entry.askedAt > self.RESEND:
+                entry.askedAt = now
+                out += self._send(entry, [seat for seat in order[:2] if seat not in entry.acks])
+                entry.sent.discard(order[2] if len(order) == 3 and order[2] not in entry.acks else "")
+            if not entry.settled and now - entry.startedAt > (self.SAFE_WAIT if entry.isSafe else self.UNSAFE_WAIT):
+                entry.settled = True
+                request = entry.record["request"]
+                if entry.isSafe:
+                    out.append(("recorded", request))  # goes on; the record follows from memory
+                else:
+                    out.append(("unrecorded", request, faults.NO_QUORUM))
+        return out
+
+    def _on_acks(self, seat, body, now):
+        out, isClose = [], body[0] == "closed"
+        for request, answer, first in body[1]:
+            entry = self.entries.get((request, isClose))
+            if entry is None:
+                continue
+            if answer == "duplicate":
+                if not entry.settled:
+                    entry.settled = True
+                    out.append(("duplicate", request, first))
+                self.entries.pop((request, isClose))
+                continue
+            entry.acks.add(seat)
+            if len(entry.acks) >= min(2, len(self.roster)):
+                del self.entries[(request, isClose)]
+                if not entry.settled:
+                    out.append(("recorded", request))
+        return out
--- /dev/null
+++ b/sumachook/tally/ranges.py
@@ -0,0 +1,20 @@
+"""Who keeps which request."""
+
+from functools import lru_cache
+from zlib import crc32
+
+
+@lru_cache(4096)
+def keepers_of(rangeKey: str, seats: tuple) -> tuple:
+    """The seats in the order in which they keep this key; the first two own it (§11.2).
+
+    >>> keepers_of("r1", ("a", "b", "c")) == keepers_of("r1", ("a", "b", "c"))
+    True
+    >>> sorted(keepers_of("r1", ("a", "b", "c")))
+    ['a', 'b', 'c']
+    """
+    return tuple(sorted(seats, key=lambda seat: crc32(f"{seat}|{rangeKey}".encode())))
+
+
+def range_key(record: dict) -> str:
+    return f"{record['caller']}|{record['key']}" if record.get("key") else record["request"]
--- a/sumachook/wire/shapes.py
+++ b/sumachook/wire/shapes.py
@@ -32,10 +32,10 @@
     "renew": "duty:s fence:i sent:f",
     "renewed": "duty:s fence:i sent:f",
     # feed
-    "follow": "number:i",
+    "follow": "number:i nonce:i",
     "image": "number:i image:d",
     "news": "first:i entries:e",
-    "feed_beat": "number:i",
+    "feed_beat": "number:i nonce:i",
     "confirm": "number:i",
     "confirmed": "node:s number:i",
     # tally and credit
