--- a/sumachook/accord/accord.py
+++ b/sumachook/accord/accord.py
@@ -180,7 +180,7 @@
         self.ballot = self.promised = self._next_ballot()
         self.answers, self.waiting, self.syncing = {}, [], False
         records = [("promise", self.ballot)] + ([firstRecord] if firstRecord else [])
-        return [("disk", FILE, tuple(records), ("accord-synced", "own-stop", self.ballot))]
+        return [("disk", FILE, tuple(records), ("accord_synced", "own-stop", self.ballot))]
 
     def _own_stop(self, ballot, now):
         if self.role != "stopping" or ballot != self.ballot:
@@ -204,7 +204,7 @@
         self.promised = ballot
         self.role, self.leaderHeard, self.leader, self.waiting = "idle", now, None, []
         self.retryAt = now + self.SILENCE + timedelta(seconds=self.draw.uniform(0.1, 0.9))
-        followup = ("accord-synced", "stopped", ballot, address, delivered)
+        followup = ("accord_synced", "stopped", ballot, address, delivered)
         return [("disk", FILE, (("promise", ballot),), followup)]
 
     def _tail_for(self, delivered):
@@ -265,7 +265,7 @@
         self.role, self.startedAt, self.members = "installing", now, members
         self.view = self.ballot
         self.acked = {}
-        out += self._rewrite(("accord-synced", "own-install", self.ballot))
+        out += self._rewrite(("accord_synced", "own-install", self.ballot))
         return out + self._send_installs(members)
 
     def _send_installs(self, targets):
@@ -308,7 +308,7 @@
         self.promised = self.view = ballot
         self.members, self.leader, self.leaderHeard = tuple(members), seat, now
         self.role = "joining"
-        return out + self._rewrite(("accord-synced", "installed", ballot, address, self.chain.end))
+        return out + self._rewrite(("accord_synced", "installed", ballot, address, self.chain.end))
 
     def _on_installed(self, seat, address, body, now):
         if self.role == "installing" and tuple(body[1]) == self.ballot:
@@ -379,7 +379,7 @@
         self.chain.extend(first, batch)
         self.syncing, self.syncAt = True, now
         record = ("grow", first, tuple(entry.decode() for entry in batch))
-        out = [("disk", FILE, (record,), ("accord-synced", "own-grow", self.ballot, self.chain.end))]
+        out = [("disk", FILE, (record,), ("accord_synced", "own-grow", self.ballot, self.chain.end))]
         return out + self._send_grow(first, [seat for seat in self.members if seat != self.seat], now)
 
     def _send_grow(self, first, targets, now):
@@ -398,7 +398,7 @@
         out = self._deliver(min(committed, self.synced))
         if self.chain.end > before:
             fresh = tuple(entry.decode() for entry in self.chain.since(before + 1))
-            followup = ("accord-synced", "grown", self.view, address, self.chain.end)
+            followup = ("accord_synced", "grown", self.view, address, self.chain.end)
             return out + [("disk", FILE, (("grow", before + 1, fresh),), followup)]
         return out + [("tell", address, ("grew", self.view, self.synced))]
 
--- a/sumachook/atlas/check.py
+++ b/sumachook/atlas/check.py
@@ -46,8 +46,9 @@
         return None
     fields = {field.encode_name: field for field in msgspec.structs.fields(shape)}
     prefix = path + "." if path else ""
-    faults += [(prefix + str(name), "unknown field") for name in sorted(set(doc) - set(fields), key=str)]
     values, before = {}, len(faults)
+    if shape.__struct_config__.forbid_unknown_fields:
+        faults += [(prefix + str(name), "unknown field") for name in sorted(set(doc) - set(fields), key=str)]
     for name, field in fields.items():
         if name in doc:
             values[field.name] = _read(doc[name], field.type, prefix + name, faults)
--- /dev/null
+++ b/sumachook/ferry/lane.py
@@ -0,0 +1,68 @@
+"""What an edge has going with one server."""
+
+from datetime import timedelta
+
+FALLS = 4
+FIRST_REST = timedelta(seconds=2)
+LONGEST_REST = timedelta(seconds=30)
+STEP = timedelta(seconds=1.5)
+
+
+class Lane:
+    """Places in use, breaker and slow start of one server, as one edge sees them (§7.5).
+
+    >>> lane = Lane()
+    >>> for _ in range(FALLS): lane.note(False, timedelta(0), 0.0)
+    >>> lane.is_shut(timedelta(seconds=1)), lane.is_shut(timedelta(seconds=3))
+    (True, False)
+    >>> lane.begin("m", "audit", timedelta(seconds=3)); lane.is_shut(timedelta(seconds=3))
+    True
+    """
+
+    __slots__ = ("inUse", "byItem", "byLine", "falls", "rest", "shutUntil", "isProbing", "warmSince")
+
+    def __init__(self):
+        self.inUse, self.byItem, self.byLine, self.falls = 0, {}, {}, 0
+        self.rest, self.shutUntil, self.isProbing, self.warmSince = FIRST_REST, None, False, {}
+
+    def is_shut(self, now) -> bool:
+        return self.shutUntil is not None and (now < self.shutUntil or self.isProbing)
+
+    def begin(self, item, line, now):
+        self.inUse += 1
+        self.byItem[item] = self.byItem.get(item, 0) + 1
+        self.byLine[line] = self.byLine.get(line, 0) + 1
+        if self.shutUntil is not None:
+            self.isProbing = True
+
+    def end(self, item, line):
+        self.inUse -= 1
+        self.byItem[item] -= 1
+        self.byLine[line] -= 1
+
+    def note(self, isGood: bool, now, spread: float):
+        """`spread` (0..1) is this edge's place among all, so that their probes do not meet."""
+        self.isProbing = False
+        if isGood:
+            self.falls, self.rest, self.shutUntil = 0, FIRST_REST, None
+            return
+        self.falls += 1
+        if self.falls >= FALLS:
+            self.shutUntil = now + self.rest * (1 + spread)
+            self.rest = min(self.rest * 2, LONGEST_REST)
+
+    def warm_share(self, item, slots: int, rank: int, count: int, now) -> int:
+        """§7.5: all edges together begin with two and double with each step that went well."""
+        since = self.warmSince.setdefault(item, now)
+        total = min(slots, 2 << min(16, int((now - since) / STEP)))
+        return total // count + (rank < total % count)
+
+    def fell_while_warm(self, item, now):
+        if item in self.warmSince:
+            self.warmSince[item] = now
+
+
+def test_warm_shares_of_all_edges_add_up_to_a_doubling():
+    lane, second = Lane(), timedelta(seconds=1)
+    totals = [sum(lane.warm_share("m", 16, rank, 9, second * at) for rank in range(9)) for at in (0, 1, 2, 4, 5, 60)]
+    assert totals == [2, 2, 4, 8, 16, 16]
--- /dev/null
+++ b/sumachook/guise/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what is outside, and the in-memory fleet."""
--- /dev/null
+++ b/sumachook/guise/callers.py
@@ -0,0 +1,160 @@
+"""A stand-in for the callers of a city."""
+
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+CONNECT = timedelta(seconds=2)
+PENDING, OK, FAULT, CUT, NONE = "pending", "ok", "fault", "cut", "none"
+
+
+class Call:
+    """One request as its caller saw it."""
+
+    __slots__ = ("number", "kind", "group", "edge", "sentAt", "endedAt", "outcome", "status", "run", "faultClass", "request", "text",
+                 "firstAt", "finish", "isStream", "patience", "moves", "model", "key", "safe", "area", "isDone")
+
+    def __init__(self, number, group, edge, now, model, patience, safe, moves=0):
+        self.number, self.group, self.edge, self.sentAt, self.model = number, group["name"], edge, now, model
+        self.kind, self.isStream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
+        self.endedAt, self.outcome, self.status, self.run, self.faultClass, self.request = None, PENDING, None, None, None, ""
+        self.text, self.firstAt, self.finish, self.moves, self.key, self.area, self.isDone = "", None, None, moves, "", None, False
+
+
+class Callers:
+    """Takes (message, now); makes traffic by the city's rates and keeps each call (§12.2).
+
+    A caller whose connection is refused, or who is told that the node is leaving or evacuated, tries one more edge at once,
+    as a client with a list of addresses does; nothing else is asked again.
+    """
+
+    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "isOn", "pace", "startAt", "stopAfter")
+
+    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stopAfter=None):
+        self.edges, self.groups, self.draw = dict(edges), traffic, draw
+        self.callers = {caller["name"]: caller for caller in catalogue["callers"]}
+        self.calls, self.open, self.isOn, self.pace, self.startAt, self.stopAfter = [], {}, True, pace, now, stopAfter
+        self.due = {group["name"]: now + timedelta(seconds=draw.expovariate(group["rate"] * pace)) for group in traffic}
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "pulse":
+            return self._pulse(now)
+        if kind == "fetched":
+            return self._fetched(message, now)
+        return [("leave", 0)] if kind == "stop" else []
+
+    def _pulse(self, now):
+        out = []
+        if self.stopAfter is not None and now - self.startAt > self.stopAfter:
+            self.isOn = False
+            if not self.open:
+                return [("leave", 0)]
+        for group in self.groups:
+            while self.isOn and now >= self.due[group["name"]]:
+                self.due[group["name"]] += timedelta(seconds=self.draw.expovariate(group["rate"] * self.pace))
+                out += self.ask(group, now)
+        for number, call in list(self.open.items()):
+            if now - call.sentAt > call.patience * 1.5 + timedelta(seconds=5):
+                del self.open[number]
+                call.outcome, call.endedAt = NONE, now
+                out.append(("unfetch", ("call", number)))
+        return out
+
+    def ask(self, group, now, edge=None, model=None, key="", moves=0):
+        caller = self.callers[group["caller"]]
+        edge = edge or self.draw.choice(sorted(self.edges))
+        isLookup = group["kind"] == "lookup"
+        model = None if isLookup else model or self._model(group)
+        patience = timedelta(seconds=caller.get("lookupPatience", 5.0) if isLookup else caller["patience"])
+        number = len(self.calls)
+        call = Call(number, group, edge, now, model, patience, isLookup or caller.get("safe", False), moves)
+        call.key = key
+        self.calls.append(call)
+        self.open[number] = call
+        headers = {"Authorization": f"Bearer {caller['key']}"}
+        if isLookup:
+            method, path, body = "GET", f"/records/{group.get('prefix', 'r')}{number}", b""
+        else:
+            headers["Content-Type"] = "application/json"
+            if key:
+                headers["Idempotency-Key"] = key
+            method, path = "POST", "/v1/chat/completions"
+            body = msgspec.json.encode({"model": model, "stream": call.isStream, "max_tokens": group.get("maxTokens", 64),
+                                        "messages": [{"role": "user", "content": f"call {number}"}]})
+        mode = "events" if not isLookup and call.isStream else "whole"
+        limit = patience * 1.5 + timedelta(seconds=5)
+        return [("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)]
+
+    def _model(self, group):
+        """Some models are asked for much more than others."""
+        names = group["models"]
+        place = min(int(self.draw.expovariate(1.0 / max(1.0, len(names) / 4))), len(names) - 1)
+        return names[place]
+
+    def _fetched(self, message, now):
+        _, (_, number), outcome, *rest = message
+        call = self.open.get(number)
+        if call is None or outcome == "sent":
+            return []
+        if outcome == "head":
+            call.status, call.request = rest[0], rest[1].get("x-request-id", "")
+            return []
+        if outcome == "event":
+            return self._event(call, rest[1], now)
+        if outcome == "done":
+            return self._whole(call, *rest, now)
+        if outcome == "end":
+            return self._end(call, OK if call.isDone else CUT, now)
+        call.faultClass = call.faultClass or rest[0]
+        if rest[0] in ("refused", "connect-timeout"):
+            return self._end(call, NONE, now) + self._move(call, now)
+        return self._end(call, CUT if call.status == 200 else NONE, now)
+
+    def _event(self, call, data, now):
+        if data == "[DONE]":
+            call.isDone = True
+            return []
+        doc = msgspec.json.decode(data)
+        if "fault" in doc:
+            call.faultClass, call.run = doc["fault"]["class"], doc["fault"]["run"]
+            return []
+        choice = (doc.get("choices") or [{}])[0]
+        text = choice.get("delta", {}).get("content") or ""
+        if text and call.firstAt is None:
+            call.firstAt = now
+        call.text += text
+        call.finish = choice.get("finish_reason") or call.finish
+        return []
+
+    def _whole(self, call, status, headers, body, now):
+        call.status, call.request = status, headers.get("x-request-id", "")
+        if status == 200:
+            call.isDone, call.run = True, "yes"
+            if call.kind == "prompt":
+                doc = msgspec.json.decode(body)
+                call.text, call.finish = doc["choices"][0]["message"]["content"], doc["choices"][0]["finish_reason"]
+            else:
+                call.text = msgspec.json.decode(body)["id"]
+            return self._end(call, OK, now)
+        doc = msgspec.json.decode(body)
+        fault = doc.get("fault", {}) if isinstance(doc, dict) else {}
+        call.faultClass, call.run, call.request = fault.get("class"), fault.get("run"), fault.get("request", "")
+        out = self._end(call, FAULT, now)
+        return out + self._move(call, now) if call.faultClass in ("draining", "evacuated", "not-ready") and call.run == "no" else out
+
+    def _end(self, call, outcome, now):
+        call.outcome, call.endedAt = outcome, now
+        self.open.pop(call.number, None)
+        return []
+
+    def _move(self, call, now):
+        """One other edge, for a call that surely was not begun."""
+        others = [edge for edge in sorted(self.edges) if edge != call.edge]
+        if call.moves >= 2 or not others or not self.isOn:
+            return []
+        group = next((group for group in self.groups if group["name"] == call.group), None)
+        if group is None:
+            return []
+        return self.ask(group, now, self.draw.choice(others), call.model, call.key, call.moves + 1)
--- /dev/null
+++ b/sumachook/guise/city.py
@@ -0,0 +1,114 @@
+"""A city's example files, and its whole fleet in memory."""
+
+import json
+from pathlib import Path
+from random import Random
+
+from sumachook.atlas.params import Params
+from sumachook.guise.callers import Callers
+from sumachook.guise.fleet import Fleet
+from sumachook.guise.model import ModelServer
+from sumachook.guise.platform import Platform
+from sumachook.guise.records import RecordsServer
+from sumachook.role.core import Core
+from sumachook.role.edge import Edge
+
+
+class City:
+    """What the files of one folder say: catalogue, servers, traffic, nodes (§12.3)."""
+
+    __slots__ = ("catalogue", "servers", "traffic", "nodes", "cluster", "platform")
+
+    def __init__(self, folder: Path):
+        read = {name: json.loads((folder / f"{name}.json").read_text()) for name in ("catalogue", "servers", "traffic", "nodes")}
+        self.catalogue, self.servers, self.traffic = read["catalogue"], read["servers"]["servers"], read["traffic"]["groups"]
+        self.nodes, self.cluster, self.platform = read["nodes"]["nodes"], read["nodes"]["cluster"], read["nodes"]["platform"]
+
+    def params(self, node: dict, **more) -> dict:
+        """The params document of one node."""
+        cores = [other["address"] for other in self.nodes if other["role"] == "core"]
+        doc = {"node": node["name"], "address": node["address"], "door": node["door"], "area": node["area"], "seeds": cores,
+               "cluster": self.cluster, "platform": self.platform}
+        if node["role"] == "core":
+            doc |= {"founding": cores, "data": f"data/{node['name']}"}
+        return doc | more
+
+
+class Town(Fleet):
+    """A city's fleet in memory: nodes, stand-ins and callers (§12.3)."""
+
+    __slots__ = ("city", "paramsMore")
+
+    def __init__(self, city: City, seed: int, edges=None, loadRate=40.0, hasIds=True, **paramsMore):
+        super().__init__(seed, city.cluster)
+        self.city, self.paramsMore = city, paramsMore
+        self.add("platform", "platform", lambda box: Platform(city.servers), "", "", city.platform)
+        for server in city.servers:
+            self.add_server(server, loadRate, hasIds)
+        chosen = [node for node in city.nodes if node["role"] == "core"]
+        chosen += [node for node in city.nodes if node["role"] == "edge"][:edges]
+        for node in chosen:
+            self.add_node(node)
+
+    def add_server(self, server, loadRate=40.0, hasIds=True):
+        if server["kind"] == "records":
+            make = lambda box: RecordsServer(server["name"])
+        else:
+            make = lambda box: ModelServer(server, self.city.catalogue, (), loadRate, hasIds)
+        self.add(server["name"], server["kind"], make, server["area"], "", server["address"])
+
+    def add_node(self, node, **more):
+        role = Core if node["role"] == "core" else Edge
+        params = Params(**{name: tuple(value) if isinstance(value, list) else value
+                           for name, value in self.city.params(node, **self.paramsMore, **more).items()})
+
+        def make(box):
+            return role(params, box.disk.files, box.boots, box.clock, Random(self.draw.random()))
+
+        return self.add(node["name"], node["role"], make, node["area"], node["address"], node["door"])
+
+    def call_in(self, pace=1.0, traffic=None, name="callers", edges=None):
+        """Callers begin; gives their machine."""
+        doors = {box.name: box.door for box in self.boxes.values() if box.role == "edge" and (edges is None or box.name in edges)}
+        groups = self.city.traffic if traffic is None else traffic
+        self.add(name, "callers", lambda box: Callers(doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace),
+                 "", "", name)
+        return self.boxes[name].machine
+
+    def machines(self, role: str) -> list:
+        return [box.machine for box in self.boxes.values() if box.role == role and box.machine is not None]
+
+    def ask(self, core: str, method: str, path: str, doc=None, wait=8.0):
+        """An operator's request to a core: (status, answer), or None if none came in time."""
+        box = self.boxes.get("operator") or self.add("operator", "operator", lambda box: Operator(), "", "", "operator")
+        number = box.machine.ask(f"http://{self.boxes[core].door}{path}", method, doc)
+        self._hand(box, ("pulse",))
+        self.run_until(lambda: number in box.machine.answers, wait)
+        return box.machine.answers.get(number)
+
+
+class Operator:
+    """Asks and keeps the answers."""
+
+    __slots__ = ("waiting", "answers", "number")
+
+    def __init__(self):
+        self.waiting, self.answers, self.number = [], {}, 0
+
+    def ask(self, url, method, doc):
+        self.number += 1
+        self.waiting.append((self.number, url, method, doc))
+        return self.number
+
+    def take(self, message, now):
+        from datetime import timedelta
+
+        wait = timedelta(seconds=8)
+        if message[0] == "pulse":
+            sent, self.waiting = self.waiting, []
+            return [("fetch", number, method, url, {}, json.dumps(doc).encode() if doc is not None else b"", wait, wait, "whole")
+                    for number, url, method, doc in sent]
+        if message[0] == "fetched" and message[2] in ("done", "fault"):
+            status = message[3]
+            self.answers[message[1]] = (status, json.loads(message[5])) if message[2] == "done" else (0, status)
+        return []
--- /dev/null
+++ b/sumachook/guise/fleet.py
@@ -0,0 +1,338 @@
+"""The in-memory fleet: every machine under one seeded virtual clock."""
+
+from datetime import datetime, timedelta, timezone
+from heapq import heappop, heappush
+from random import Random
+
+import msgspec
+from assel import Parser
+
+from sumachook.guise.disk import Disk
+from sumachook.wire.codec import Codec, as_tuples, read_parcel
+
+PULSE = timedelta(seconds=0.05)
+START = datetime(2026, 3, 2, 6, 0, tzinfo=timezone.utc)
+MOST_BUFFERED = 2000
+
+
+class BoxClock:
+    """One machine's clocks; the wall may jump."""
+
+    __slots__ = ("fleet", "jump")
+
+    def __init__(self, fleet):
+        self.fleet, self.jump = fleet, timedelta(0)
+
+    def mono(self):
+        return self.fleet.now
+
+    def wall(self):
+        return START + self.fleet.now + self.jump
+
+
+class Box:
+    """A place where one process runs, with its disk, clock and addresses."""
+
+    __slots__ = ("name", "make", "machine", "address", "door", "area", "disk", "clock", "life", "isFrozen", "buffer", "boots", "codec",
+                 "isGone", "role", "wake", "slow")
+
+    def __init__(self, name, role, make, area, address, door, clock):
+        self.name, self.role, self.make, self.area, self.address, self.door = name, role, make, area, address, door
+        self.machine, self.disk, self.clock, self.life, self.isFrozen = None, Disk(), clock, 0, False
+        self.buffer, self.boots, self.codec, self.isGone, self.slow = [], 0, None, False, timedelta(0)
+
+
+class Exchange:
+    """One HTTP request between two boxes."""
+
+    __slots__ = ("cid", "client", "clientLife", "tid", "server", "serverLife", "mode", "parser", "isOpen", "head", "reached")
+
+    def __init__(self, cid, client, tid, server, mode):
+        self.cid, self.client, self.clientLife, self.tid, self.server = cid, client, client.life, tid, server
+        self.serverLife, self.mode, self.parser, self.isOpen, self.head = server.life, mode, Parser(), True, None
+        self.reached = False
+
+
+class Fleet:
+    """Runs boxes in virtual time; the same seed gives the same run (§12.1).
+
+    `run(seconds)` goes on; `kill`, `start`, `freeze`, `wake`, `cut`, `heal`, `vanish` and the disks bring faults about.
+    """
+
+    __slots__ = ("now", "draw", "heap", "count", "boxes", "byAddress", "byDoor", "cuts", "loss", "latest", "exchanges", "byTid", "logs",
+                 "cluster", "latency", "journals", "watchers", "dropped")
+
+    def __init__(self, seed: int, cluster: str = "fleet"):
+        self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
+        self.boxes, self.byAddress, self.byDoor, self.cuts, self.loss = {}, {}, {}, set(), 0.0
+        self.latest, self.exchanges, self.byTid, self.logs, self.dropped = {}, {}, {}, [], 0
+        self.latency, self.journals, self.watchers = (0.0005, 0.003), {}, []
+
+    # building ----------------------------------------------------------------------
+
+    def add(self, name, role, make, area="", address="", door="", start=True):
+        """`make(box)` gives the machine anew at each start."""
+        box = self.boxes[name] = Box(name, role, make, area, address, door, BoxClock(self))
+        self.byAddress[address] = self.byDoor[door] = box
+        if start:
+            self.start(name)
+        return box
+
+    def start(self, name):
+        box = self.boxes[name]
+        box.life += 1
+        box.boots += 1
+        box.isFrozen, box.isGone, box.buffer = False, False, []
+        box.machine = box.make(box)
+        node = getattr(box.machine, "node", name)
+        box.codec = Codec(self.cluster, node, box.address, box.boots)
+        self.byAddress[box.address] = self.byDoor[box.door] = box
+        self._later(PULSE * self.draw.random(), self._pulse, box, box.life)
+
+    def kill(self, name, power=False):
+        """The process ends at once; with `power` off, what the disk had not synced is lost too."""
+        box = self.boxes[name]
+        if box.machine is None:
+            return
+        box.machine, box.life = None, box.life + 1
+        if power:
+            box.disk.lose_power()
+        self._break_exchanges(box)
+
+    def vanish(self, name):
+        """The machine is gone: nothing answers, not even a refusal."""
+        self.kill(name, power=True)
+        self.boxes[name].isGone = True
+
+    def stop(self, name):
+        """The platform's short warning."""
+        self._hand(self.boxes[name], ("stop",))
+
+    def freeze(self, name):
+        self.boxes[name].isFrozen = True
+
+    def wake(self, name):
+        """What lay in its buffers comes first, then its pulse."""
+        box = self.boxes[name]
+        box.isFrozen, buffer, box.buffer = False, box.buffer, []
+        for message in buffer:
+            self._hand(box, message)
+
+    def cut(self, first, second, oneWay=False):
+        """Boxes of `first` cannot reach those of `second`."""
+        for one in first:
+            for other in second:
+                if one != other:
+                    self.cuts.add((one, other))
+                    if not oneWay:
+                        self.cuts.add((other, one))
+
+    def heal(self):
+        self.cuts.clear()
+
+    # time -----------------------------------------------------------------------------
+
+    def _later(self, delay, call, *words):
+        self.count += 1
+        heappush(self.heap, (self.now + delay, self.count, call, words))
+
+    def run(self, seconds: float):
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, isReached, seconds: float) -> bool:
+        """Whether it was reached within the virtual seconds."""
+        end = self.now + timedelta(seconds=seconds)
+        checkAt = self.now
+        while self.heap and self.heap[0][0] <= end:
+            if self.heap[0][0] >= checkAt:
+                if isReached():
+                    return True
+                checkAt = self.heap[0][0] + PULSE
+            self.now, _, call, words = heappop(self.heap)
+            call(*words)
+        self.now = end
+        return isReached()
+
+    def _pulse(self, box, life):
+        if box.life != life or box.machine is None:
+            return
+        if not box.isFrozen:
+            self._hand(box, ("pulse",))
+        self._later(PULSE + box.slow, self._pulse, box, life)
+
+    def _hand(self, box, message):
+        if box.machine is None:
+            return
+        if box.isFrozen:
+            if len(box.buffer) < MOST_BUFFERED:
+                box.buffer.append(message)
+            return
+        life = box.life
+        for effect in box.machine.take(message, self.now):
+            if box.life == life:
+                self._do(box, effect)
+
+    def _reach(self, box, other):
+        return (box.name, other.name) not in self.cuts and not other.isGone
+
+    def _send(self, box, other, call, *words):
+        """In order between two boxes, after the wire's latency; lost where they are cut off."""
+        at = self.now + timedelta(seconds=self.draw.uniform(*self.latency))
+        key = (box.name, other.name)
+        at = self.latest[key] = max(at, self.latest.get(key, at))
+        self._later(at - self.now, self._arrive, key, other, call, words)
+
+    def _arrive(self, key, other, call, words):
+        if key not in self.cuts and not other.isGone:
+            call(*words)
+
+    # effects --------------------------------------------------------------------------
+
+    def _do(self, box, effect):
+        kind = effect[0]
+        if kind in ("tell", "cast"):
+            self._tell(box, effect[1], effect[2], kind == "cast")
+        elif kind in ("disk", "rewrite", "journal"):
+            self._disk(box, effect)
+        elif kind == "fetch":
+            self._fetch(box, effect)
+        elif kind == "unfetch":
+            self._unfetch(box, effect[1])
+        elif kind in ("reply", "head", "chunk", "end", "drop"):
+            self._answer(box, effect)
+        elif kind == "log":
+            self.logs.append((self.now, box.name, *effect[1:]))
+        elif kind == "leave":
+            self.kill(box.name)
+
+    def _tell(self, box, address, message, isCast):
+        other = self.byAddress.get(address)
+        if other is None or (isCast and self.draw.random() < self.loss):
+            return
+        raw = box.codec.pack(message)
+        self._send(box, other, self._heard, other, raw)
+
+    def _heard(self, other, raw):
+        parcel = read_parcel(self.cluster, raw)
+        if isinstance(parcel, tuple):
+            sender, address, _, message = parcel
+            self._hand(other, ("heard", sender, address, message))
+        else:
+            self.dropped += 1
+
+    def _disk(self, box, effect):
+        verb, name, records = effect[:3]
+        followup = effect[3] if verb != "journal" else None
+        records = as_tuples(msgspec.json.decode(msgspec.json.encode(records)))
+        box.disk.begin("rewrite" if verb == "rewrite" else "append", name, records, followup)
+        if len(box.disk.pending) == 1:
+            self._later(self._disk_delay(box), self._synced, box, box.life)
+
+    def _disk_delay(self, box):
+        return max(box.disk.delay, box.disk.stalledUntil - self.now)
+
+    def _synced(self, box, life):
+        if box.life != life or not box.disk.pending:
+            box.disk.pending.clear()
+            return
+        if self.now < box.disk.stalledUntil:
+            self._later(self._disk_delay(box), self._synced, box, life)
+            return
+        followup = box.disk.finish()
+        if box.disk.pending:
+            self._later(self._disk_delay(box), self._synced, box, life)
+        if followup is not None:
+            self._hand(box, followup)
+
+    # HTTP ---------------------------------------------------------------------------------
+
+    def _fetch(self, box, effect):
+        _, tid, method, url, headers, body, connect, total, mode = effect
+        address, _, path = url.removeprefix("http://").partition("/")
+        server = self.byDoor.get(address)
+        self.count += 1
+        cid = self.count
+        isReachable = server is not None and self._reach(box, server) and self._reach(server, box)
+        if not isReachable:
+            self._later(connect, self._fetched, box, box.life, tid, "fault", "connect-timeout")
+            return
+        if server.machine is None:
+            self._later(timedelta(seconds=0.002), self._fetched, box, box.life, tid, "fault", "refused")
+            return
+        exchange = self.exchanges[cid] = Exchange(cid, box, tid, server, mode)
+        self.byTid[(box.name, box.life, tid)] = cid
+        headers = {name.lower(): value for name, value in headers.items()}
+        self._later(timedelta(seconds=0.001), self._connected, exchange, ("http", cid, method, "/" + path, headers, body))
+        self._later(total, self._expire, exchange)
+
+    def _connected(self, exchange, message):
+        if not exchange.isOpen:
+            return
+        if exchange.server.life != exchange.serverLife:
+            self._to_client(exchange, "fault", "refused")
+            return
+        self._fetched(exchange.client, exchange.clientLife, exchange.tid, "sent")
+        exchange.reached = True
+        self._send(exchange.client, exchange.server, self._hand_alive, exchange, message)
+
+    def _hand_alive(self, exchange, message):
+        if exchange.server.life == exchange.serverLife:
+            self._hand(exchange.server, message)
+
+    def _expire(self, exchange):
+        if exchange.isOpen:
+            self._finish(exchange)
+            self._hand_alive(exchange, ("gone", exchange.cid))
+            self._fetched(exchange.client, exchange.clientLife, exchange.tid, "fault", "timeout")
+
+    def _finish(self, exchange):
+        exchange.isOpen = False
+        self.exchanges.pop(exchange.cid, None)
+        self.byTid.pop((exchange.client.name, exchange.clientLife, exchange.tid), None)
+
+    def _unfetch(self, box, tid):
+        exchange = self.exchanges.get(self.byTid.get((box.name, box.life, tid)))
+        if exchange is not None:
+            self._finish(exchange)
+            self._send(box, exchange.server, self._hand_alive, exchange, ("gone", exchange.cid))
+
+    def _answer(self, box, effect):
+        exchange = self.exchanges.get(effect[1])
+        if exchange is not None:
+            self._send(box, exchange.client, self._answered, exchange, effect)
+
+    def _answered(self, exchange, effect):
+        if not exchange.isOpen:
+            return
+        kind = effect[0]
+        if kind == "reply":
+            headers = {name.lower(): value for name, value in effect[3].items()}
+            self._to_client(exchange, "done", effect[2], headers, effect[4])
+        elif kind == "head":
+            exchange.head = effect[2]
+            headers = {name.lower(): value for name, value in effect[3].items()}
+            self._fetched(exchange.client, exchange.clientLife, exchange.tid, "head", effect[2], headers)
+        elif kind == "chunk":
+            for event in exchange.parser.receive_bytes(effect[2]):
+                self._fetched(exchange.client, exchange.clientLife, exchange.tid, "event", event.id, event.data)
+        elif kind == "end":
+            self._to_client(exchange, "end")
+        else:
+            self._to_client(exchange, "fault", "reset")
+
+    def _to_client(self, exchange, *what):
+        self._finish(exchange)
+        self._fetched(exchange.client, exchange.clientLife, exchange.tid, *what)
+
+    def _fetched(self, box, life, tid, *what):
+        if box.life == life:
+            self._hand(box, ("fetched", tid, *what))
+
+    def _break_exchanges(self, box):
+        for exchange in list(self.exchanges.values()):
+            if exchange.server is box:
+                self._finish(exchange)
+                self._send(box, exchange.client, self._fetched, exchange.client, exchange.clientLife, exchange.tid, "fault", "reset")
+            elif exchange.client is box:
+                self._finish(exchange)
+                self._send(box, exchange.server, self._hand_alive, exchange, ("gone", exchange.cid))
--- /dev/null
+++ b/sumachook/guise/model.py
@@ -0,0 +1,235 @@
+"""A stand-in for one model server."""
+
+from datetime import timedelta
+from zlib import crc32
+
+import msgspec
+from assel import Event, send
+
+JSON = {"Content-Type": "application/json"}
+EVENTS = 8
+KEEP_AFTER = timedelta(seconds=5)
+
+
+class Run:
+    """One prompt being run, and what it has said so far."""
+
+    __slots__ = ("request", "cid", "model", "asked", "events", "said", "count", "startedAt", "stepEvery", "goneAt", "isDone", "flushed",
+                 "hasHead")
+
+    def __init__(self, request, cid, model, asked, count):
+        self.request, self.cid, self.model, self.asked, self.count = request, cid, model, asked, count
+        self.events, self.said, self.startedAt, self.stepEvery, self.goneAt, self.isDone = [], 0, None, None, None, False
+        self.flushed, self.hasHead = 0, False
+
+
+class ModelServer:
+    """Takes (message, now); keeps its own record of all that it ran and was ordered (§12.2).
+
+    `runs` {request id: times run} and `broken` (what it was told that it must never be told)
+    are the proof's independent witness.
+    """
+
+    __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest", "runs",
+                 "broken", "fence", "isDark", "hasIds", "warmPeak", "loads", "startedAtByModel", "prefill", "loadRate", "orders")
+
+    def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True):
+        self.name, self.memory, self.places, self.slots = listed["name"], listed["memory"], listed["places"], listed["slots"]
+        self.sizes = {model["name"]: model["memory"] for model in catalogue["models"]}
+        self.rates = {model["name"]: model["decodeRate"] for model in catalogue["models"]}
+        self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
+        self.held = {name: "loaded" for name in held}
+        self.active, self.waiting, self.byRequest, self.runs, self.broken = {}, [], {}, {}, []
+        self.fence, self.isDark, self.hasIds, self.warmPeak, self.loads = 0, False, hasIds, {}, []
+        self.startedAtByModel, self.prefill, self.loadRate, self.orders = {}, timedelta(seconds=0.1), loadRate, []
+
+    def take(self, message: tuple, now) -> list:
+        kind = message[0]
+        if kind == "pulse":
+            return self._pulse(now)
+        if kind == "gone":
+            return self._gone(message[1], now)
+        if kind == "http":
+            return self._http(message, now)
+        return [("leave", 0)] if kind == "stop" else []
+
+    def _http(self, message, now):
+        _, cid, method, path, headers, body = message
+        if self.isDark:
+            return []
+        if path == "/models":
+            data = [{"id": name, "status": {"value": value if isinstance(value, str) else "loading"}}
+                    for name, value in self.held.items() if name in self.sizes]
+            return [_reply(cid, 200, {"data": data})]
+        if path == "/v1/models":
+            data = [{"id": name, "parent": self.adapters.get(name)} for name, value in self.held.items() if value == "loaded"]
+            return [_reply(cid, 200, {"object": "list", "data": data})]
+        if path == "/proof":
+            return [_reply(cid, 200, {"runs": self.runs, "broken": self.broken, "loads": self.loads, "warmPeak": self.warmPeak})]
+        if method == "POST" and path == "/v1/chat/completions":
+            return self._prompt(cid, headers, msgspec.json.decode(body), now)
+        if method == "GET" and path.startswith("/v1/chat/completions/"):
+            return self._resume(cid, path.rpartition("/")[2], headers, now)
+        if method == "POST":
+            return self._order(cid, path, headers, msgspec.json.decode(body), now)
+        return [_reply(cid, 404, {"error": {"message": "not found"}})]
+
+    # orders ------------------------------------------------------------------------
+
+    def _order(self, cid, path, headers, body, now):
+        fence = int(headers.get("x-sumachook-fence", "0"))
+        if fence < self.fence:
+            return [_reply(cid, 409, {"error": {"message": f"fence {fence} is older than {self.fence}"}})]
+        self.fence = fence
+        name, isAdapter = body.get("model") or body.get("lora_name"), "lora" in path
+        self.orders.append((now, fence, path, name))
+        if "unload" in path:
+            for item in [name] + [adapter for adapter, model in self.adapters.items() if model == name]:
+                self.held.pop(item, None)
+            return [_reply(cid, 200, {"success": True})]
+        if name in self.held:
+            return [_reply(cid, 400, {"error": {"message": "already loaded"}})]
+        size = 0.1 if isAdapter else self.sizes.get(name, 0.0)
+        if self._used() + size > self.memory + 1e-6:
+            self.broken.append(f"{self.name}: {name} beyond memory, {self._used()} + {size} of {self.memory}")
+            return [_reply(cid, 507, {"error": {"message": "out of memory"}})]
+        if isAdapter and sum(item in self.adapters for item in self.held) >= self.places:
+            self.broken.append(f"{self.name}: {name} beyond {self.places} adapter places")
+            return [_reply(cid, 507, {"error": {"message": "no adapter place"}})]
+        if isAdapter and self.held.get(self.adapters.get(name)) != "loaded":
+            return [_reply(cid, 400, {"error": {"message": "base model is not loaded"}})]
+        self.held[name] = now + timedelta(seconds=size / self.loadRate + 0.2)
+        self.loads.append((now.total_seconds(), size, name))
+        return [_reply(cid, 200, {"success": True})]
+
+    def _used(self):
+        return sum(self.sizes.get(name, 0.1) for name in self.held)
+
+    # prompts -------------------------------------------------------------------------
+
+    def _prompt(self, cid, headers, body, now):
+        asked, request = body["model"], headers.get("x-request-id", "")
+        model = self.adapters.get(asked, asked)
+        if self.held.get(asked) != "loaded" or self.held.get(model) != "loaded":
+            return [_reply(cid, 404, {"error": {"message": f"model {asked} is not loaded"}})]
+        if len(self.active) + len(self.waiting) >= self.slots * 3:
+            return [("reply", cid, 429, {**JSON, "Retry-After": "1"}, b'{"error":{"message":"busy"}}')]
+        count = min(body.get("max_tokens", 64), 12 + crc32(request.encode()) % 60)
+        run = Run(request, cid, model, asked, count)
+        self.runs[request] = self.runs.get(request, 0) + 1
+        self.byRequest[request] = run
+        self.waiting.append(run)
+        busy = sum(other.model == model for other in [*self.active.values(), *self.waiting])
+        if now - self.startedAtByModel.get(model, now - timedelta(days=1)) < timedelta(seconds=1.4):
+            self.warmPeak[model] = max(self.warmPeak.get(model, 0), busy)
+        self._begin(now)
+        return []
+
+    def _begin(self, now):
+        while self.waiting and len(self.active) < self.slots:
+            run = self.waiting.pop(0)
+            run.startedAt, run.stepEvery = now + self.prefill, timedelta(seconds=run.count / self.rates[run.model] / EVENTS)
+            self.active[run.request] = run
+
+    def _pulse(self, now):
+        out = []
+        for name, value in list(self.held.items()):
+            if not isinstance(value, str) and now >= value:
+                self.held[name] = "loaded"
+                if name in self.sizes:
+                    self.startedAtByModel[name] = now
+        for run in list(self.active.values()):
+            out += self._speak(run, now)
+            if run.isDone:
+                del self.active[run.request]
+        self._begin(now)
+        for request, run in list(self.byRequest.items()):
+            if run.goneAt is not None and now - run.goneAt > KEEP_AFTER:
+                del self.byRequest[request]
+                self.active.pop(request, None)
+                if run in self.waiting:
+                    self.waiting.remove(run)
+        return [] if self.isDark else out
+
+    def _speak(self, run, now):
+        if run.goneAt is not None and not run.said:
+            run.isDone = True
+            return []
+        while run.said <= EVENTS and now >= run.startedAt + run.stepEvery * run.said:
+            if run.said < EVENTS:
+                choice = {"index": 0, "delta": {"content": f"{run.request}/{run.said} "}}
+                run.events.append({"choices": [choice], "model": run.asked})
+            else:
+                run.events.append({"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+                                   "usage": {"completion_tokens": run.count}})
+            run.said += 1
+        return self._flush(run, now)
+
+    def _flush(self, run, now):
+        """What the caller has not had yet; a caller that is gone may come back for it."""
+        if run.goneAt is not None:
+            run.isDone = run.said > EVENTS
+            return []
+        out = []
+        if run.events and not run.hasHead:
+            run.hasHead = True
+            out.append(("head", run.cid, 200, {"Content-Type": "text/event-stream"}))
+        for number in range(run.flushed, len(run.events)):
+            eventId = f"{run.request}:{number}" if self.hasIds else None
+            out.append(("chunk", run.cid, send(Event(data=msgspec.json.encode(run.events[number]).decode(), id=eventId))))
+        run.flushed = len(run.events)
+        if run.said > EVENTS:
+            out += [("chunk", run.cid, send(Event(data="[DONE]"))), ("end", run.cid)]
+            run.isDone, run.goneAt = True, now
+        return out
+
+    def _gone(self, cid, now):
+        for run in self.byRequest.values():
+            if run.cid == cid and run.goneAt is None:
+                run.goneAt = now
+        return []
+
+    def _resume(self, cid, request, headers, now):
+        run = self.byRequest.get(request)
+        last = headers.get("last-event-id", "")
+        if not self.hasIds or run is None or not last.startswith(request + ":"):
+            return [_reply(cid, 404, {"error": {"message": "nothing to resume"}})]
+        run.cid, run.flushed, run.hasHead, run.goneAt = cid, int(last.rpartition(":")[2]) + 1, False, None
+        return self._flush(run, now)
+
+
+def _reply(cid, status, doc):
+    return ("reply", cid, status, JSON, msgspec.json.encode(doc))
+
+
+def _server(**more):
+    listed = {"name": "s", "memory": 10.0, "places": 1, "slots": 2}
+    catalogue = {"models": [{"name": "m", "memory": 6.0, "decodeRate": 100.0}, {"name": "n", "memory": 6.0, "decodeRate": 100.0}],
+                 "adapters": [{"name": "x", "model": "m"}]}
+    return ModelServer(listed, catalogue, **more)
+
+
+def test_old_fences_and_too_much_memory_are_refused_and_noted():
+    server, now = _server(), timedelta(seconds=1)
+    load = ("http", 1, "POST", "/models/load", {"x-sumachook-fence": "4"}, b'{"model":"m"}')
+    assert server.take(load, now)[0][2] == 200
+    assert server.take(("http", 2, "POST", "/models/load", {"x-sumachook-fence": "3"}, b'{"model":"n"}'), now)[0][2] == 409
+    assert server.take(("http", 2, "POST", "/models/load", {"x-sumachook-fence": "4"}, b'{"model":"n"}'), now)[0][2] == 507
+    assert len(server.broken) == 1
+
+
+def test_stream_is_resumed_where_it_stopped():
+    server, now, step = _server(held=("m",)), timedelta(seconds=1), timedelta(seconds=0.05)
+    server.take(("http", 1, "POST", "/v1/chat/completions", {"x-request-id": "r"}, b'{"model":"m","max_tokens":40}'), now)
+    said = []
+    while not any(effect[0] == "chunk" for effect in said):
+        now += step
+        said += server.take(("pulse",), now)
+    server.take(("gone", 1), now)
+    last = sum(effect[0] == "chunk" for effect in said) - 1
+    said = server.take(("http", 2, "GET", "/v1/chat/completions/r", {"last-event-id": f"r:{last}"}, b""), now)
+    while ("end", 2) not in said:
+        now += step
+        said += server.take(("pulse",), now)
+    chunks = [effect[2] for effect in said if effect[0] == "chunk"]
+    assert f"id: r:{last + 1}".encode() in chunks[0] and b"[DONE]" in chunks[-1] and server.runs == {"r": 1}
--- /dev/null
+++ b/sumachook/guise/platform.py
@@ -0,0 +1,31 @@
+"""A stand-in for the platform that lists the servers."""
+
+import msgspec
+
+JSON = {"Content-Type": "application/json"}
+
+
+class Platform:
+    """Takes (message, now): GET /servers; POST /leaving {"name", "leaving"}; POST /servers {"servers"} (§12.2)."""
+
+    __slots__ = ("servers",)
+
+    def __init__(self, servers):
+        self.servers = {server["name"]: {**server} for server in servers}
+
+    def take(self, message: tuple, now) -> list:
+        if message[0] == "stop":
+            return [("leave", 0)]
+        if message[0] != "http":
+            return []
+        _, cid, method, path, _, body = message
+        if method == "POST" and path == "/leaving":
+            doc = msgspec.json.decode(body)
+            if doc["name"] not in self.servers:
+                return [("reply", cid, 404, JSON, b'{"error":"no such server"}')]
+            self.servers[doc["name"]]["leaving"] = doc.get("leaving", True)
+        elif method == "POST" and path == "/servers":
+            self.servers = {server["name"]: server for server in msgspec.json.decode(body)["servers"]}
+        elif path != "/servers":
+            return [("reply", cid, 404, JSON, b'{"error":"not found"}')]
+        return [("reply", cid, 200, JSON, msgspec.json.encode({"servers": list(self.servers.values())}))]
--- /dev/null
+++ b/sumachook/guise/records.py
@@ -0,0 +1,26 @@
+"""A stand-in for one server of the records service."""
+
+import msgspec
+
+JSON = {"Content-Type": "application/json"}
+
+
+class RecordsServer:
+    """Takes (message, now); answers small lookups at once (§12.2)."""
+
+    __slots__ = ("name", "isDark", "seen")
+
+    def __init__(self, name: str):
+        self.name, self.isDark, self.seen = name, False, 0
+
+    def take(self, message: tuple, now) -> list:
+        if message[0] == "stop":
+            return [("leave", 0)]
+        if message[0] != "http" or self.isDark:
+            return []
+        _, cid, method, path, _, _ = message
+        record = path.rpartition("/")[2]
+        self.seen += 1
+        if method != "GET" or not path.startswith("/records/") or record.startswith("none"):
+            return [("reply", cid, 404, JSON, b'{"error":"no such record"}')]
+        return [("reply", cid, 200, JSON, msgspec.json.encode({"id": record, "condition": "stamped", "by": self.name}))]
--- /dev/null
+++ b/sumachook/role/core.py
@@ -0,0 +1,275 @@
+"""A core: seat of the ordered state, feed, duties and ledger, made of its machines."""
+
+from datetime import timedelta
+from random import Random
+from urllib.parse import unquote
+
+import msgspec
+
+from sumachook.accord.accord import Accord
+from sumachook.atlas.catalogue import merge, read_catalogue
+from sumachook.atlas.state import State
+from sumachook.fault import Fault
+from sumachook.feed.source import Source
+from sumachook.loom.outlook import foresee
+from sumachook.loom.placer import Placer
+from sumachook.loom.watcher import Watcher
+from sumachook.role.desk import Desk, read_order, reply
+from sumachook.role.edge import RUMOUR
+from sumachook.rota.rota import Rota
+from sumachook.rumour.rumour import ALIVE, SUSPECT, Rumour
+from sumachook.tally.keeper import Keeper
+from sumachook.tally.purse import Accountant
+from sumachook.wire.codec import read_entry
+
+ACCORD = {"blank", "ask", "ask_yes", "stop", "stopped", "install", "installed", "grow", "grew", "beat", "beat_ack", "propose"}
+ROTA = {"bid", "vote", "renew", "renewed"}
+FEED = {"follow", "confirm", "confirmed"}
+TALLY = {"open", "close", "hand", "handed"}
+FIND_WITHIN = timedelta(seconds=1)
+
+
+class Core:
+    """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
+
+    __slots__ = ("params", "node", "boot", "state", "rumour", "accord", "rota", "source", "placer", "watcher", "keeper", "accountant",
+                 "desk", "isNew", "isReady", "stopAt", "ignored", "clock", "finds", "changedAt", "draw")
+
+    FILES = ("seat", "accord", "ledger")
+
+    def __init__(self, params, records: dict, boot: int, clock, draw: Random):
+        now = clock.mono()
+        self.params, self.boot, self.clock, self.draw = params, boot, clock, draw
+        seats = records.get("seat", ())
+        self.isNew = not seats  # a blank folder is a new identity
+        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seats[0][1]
+        self.isReady = not self.isNew
+        self.state = State()
+        self.accord = Accord(self.node, params.address, params.founding, Random(draw.random()), self.state.image,
+                             records.get("accord", ()), timedelta(seconds=params.seatAway), now)
+        number, image = self.accord.restore()
+        if image is not None:
+            self.state.restore(image)
+        self.state.number = number
+        me = (self.node, params.address, "core", params.area, boot, ALIVE, params.door, boot)
+        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now)
+        self.rota = Rota(self.node, self.state, Random(draw.random()), now)
+        self.source = Source(self.state, self._other_cores, now)
+        self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now)
+        self.keeper = Keeper(self.node, clock.wall, params.retention, records.get("ledger", ()), now)
+        self.accountant, self.desk, self.finds = Accountant(now), Desk(), {}
+        self.stopAt, self.ignored, self.changedAt = None, 0, now
+
+    def take(self, message: tuple, now) -> list:
+        if self.isNew:
+            self.isNew = False
+            return [("disk", "seat", (("seat", self.node),), ("seat-ready",))]
+        if not self.isReady:
+            self.isReady = message[0] == "seat-ready"
+            return []
+        out, work = [], [message]
+        while work:
+            for effect in self._dispatch(work.pop(0), now):
+                if effect[0] in ("propose", "deliver", "restored", "compact", "refused"):
+                    work.append(effect)
+                elif effect[0] not in ("view", "member", "objected"):
+                    out.append(effect)
+        return out
+
+    def _dispatch(self, message, now):
+        kind = message[0]
+        if kind == "heard":
+            return self._heard(message, now)
+        if kind == "pulse":
+            return self._pulse(now)
+        if kind in ("propose", "compact", "accord_synced"):
+            return self.accord.take(message, now)
+        if kind == "deliver":
+            return self._deliver(message, now)
+        if kind == "restored":
+            self.state.restore(message[2])
+            self.state.number = message[1]
+            self.placer.take(("changed",), now)
+            return self.source.take(("restored", message[1]), now)
+        if kind == "keeper-synced":
+            return self.keeper.take(message, now)
+        if kind == "fetched" and message[2] in ("done", "fault"):
+            return (self.placer if message[1][0] == "placer" else self.watcher).take(message, now)
+        if kind == "http":
+            return self._http(message, now)
+        if kind == "gone":
+            return self.desk.take(message, now)
+        if kind == "stop":
+            self.stopAt = now + timedelta(seconds=1)
+            note = ("log", "info", "core", "Leaving, duties are given back.", {})
+            return [note, *self.rota.take(("quit",), now), *self.rumour.take(("leave",), now)]
+        return []  # a refused proposal is made again by who made it
+
+    def _heard(self, message, now):
+        kind = message[3][0]
+        if kind in RUMOUR:
+            return self.rumour.take(message, now)
+        if kind in ACCORD:
+            return self.accord.take(message, now)
+        if kind in ROTA:
+            return self.rota.take(message, now)
+        if kind in FEED:
+            return self.source.take(message, now)
+        if kind in TALLY:
+            return self.keeper.take(message, now)
+        if kind == "credit":
+            return self.accountant.take(message, now)
+        if kind == "demand":
+            return self.placer.take(message, now)
+        if kind in ("find", "found"):
+            return self._find_heard(message, now)
+        self.ignored += 1
+        return []
+
+    def _deliver(self, message, now):
+        _, number, entry = message
+        change = read_entry(entry)
+        result = self.state.apply(number, change)
+        out = self.source.take(("delivered", number, entry), now)
+        self.placer.take(("changed",), now)
+        if change[0] in ("apply", "evacuate", "restore"):
+            out += self.desk.take(("delivered", number, change, result), now)
+            out.append(("log", "info", "core", "Change delivered.", {"number": number, "kind": change[0], "result": result[0]}))
+        return out
+
+    def _pulse(self, now):
+        isFresh, isLeading = self.accord.fresh(now), self.accord.role == "leading"
+        out = self.rumour.take(("pulse", self.state.number if isFresh else 0), now)
+        out += self.accord.take(("pulse",), now)
+        out += self.rota.take(("pulse", isFresh, isLeading), now)
+        out += self.source.take(("pulse", isFresh), now)
+        out += self.placer.take(("pulse", self.rota.holds("placer", now)), now)
+        out += self.watcher.take(("pulse", self.rota.holds("watcher", now)), now)
+        out += self.accountant.take(("pulse", self.rota.holds("accountant", now)), now)
+        out += self.keeper.take(("pulse", self._live_boots(), self.state.roster), now)
+        out += self.desk.take(("pulse", self._live_nodes(), self._confirmed()), now)
+        out += self._find_pulse(now)
+        if self.stopAt is not None and now >= self.stopAt:
+            out.append(("leave", 0))
+        return out
+
+    def _live(self):
+        return [member for member in self.rumour.members.values() if member.condition in (ALIVE, SUSPECT)]
+
+    def _live_boots(self):
+        boots = {member.node: member.boot for member in self._live()}
+        return boots | {self.node: self.boot}
+
+    def _live_nodes(self):
+        return sorted([member.node for member in self._live() if member.condition == ALIVE and member.role == "edge"])
+
+    def _confirmed(self):
+        return self.source.confirmed
+
+    def _other_cores(self):
+        return [address for seat, address in self.state.roster.items() if seat != self.node]
+
+    # HTTP -------------------------------------------------------------------------
+
+    def _http(self, message, now):
+        _, cid, method, path, headers, body = message
+        if path == "/condition":
+            return [self._condition(cid, now)]
+        if path == "/metrics":
+            return [reply(cid, 200, self._metrics(now))]
+        if self.params.operatorKey and headers.get("authorization") != f"Bearer {self.params.operatorKey}":
+            return [reply(cid, 401, {"fault": {"class": "unknown-operator", "reason": "Authorization: Bearer KEY"}})]
+        if method == "POST" and path in ("/operator/apply", "/operator/evacuate", "/operator/restore"):
+            change = read_order(path, body)
+            if isinstance(change, Fault):
+                return [reply(cid, 400, {"fault": {"class": change.name, "reason": change.reason, "applied": "no"}})]
+            if not self.accord.fresh(now) and not self.accord.role == "leading":
+                reason = "this core is in no working view; ask another"
+                return [reply(cid, 503, {"fault": {"class": "no-view", "reason": reason, "applied": "no"}}, 1)]
+            return self.desk.take(("order", cid, change), now)
+        if method == "POST" and path in ("/plan", "/check"):
+            return [self._weigh(cid, path, body)]
+        if method == "GET" and path.startswith("/show/"):
+            return [self._show(cid, path[6:], now)]
+        if method == "GET" and path.startswith("/ledger/"):
+            return self._find(cid, unquote(path[8:]), now)
+        return [reply(cid, 404, {"fault": {"class": "not-found", "reason": f"{method} {path}"}})]
+
+    def _condition(self, cid, now):
+        isFresh = self.accord.fresh(now)
+        doc = {"node": self.node, "role": "core", "area": self.params.area, "inView": isFresh, "leader": self.accord.leader,
+               "view": self.accord.view[0], "number": self.state.number, "generation": self.state.generation,
+               "ready": isFresh and self.stopAt is None}
+        return reply(cid, 200 if doc["ready"] else 503, doc)
+
+    def _metrics(self, now):
+        return {"node": self.node, "number": self.state.number, "view": self.accord.view[0], "logged": len(self.accord.chain.entries),
+                "members": len(self.rumour.members) + 1, "ledgerRows": len(self.keeper.rows), "ledgerOpen": len(self.keeper.openRows),
+                "hints": len(self.keeper.hints), "followers": len(self.source.followers), "ignored": self.ignored,
+                "storeCredit": round(self.placer.budget, 2)}
+
+    def _weigh(self, cid, path, body):
+        """plan and check: say what would be, change nothing."""
+        try:
+            doc = msgspec.json.decode(body)
+            wanted = merge(self.state.doc or {}, doc["doc"]) if doc.get("part") else doc["doc"]
+        except (msgspec.DecodeError, RecursionError, KeyError, TypeError, AttributeError) as error:
+            return reply(cid, 400, {"fault": {"class": "not JSON", "reason": str(error)}})
+        catalogue, found = read_catalogue(wanted)
+        if catalogue is None:
+            return reply(cid, 422, {"result": "refused", "faults": [{"path": path_, "reason": reason} for path_, reason in found]})
+        if path == "/check":
+            return reply(cid, 200, {"result": "ok"})
+        return reply(cid, 200, foresee(catalogue, self.state, self.placer.demand))
+
+    def _show(self, cid, what, now):
+        state, isStale = self.state, not self.accord.fresh(now)
+        shown = {
+            "cohort": lambda: {"members": [self._member(member) for member in [self.rumour.me, *self.rumour.members.values()]],
+                               "roster": state.roster, "view": {"ballot": self.accord.view[0], "members": self.accord.members,
+                                                                "leader": self.accord.leader},
+                               "confirmed": self._confirmed()},
+            "duties": lambda: {"duties": {duty: {"holder": holder, "fence": fence} for duty, (holder, fence) in state.duties.items()}},
+            "pairs": lambda: {"pairs": state.pairs, "held": state.held},
+            "servers": lambda: {"servers": state.servers, "evacuated": state.evacuated},
+            "catalogue": lambda: {"generation": state.generation, "catalogue": state.doc},
+            "lines": lambda: {"lines": [msgspec.to_builtins(line) for line in state.catalogue.lines] if state.catalogue else [],
+                              "demand": self.placer.demand},
+        }.get(what)
+        if shown is None:
+            return reply(cid, 404, {"fault": {"class": "not-found", "reason": "cohort, duties, pairs, servers, catalogue or lines"}})
+        return reply(cid, 200, {"stale": isStale, "number": state.number, **shown()})
+
+    def _member(self, member):
+        return {"node": member.node, "role": member.role, "area": member.area, "address": member.address,
+                "condition": member.condition, "incarnation": member.incarnation, "door": member.door}
+
+    # finding a request over all keepers ----------------------------------------------
+
+    def _find(self, cid, request, now):
+        row = self.keeper.find(request)
+        if row is not None and row["state"] not in ("open", "lost"):
+            return [reply(cid, 200, row)]
+        self.finds[str(cid)] = (cid, row, now, len(self._other_cores()))
+        return [("tell", address, ("find", str(cid), request)) for address in self._other_cores()]
+
+    def _find_heard(self, message, now):
+        _, _, address, body = message
+        if body[0] == "find":
+            return [("tell", address, ("found", body[1], self.keeper.find(body[2])))]
+        waiting = self.finds.get(body[1])
+        if waiting is None:
+            return []
+        cid, row, at, left = waiting
+        better = body[2] if body[2] and (row is None or row["state"] in ("open", "lost")) else row
+        self.finds[body[1]] = (cid, better, at, left - 1)
+        return self._find_pulse(now)
+
+    def _find_pulse(self, now):
+        out = []
+        for asker, (cid, row, at, left) in list(self.finds.items()):
+            if left <= 0 or now - at > FIND_WITHIN:
+                del self.finds[asker]
+                missing = {"fault": {"class": "unknown", "reason": "no keeper that answered holds this request"}}
+                out.append(reply(cid, 200, row) if row else reply(cid, 404, missing))
+        return out
--- /dev/null
+++ b/sumachook/role/edge.py
@@ -0,0 +1,172 @@
+"""An edge: the caller-facing router, made of its machines."""
+
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from sumachook.atlas.state import State
+from sumachook.feed.follower import Follower
+from sumachook.ferry.ferry import Ferry
+from sumachook.role.desk import reply
+from sumachook.rumour.rumour import ALIVE, SUSPECT, Rumour
+from sumachook.tally.purse import Purse
+from sumachook.tally.quill import Quill
+
+RUMOUR = {"probe", "probe_ack", "probe_via", "probe_for", "via_ack", "join", "roll"}
+FEED = {"image", "news", "feed_beat"}
+GRACE = timedelta(seconds=8)
+
+
+class Edge:
+    """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
+
+    __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "nextDemand", "stopBy",
+                 "ignored", "savedAt", "savedNumber", "hasDisk", "startedAt")
+
+    def __init__(self, params, records: dict, boot: int, clock, draw: Random):
+        now = clock.mono()
+        self.params, self.node, self.boot, self.startedAt = params, params.node, boot, now
+        self.state = State()
+        for record in records.get("image", ()):
+            self.state.restore(record[1])
+        me = (self.node, params.address, "edge", params.area, boot, ALIVE, params.door, boot)
+        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now)
+        self.follower = Follower(self.state, Random(draw.random()), now)
+        self.purse, self.quill = Purse(), Quill()
+        self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()), clock.wall)
+        self.nextDemand, self.stopBy, self.ignored = now, None, 0
+        self.savedAt, self.savedNumber, self.hasDisk = now, self.state.number, params.data is not None
+
+    def take(self, message: tuple, now) -> list:
+        out, work = [], [message]
+        while work:
+            for effect in self._dispatch(work.pop(0), now):
+                if effect[0] in ("open", "close"):
+                    work += [("inner", self.quill, effect)]
+                elif effect[0] in ("recorded", "unrecorded", "duplicate"):
+                    work += [("inner", self.ferry, effect)]
+                elif effect[0] in ("changed", "objected"):
+                    continue
+                elif effect[0] == "member":
+                    self._learn_edges()
+                else:
+                    out.append(effect)
+        return out
+
+    def _dispatch(self, message, now):
+        kind = message[0]
+        if kind == "inner":
+            return message[1].take(message[2], now)
+        if kind == "heard":
+            return self._heard(message, now)
+        if kind == "pulse":
+            return self._pulse(now)
+        if kind == "http":
+            return self._http(message, now)
+        if kind in ("gone", "fetched"):
+            return self.ferry.take(message, now)
+        if kind == "stop":
+            self.stopBy = now + GRACE
+            self.ferry.take(("drain",), now)
+            note = ("log", "info", "edge", "Leaving, no new requests.", {"inHand": len(self.ferry.table)})
+            return [note, *self.rumour.take(("leave",), now)]
+        return []
+
+    def _heard(self, message, now):
+        kind = message[3][0]
+        if kind in RUMOUR:
+            return self.rumour.take(message, now)
+        if kind in FEED:
+            return self.follower.take(message, now)
+        if kind in ("opened", "closed"):
+            return self.quill.take(message, now)
+        if kind in ("lend", "gift"):
+            return self.purse.take(message, now)
+        self.ignored += 1
+        return []
+
+    def _learn_edges(self):
+        others = [member.node for member in self.rumour.members.values()
+                  if member.role == "edge" and member.condition in (ALIVE, SUSPECT)]
+        self.ferry.edges = tuple(sorted({self.node, *others}))
+
+    def _cores(self):
+        """Addresses of live cores: rumoured ones first, else the roster's, else the seeds."""
+        live = [member.address for member in self.rumour.members.values()
+                if member.role == "core" and member.condition in (ALIVE, SUSPECT)]
+        return tuple(sorted(live) or sorted(self.state.roster.values()) or self.params.seeds)
+
+    def _pulse(self, now):
+        out = self.rumour.take(("pulse", self.follower.number), now)
+        cores = self._cores()
+        self.rumour.feedHeard = self.follower.number
+        out += self.follower.take(("pulse", cores, self.rumour.feedHeard), now)
+        live = {member.node for member in self.rumour.members.values() if member.condition in (ALIVE, SUSPECT)}
+        out += self.quill.take(("pulse", self.state.roster, live), now)
+        out += self.purse.take(("pulse", cores), now)
+        out += self.ferry.take(("pulse",), now)
+        if now >= self.nextDemand:
+            self.nextDemand = now + timedelta(seconds=1)
+            if self.ferry.demand:
+                out += [("tell", core, ("demand", self.ferry.demand)) for core in cores]
+                self.ferry.demand = {}
+        out += self._save(now)
+        if self.stopBy is not None:
+            out += self._stopping(now)
+        return out
+
+    def _save(self, now):
+        """An image on the own disk, so that a start needs no core to be up (§8.4)."""
+        isDue = self.savedNumber != self.state.number and now - self.savedAt > timedelta(seconds=2)
+        if not self.hasDisk or not isDue:
+            return []
+        self.savedAt, self.savedNumber = now, self.state.number
+        return [("rewrite", "image", (("image", self.state.image()),), None)]
+
+    def _stopping(self, now):
+        isDone = not self.ferry.table and not self.quill.entries
+        if not isDone and now < self.stopBy:
+            return []
+        out = []
+        if now >= self.stopBy and self.ferry.table:
+            for row in list(self.ferry.table.values()):
+                out += self.ferry.cut_short(row, now)
+            self.stopBy = now + timedelta(seconds=1)
+            return out
+        return [("leave", 0)]
+
+    def _http(self, message, now):
+        _, cid, method, path, headers, body = message
+        if path == "/condition":
+            trust = self.follower.trust(now)
+            isReady = trust in ("fresh", "cut") and self.stopBy is None and self.state.is_open(self.params.area)
+            doc = {"node": self.node, "role": "edge", "area": self.params.area, "trust": trust, "number": self.follower.number,
+                   "generation": self.state.generation, "ready": isReady, "leaving": self.stopBy is not None}
+            return [reply(cid, 200 if isReady else 503, doc)]
+        if path == "/metrics":
+            return [reply(cid, 200, self._metrics(now))]
+        return self.ferry.take(message, now)
+
+    def _metrics(self, now):
+        counts = {"_".join(what): count for what, count in self.ferry.counts.items()}
+        lanes = {name: {"inUse": lane.inUse, "shut": lane.is_shut(now)} for name, lane in self.ferry.lanes.items()}
+        return {"node": self.node, "counts": counts, "lanes": lanes, "rows": len(self.ferry.table),
+                "lines": {line: len(rows) for line, rows in self.ferry.lines.rows.items()},
+                "ledgerWaiting": len(self.quill.entries), "ledgerDropped": self.quill.lost,
+                "credit": round(self.purse.balance, 2), "number": self.follower.number, "ignored": self.ignored,
+                "members": len(self.rumour.members) + 1}
+
+
+def test_edge_without_a_catalogue_says_so():
+    from sumachook.atlas.params import Params
+    from sumachook.pulse.clock import Clock
+
+    params = Params(node="e1", address="127.0.0.1:1", door="127.0.0.1:2", area="hall", seeds=("127.0.0.1:3",))
+    edge, now = Edge(params, {}, 1, Clock(), Random(1)), Clock().mono()
+    ((_, _, status, headers, body),) = edge.take(("http", 1, "GET", "/records/1", {}, b""), now)
+    assert status == 503 and msgspec.json.decode(body)["fault"]["run"] == "no" and "Retry-After" in headers
+    assert edge.take(("stop",), now)[0][0] == "log"
+    assert edge.take(("pulse",), now + GRACE)[-1] == ("leave", 0)
+
+
--- a/sumachook/rumour/rumour.py
+++ b/sumachook/rumour/rumour.py
@@ -70,10 +70,10 @@
             elif now - sentAt >= self.ACK_WITHIN * 3:
                 del self.pending[number]
                 if now - self.wokeAt > self.SUSPECT_FOR:
-                    out += self._learn(member.news()[:5] + (SUSPECT, member.door), now)
+                    out += self._learn(_with(member, SUSPECT), now)
         for member in list(self.members.values()):
             if member.condition == SUSPECT and now - member.since >= self.SUSPECT_FOR:
-                out += self._learn(member.news()[:5] + (GONE, member.door), now)
+                out += self._learn(_with(member, GONE), now)
             elif member.condition in (GONE, LEFT) and now - member.since >= self.FORGET_AFTER:
                 del self.members[member.node]
         for number, (_, _, at) in list(self.relays.items()):
@@ -176,9 +176,10 @@
         return out
 
     def _learn(self, news, now):
-        node, _, _, _, incarnation, condition, _ = news
+        node, _, _, _, incarnation, condition, _, boot = news
         if node == self.me.node:
-            if condition != ALIVE and self.me.condition == ALIVE and incarnation >= self.me.incarnation:
+            isOther = condition != ALIVE or boot != self.me.boot  # doubted, or an earlier run of ours
+            if isOther and self.me.condition == ALIVE and incarnation >= self.me.incarnation:
                 self.me.incarnation = incarnation + 1  # §3.2: objection
                 self.spread[node] = 0
                 return [("objected", self.me.incarnation)]
@@ -195,11 +196,15 @@
         return [("member", node, condition, news)]
 
 
+def _with(member, condition):
+    return (*member.news()[:5], condition, member.door, member.boot)
+
+
 def _pair():
     zero = timedelta(0)
     machines = {}
     for name in ("a", "b", "c"):
-        me = (name, name, "edge", "hall", 1, ALIVE, name)
+        me = (name, name, "edge", "hall", 1, ALIVE, name, 1)
         machines[name] = Rumour(me, ("a",), Random(name), zero)
     return machines
 
--- a/sumachook/wire/codec.py
+++ b/sumachook/wire/codec.py
@@ -10,7 +10,7 @@
 from sumachook.wire.shapes import FIELDS
 
 MOST_BYTES = 4 << 20
-MEMBER = ("node", "address", "role", "area", "incarnation", "condition", "door")
+MEMBER = ("node", "address", "role", "area", "incarnation", "condition", "door", "boot")
 
 
 def _struct(name, fields):
@@ -28,7 +28,7 @@
 
 
 MemberStruct = _struct(
-    "MemberStruct", [(field, TType.I64 if field == "incarnation" else TType.STRING, None if field == "incarnation" else "UTF8") for field in MEMBER]
+    "MemberStruct", [(field, *((TType.I64, None) if field in ("incarnation", "boot") else (TType.STRING, "UTF8"))) for field in MEMBER]
 )
 _KINDS = {
     "s": (TType.STRING, "UTF8"),
@@ -151,7 +151,7 @@
 
 def test_every_kind_survives_the_wire():
     samples = {"s": "x", "i": 5, "f": 0.5, "b": True, "d": ((1, "a"), {"k": (2,)}), "e": (b"1", b"2"),
-               "m": (("n1", "127.0.0.1:1", "edge", "hall", 2, "alive", "127.0.0.1:2"),)}
+               "m": (("n1", "127.0.0.1:1", "edge", "hall", 2, "alive", "127.0.0.1:2", 9),)}
     codec = Codec("c", "n", "127.0.0.1:1", 1)
     for kind, fields in FIELDS.items():
         message = (kind, *(samples[letter] for _, letter in fields))
