--- /dev/null
+++ b/harness/city.py
@@ -0,0 +1,35 @@
+"""python -m harness.city CITY: a whole fleet of real processes, callers at the city's rates, outcomes, a clean stop."""
+
+import argparse
+import tempfile
+from pathlib import Path
+
+from harness.processes import Processes
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.city", description=__doc__)
+    parser.add_argument("city", choices=["kosice", "central-java"])
+    parser.add_argument("--seconds", type=float, default=30.0, help="how long callers call (at most 600)")
+    parser.add_argument("--pace", type=float, default=1.0, help="times the city's rates (at most 5)")
+    parser.add_argument("--work", help="folder for params, data and logs; a new temporary one by default")
+    given = parser.parse_args()
+    work = Path(given.work or tempfile.mkdtemp(prefix="sumachook-"))
+    fleet = Processes(Path(__file__).parent.parent / "examples" / given.city, work)
+    try:
+        print(f"up in {fleet.bring_up():.1f} s, {len(fleet.running)} processes, logs in {work}", flush=True)
+        callers = fleet.call_in(min(given.seconds, 600), min(given.pace, 5), work / "calls.jsonl")
+        print(callers.communicate()[0], end="")
+        proofs = fleet.proofs()
+        twice = [request for proof in proofs.values() for request, times in proof.get("runs", {}).items() if times > 1]
+        broken = [line for proof in proofs.values() for line in proof.get("broken", ())]
+        runs = sum(sum(proof.get("runs", {}).values()) for proof in proofs.values())
+        print(f"model servers ran {runs} prompts, {len(twice)} of them twice on one server; orders beyond their room: {len(broken)}")
+    finally:
+        codes = fleet.stop_all()
+        bad = {name: code for name, code in codes.items() if code}
+        print(f"stopped {len(codes)} processes" + (f", not cleanly: {bad}" if bad else ", all cleanly"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/harness/processes.py
@@ -0,0 +1,137 @@
+"""A city's fleet as real processes."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+from sumachook.guise.city import City
+
+PROGRAM = [sys.executable, "-m", "sumachook"]
+
+
+class Processes:
+    """Starts, signals and stops the processes of one city; logs and data lie under `work`."""
+
+    __slots__ = ("folder", "city", "work", "running", "commands")
+
+    def __init__(self, folder: Path, work: Path):
+        self.folder, self.city, self.work = folder, City(folder), work
+        self.running, self.commands = {}, {}
+        work.mkdir(parents=True, exist_ok=True)
+        files = {name: str(folder / f"{name}.json") for name in ("catalogue", "servers", "traffic")}
+        self.commands["platform"] = ["stand-in", "platform", "--servers", files["servers"], "--door", self.city.platform]
+        for server in self.city.servers:
+            more = ["--catalogue", files["catalogue"]] if server["kind"] == "model" else []
+            self.commands[server["name"]] = ["stand-in", server["kind"], server["name"], "--servers", files["servers"], *more]
+        for node in self.city.nodes:
+            data = {"data": str(work / node["name"])} if node["role"] == "core" else {}
+            params = work / f"{node['name']}.json"
+            params.write_text(json.dumps(self.city.params(node, **data)))
+            self.commands[node["name"]] = [node["role"], "--params", str(params)]
+
+    def start(self, name: str):
+        with open(self.work / f"{name}.log", "ab") as log:
+            self.running[name] = subprocess.Popen(PROGRAM + self.commands[name], stdout=log, stderr=log)
+
+    def start_all(self):
+        for name in self.commands:
+            self.start(name)
+
+    def signal(self, name: str, number):
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str):
+        self.signal(name, signal.SIGKILL)
+        self.running.pop(name).wait()
+
+    def stop(self, name: str, wait=15.0) -> int:
+        """The short warning, then the end; gives the exit code."""
+        process = self.running.pop(name)
+        process.terminate()
+        try:
+            return process.wait(wait)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def stop_all(self) -> dict:
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        return {name: self.stop(name) for name in list(self.running)}
+
+    def doors(self, role: str) -> list:
+        return [node["door"] for node in self.city.nodes if node["role"] == role]
+
+    def get(self, door: str, path: str):
+        """(status, document), or None where nothing answers."""
+        try:
+            with urllib.request.urlopen(f"http://{door}{path}", timeout=2) as answer:
+                return answer.status, json.loads(answer.read())
+        except urllib.error.HTTPError as error:
+            return error.code, json.loads(error.read())
+        except (OSError, ValueError):
+            return None
+
+    def wait_for(self, isReached, seconds: float) -> bool:
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if isReached():
+                return True
+            time.sleep(0.1)
+        return False
+
+    def are_ready(self, role: str, names=None) -> bool:
+        doors = [node["door"] for node in self.city.nodes if node["role"] == role and (names is None or node["name"] in names)]
+        return all((answer := self.get(door, "/condition")) is not None and answer[0] == 200 for door in doors)
+
+    def operate(self, *words: str) -> subprocess.CompletedProcess:
+        cores = ",".join(self.doors("core"))
+        return subprocess.run(PROGRAM + list(words), env={**os.environ, "SUMACHOOK_CORES": cores}, capture_output=True, text=True, timeout=60)
+
+    def are_pairs_held(self) -> bool:
+        """Whether every pair of the placer's is loaded where it belongs."""
+        for door in self.doors("core"):
+            answer = self.get(door, "/show/pairs")
+            if answer and answer[0] == 200:
+                pairs, held = answer[1]["pairs"], answer[1]["held"]
+                wanted = [(model, server) for model, pair in pairs.items() for server in pair if server]
+                return bool(wanted) and all(held.get(server, {}).get(model) in ("warm", "ready") for model, server in wanted)
+        return False
+
+    def bring_up(self) -> float:
+        """Founds the fleet, applies the catalogue and waits until all pairs are held; gives the seconds it took."""
+        begun = time.monotonic()
+        self.start_all()
+        if not self.wait_for(lambda: self.are_ready("core"), 30):
+            raise SystemExit("the cores found no view within 30 s; see " + str(self.work))
+        answer = self.operate("apply", str(self.folder / "catalogue.json"))
+        if answer.returncode:
+            raise SystemExit("apply failed: " + answer.stderr)
+        if not self.wait_for(lambda: self.are_ready("edge") and self.are_pairs_held(), 120):
+            raise SystemExit("pairs were not held within 120 s; see " + str(self.work))
+        return time.monotonic() - begun
+
+    def call_in(self, seconds: float, pace: float, calls: Path, draw: int = 1) -> subprocess.Popen:
+        city = str(self.folder)
+        command = ["stand-in", "callers", "--catalogue", f"{city}/catalogue.json", "--traffic", f"{city}/traffic.json",
+                   "--door", self.city.platform.rpartition(":")[0] + ":" + str(int(self.city.platform.rpartition(":")[2]) + 1),
+                   "--seconds", str(seconds), "--pace", str(pace), "--calls", str(calls), "--draw", str(draw)]
+        for door in self.doors("edge"):
+            command += ["--edge", door]
+        return subprocess.Popen(PROGRAM + command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
+
+    def proofs(self) -> dict:
+        """The model servers' own records of what they ran."""
+        found = {}
+        for server in self.city.servers:
+            if server["kind"] == "model" and server["name"] in self.running:
+                answer = self.get(server["address"], "/proof")
+                found[server["name"]] = answer[1] if answer else {}
+        return found
--- /dev/null
+++ b/sumachook/__main__.py
@@ -0,0 +1,6 @@
+"""python -m sumachook"""
+
+from sumachook.main import run
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/sumachook/guise/report.py
@@ -0,0 +1,33 @@
+"""What callers met, class by class."""
+
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+
+
+def report_calls(calls, file=None) -> str:
+    """A table of outcomes; with a file, each call goes there as a line of JSON.
+
+    >>> report_calls(())
+    'no calls'
+    """
+    if file:
+        lines = [msgspec.json.encode({
+            "number": call.number, "group": call.group, "outcome": call.outcome, "status": call.status, "class": call.faultClass,
+            "run": call.run, "request": call.request, "edge": call.edge, "moves": call.moves,
+            "seconds": (call.endedAt - call.sentAt).total_seconds() if call.endedAt else None}) for call in calls]
+        Path(file).write_bytes(b"\n".join(lines) + b"\n")
+    if not calls:
+        return "no calls"
+    rows = Counter((call.group, call.outcome, call.faultClass or "") for call in calls)
+    times = {}
+    for call in calls:
+        if call.outcome == "ok":
+            times.setdefault(call.group, []).append(((call.firstAt or call.endedAt) - call.sentAt).total_seconds())
+    lines = [f"{'class':<12}{'outcome':<10}{'fault':<22}{'calls':>7}"]
+    lines += [f"{group:<12}{outcome:<10}{fault:<22}{count:>7}" for (group, outcome, fault), count in sorted(rows.items())]
+    for group, seconds in sorted(times.items()):
+        seconds.sort()
+        lines.append(f"{group:<12}first word after {seconds[len(seconds) // 2]:.3f} s (median), {seconds[-1]:.3f} s (last)")
+    return "\n".join(lines)
--- /dev/null
+++ b/sumachook/role/daemon.py
@@ -0,0 +1,113 @@
+"""The host of a machine in a real process: real clock, sockets, files."""
+
+import asyncio
+import signal
+from datetime import timedelta
+from functools import partial
+
+import msgspec
+
+from sumachook.pulse.supervisor import Supervisor
+from sumachook.wire.codec import Codec
+from sumachook.wire.door import Door
+from sumachook.wire.fetcher import Fetcher
+from sumachook.wire.ports import NodePort
+
+PULSE = timedelta(seconds=0.05)
+
+
+class Daemon:
+    """Hands messages to one machine and does what it gives back (§1.3)."""
+
+    __slots__ = ("machine", "clock", "folder", "log", "port", "door", "fetcher", "codec", "writes", "leaving", "code", "inbox",
+                 "isHanding")
+
+    def __init__(self, machine, clock, log, door: str, address=None, cluster="", folder=None):
+        self.machine, self.clock, self.log, self.folder = machine, clock, log, folder
+        self.inbox, self.isHanding, self.code = [], False, 0
+        self.door, self.fetcher = Door(door, self._hear), Fetcher(self._hear)
+        self.port = NodePort(address, cluster, self._hear) if address else None
+        self.codec = Codec(cluster, machine.node, address, machine.boot) if address else None
+        self.writes = self.leaving = None
+
+    async def run(self) -> int:
+        self.writes, self.leaving = asyncio.Queue(), asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for signalNumber in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signalNumber, self._hear, ("stop",))
+        children = {"fetcher": self.fetcher.run, "door": self.door.run, "pulse": self._pulse, "leaving": self.leaving.wait}
+        if self.port:
+            children["port"] = self.port.run
+        if self.folder:
+            children["disk"] = self._disk
+        await Supervisor(children, self._fell).run()
+        await asyncio.sleep(0.2)  # what was said last goes out
+        return self.code
+
+    def _fell(self, name, falls, error):
+        self.log("error", "daemon", "A task fell and is started again.", {"task": name, "falls": falls, "error": repr(error)})
+
+    async def _pulse(self):
+        while True:
+            self._hear(("pulse",))
+            await asyncio.sleep(PULSE.total_seconds())
+
+    async def _disk(self):
+        """One write at a time, in order; the followup comes only after the sync."""
+        while True:
+            kind, name, records, followup = await self.writes.get()
+            if kind == "journal":
+                work = partial(self.folder.journal, name, [msgspec.json.encode(row) for row in records])
+            else:
+                work = partial(self.folder.rewrite if kind == "rewrite" else self.folder.append, name, records)
+            try:
+                await asyncio.to_thread(work)
+            except OSError as error:
+                self.log("error", "daemon", "The disk does not take records, leaving.", {"file": name, "error": str(error)})
+                self.code = 3
+                self.leaving.set()
+                return
+            if followup is not None:
+                self._hear(followup)
+
+    def _hear(self, message):
+        """Messages are taken one after the other, also those that an effect gives rise to."""
+        self.inbox.append(message)
+        if self.isHanding:
+            return
+        self.isHanding = True
+        try:
+            while self.inbox:
+                for effect in self._take(self.inbox.pop(0)):
+                    self._do(effect)
+        finally:
+            self.isHanding = False
+
+    def _take(self, message):
+        """A message that a machine cannot take is dropped and told of; the process goes on."""
+        try:
+            return self.machine.take(message, self.clock.mono())
+        except Exception as error:
+            what = message[3][0] if message[0] == "heard" else message[0]
+            self.log("error", "daemon", "A message could not be taken.", {"kind": str(what), "error": repr(error)})
+            return []
+
+    def _do(self, effect):
+        kind = effect[0]
+        if kind == "tell":
+            self.port.tell(effect[1], self.codec.pack(effect[2]))
+        elif kind == "cast":
+            self.port.cast(effect[1], self.codec.pack(effect[2]))
+        elif kind in ("reply", "head", "chunk", "end", "drop"):
+            self.door.answer(effect)
+        elif kind == "fetch":
+            self.fetcher.fetch(effect)
+        elif kind == "unfetch":
+            self.fetcher.unfetch(effect[1])
+        elif kind in ("disk", "rewrite", "journal"):
+            self.writes.put_nowait((*effect[:3], effect[3] if len(effect) > 3 else None))
+        elif kind == "log":
+            self.log(*effect[1:])
+        elif kind == "leave":
+            self.code = effect[1]
+            self.leaving.set()
--- /dev/null
+++ b/sumachook/wire/door.py
@@ -0,0 +1,134 @@
+"""The HTTP door of a process: what comes in becomes messages, effects become answers."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from sumachook.wire.ports import split_address
+
+MOST_BODY = 1 << 20
+MOST_UNSENT = 1 << 20
+
+
+class JsonHandler(RequestHandler):
+    """Even what is no HTTP gets its reason in JSON."""
+
+    __slots__ = ()
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        plain = super().handle_error(request, status, exc, message)
+        answer = web.Response(status=status, body=_fault("malformed" if status < 500 else "inner", plain.reason),
+                              content_type="application/json")
+        answer.force_close()
+        return answer
+
+
+class JsonServer(web.Server):
+    """Makes JsonHandlers."""
+
+    def __call__(self):
+        return JsonHandler(self, loop=self._loop, **self._kwargs)
+
+
+class Exchange:
+    """One request that waits for its effects; bounded by bytes not yet taken by the caller."""
+
+    __slots__ = ("effects", "unsent", "isOver")
+
+    def __init__(self):
+        self.effects, self.unsent, self.isOver = asyncio.Queue(), 0, False
+
+
+class Door:
+    """Serves HTTP on one address (§2.3)."""
+
+    __slots__ = ("address", "hear", "exchanges", "number")
+
+    def __init__(self, address: str, hear):
+        self.address, self.hear, self.exchanges, self.number = address, hear, {}, 0
+
+    async def run(self):
+        server = JsonServer(self._serve, handler_cancellation=True, access_log=None)
+        host, port = split_address(self.address)
+        listener = await asyncio.get_running_loop().create_server(server, host, port)
+        try:
+            await listener.serve_forever()
+        finally:
+            listener.close()
+            await server.shutdown(0.5)
+
+    def answer(self, effect: tuple):
+        exchange = self.exchanges.get(effect[1])
+        if exchange is None or exchange.isOver:
+            return
+        if effect[0] == "chunk":
+            exchange.unsent += len(effect[2])
+            if exchange.unsent > MOST_UNSENT:
+                exchange.isOver = True  # a caller that does not read is let go
+                exchange.effects.put_nowait(("drop", effect[1]))
+                self.hear(("gone", effect[1]))
+                return
+        exchange.effects.put_nowait(effect)
+
+    async def _serve(self, request):
+        body = b""
+        if request.can_read_body:
+            if (request.content_length or 0) > MOST_BODY:
+                return _too_large()
+            body = await request.content.read(MOST_BODY + 1)
+            while len(body) <= MOST_BODY and not request.content.at_eof():
+                body += await request.content.read(MOST_BODY + 1 - len(body))
+            if len(body) > MOST_BODY:
+                return _too_large()
+        self.number += 1
+        cid = self.number
+        exchange = self.exchanges[cid] = Exchange()
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        isWhole = False
+        try:
+            self.hear(("http", cid, request.method, request.path, headers, body))
+            answer = await self._answer(request, exchange)
+            isWhole = True
+            return answer
+        finally:
+            del self.exchanges[cid]
+            if not isWhole and not exchange.isOver:
+                self.hear(("gone", cid))
+
+    async def _answer(self, request, exchange):
+        effect = await exchange.effects.get()
+        if effect[0] == "reply":
+            return web.Response(status=effect[2], headers=effect[3], body=effect[4])
+        if effect[0] == "drop":
+            return self._abort(request, None)
+        answer = web.StreamResponse(status=effect[2], headers=effect[3])
+        answer.enable_chunked_encoding()
+        await answer.prepare(request)
+        while True:
+            effect = await exchange.effects.get()
+            if effect[0] == "chunk":
+                await answer.write(effect[2])
+                exchange.unsent -= len(effect[2])
+            elif effect[0] == "end":
+                await answer.write_eof()
+                return answer
+            else:
+                return self._abort(request, answer)
+
+    def _abort(self, request, answer):
+        """No closing chunk: nobody can take the cut answer for a whole one."""
+        if request.transport is not None:
+            request.transport.close() if answer is not None else request.transport.abort()
+        raise ConnectionResetError
+
+
+def _fault(name, reason):
+    return msgspec.json.encode({"fault": {"class": name, "reason": reason, "tries": 0, "run": "no"}})
+
+
+def _too_large():
+    answer = web.Response(status=413, body=_fault("too-large", f"at most {MOST_BODY} bytes"), content_type="application/json")
+    answer.force_close()
+    return answer
