--- a/harness/processes.py
+++ b/harness/processes.py
@@ -52,8 +52,11 @@
 
     def stop(self, name: str, wait=15.0) -> int:
         """The short warning, then the end; gives the exit code."""
+        self.running[name].terminate()
+        return self._wait(name, wait)
+
+    def _wait(self, name, wait=15.0) -> int:
         process = self.running.pop(name)
-        process.terminate()
         try:
             return process.wait(wait)
         except subprocess.TimeoutExpired:
@@ -64,7 +67,7 @@
         for process in self.running.values():
             process.send_signal(signal.SIGCONT)
             process.terminate()
-        return {name: self.stop(name) for name in list(self.running)}
+        return {name: self._wait(name) for name in list(self.running)}
 
     def doors(self, role: str) -> list:
         return [node["door"] for node in self.city.nodes if node["role"] == role]
--- a/sumachook/ferry/ferry.py
+++ b/sumachook/ferry/ferry.py
@@ -64,6 +64,7 @@
         row = self._admit(cid, method, path, headers, body, now)
         if not isinstance(row, Row):
             return self._refuse(cid, row) + self._alert(row, now)
+        row.tag = headers.get("x-request-id", "")[:100]
         self.table[row.request] = row
         self.byCid[cid] = row.request
         self.purse.earn()
@@ -166,7 +167,7 @@
     def _record(self, row):
         return {"request": row.request, "caller": row.caller.name, "line": row.line, "kind": row.kind, "asked": row.name,
                 "key": row.key, "edge": self.node, "incarnation": self.incarnation, "state": "open", "openedAt": row.openedAt,
-                "generation": row.generation}
+                "generation": row.generation, "tag": row.tag}
 
     def _recorded(self, message, now):
         row = self.table.get(message[1])
--- a/sumachook/ferry/row.py
+++ b/sumachook/ferry/row.py
@@ -15,7 +15,7 @@
         "request", "cid", "kind", "caller", "line", "isSafe", "isStream", "key", "model", "adapter", "body", "path", "generation",
         "policies", "arrivedAt", "cutoff", "openedAt", "state", "attempt", "notBefore", "tid", "server", "tryAt", "wasSent",
         "wasHeard", "firstBy", "totalBy", "_firstAt", "tokens", "reachedCaller", "lastEventId", "texts", "finish", "tries",
-        "lastFault", "ran", "avoid", "needsCredit", "wakeBy", "wakes", "resumes", "resumeFrom", "retryAfter",
+        "lastFault", "ran", "avoid", "needsCredit", "wakeBy", "wakes", "resumes", "resumeFrom", "retryAfter", "tag",
     )
 
     firstAt = Once("_firstAt")
@@ -25,7 +25,7 @@
         self.arrivedAt, self.cutoff, self.notBefore = arrivedAt, arrivedAt + patience, arrivedAt
         self.line, self.key, self.model, self.adapter, self.body, self.path = caller.line, "", None, "", {}, ""
         self.isSafe, self.isStream, self.state, self.attempt = kind == LOOKUP, False, RECORDING, 0
-        self.generation, self.policies, self.openedAt = 0, None, ""
+        self.generation, self.policies, self.openedAt, self.tag = 0, None, "", ""
         self.tid = self.server = self.tryAt = self.firstBy = self.totalBy = self.finish = self.lastFault = None
         self.wasSent = self.wasHeard = self.reachedCaller = self.needsCredit = False
         self.tokens, self.lastEventId, self.texts, self.tries, self.ran = 0, None, [], [], "no"
--- a/sumachook/guise/callers.py
+++ b/sumachook/guise/callers.py
@@ -73,7 +73,7 @@
         call.key = key
         self.calls.append(call)
         self.open[number] = call
-        headers = {"Authorization": f"Bearer {caller['key']}"}
+        headers = {"Authorization": f"Bearer {caller['key']}", "X-Request-Id": f"call {number}"}
         if isLookup:
             method, path, body = "GET", f"/records/{group.get('prefix', 'r')}{number}", b""
         else:
--- a/sumachook/guise/city.py
+++ b/sumachook/guise/city.py
@@ -7,7 +7,7 @@
 from sumachook.atlas.params import Params
 from sumachook.guise.callers import Callers
 from sumachook.guise.fleet import Fleet
-from sumachook.guise.model import ModelServer
+from sumachook.guise.model import ModelServer, Record
 from sumachook.guise.platform import Platform
 from sumachook.guise.records import RecordsServer
 from sumachook.role.core import Core
@@ -37,11 +37,11 @@
 class Town(Fleet):
     """A city's fleet in memory: nodes, stand-ins and callers (§12.3)."""
 
-    __slots__ = ("city", "paramsMore")
+    __slots__ = ("city", "paramsMore", "records")
 
     def __init__(self, city: City, seed: int, edges=None, loadRate=40.0, hasIds=True, **paramsMore):
         super().__init__(seed, city.cluster)
-        self.city, self.paramsMore = city, paramsMore
+        self.city, self.paramsMore, self.records = city, paramsMore, {}
         self.add("platform", "platform", lambda box: Platform(city.servers), "", "", city.platform)
         for server in city.servers:
             self.add_server(server, loadRate, hasIds)
@@ -51,10 +51,13 @@
             self.add_node(node)
 
     def add_server(self, server, loadRate=40.0, hasIds=True):
-        if server["kind"] == "records":
-            make = lambda box: RecordsServer(server["name"])
-        else:
-            make = lambda box: ModelServer(server, self.city.catalogue, (), loadRate, hasIds)
+        record = self.records.setdefault(server["name"], Record())
+
+        def make(box):
+            if server["kind"] == "records":
+                return RecordsServer(server["name"], record.arrivals)
+            return ModelServer(server, self.city.catalogue, (), loadRate, hasIds, record)
+
         self.add(server["name"], server["kind"], make, server["area"], "", server["address"])
 
     def add_node(self, node, **more):
--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -60,13 +60,13 @@
     """
 
     __slots__ = ("now", "draw", "heap", "count", "boxes", "byAddress", "byDoor", "cuts", "loss", "latest", "exchanges", "byTid", "logs",
-                 "cluster", "latency", "journals", "watchers", "dropped")
+                 "cluster", "latency", "tries", "dropped")
 
     def __init__(self, seed: int, cluster: str = "fleet"):
         self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
         self.boxes, self.byAddress, self.byDoor, self.cuts, self.loss = {}, {}, {}, set(), 0.0
         self.latest, self.exchanges, self.byTid, self.logs, self.dropped = {}, {}, {}, [], 0
-        self.latency, self.journals, self.watchers = (0.0005, 0.003), {}, []
+        self.latency, self.tries = (0.0005, 0.003), {}
 
     # building ----------------------------------------------------------------------
 
@@ -252,6 +252,8 @@
         server = self.byDoor.get(address)
         self.count += 1
         cid = self.count
+        if box.role == "edge":
+            self.tries[(tid[0], tid[2])] = self.tries.get((tid[0], tid[2]), 0) + 1
         isReachable = server is not None and self._reach(box, server) and self._reach(server, box)
         if not isReachable:
             self._later(connect, self._fetched, box, box.life, tid, "fault", "connect-timeout")
--- a/sumachook/guise/model.py
+++ b/sumachook/guise/model.py
@@ -11,37 +11,45 @@
 KEEP_AFTER = timedelta(seconds=5)
 
 
+class Record:
+    """What one server saw, kept by the world outside: it outlives the server's crashes (§12.2).
+
+    `runs` {tag of the call: times run}, `broken` what it was told and must never be told, `stale` orders under old fences.
+    """
+
+    __slots__ = ("runs", "arrivals", "broken", "loads", "warmPeak", "stale", "orders")
+
+    def __init__(self):
+        self.runs, self.arrivals, self.broken, self.loads, self.warmPeak, self.stale, self.orders = {}, [], [], [], {}, [], []
+
+
 class Run:
     """One prompt being run, and what it has said so far."""
 
     __slots__ = ("request", "cid", "model", "asked", "events", "said", "count", "startedAt", "stepEvery", "goneAt", "isDone", "flushed",
-                 "hasHead")
+                 "hasHead", "tag")
 
-    def __init__(self, request, cid, model, asked, count):
-        self.request, self.cid, self.model, self.asked, self.count = request, cid, model, asked, count
+    def __init__(self, request, cid, model, asked, count, tag):
+        self.tag, self.request, self.cid, self.model, self.asked, self.count = tag, request, cid, model, asked, count
         self.events, self.said, self.startedAt, self.stepEvery, self.goneAt, self.isDone = [], 0, None, None, None, False
         self.flushed, self.hasHead = 0, False
 
 
 class ModelServer:
-    """Takes (message, now); keeps its own record of all that it ran and was ordered (§12.2).
-
-    `runs` {request id: times run} and `broken` (what it was told that it must never be told)
-    are the proof's independent witness.
-    """
+    """Takes (message, now); notes in its record all that it ran and was ordered (§12.2)."""
 
-    __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest", "runs",
-                 "broken", "fence", "isDark", "hasIds", "warmPeak", "loads", "startedAtByModel", "prefill", "loadRate", "orders")
+    __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest",
+                 "record", "fence", "isDark", "hasIds", "readyAt", "prefill", "loadRate")
 
-    def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True):
+    def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True, record=None):
         self.name, self.memory, self.places, self.slots = listed["name"], listed["memory"], listed["places"], listed["slots"]
         self.sizes = {model["name"]: model["memory"] for model in catalogue["models"]}
         self.rates = {model["name"]: model["decodeRate"] for model in catalogue["models"]}
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
         self.held = {name: "loaded" for name in held}
-        self.active, self.waiting, self.byRequest, self.runs, self.broken = {}, [], {}, {}, []
-        self.fence, self.isDark, self.hasIds, self.warmPeak, self.loads = 0, False, hasIds, {}, []
-        self.startedAtByModel, self.prefill, self.loadRate, self.orders = {}, timedelta(seconds=0.1), loadRate, []
+        self.active, self.waiting, self.byRequest, self.record = {}, [], {}, record or Record()
+        self.fence, self.isDark, self.hasIds = 0, False, hasIds
+        self.readyAt, self.prefill, self.loadRate = {}, timedelta(seconds=0.1), loadRate
 
     def take(self, message: tuple, now) -> list:
         kind = message[0]
@@ -65,8 +73,9 @@
             data = [{"id": name, "parent": self.adapters.get(name)} for name, value in self.held.items() if value == "loaded"]
             return [_reply(cid, 200, {"object": "list", "data": data})]
         if path == "/proof":
-            return [_reply(cid, 200, {"runs": self.runs, "broken": self.broken, "loads": self.loads, "warmPeak": self.warmPeak})]
+            return [_reply(cid, 200, {name: getattr(self.record, name) for name in ("runs", "broken", "loads", "warmPeak", "stale")})]
         if method == "POST" and path == "/v1/chat/completions":
+            self.record.arrivals.append((now, headers.get("x-request-id", "").partition(".")[0]))
             return self._prompt(cid, headers, msgspec.json.decode(body), now)
         if method == "GET" and path.startswith("/v1/chat/completions/"):
             return self._resume(cid, path.rpartition("/")[2], headers, now)
@@ -79,10 +88,11 @@
     def _order(self, cid, path, headers, body, now):
         fence = int(headers.get("x-sumachook-fence", "0"))
         if fence < self.fence:
+            self.record.stale.append((now.total_seconds(), fence, self.fence))
             return [_reply(cid, 409, {"error": {"message": f"fence {fence} is older than {self.fence}"}})]
         self.fence = fence
         name, isAdapter = body.get("model") or body.get("lora_name"), "lora" in path
-        self.orders.append((now, fence, path, name))
+        self.record.orders.append((now, fence, path, name))
         if "unload" in path:
             for item in [name] + [adapter for adapter, model in self.adapters.items() if model == name]:
                 self.held.pop(item, None)
@@ -91,15 +101,15 @@
             return [_reply(cid, 400, {"error": {"message": "already loaded"}})]
         size = 0.1 if isAdapter else self.sizes.get(name, 0.0)
         if self._used() + size > self.memory + 1e-6:
-            self.broken.append(f"{self.name}: {name} beyond memory, {self._used()} + {size} of {self.memory}")
+            self.record.broken.append(f"{self.name}: {name} beyond memory, {self._used()} + {size} of {self.memory}")
             return [_reply(cid, 507, {"error": {"message": "out of memory"}})]
         if isAdapter and sum(item in self.adapters for item in self.held) >= self.places:
-            self.broken.append(f"{self.name}: {name} beyond {self.places} adapter places")
+            self.record.broken.append(f"{self.name}: {name} beyond {self.places} adapter places")
             return [_reply(cid, 507, {"error": {"message": "no adapter place"}})]
         if isAdapter and self.held.get(self.adapters.get(name)) != "loaded":
             return [_reply(cid, 400, {"error": {"message": "base model is not loaded"}})]
         self.held[name] = now + timedelta(seconds=size / self.loadRate + 0.2)
-        self.loads.append((now.total_seconds(), size, name))
+        self.record.loads.append((now.total_seconds(), size, name))
         return [_reply(cid, 200, {"success": True})]
 
     def _used(self):
@@ -115,13 +125,14 @@
         if len(self.active) + len(self.waiting) >= self.slots * 3:
             return [("reply", cid, 429, {**JSON, "Retry-After": "1"}, b'{"error":{"message":"busy"}}')]
         count = min(body.get("max_tokens", 64), 12 + crc32(request.encode()) % 60)
-        run = Run(request, cid, model, asked, count)
-        self.runs[request] = self.runs.get(request, 0) + 1
+        tag = str(body["messages"][-1].get("content"))
+        run = Run(request, cid, model, asked, count, tag)
+        self.record.runs[tag] = self.record.runs.get(tag, 0) + 1
         self.byRequest[request] = run
         self.waiting.append(run)
         busy = sum(other.model == model for other in [*self.active.values(), *self.waiting])
-        if now - self.startedAtByModel.get(model, now - timedelta(days=1)) < timedelta(seconds=1.4):
-            self.warmPeak[model] = max(self.warmPeak.get(model, 0), busy)
+        if now - self.readyAt.get(model, now - timedelta(days=1)) < timedelta(seconds=1.4):
+            self.record.warmPeak[model] = max(self.record.warmPeak.get(model, 0), busy)
         self._begin(now)
         return []
 
@@ -137,7 +148,7 @@
             if not isinstance(value, str) and now >= value:
                 self.held[name] = "loaded"
                 if name in self.sizes:
-                    self.startedAtByModel[name] = now
+                    self.readyAt[name] = now
         for run in list(self.active.values()):
             out += self._speak(run, now)
             if run.isDone:
@@ -157,7 +168,7 @@
             return []
         while run.said <= EVENTS and now >= run.startedAt + run.stepEvery * run.said:
             if run.said < EVENTS:
-                choice = {"index": 0, "delta": {"content": f"{run.request}/{run.said} "}}
+                choice = {"index": 0, "delta": {"content": f"{run.tag}/{self.name}/{run.said} "}}
                 run.events.append({"choices": [choice], "model": run.asked})
             else:
                 run.events.append({"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
@@ -215,12 +226,12 @@
     assert server.take(load, now)[0][2] == 200
     assert server.take(("http", 2, "POST", "/models/load", {"x-sumachook-fence": "3"}, b'{"model":"n"}'), now)[0][2] == 409
     assert server.take(("http", 2, "POST", "/models/load", {"x-sumachook-fence": "4"}, b'{"model":"n"}'), now)[0][2] == 507
-    assert len(server.broken) == 1
+    assert len(server.record.broken) == 1
 
 
 def test_stream_is_resumed_where_it_stopped():
     server, now, step = _server(held=("m",)), timedelta(seconds=1), timedelta(seconds=0.05)
-    server.take(("http", 1, "POST", "/v1/chat/completions", {"x-request-id": "r"}, b'{"model":"m","max_tokens":40}'), now)
+    server.take(("http", 1, "POST", "/v1/chat/completions", {"x-request-id": "r"}, b'{"model":"m","max_tokens":40,"messages":[{"content":"t"}]}'), now)
     said = []
     while not any(effect[0] == "chunk" for effect in said):
         now += step
@@ -232,4 +243,4 @@
         now += step
         said += server.take(("pulse",), now)
     chunks = [effect[2] for effect in said if effect[0] == "chunk"]
-    assert f"id: r:{last + 1}".encode() in chunks[0] and b"[DONE]" in chunks[-1] and server.runs == {"r": 1}
+    assert f"id: r:{last + 1}".encode() in chunks[0] and b"[DONE]" in chunks[-1] and server.record.runs == {"t": 1}
--- a/sumachook/wire/ports.py
+++ b/sumachook/wire/ports.py
@@ -123,7 +123,7 @@
                     self.garbage += 1
                     return
                 self._take(await reader.readexactly(length))
-        except (OSError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # cancelled only when the whole process ends
         finally:
             writer.close()
