--- a/sumachook/accord/accord.py
+++ b/sumachook/accord/accord.py
@@ -19,7 +19,7 @@
 class Accord:
     """Takes (message, now) and gives messages (§4).
 
-    In: ("pulse",), ("heard", seat, address, message), ("synced", what), ("propose", change).
+    In: ("pulse", addresses of cores), ("heard", seat, address, message), ("synced", what), ("propose", change).
     Out: ("tell", address, message), ("disk" | "rewrite", FILE, records, followup),
     ("deliver", number, change), ("restored", number, image), ("refused", change, fault),
     ("view", ballot, members), ("log", ...).
@@ -28,7 +28,7 @@
     __slots__ = ("seat", "address", "founding", "draw", "keep_image", "chain", "_promised", "view", "members", "delivered",
                  "role", "ballot", "answers", "startedAt", "majorityAt", "retryAt", "acked", "heardFrom", "waiting",
                  "syncing", "committed", "leaderHeard", "leader", "freshAt", "penalty", "blanks", "blankAt", "sentAt", "nextBeat",
-                 "outsiders", "awayFor", "synced", "syncAt", "yes", "newcomers", "_highest")
+                 "outsiders", "awayFor", "synced", "syncAt", "yes", "newcomers", "owed", "_highest")
 
     promised = Rising("_promised", NO_BALLOT)
     highest = Rising("_highest")
@@ -54,7 +54,7 @@
         self.leader, self.penalty, self.blanks, self.blankAt, self.sentAt = None, {}, {}, now, now
         self.nextBeat, self.outsiders, self.synced, self.syncAt = now, {}, 0, now
         self.retryAt = now + timedelta(seconds=draw.uniform(0.3, 0.8))
-        self.yes, self.newcomers = set(), {}
+        self.yes, self.newcomers, self.owed = set(), {}, {}
         self._replay(records)
 
     # durable facts ------------------------------------------------------------
@@ -105,7 +105,7 @@
 
     def _pulse(self, message, now):
         if self.blank and self.role == "idle":
-            return self._pulse_blank(now)
+            return self._pulse_blank(message[1], now)
         if self.role == "leading":
             return self._pulse_leading(now)
         if self.role == "stopping":
@@ -126,11 +126,13 @@
 
     # founding -------------------------------------------------------------------
 
-    def _pulse_blank(self, now):
+    def _pulse_blank(self, cores, now):
+        """A blank seat tells every core it knows of; three that were named as founders may found (§4.2)."""
         if now < self.blankAt:
             return []
         self.blankAt = now + timedelta(seconds=0.3)
-        out = [("tell", address, ("blank", self.seat)) for address in self.founding if address != self.address]
+        known = dict.fromkeys((*self.founding, *cores))
+        out = [("tell", address, ("blank", self.seat)) for address in known if address != self.address]
         ready = {address: seat for address, (seat, at) in self.blanks.items() if now - at < timedelta(seconds=1)}
         ready[self.address] = self.seat
         isWhole = len(self.founding) == 3 and set(ready) == set(self.founding)
@@ -262,6 +264,9 @@
         if self.seat not in members or len(members) < most_of(roster) or isFounding:
             self._rest(now)
             return out + self._rewrite(None)
+        for seat in roster:
+            if seat not in self.answers and now - self.heardFrom.get(seat, now - self.SILENCE * 9) < self.SILENCE:
+                self._punish(seat, now)  # it beats but does not answer: its disk is slow, leave it out for a while
         self.role, self.startedAt, self.members = "installing", now, members
         self.view = self.ballot
         self.acked = {}
@@ -320,6 +325,7 @@
         if self.role != "installing" or not set(self.members) <= set(self.acked):
             return []
         self.role, self.leader, self.outsiders, self.waiting, self.syncing = "leading", self.seat, {}, [], False
+        self.owed = {}
         self.synced, self.nextBeat, self.leaderHeard = self.chain.end, now, now
         for seat in self.chain.roster():
             self.heardFrom[seat] = now
@@ -503,8 +509,7 @@
                 continue
             silence = now - self.heardFrom[seat]
             isSilent = silence > self.SILENCE
-            isStalled = self.acked.get(seat, 0) < self.synced and now - self.sentAt > self.SILENCE
-            if (isSilent or isStalled) and len(self.members) - 1 >= most_of(roster):
+            if (isSilent or self._is_stalled(seat, now)) and len(self.members) - 1 >= most_of(roster):
                 self._punish(seat, now)
                 return [("log", "warning", "accord", "A seat is put out of the view.", {"seat": seat})] + self._start_ballot(now)
             if silence > self.SILENCE * 3:
@@ -514,15 +519,22 @@
         late = [seat for seat in self.members if seat != self.seat and self.acked.get(seat, 0) < self.chain.end]
         if late and now - self.sentAt > self.RESEND:
             start = min(self.acked.get(seat, 0) for seat in late) + 1
-            keptAt = self.sentAt
             out += self._send_grow(max(start, self.chain.base + 1), late, now)
-            self.sentAt = keptAt if now - keptAt < self.SILENCE else now
         for seat, (since, at) in self.outsiders.items():
             isSteady = now - since > self.REJOIN and now - at < self.SILENCE
             if isSteady and seat in roster and seat not in self._penalised(now) and not self.syncing:
                 return out + [("log", "info", "accord", "A seat comes back into the view.", {"seat": seat})] + self._start_ballot(now)
         return out + self._fill_vacant(roster, now)
 
+    def _is_stalled(self, seat, now):
+        """Whether this member has owed the same entry for too long, however many came after it."""
+        acked = self.acked.get(seat, 0)
+        owed, since = self.owed.get(seat, (0, now))
+        if acked >= owed:
+            self.owed[seat] = (self.chain.end, now) if acked < self.chain.end else (0, now)
+            return False
+        return now - since > self.SILENCE
+
     def _fill_vacant(self, roster, now):
         """§4.4: remove the seat that has been away, then add the blank one, one committed step each."""
         if self.chain.end > self.committed or self.waiting:
--- a/sumachook/guise/model.py
+++ b/sumachook/guise/model.py
@@ -39,7 +39,7 @@
     """Takes (message, now); notes in its record all that it ran and was ordered (§12.2)."""
 
     __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest",
-                 "record", "fence", "isDark", "hasIds", "readyAt", "prefill", "loadRate")
+                 "record", "fence", "isDark", "hasIds", "skips", "readyAt", "prefill", "loadRate")
 
     def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True, record=None):
         self.name, self.memory, self.places, self.slots = listed["name"], listed["memory"], listed["places"], listed["slots"]
@@ -48,7 +48,7 @@
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
         self.held = {name: "loaded" for name in held}
         self.active, self.waiting, self.byRequest, self.record = {}, [], {}, record or Record()
-        self.fence, self.isDark, self.hasIds = 0, False, hasIds
+        self.fence, self.isDark, self.hasIds, self.skips = 0, False, hasIds, 0
         self.readyAt, self.prefill, self.loadRate = {}, timedelta(seconds=0.1), loadRate
 
     def take(self, message: tuple, now) -> list:
@@ -99,6 +99,8 @@
             return [_reply(cid, 200, {"success": True})]
         if name in self.held:
             return [_reply(cid, 400, {"error": {"message": "already loaded"}})]
+        if name not in self.sizes and name not in self.adapters:
+            return [_reply(cid, 404, {"error": {"message": "no such weights"}})]
         size = 0.1 if isAdapter else self.sizes.get(name, 0.0)
         if self._used() + size > self.memory + 1e-6:
             self.record.broken.append(f"{self.name}: {name} beyond memory, {self._used()} + {size} of {self.memory}")
@@ -205,7 +207,7 @@
         last = headers.get("last-event-id", "")
         if not self.hasIds or run is None or not last.startswith(request + ":"):
             return [_reply(cid, 404, {"error": {"message": "nothing to resume"}})]
-        run.cid, run.flushed, run.hasHead, run.goneAt = cid, int(last.rpartition(":")[2]) + 1, False, None
+        run.cid, run.flushed, run.hasHead, run.goneAt = cid, int(last.rpartition(":")[2]) + 1 + self.skips, False, None
         return self._flush(run, now)
 
 
--- a/sumachook/guise/storm.py
+++ b/sumachook/guise/storm.py
@@ -33,9 +33,15 @@
             undo()
         self.undo = []
         self.town.heal()
+        for box in self.town.boxes.values():
+            if box.isFrozen:
+                self.town.wake(box.name)
         for box in self.town.boxes.values():
             if box.machine is None and box.role in ("core", "edge", "model", "records"):
                 self.town.start(box.name)
+        self.town.run(5)
+        for area in self.town.city.catalogue["areas"]:  # an order that was not acknowledged may have been carried out
+            self._order("/operator/restore", {"area": area})
         self.town.run(calm)
         self.callers.isOn = False
         self.town.run(8)
--- a/sumachook/loom/orders.py
+++ b/sumachook/loom/orders.py
@@ -6,11 +6,12 @@
 LOAD, UNLOAD = "load", "unload"
 
 
-def draw_orders(catalogue, servers, pairs, demand, actual, inFlight, budget):
+def draw_orders(catalogue, servers, pairs, demand, actual, inFlight, budget, notNow=frozenset()):
     """(orders, gigabytes of loads begun). Orders are (server, verb, kind, name, gigabytes) (§9.4).
 
     `actual` {server: {name: condition}} as last read from the servers themselves,
     `inFlight` {(server, name): verb} as ordered since. Room is counted with both.
+    `notNow` are (server, name) that were refused a short while ago.
     """
     sizes = {model.name: model.memory for model in catalogue.models}
     adapters = {adapter.name: adapter for adapter in catalogue.adapters}
@@ -37,7 +38,7 @@
             orders += [(server, UNLOAD, "model", name, 0.0) for name in strangers if (server, name) not in inFlight]
             del held[server]
     missing = [(position, -demand.get(model, 0.0), model, server) for model, pair in pairs.items()
-               for position, server in enumerate(pair) if server in held and model not in held[server]]
+               for position, server in enumerate(pair) if server in held and model not in held[server] and (server, model) not in notNow]
     for _, _, model, server in sorted(missing):
         size = sizes[model]
         room = servers[server]["memory"] - _used(held[server] | _leaving(actual, inFlight, server), sizes, adapters)
@@ -68,7 +69,7 @@
         holdsNow = [name for name in held[server] if name in adapters]
         for name in names:
             base = adapters[name].model
-            if name in held[server] or actual[server].get(base) != "ready" or inFlight.get((server, base)) == UNLOAD:
+            if name in held[server] or (server, name) in notNow or actual[server].get(base) != "ready" or inFlight.get((server, base)) == UNLOAD:
                 continue
             leaving = [other for other in _leaving(actual, inFlight, server) if other in adapters]
             if len(holdsNow) + len(leaving) < servers[server]["places"]:
--- a/sumachook/loom/placer.py
+++ b/sumachook/loom/placer.py
@@ -22,12 +22,14 @@
     """
 
     __slots__ = ("state", "port", "fence", "actual", "readAt", "fails", "inFlight", "budget", "budgetAt", "demand", "demandAt",
-                 "nextPoll", "nextPlan", "dirty", "news", "warmSince", "sentHeld", "sentPairs", "number", "models", "dark", "warmed")
+                 "nextPoll", "nextPlan", "dirty", "news", "warmSince", "sentHeld", "sentPairs", "number", "models", "dark", "unanswered", "unsure", "refused")
 
     POLL = timedelta(seconds=0.8)
     PLAN = timedelta(seconds=4)
     WARM = timedelta(seconds=6)
     RESEND = timedelta(seconds=1)
+    UNSURE = timedelta(seconds=30)
+    LONGEST_REST = timedelta(seconds=60)
     DARK_AFTER = 3
 
     def __init__(self, state, now):
@@ -46,7 +48,8 @@
         """§9.4: a new holder knows nothing until it has read it from the servers."""
         self.actual, self.readAt, self.fails, self.inFlight, self.models, self.dark = {}, {}, {}, {}, {}, set()
         self.budget, self.budgetAt, self.nextPoll, self.nextPlan = 0.0, now, now, now + self.POLL * 2
-        self.warmSince, self.sentHeld, self.sentPairs, self.warmed = {}, now - self.RESEND, now - self.RESEND, set()
+        self.warmSince, self.sentHeld, self.sentPairs = {}, now - self.RESEND, now - self.RESEND
+        self.unanswered, self.unsure, self.refused = {}, {}, {}
 
     def take(self, message: tuple, now) -> list:
         kind = message[0]
@@ -79,7 +82,9 @@
             return []
         self._decay(now)
         store = self.state.catalogue.store
-        self.budget = min(store.burst, self.budget + store.pace * (now - self.budgetAt).total_seconds())
+        self.unsure = {name: item for name, item in self.unsure.items() if now - item[1] < self.UNSURE and name in self.state.servers}
+        maybe = sum(self.unanswered.values()) + sum(size for size, _ in self.unsure.values())
+        self.budget = min(max(0.0, store.burst - maybe), self.budget + store.pace * (now - self.budgetAt).total_seconds())
         self.budgetAt = now
         out = []
         if now >= self.nextPoll:
@@ -107,10 +112,16 @@
         isGood = outcome == "done" and answer[0] == 200
         if what == "order":
             verb, item = rest[:2]
+            size = self.unanswered.pop(name, 0.0)
+            if outcome == "fault" and verb == LOAD and answer[0] != "refused":
+                self.unsure[name] = (size, now)  # it may yet begin: its room in the store's pace stays taken
             if not isGood:
                 self.inFlight.pop((name, item), None)
+                pause = min(self.LONGEST_REST, self.refused.get((name, item), (now, self.RESEND))[1] * 2)
+                self.refused[(name, item)] = (now + pause, pause)
                 note = {"server": name, "verb": verb, "item": item, "answer": str(answer[:1])}
                 return [("log", "warning", "loom", "An order was not taken.", note)]
+            self.refused.pop((name, item), None)
             return []
         read = None
         if isGood:
@@ -141,6 +152,7 @@
         """What the server says; what we ordered is forgotten once it shows, or after some polls without it."""
         before = self.actual.get(name)
         self.actual[name], self.readAt[name] = items, now
+        self.unsure.pop(name, None)
         for (server, item), (verb, at) in list(self.inFlight.items()):
             if server == name and ((verb == LOAD) == (item in items) or now - at > ORDER_TIMEOUT * 2):
                 del self.inFlight[(server, item)]
@@ -170,7 +182,8 @@
 
     def _plan(self, now):
         isDue = now >= self.nextPlan or (self.dirty and now >= self.sentPairs + self.RESEND / 2)
-        if not isDue or any(name not in self.actual and name not in self.dark for name in self._servers()):
+        servers = self._servers()
+        if not isDue or not servers or any(name not in self.actual and name not in self.dark for name in servers):
             return []
         self.nextPlan, self.dirty = now + self.PLAN, False
         pairs = self.wanted_pairs()
@@ -184,17 +197,23 @@
         return plan_pairs(state.catalogue, state.servers, state.evacuated, self.dark, self.demand, state.pairs, self.actual)
 
     def _order(self, now):
-        """Only to servers that are read, staying and open."""
+        """Only to servers that are read, staying and open, and owe no answer: one order at a time for each (§9.4)."""
         servers = {name: server for name, server in self._servers().items()
-                   if name in self.actual and not server["leaving"] and self.state.is_open(server["area"])}
+                   if name in self.actual and name not in self.unanswered and name not in self.unsure
+                   and not server["leaving"] and self.state.is_open(server["area"])}
         if not servers or not self.state.pairs:
             return []
         actual = {name: self.actual[name] for name in servers}
         flying = {key: verb for key, (verb, _) in self.inFlight.items()}
-        orders, begun = draw_orders(self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget)
+        notNow = {key for key, (until, _) in self.refused.items() if now < until}
+        orders, begun = draw_orders(self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget, notNow)
         self.budget -= begun
         out = []
-        for name, verb, kind, item, _ in orders:
+        for name, verb, kind, item, size in orders:
+            if name in self.unanswered:
+                self.budget += size if verb == LOAD else 0.0
+                continue
+            self.unanswered[name] = size
             self.inFlight[(name, item)] = (verb, now)
             call = self.port.order(verb, kind, item, self.fence)
             out.append(self._fetch(("order", name, verb, item), servers[name], call, ORDER_TIMEOUT))
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -140,7 +140,7 @@
     def _pulse(self, now):
         isFresh, isLeading = self.accord.fresh(now), self.accord.role == "leading"
         out = self.rumour.take(("pulse", self.state.number if isFresh else 0), now)
-        out += self.accord.take(("pulse",), now)
+        out += self.accord.take(("pulse", self._core_addresses()), now)
         out += self.rota.take(("pulse", isFresh, isLeading), now)
         out += self.source.take(("pulse", isFresh), now)
         out += self.placer.take(("pulse", self.rota.holds("placer", now)), now)
@@ -156,6 +156,9 @@
     def _live(self):
         return [member for member in self.rumour.members.values() if member.condition in (ALIVE, SUSPECT)]
 
+    def _core_addresses(self):
+        return (*self.params.seeds, *(member.address for member in self._live() if member.role == "core"))
+
     def _live_boots(self):
         boots = {member.node: member.boot for member in self._live()}
         return boots | {self.node: self.boot}
--- /dev/null
+++ b/tests/request_stories.py
@@ -0,0 +1,291 @@
+"""Requests: the retry design, honest answers, streams, lines, credit."""
+
+import json
+from datetime import timedelta
+
+from tests.scene import group, leader, outcomes, settled, witness
+
+SECOND = timedelta(seconds=1)
+
+
+def _ask(town, callers, name, **more):
+    """One call, made now; gives it."""
+    for effect in callers.ask(group(town, name), town.now, **more):
+        town._do(town.boxes["callers"], effect)
+    return callers.calls[-1]
+
+
+def _quiet(town):
+    """Callers that call only when told to."""
+    callers = town.call_in(1.0, [])
+    callers.groups = town.city.traffic
+    callers.due = {each["name"]: timedelta(days=9) for each in town.city.traffic}
+    return callers
+
+
+def _earn(town, credit=8.0):
+    for edge in town.machines("edge"):
+        edge.purse.balance = credit
+
+
+def _pair(town, model):
+    return leader(town).state.pairs[model]
+
+
+def test_never_sent_prompt_moves_to_the_understudy_even_when_unsafe():
+    """Given a primary whose process is gone, a prompt that was never sent is answered by the understudy, run once."""
+    town = settled(31)
+    callers = _quiet(town)
+    _earn(town)
+    primary, understudy = _pair(town, "refund-01")
+    town.kill(primary)
+    call = _ask(town, callers, "bookings", model="refund-01")
+    town.run(4)
+    assert call.outcome == "ok" and understudy in call.text
+    assert witness(town, callers).faults() == [] and witness(town, callers).runs_of(call) == 1
+
+
+def test_unsafe_prompt_that_was_sent_is_never_sent_again():
+    """Rule 1. Given a server that takes prompts and crashes before a token, an unsafe one ends as maybe run, a safe one moves."""
+    town = settled(32)
+    callers = _quiet(town)
+    _earn(town)
+    primary, understudy = _pair(town, "refund-01")
+    town.boxes[primary].machine.prefill = 2 * SECOND
+    unsafe, safe = _ask(town, callers, "bookings", model="refund-01"), _ask(town, callers, "refunds", model="refund-01")
+    town.run(0.5)
+    check = witness(town, callers)
+    assert (check.runs_of(unsafe), check.runs_of(safe)) == (1, 1)
+    town.kill(primary)
+    town.run(4)
+    assert (unsafe.outcome, unsafe.faultClass, unsafe.run) == ("fault", "reset", "maybe")
+    assert safe.outcome == "ok" and understudy in safe.text
+    assert check.faults() == [] and check.runs_of(unsafe) == 1
+
+
+def test_dark_server_is_told_by_the_first_token_timeout():
+    """Given a server that accepts and never answers, a safe prompt moves within its patience, an unsafe one is told maybe."""
+    town = settled(33)
+    callers = _quiet(town)
+    _earn(town)
+    primary, understudy = _pair(town, "refund-02")
+    town.boxes[primary].machine.isDark = True
+    safe, unsafe = _ask(town, callers, "refunds", model="refund-02"), _ask(town, callers, "bookings", model="refund-02")
+    town.run(16)
+    assert safe.outcome == "ok" and understudy in safe.text
+    assert unsafe.faultClass == "first-token-timeout" and unsafe.run == "maybe"
+    assert witness(town, callers).faults() == []
+
+
+def test_cut_after_the_first_token_is_never_stitched_and_never_looks_whole():
+    """Rules 2 and 3. Given a server that crashes in mid-stream, its caller has a cut stream and an error, nothing from another."""
+    town = settled(34)
+    callers = _quiet(town)
+    _earn(town)
+    primary, _ = _pair(town, "refund-03")
+    call = _ask(town, callers, "refunds", model="refund-03")
+    assert town.run_until(lambda: call.firstAt is not None, 3)
+    town.kill(primary)
+    town.run(6)
+    assert call.outcome == "cut" and call.finish is None and call.faultClass == "cut" and call.run == "yes"
+    assert witness(town, callers).faults() == []
+
+
+def test_resume_goes_on_exactly_where_it_stopped():
+    """Rule 2. Given event ids and a connection that breaks in mid-stream, the same server goes on at the next piece, run once."""
+    town = settled(35)
+    callers = _quiet(town)
+    _earn(town)
+    call = _ask(town, callers, "refunds", model="refund-04")
+    assert town.run_until(lambda: call.firstAt is not None, 3)
+    edge = town.boxes[call.edge]
+    exchange = next(item for item in town.exchanges.values() if item.client is edge and item.tid[0] == "prompt")
+    town._to_client(exchange, "fault", "reset")
+    town._hand_alive(exchange, ("gone", exchange.cid))
+    town.run(6)
+    assert call.outcome == "ok" and call.isDone
+    assert witness(town, callers).faults() == [] and witness(town, callers).runs_of(call) == 1
+
+
+def test_resume_that_does_not_continue_is_refused():
+    """Rule 2. Given a server whose resume skips a piece, the stream is cut, not patched."""
+    town = settled(36)
+    callers = _quiet(town)
+    call = _ask(town, callers, "refunds", model="refund-04")
+    assert town.run_until(lambda: call.firstAt is not None, 3)
+    for server in town.machines("model"):
+        server.skips = 1
+    edge = town.boxes[call.edge]
+    exchange = next(item for item in town.exchanges.values() if item.client is edge and item.tid[0] == "prompt")
+    town._to_client(exchange, "fault", "reset")
+    town._hand_alive(exchange, ("gone", exchange.cid))
+    town.run(6)
+    assert call.outcome == "cut" and call.faultClass == "cut"
+    assert witness(town, callers).faults() == []
+
+
+def test_missing_model_is_an_alert_and_not_resent():
+    """Given a model that nobody configured, the caller is told at once, one alert is logged, no server is tried."""
+    town = settled(37)
+    callers = _quiet(town)
+    before = sum(town.tries.values())
+    calls = [_ask(town, callers, "refunds", model="nobody-knows", edge="edge-1") for _ in range(5)]
+    town.run(1)
+    assert {(call.status, call.faultClass, call.run) for call in calls} == {(404, "no-model", "no")}
+    assert sum(town.tries.values()) == before
+    assert len([line for line in town.logs if "not configured" in line[4]]) == 1
+
+
+def test_waking_model_is_waited_for_and_given_up_honestly():
+    """Given a model that cannot be loaded anywhere, its prompt gets one delayed resend and then a wake timeout, not run."""
+    town = settled(38)
+    callers = _quiet(town)
+    doc = {"models": [{"name": "giant", "memory": 900.0, "decodeRate": 9.0, "wake": 2.0}]}
+    assert town.ask("core-1", "POST", "/operator/apply", {"request": "giant", "doc": doc, "part": True})[0] == 200
+    call = _ask(town, callers, "refunds", model="giant")
+    town.run(12)
+    assert (call.faultClass, call.run, call.status) == ("wake-timeout", "no", 504)
+    assert 4 < (call.endedAt - call.sentAt).total_seconds() < 6
+    row = town.ask("core-1", "GET", f"/ledger/{call.request}")[1]
+    assert [item["class"] for item in row["tries"]] == ["wake-timeout"]
+
+
+def test_bad_requests_are_refused_with_a_reason_and_no_try():
+    """Given requests that are malformed, unknown or forbidden, each gets its 4xx with a JSON reason and no server sees it."""
+    town = settled(39)
+    door = town.boxes["edge-1"].door
+    key = {"Authorization": "Bearer kosice-counter-key"}
+    cases = [("POST", "/v1/chat/completions", key, b"{", 400), ("POST", "/v1/chat/completions", {}, b"{}", 401),
+             ("POST", "/v1/chat/completions", key, b'{"model":"refund-01","messages":[],"x":1}', 400),
+             ("POST", "/v1/chat/completions", key, b'{"model":"refund-01","messages":[{}],"max_tokens":-1}', 400),
+             ("POST", "/v1/chat/completions", key, b'{"model":"refund-01","messages":[{}],"max_tokens":99999}', 400),
+             ("GET", "/v1/chat/completions", key, b"", 400), ("GET", "/elsewhere", key, b"", 404),
+             ("GET", "/records/1", {"Authorization": "Bearer wrong-key"}, b"", 401)]
+    before, edge = sum(town.tries.values()), town.boxes["edge-1"].machine
+    for method, path, headers, body, status in cases:
+        headers = {name.lower(): value for name, value in headers.items()}
+        (answer,) = [effect for effect in edge.take(("http", 10**6, method, path, headers, body), town.now) if effect[0] == "reply"]
+        assert answer[2] == status and json.loads(answer[4])["fault"]["reason"], (method, path, answer)
+    assert door and sum(town.tries.values()) == before
+
+
+def test_same_key_at_two_edges_runs_once():
+    """Given one idempotency key at two edges, together and later, the prompt runs once; the others get the first one's state."""
+    town = settled(40)
+    callers = _quiet(town)
+    first = _ask(town, callers, "bookings", model="refund-05", edge="edge-1", key="k-1")
+    second = _ask(town, callers, "bookings", model="refund-05", edge="edge-2", key="k-1")
+    town.run(4)
+    third = _ask(town, callers, "bookings", model="refund-05", edge="edge-3", key="k-1")
+    town.run(4)
+    check = witness(town, callers)
+    runs = [check.runs_of(call) for call in (first, second, third)]
+    assert sum(runs) <= 1 and check.faults() == []
+    told = [call for call in (first, second, third) if call.outcome != "ok"]
+    assert len(told) >= 2 and all((call.faultClass, call.run) == ("duplicate", "no") for call in told)
+
+
+def test_unsafe_prompt_without_keepers_is_refused_as_not_run():
+    """Given no two keepers, an unsafe prompt is refused as not run; a safe one is answered and recorded once they are back."""
+    town = settled(41)
+    callers = _quiet(town)
+    for name in ("core-2", "core-3"):
+        town.kill(name)
+    unsafe, safe = _ask(town, callers, "bookings", model="refund-01"), _ask(town, callers, "refunds", model="refund-01")
+    town.run(2.9)
+    assert (unsafe.faultClass, unsafe.run) == ("unrecorded", "no") and safe.outcome == "ok"
+    assert witness(town, callers).runs_of(unsafe) == 0
+    for name in ("core-2", "core-3"):
+        town.start(name)
+    town.run(12)
+    kept = [core for core in town.machines("core") if core.keeper.find(safe.request)]
+    assert len(kept) >= 2
+
+
+def test_lookups_never_wait_behind_audits():
+    """Rule 11. Given audits that fill every server, lookups and shop prompts are answered as fast as without them."""
+    town = settled(42, edges=4)
+    callers = town.call_in(1.0, [group(town, "stamps"), group(town, "claims")])
+    town.run(10)
+    calm = max(call.endedAt - call.sentAt for call in outcomes(callers, group="stamps", outcome="ok"))
+    flood = town.call_in(1.0, [group(town, "audits", rate=30.0)], "flood")
+    town.run(20)
+    flood.isOn = callers.isOn = False
+    town.run(3)
+    lookups = [call for call in callers.calls if call.group == "stamps"]
+    shops = [call for call in callers.calls if call.group == "claims"]
+    assert all(call.outcome == "ok" for call in lookups + shops)
+    assert max(call.endedAt - call.sentAt for call in lookups) < calm + 0.1 * SECOND
+    assert max(call.endedAt - call.sentAt for call in shops) < 3 * SECOND
+
+
+def test_resends_stay_near_a_fifth_over_all_nodes():
+    """Rule 7. Given half the servers refusing connections, resends over all edges stay within a fifth of the first tries."""
+    town = settled(43, edges=5)
+    callers = town.call_in(2.0)
+    town.run(5)
+    for name in ("model-1", "model-2", "model-3", "stamps-1", "stamps-2"):
+        town.kill(name)
+    town.run(25)
+    callers.isOn = False
+    town.run(8)
+    first, again = witness(town, callers).resends()
+    assert 0 < again <= 0.2 * first + 2, (first, again)
+    assert witness(town, callers).faults() == []
+
+
+def test_credit_reaches_the_one_small_node_that_meets_the_fault():
+    """Rule 7. Given one edge without credit that alone meets a fault, credit is lent to it and the fleet's sum never rises."""
+    town = settled(44, edges=4)
+    callers = _quiet(town)
+    for edge in town.machines("edge"):
+        edge.purse.balance = 0.0 if edge.node == "edge-1" else 10.0
+    primary, _ = _pair(town, "refund-06")
+    town.kill(primary)
+    call = _ask(town, callers, "refunds", model="refund-06", edge="edge-1")
+    total = 30.2
+    town.run(6)
+    assert call.outcome == "ok"
+    assert sum(edge.purse.balance for edge in town.machines("edge")) <= total - 1 + 1e-6
+
+
+def test_hung_up_caller_calls_off_its_try():
+    """Given a caller that hangs up in mid-stream, its try ends at the server and the ledger says so."""
+    town = settled(45)
+    callers = _quiet(town)
+    call = _ask(town, callers, "refunds", model="refund-07")
+    assert town.run_until(lambda: call.firstAt is not None, 3)
+    row = next(row for edge in town.machines("edge") for row in edge.ferry.table.values())
+    town._unfetch(town.boxes["callers"], ("call", call.number))
+    town.run(1)
+    assert not any(edge.ferry.table for edge in town.machines("edge"))
+    assert town.ask("core-1", "GET", f"/ledger/{row.request}")[1]["class"] == "hung-up"
+
+
+def test_given_up_request_is_answered_at_once_with_when_to_come_back():
+    """Given a fault that is final, the answer comes right away, not near the cutoff, and says when to come back."""
+    town = settled(46)
+    callers = _quiet(town)
+    primary = _pair(town, "refund-08")[0]
+    town.boxes[primary].machine.prefill = 3 * SECOND
+    call = _ask(town, callers, "bookings", model="refund-08")
+    town.run(0.5)
+    crashedAt = town.now
+    town.kill(primary)
+    town.run(1)
+    assert call.outcome == "fault" and call.endedAt - crashedAt < 0.2 * SECOND
+
+
+def test_stop_drains_and_says_so_first():
+    """Given an edge told to stop in mid-stream, its streams end well, new calls are sent elsewhere, and it ends by itself."""
+    town = settled(47)
+    callers = town.call_in(2.0)
+    town.run(4)
+    town.stop("edge-1")
+    town.run(12)
+    callers.isOn = False
+    town.run(8)
+    assert town.boxes["edge-1"].machine is None
+    final = [call for call in callers.calls if call.outcome != "ok"]
+    assert all(call.faultClass in ("draining", "refused") and call.run in ("no", None) for call in final)
+    assert witness(town, callers).faults() == []
--- /dev/null
+++ b/tests/scene.py
@@ -0,0 +1,62 @@
+"""What the stories begin with: a town that has come up and holds its pairs."""
+
+from pathlib import Path
+
+from sumachook.guise.city import City, Town
+from sumachook.guise.witness import Witness
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+def city(name="kosice") -> City:
+    return City(EXAMPLES / name)
+
+
+def found(seed, name="kosice", edges=3, **more) -> Town:
+    """A town whose cores have founded a view."""
+    town = Town(city(name), seed, edges, **more)
+    assert town.run_until(lambda: leader(town) is not None, 10)
+    return town
+
+
+def settled(seed, name="kosice", edges=3, **more) -> Town:
+    """A town with its catalogue applied and all its pairs held."""
+    town = found(seed, name, edges, **more)
+    answer = town.ask("core-1", "POST", "/operator/apply", {"request": "first", "doc": town.city.catalogue})
+    assert answer and answer[0] == 200, answer
+    assert town.run_until(lambda: is_held(town), 90)
+    return town
+
+
+def leader(town):
+    """The core that leads a working view, or None."""
+    return next((core for core in town.machines("core") if core.accord.role == "leading" and core.accord.fresh(town.now)), None)
+
+
+def box_of(town, machine):
+    return next(box for box in town.boxes.values() if box.machine is machine)
+
+
+def is_held(town) -> bool:
+    core = leader(town)
+    if core is None or not core.state.pairs:
+        return False
+    wanted = [(model, server) for model, pair in core.state.pairs.items() for server in pair if server]
+    return bool(wanted) and all(core.state.held.get(server, {}).get(model) == "ready" for model, server in wanted)
+
+
+def others(town, name):
+    """All boxes but one, as seen by a cut."""
+    return [box for box in town.boxes if box not in (name, "operator", "callers")]
+
+
+def outcomes(callers, **wanted) -> list:
+    return [call for call in callers.calls if all(getattr(call, name) == value for name, value in wanted.items())]
+
+
+def group(town, name, **more) -> dict:
+    return {**next(group for group in town.city.traffic if group["name"] == name), **more}
+
+
+def witness(town, callers) -> Witness:
+    return Witness(town, callers)
