--- /dev/null
+++ b/harness/scenarios.py
@@ -0,0 +1,401 @@
+"""python -m harness.scenarios: every failure of the brief at both cities' full size, in memory; prints the table."""
+
+import argparse
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from datetime import timedelta
+
+from tests.scene import box_of, leader, settled, witness
+
+SECOND = timedelta(seconds=1)
+
+
+class Scene:
+    """One town with its callers, a fault at `faultAt`, and what came of it."""
+
+    __slots__ = ("town", "callers", "witness", "faultAt", "figures")
+
+    def __init__(self, city, seed):
+        self.town = settled(seed, city, edges=None, seatAway=5.0)
+        self.callers = self.town.call_in(1.0)
+        self.witness = witness(self.town, self.callers)
+        self.town.run(8)
+        self.faultAt, self.figures = self.town.now, {}
+
+    def names(self, role):
+        return [box.name for box in self.town.boxes.values() if box.role == role]
+
+    def holder(self, duty="placer"):
+        node = leader(self.town).state.duties[duty][0]
+        return next(box.name for box in self.town.boxes.values() if box.machine is not None and getattr(box.machine, "node", "") == node)
+
+    def order(self, core, what, **doc):
+        return self.town.ask(core, "POST", f"/operator/{what}", {"request": f"{what}-{self.town.now}", **doc})
+
+    def end(self, calm):
+        self.town.run(calm)
+        self.callers.isOn = False
+        self.town.run(8)
+
+
+def crowd(scene):
+    """Crowds arrive at once: ten times the traffic for ten seconds"""
+    more = scene.town.call_in(9.0, name="crowd")
+    scene.town.run(10)
+    more.isOn = False
+    scene.end(20)
+    done = Counter(call.outcome for call in more.calls)
+    scene.figures["of the crowd"] = f"{done['ok']} of {len(more.calls)} answered"
+
+
+def rare(scene):
+    """Rare models all asked for together, after half the servers came back empty"""
+    for name in scene.names("model")[::2]:
+        scene.town.kill(name)
+    scene.town.run(5)
+    for name in scene.names("model")[::2]:
+        scene.town.start(name)
+    kind = next(each for each in scene.town.city.traffic if each["kind"] == "prompt" and not each.get("stream", True))
+    before = len(scene.callers.calls)
+    for model in scene.town.city.catalogue["models"]:
+        for effect in scene.callers.ask(kind, scene.town.now, model=model["name"]):
+            scene.town._do(scene.town.boxes["callers"], effect)
+    asked = scene.callers.calls[before:]
+    scene.end(40)
+    scene.figures["rare asked"] = f"{sum(call.outcome == 'ok' for call in asked)} of {len(asked)} answered"
+
+
+def server_crash(scene):
+    """A model server crashes and comes back empty"""
+    scene.town.kill("model-1")
+    scene.town.run(6)
+    scene.town.start("model-1")
+    scene.end(30)
+
+
+def server_dark(scene):
+    """A model server goes dark: accepts and never answers"""
+    scene.town.boxes["model-2"].machine.isDark = True
+    scene.end(30)
+
+
+def replacement(scene):
+    """Model servers are replaced one by one, each announced as leaving"""
+    platform = scene.town.boxes["platform"].machine
+    for name in scene.names("model"):
+        platform.servers[name]["leaving"] = True
+        scene.town.run(8)
+        scene.town.kill(name)
+        scene.town.run(1)
+        scene.town.start(name)
+        platform.servers[name]["leaving"] = False
+        scene.town.run(8)
+    scene.end(25)
+
+
+def emptied(scene):
+    """A model server is emptied at short notice, in mid-stream: three seconds from notice to end"""
+    platform = scene.town.boxes["platform"].machine
+    platform.servers["model-1"]["leaving"] = True
+    scene.town.run(3)
+    scene.town.kill("model-1")
+    scene.witness.leavings.append(("model-1", scene.faultAt, scene.town.now))
+    scene.end(30)
+
+
+def edge_killed(scene):
+    """An edge is killed and comes back"""
+    scene.town.kill("edge-1", power=True)
+    scene.town.run(5)
+    scene.town.start("edge-1")
+    scene.end(20)
+
+
+def leader_killed(scene):
+    """The leader is killed"""
+    scene.town.kill(box_of(scene.town, leader(scene.town)).name, power=True)
+    scene.town.run_until(lambda: leader(scene.town) is not None, 20)
+    scene.figures["next leader after"] = f"{(scene.town.now - scene.faultAt) / SECOND:.2f} s"
+    scene.end(20)
+
+
+def holder_killed(scene):
+    """The placer is killed in mid-order, with loads under way"""
+    scene.town.kill("model-1")
+    scene.town.run(4)
+    scene.town.start("model-1")
+    scene.town.run(1.5)
+    scene.faultAt = scene.town.now
+    before = leader(scene.town).state.duties["placer"][1]
+    scene.town.kill(scene.holder(), power=True)
+    scene.town.run_until(lambda: leader(scene.town) is not None and leader(scene.town).state.duties["placer"][1] > before, 30)
+    scene.figures["next placer after"] = f"{(scene.town.now - scene.faultAt) / SECOND:.2f} s"
+    scene.end(40)
+
+
+def _freeze(scene, name, seconds=6):
+    scene.town.freeze(name)
+    scene.town.run(seconds)
+    scene.town.wake(name)
+    scene.end(25)
+
+
+def edge_frozen(scene):
+    """An edge freezes for six seconds and wakes; meanwhile an area is evacuated"""
+    scene.town.freeze("edge-1")
+    area = next(area for area in scene.town.city.catalogue["areas"] if area != scene.town.boxes["edge-1"].area)
+    scene.order("core-1", "evacuate", area=area)
+    start = scene.town.now
+    scene.town.run(6)
+    scene.town.wake("edge-1")
+    scene.town.run(10)
+    end = scene.town.now
+    scene.order("core-1", "restore", area=area)
+    scene.witness.evacuations.append((area, start, end))
+    scene.end(15)
+
+
+def leader_frozen(scene):
+    """The leader freezes for six seconds and wakes"""
+    _freeze(scene, box_of(scene.town, leader(scene.town)).name)
+
+
+def holder_frozen(scene):
+    """The placer freezes for ten seconds in mid-order and wakes"""
+    scene.town.kill("model-1")
+    scene.town.run(4)
+    scene.town.start("model-1")
+    scene.town.run(1.5)
+    _freeze(scene, scene.holder(), 10)
+    scene.figures["orders under old fences"] = sum(len(record.stale) for record in scene.town.records.values())
+
+
+def core_swapped(scene):
+    """A core is swapped for an empty one at a new address; then a seed machine too"""
+    for place in (3, 2):
+        scene.town.vanish(f"core-{place}")
+        node = {"name": f"core-{place + 5}", "role": "core", "area": scene.town.boxes[f"core-{place}"].area,
+                "address": f"127.0.0.9:{17300 + place}", "door": f"127.0.0.9:{17400 + place}"}
+        scene.town.add_node(node, founding=[])
+        seat = scene.town.boxes[node["name"]].machine.node
+        scene.town.run_until(lambda: leader(scene.town) is not None and seat in leader(scene.town).accord.members, 40)
+    scene.figures["seated"] = sorted(seat.rpartition("-")[0] for seat in leader(scene.town).accord.members)
+    scene.end(20)
+
+
+def power_after_ack(scene):
+    """All cores lose power right after an ack"""
+    doc = {"routes": [{"name": "just-acked", "target": scene.town.city.catalogue["models"][0]["name"]}]}
+    answer = scene.order("core-1", "apply", doc=doc, part=True)
+    for name in scene.names("core"):
+        scene.town.kill(name, power=True)
+    scene.town.run(1)
+    for name in scene.names("core"):
+        scene.town.start(name)
+    scene.end(25)
+    kept = leader(scene.town).state.generation >= answer[1]["generation"]
+    scene.figures["acked change kept"] = kept
+
+
+def disk_after_ack(scene):
+    """A core loses its disk right after an ack and comes back blank"""
+    doc = {"routes": [{"name": "just-acked", "target": scene.town.city.catalogue["models"][0]["name"]}]}
+    answer = scene.order("core-1", "apply", doc=doc, part=True)
+    scene.town.kill("core-1", power=True)
+    scene.town.boxes["core-1"].disk.wipe()
+    scene.town.start("core-1")
+    scene.end(35)
+    scene.figures["acked change kept"] = leader(scene.town).state.generation >= answer[1]["generation"]
+    scene.figures["seats in view"] = len(leader(scene.town).accord.members)
+
+
+def slow_disks(scene):
+    """All disks slow down to 80 ms a sync"""
+    for name in scene.names("core"):
+        scene.town.boxes[name].disk.delay = timedelta(seconds=0.08)
+    scene.end(25)
+
+
+def stalled_disk(scene):
+    """The leader's disk stalls for ten seconds"""
+    box_of(scene.town, leader(scene.town)).disk.stalledUntil = scene.town.now + SECOND * 10
+    scene.end(30)
+
+
+def clocks(scene):
+    """All wall clocks jump, some a day ahead, some a day back"""
+    for place, box in enumerate(scene.town.boxes.values()):
+        box.clock.jump = timedelta(days=1 if place % 2 else -1)
+    scene.end(25)
+
+
+def core_split(scene):
+    """The core is split: the leader alone, the other two together, ten seconds"""
+    name = box_of(scene.town, leader(scene.town)).name
+    scene.town.cut([name], [other for other in scene.names("core") if other != name])
+    scene.town.run(10)
+    scene.town.heal()
+    scene.end(20)
+
+
+def core_cut_off(scene):
+    """The whole core is cut off from all edges for ten seconds"""
+    scene.town.cut(scene.names("core"), scene.names("edge"))
+    scene.town.run(10)
+    scene.town.heal()
+    scene.end(25)
+
+
+def one_way(scene):
+    """One-way cuts: the leader hears nobody, then nobody hears it"""
+    name = box_of(scene.town, leader(scene.town)).name
+    rest = [other for other in scene.names("core") + scene.names("edge") if other != name]
+    scene.town.cut(rest, [name], oneWay=True)
+    scene.town.run(8)
+    scene.town.heal()
+    scene.town.run(8)
+    name = box_of(scene.town, leader(scene.town)).name
+    rest = [other for other in scene.names("core") + scene.names("edge") if other != name]
+    scene.town.cut([name], rest, oneWay=True)
+    scene.town.run(8)
+    scene.town.heal()
+    scene.end(20)
+
+
+def isolated(scene):
+    """Single machines are isolated one after the other, four seconds each"""
+    for name in ("edge-1", "core-2", "model-1", "edge-4", "core-3", "model-3"):
+        scene.town.cut([name], [other for other in scene.town.boxes if other not in ("operator", "callers")])
+        scene.town.run(4)
+        scene.town.heal()
+        scene.town.run(4)
+    scene.end(25)
+
+
+def config_storm(scene):
+    """A storm of 100 partial changes of 20 routes each, racing at two cores"""
+    scene.town.ask("core-1", "GET", "/show/duties")
+    operator, target = scene.town.boxes["operator"].machine, scene.town.city.catalogue["models"][0]["name"]
+    numbers = []
+    for place in range(100):
+        routes = [{"name": f"storm-{place}-{each}", "target": target} for each in range(20)]
+        doc = {"request": f"storm-{place}", "part": True, "doc": {"routes": routes}}
+        numbers.append(operator.ask(f"http://{scene.town.boxes[f'core-{1 + place % 2}'].door}/operator/apply", "POST", doc))
+    scene.end(25)
+    answers = Counter(operator.answers.get(number, (None,))[0] for number in numbers)
+    scene.figures["orders answered"] = dict(answers)
+    scene.figures["routes"] = len(leader(scene.town).state.catalogue.routes)
+
+
+def obey(scene):
+    """One change: from its ack to the last node that obeys, over twenty changes"""
+    target, longest = scene.town.city.catalogue["models"][0]["name"], timedelta(0)
+    ack = timedelta(0)
+    for place in range(20):
+        sentAt = scene.town.now
+        answer = scene.order(f"core-{1 + place % 3}", "apply", doc={"routes": [{"name": f"obey-{place}", "target": target}]}, part=True)
+        ackedAt, generation = scene.town.now, answer[1]["generation"]
+        ack = max(ack, ackedAt - sentAt)
+        scene.town.run_until(lambda: all(edge.state.generation >= generation for edge in scene.town.machines("edge")), 5)
+        longest = max(longest, scene.town.now - ackedAt)
+    scene.figures["longest order to ack"] = f"{ack / SECOND:.2f} s"
+    scene.figures["longest ack to last node"] = f"{longest / SECOND:.2f} s"
+    scene.end(5)
+
+
+def area_lost(scene):
+    """A whole area is lost and does not return"""
+    area = scene.town.city.catalogue["areas"][2]
+    for box in list(scene.town.boxes.values()):
+        if box.area == area:
+            scene.town.vanish(box.name)
+    scene.end(40)
+
+
+def evacuated(scene):
+    """An area is evacuated and restored"""
+    area = scene.town.city.catalogue["areas"][1]
+    scene.order("core-1", "evacuate", area=area)
+    start = scene.town.now
+    scene.town.run(15)
+    scene.witness.evacuations.append((area, start, scene.town.now))
+    scene.order("core-1", "restore", area=area)
+    scene.end(25)
+
+
+def flood(scene):
+    """Audits or dossiers flood all lines for fifteen seconds"""
+    heavy = scene.town.city.traffic[-1]
+    more = scene.town.call_in(1.0, [{**heavy, "rate": 25.0}], "flood")
+    scene.town.run(15)
+    more.isOn = False
+    scene.end(10)
+    for each in scene.town.city.traffic[:4]:
+        waits = [call.endedAt - call.sentAt for call in scene.callers.calls if call.group == each["name"] and call.outcome == "ok"
+                 and call.sentAt > scene.faultAt]
+        scene.figures[f"longest {each['name']}"] = f"{max(waits) / SECOND:.2f} s"
+
+
+def total_loss(scene):
+    """All of our nodes lose power at once and return three seconds later"""
+    ours = scene.names("core") + scene.names("edge")
+    for name in ours:
+        scene.town.kill(name, power=True)
+    scene.town.run(3)
+    for name in ours:
+        scene.town.start(name)
+    backAt = scene.town.now
+    scene.end(25)
+    bad = [call.sentAt for call in scene.callers.calls if call.sentAt > backAt and call.outcome != "ok"]
+    scene.figures["last call not served, after the return"] = f"{(max(bad) - backAt) / SECOND:.2f} s" if bad else "none"
+
+
+SCENARIOS = (crowd, rare, server_crash, server_dark, replacement, emptied, edge_killed, leader_killed, holder_killed, edge_frozen,
+             leader_frozen, holder_frozen, core_swapped, power_after_ack, disk_after_ack, slow_disks, stalled_disk, clocks, core_split,
+             core_cut_off, one_way, isolated, config_storm, obey, area_lost, evacuated, flood, total_loss)
+
+
+def play(scenario, city, seed):
+    """One row of the table."""
+    scene = Scene(city, seed)
+    scenario(scene)
+    calls = scene.callers.calls
+    calls = [call for call in calls if not call.hasMoved]  # a caller that went on to another edge is judged by what came of that
+    bad = [call for call in calls if call.outcome != "ok"]
+    classes = Counter(f"{call.outcome}:{call.faultClass}" for call in bad)
+    first, again = scene.witness.resends()
+    last = max((call.sentAt for call in bad if call.sentAt >= scene.faultAt), default=None)
+    return {"scenario": scenario.__doc__, "city": city, "calls": len(calls), "ok": len(calls) - len(bad), "classes": dict(classes),
+            "resends": again / first, "last": (last - scene.faultAt) / SECOND if last else None, "figures": scene.figures,
+            "broken": scene.witness.faults()}
+
+
+def write_row(row) -> str:
+    classes = ", ".join(f"{name} {count}" for name, count in sorted(row["classes"].items())) or "-"
+    figures = "; ".join(f"{name}: {value}" for name, value in row["figures"].items()) or "-"
+    last = f"{row['last']:.1f}" if row["last"] is not None else "-"
+    return (f"| {row['scenario']} | {row['city']} | {row['calls']} | {row['ok']} | {classes} | {row['resends']:.3f} | {last} | {figures} "
+            f"| {len(row['broken'])} |")
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.scenarios", description=__doc__)
+    parser.add_argument("--only", help="names of scenarios, by comma")
+    parser.add_argument("--seed", type=int, default=7)
+    given = parser.parse_args()
+    chosen = [each for each in SCENARIOS if not given.only or each.__name__ in given.only.split(",")]
+    print("| scenario | city | calls | answered | not answered | resends to first tries | last bad call, s after the fault | figures | rules broken |")
+    print("|---|---|---|---|---|---|---|---|---|")
+    with ProcessPoolExecutor(8) as pool:
+        rows = [pool.submit(play, each, city, given.seed) for each in chosen for city in ("kosice", "central-java")]
+        broken = []
+        for row in rows:
+            print(write_row(row.result()), flush=True)
+            broken += [(row.result()["scenario"], fault) for fault in row.result()["broken"]]
+    for scenario, fault in broken:
+        print(f"broken: {scenario}: {fault}")
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/sumachook/guise/callers.py
+++ b/sumachook/guise/callers.py
@@ -13,13 +13,14 @@
     """One request as its caller saw it."""
 
     __slots__ = ("number", "kind", "group", "edge", "sentAt", "endedAt", "outcome", "status", "run", "faultClass", "request", "text",
-                 "firstAt", "finish", "isStream", "patience", "moves", "model", "key", "safe", "area", "isDone")
+                 "firstAt", "finish", "isStream", "patience", "moves", "model", "key", "safe", "tag", "hasMoved", "isDone")
 
-    def __init__(self, number, group, edge, now, model, patience, safe, moves=0):
+    def __init__(self, number, tag, group, edge, now, model, patience, safe, moves=0):
+        self.tag = tag
         self.number, self.group, self.edge, self.sentAt, self.model = number, group["name"], edge, now, model
         self.kind, self.isStream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
         self.endedAt, self.outcome, self.status, self.run, self.faultClass, self.request = None, PENDING, None, None, None, ""
-        self.text, self.firstAt, self.finish, self.moves, self.key, self.area, self.isDone = "", None, None, moves, "", None, False
+        self.text, self.firstAt, self.finish, self.moves, self.key, self.hasMoved, self.isDone = "", None, None, moves, "", False, False
 
 
 class Callers:
@@ -29,9 +30,10 @@
     as a client with a list of addresses does; nothing else is asked again.
     """
 
-    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "isOn", "pace", "startAt", "stopAfter")
+    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "isOn", "pace", "startAt", "stopAfter", "name")
 
-    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stopAfter=None):
+    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stopAfter=None, name="callers"):
+        self.name = name
         self.edges, self.groups, self.draw = dict(edges), traffic, draw
         self.callers = {caller["name"]: caller for caller in catalogue["callers"]}
         self.calls, self.open, self.isOn, self.pace, self.startAt, self.stopAfter = [], {}, True, pace, now, stopAfter
@@ -69,11 +71,12 @@
         model = None if isLookup else model or self._model(group)
         patience = timedelta(seconds=caller.get("lookupPatience", 5.0) if isLookup else caller["patience"])
         number = len(self.calls)
-        call = Call(number, group, edge, now, model, patience, isLookup or caller.get("safe", False), moves)
+        tag = f"{self.name} {number}"
+        call = Call(number, tag, group, edge, now, model, patience, isLookup or caller.get("safe", False), moves)
         call.key = key
         self.calls.append(call)
         self.open[number] = call
-        headers = {"Authorization": f"Bearer {caller['key']}", "X-Request-Id": f"call {number}"}
+        headers = {"Authorization": f"Bearer {caller['key']}", "X-Request-Id": tag}
         if isLookup:
             method, path, body = "GET", f"/records/{group.get('prefix', 'r')}{number}", b""
         else:
@@ -82,7 +85,7 @@
                 headers["Idempotency-Key"] = key
             method, path = "POST", "/v1/chat/completions"
             body = msgspec.json.encode({"model": model, "stream": call.isStream, "max_tokens": group.get("maxTokens", 64),
-                                        "messages": [{"role": "user", "content": f"call {number}"}]})
+                                        "messages": [{"role": "user", "content": tag}]})
         mode = "events" if not isLookup and call.isStream else "whole"
         limit = patience * 1.5 + timedelta(seconds=5)
         return [("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)]
@@ -157,4 +160,5 @@
         group = next((group for group in self.groups if group["name"] == call.group), None)
         if group is None:
             return []
+        call.hasMoved = True
         return self.ask(group, now, self.draw.choice(others), call.model, call.key, call.moves + 1)
--- a/sumachook/guise/city.py
+++ b/sumachook/guise/city.py
@@ -74,7 +74,7 @@
         """Callers begin; gives their machine."""
         doors = {box.name: box.door for box in self.boxes.values() if box.role == "edge" and (edges is None or box.name in edges)}
         groups = self.city.traffic if traffic is None else traffic
-        self.add(name, "callers", lambda box: Callers(doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace),
+        self.add(name, "callers", lambda box: Callers(doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace, None, name),
                  "", "", name)
         return self.boxes[name].machine
 
--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -226,23 +226,26 @@
         records = as_tuples(msgspec.json.decode(msgspec.json.encode(records)))
         box.disk.begin("rewrite" if verb == "rewrite" else "append", name, records, followup)
         if len(box.disk.pending) == 1:
-            self._later(self._disk_delay(box), self._synced, box, box.life)
+            self._begin_sync(box)
 
-    def _disk_delay(self, box):
-        return max(box.disk.delay, box.disk.stalledUntil - self.now)
+    def _begin_sync(self, box):
+        """One sync for all that waits by now; what comes meanwhile is for the next."""
+        delay = max(box.disk.delay, box.disk.stalledUntil - self.now)
+        self._later(delay, self._synced, box, box.life, len(box.disk.pending))
 
-    def _synced(self, box, life):
+    def _synced(self, box, life, count):
         if box.life != life or not box.disk.pending:
             box.disk.pending.clear()
             return
         if self.now < box.disk.stalledUntil:
-            self._later(self._disk_delay(box), self._synced, box, life)
+            self._begin_sync(box)
             return
-        followup = box.disk.finish()
+        followups = [box.disk.finish() for _ in range(count)]
         if box.disk.pending:
-            self._later(self._disk_delay(box), self._synced, box, life)
-        if followup is not None:
-            self._hand(box, followup)
+            self._begin_sync(box)
+        for followup in followups:
+            if followup is not None:
+                self._hand(box, followup)
 
     # HTTP ---------------------------------------------------------------------------------
 
--- a/sumachook/guise/witness.py
+++ b/sumachook/guise/witness.py
@@ -20,40 +20,37 @@
         checks = (self._runs, self._texts, self._leaving, self._evacuated, self._resends, self._warm, self._orders, self._store)
         return [f"{check.__name__[1:]}: {fault}" for check in checks for fault in check()]
 
-    def _tag(self, call):
-        return f"call {call.number}"
-
     def runs_of(self, call) -> int:
-        return sum(record.runs.get(self._tag(call), 0) for record in self.town.records.values())
+        return sum(record.runs.get(call.tag, 0) for record in self.town.records.values())
 
     def _runs(self):
         """Rule 1: an unsafe prompt runs once at most, and "no" means no."""
         for call in self.callers.calls:
             runs = self.runs_of(call) if call.kind == "prompt" else 0
             if runs > 1 and (not call.safe or call.key):
-                yield f"{self._tag(call)} of {call.group} ran {runs} times"
+                yield f"{call.tag} of {call.group} ran {runs} times"
             if runs and call.run == "no":
-                yield f"{self._tag(call)} was told that it did not run, and ran {runs} times"
+                yield f"{call.tag} was told that it did not run, and ran {runs} times"
 
     def _texts(self):
         """Rules 2 and 3: one server, in order, one's own, whole when it looks whole."""
         for call in self.callers.calls:
             if call.kind == "lookup":
                 if call.outcome == "ok" and not call.text.endswith(str(call.number)):
-                    yield f"{self._tag(call)} got {call.text}"
+                    yield f"{call.tag} got {call.text}"
                 continue
-            pieces = [piece for piece in call.text.replace("call ", "call_").split(" ") if piece]
+            pieces = [piece for piece in call.text.replace(call.tag, call.tag.replace(" ", "_")).split(" ") if piece]
             owners = {piece.split("/")[0] for piece in pieces}
             servers = {piece.split("/")[1] for piece in pieces}
             places = [int(piece.split("/")[2]) for piece in pieces]
-            if owners - {self._tag(call).replace(" ", "_")}:
-                yield f"{self._tag(call)} got another's answer {owners}"
+            if owners - {call.tag.replace(" ", "_")}:
+                yield f"{call.tag} got another's answer {owners}"
             if len(servers) > 1:
-                yield f"{self._tag(call)} is stitched from {servers}"
+                yield f"{call.tag} is stitched from {servers}"
             if places != list(range(len(places))):
-                yield f"{self._tag(call)} has places {places}"
+                yield f"{call.tag} has places {places}"
             if call.outcome == "ok" and (len(places) != EVENTS or call.finish != "stop"):
-                yield f"{self._tag(call)} looks whole with {len(places)} pieces"
+                yield f"{call.tag} looks whole with {len(places)} pieces"
 
     def _leaving(self):
         """Rule 4, with a second for the platform's list to be read."""
--- a/sumachook/role/daemon.py
+++ b/sumachook/role/daemon.py
@@ -3,9 +3,6 @@
 import asyncio
 import signal
 from datetime import timedelta
-from functools import partial
-
-import msgspec
 
 from sumachook.pulse.supervisor import Supervisor
 from sumachook.wire.codec import Codec
@@ -53,22 +50,21 @@
             await asyncio.sleep(PULSE.total_seconds())
 
     async def _disk(self):
-        """One write at a time, in order; the followup comes only after the sync."""
+        """All that waits goes out with one sync a file, in order; followups come only after it (§9.2)."""
         while True:
-            kind, name, records, followup = await self.writes.get()
-            if kind == "journal":
-                work = partial(self.folder.journal, name, [msgspec.json.encode(row) for row in records])
-            else:
-                work = partial(self.folder.rewrite if kind == "rewrite" else self.folder.append, name, records)
+            batch = [await self.writes.get()]
+            while not self.writes.empty():
+                batch.append(self.writes.get_nowait())
             try:
-                await asyncio.to_thread(work)
+                await asyncio.to_thread(self.folder.take, batch)
             except OSError as error:
-                self.log("error", "daemon", "The disk does not take records, leaving.", {"file": name, "error": str(error)})
+                self.log("error", "daemon", "The disk does not take records, leaving.", {"error": str(error)})
                 self.code = 3
                 self.leaving.set()
                 return
-            if followup is not None:
-                self._hear(followup)
+            for *_, followup in batch:
+                if followup is not None:
+                    self._hear(followup)
 
     def _hear(self, message):
         """Messages are taken one after the other, also those that an effect gives rise to."""
--- a/sumachook/vault/folder.py
+++ b/sumachook/vault/folder.py
@@ -3,6 +3,8 @@
 import os
 from pathlib import Path
 
+import msgspec
+
 from sumachook.fault import Fault
 from sumachook.vault.records import pack_record, read_records
 
@@ -32,17 +34,24 @@
                 os.fsync(file.fileno())
         return records
 
-    def append(self, name: str, records) -> None:
-        self._write(name, "ab", b"".join(pack_record(record) for record in records))
+    def take(self, batch) -> None:
+        """Writes (verb, name, records, ...) in order; appends to one file that follow on each other share a sync."""
+        waiting = {}
+        for verb, name, records, *_ in batch:
+            if verb == "rewrite":
+                waiting.pop(name, None)  # the image holds what was to be appended before it
+                self._rewrite(name, records)
+            else:
+                pack = _pack_line if verb == "journal" else pack_record
+                waiting.setdefault(name, []).extend(pack(record) for record in records)
+        for name, raws in waiting.items():
+            self._write(name, "ab", b"".join(raws))
 
-    def rewrite(self, name: str, records) -> None:
+    def _rewrite(self, name, records):
         self._write(name + ".new", "wb", b"".join(pack_record(record) for record in records))
         os.replace(self.path / (name + ".new"), self.path / name)
         self._sync_folder()
 
-    def journal(self, name: str, lines) -> None:
-        self._write(name, "ab", b"".join(line + b"\n" for line in lines))
-
     def _write(self, name, mode, raw):
         isNew = not (self.path / name).exists()
         with open(self.path / name, mode) as file:
@@ -60,17 +69,21 @@
             os.close(folderHandle)
 
 
+def _pack_line(row) -> bytes:
+    return msgspec.json.encode(row) + b"\n"
+
+
 def test_tail_is_cut_and_middle_stops(tmp_path):
     folder = Folder(tmp_path / "data")
-    folder.append("log", [["one"], ["two"]])
+    folder.take([("disk", "log", [["one"]], None), ("disk", "log", [["two"]], None)])
     filePath = tmp_path / "data" / "log"
     whole = filePath.read_bytes()
     filePath.write_bytes(whole[:-2])
     assert folder.load("log") == (("one",),)
-    folder.append("log", [["three"]])
+    folder.take([("disk", "log", [["three"]])])
     assert folder.load("log") == (("one",), ("three",))
     raw = filePath.read_bytes()
     filePath.write_bytes(raw[:18] + b"!" + raw[19:])
     assert "damaged" in str(folder.load("log"))
-    folder.rewrite("log", [["fresh"]])
-    assert folder.load("log") == (("fresh",),)
+    folder.take([("disk", "log", [["old"]]), ("rewrite", "log", [["fresh"]]), ("disk", "log", [["more"]])])
+    assert folder.load("log") == (("fresh",), ("more",))
--- a/tests/ledger_stories.py
+++ b/tests/ledger_stories.py
@@ -23,7 +23,7 @@
     rows = _day_rows(town)
     bad = [call for call in callers.calls if call.outcome != "ok" and call.faultClass not in ("refused", "connect-timeout")]
     late = [call for call in callers.calls if call.outcome == "ok" and call.endedAt - call.sentAt > call.patience]
-    return [call for call in bad + late if f"call {call.number}" not in rows]
+    return [call for call in bad + late if call.tag not in rows]
 
 
 def test_show_finds_a_request_with_its_tries_from_any_core():
@@ -58,8 +58,8 @@
     rows = _day_rows(town)
     # a call that came in the same few milliseconds was not begun: nothing of it went out
     begun = [call for call in dropped if witness(town, callers).runs_of(call)]
-    assert begun and all(rows[f"call {call.number}"][0]["class"] == "lost" for call in begun)
-    assert all(row["run"] == "maybe" for call in begun for row in rows[f"call {call.number}"])
+    assert begun and all(rows[call.tag][0]["class"] == "lost" for call in begun)
+    assert all(row["run"] == "maybe" for call in begun for row in rows[call.tag])
 
 
 def test_records_kept_for_an_absent_keeper_are_handed_over_once():
