--- a/harness/city.py
+++ b/harness/city.py
@@ -1,6 +1,7 @@
 """python -m harness.city CITY: a whole fleet of real processes, callers at the city's rates, outcomes, a clean stop."""
 
 import argparse
+import signal
 import tempfile
 from pathlib import Path
 
@@ -12,12 +13,17 @@
     parser.add_argument("city", choices=["kosice", "central-java"])
     parser.add_argument("--seconds", type=float, default=30.0, help="how long callers call (at most 600)")
     parser.add_argument("--pace", type=float, default=1.0, help="times the city's rates (at most 5)")
+    parser.add_argument("--keep", action="store_true", help="no callers: keep the fleet up until Ctrl-C")
     parser.add_argument("--work", help="folder for params, data and logs; a new temporary one by default")
     given = parser.parse_args()
     work = Path(given.work or tempfile.mkdtemp(prefix="sumachook-"))
     fleet = Processes(Path(__file__).parent.parent / "examples" / given.city, work)
     try:
         print(f"up in {fleet.bring_up():.1f} s, {len(fleet.running)} processes, logs in {work}", flush=True)
+        if given.keep:
+            print("cores", *fleet.doors("core"), "edges", *fleet.doors("edge"), flush=True)
+            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+            return
         callers = fleet.call_in(min(given.seconds, 600), min(given.pace, 5), work / "calls.jsonl")
         print(callers.communicate()[0], end="")
         proofs = fleet.proofs()
--- /dev/null
+++ b/harness/trials.py
@@ -0,0 +1,140 @@
+"""python -m harness.trials: real processes under load: rolling restart, SIGKILL, SIGSTOP; memory and open files recorded."""
+
+import argparse
+import json
+import os
+import signal
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+from harness.processes import Processes
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+class Trial:
+    """One fleet under callers, while things are done to it; `run` tells what came of it."""
+
+    __slots__ = ("fleet", "work", "samples", "told")
+
+    def __init__(self, city: str, work: Path):
+        self.fleet, self.work, self.samples, self.told = Processes(EXAMPLES / city, work), work, [], []
+
+    def run(self, name: str, do, seconds: float) -> bool:
+        print(f"up in {self.fleet.bring_up():.1f} s", flush=True)
+        calls = self.work / "calls.jsonl"
+        callers = self.fleet.call_in(seconds, 1.0, calls)
+        try:
+            time.sleep(3)
+            self.sample()
+            do(self)
+            self.sample()
+            if callers.poll() is not None:
+                print(f"{name}: callers ended before it was over")
+            out, _ = callers.communicate(timeout=seconds + 400)
+        finally:
+            callers.kill()
+            proofs = self.fleet.proofs()
+            codes = self.fleet.stop_all()
+        print(out, end="")
+        return self.judge(name, calls, proofs, codes)
+
+    def judge(self, name, calls, proofs, codes) -> bool:
+        calls = [json.loads(line) for line in calls.read_text().splitlines()]
+        runs = Counter()
+        for proof in proofs.values():
+            runs.update(proof.get("runs", {}))
+        final = [call for call in calls if not call["hasMoved"]]
+        failed = [call for call in final if call["safe"] and call["outcome"] != "ok"]
+        twice = [call["tag"] for call in calls if not call["safe"] and runs[call["tag"]] > 1]
+        hidden = [call["tag"] for call in calls if call["run"] == "no" and runs[call["tag"]]]
+        broken = [line for proof in proofs.values() for line in proof.get("broken", ())]
+        print(f"{name}: {len(final)} calls, {len(failed)} safe ones not answered, {len(twice)} unsafe ones run twice, "
+              f"{len(hidden)} told 'not run' that ran, {len(broken)} orders beyond room")
+        print("memory (MB) and open files at the begin and the end: " + self.growth())
+        uncaught = [path.name for path in self.work.glob("*.log") if "Traceback" in path.read_text()]
+        print(f"exit codes other than 0: { {name: code for name, code in codes.items() if code} or 'none'}, tracebacks in {uncaught or 'no log'}")
+        return not (twice or hidden or broken or uncaught)
+
+    def sample(self):
+        """(resident MB, open files) of each running node."""
+        found = {}
+        for node in self.fleet.city.nodes:
+            process = self.fleet.running.get(node["name"])
+            if process is not None:
+                pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+                found[node["name"]] = (pages * os.sysconf("SC_PAGE_SIZE") / 1e6, len(os.listdir(f"/proc/{process.pid}/fd")))
+        self.samples.append(found)
+
+    def growth(self) -> str:
+        first, last = self.samples[0], self.samples[-1]
+        return ", ".join(f"{name} {first[name][0]:.0f}->{last[name][0]:.0f}/{first[name][1]}->{last[name][1]}" for name in first if name in last)
+
+    def names(self, role):
+        return [node["name"] for node in self.fleet.city.nodes if node["role"] == role]
+
+    def leader(self) -> str:
+        for node in self.fleet.city.nodes:
+            answer = self.fleet.get(node["door"], "/condition") if node["role"] == "core" else None
+            if answer and answer[1].get("inView") and str(answer[1].get("leader", "")).startswith(node["name"] + "-"):
+                return node["name"]
+        return "core-1"
+
+
+def rolling(trial: Trial):
+    """Every node of ours is stopped in order and started again, one at a time."""
+    for name in trial.names("edge") + trial.names("core"):
+        code = trial.fleet.stop(name)
+        trial.fleet.start(name)
+        isBack = trial.fleet.wait_for(lambda: trial.fleet.are_ready("edge" if "edge" in name else "core", [name]), 30)
+        print(f"{name} stopped with {code}, ready again: {isBack}", flush=True)
+        time.sleep(1)
+
+
+def kills(trial: Trial):
+    """SIGKILL an edge, the leader, a model server; each comes back."""
+    for name in ("edge-2", trial.leader(), "model-1", "edge-5"):
+        trial.fleet.kill(name)
+        print(f"{name} killed", flush=True)
+        time.sleep(4)
+        trial.fleet.start(name)
+        time.sleep(6)
+
+
+def freezes(trial: Trial):
+    """SIGSTOP and SIGCONT for five seconds: an edge, the leader, a model server."""
+    for name in ("edge-3", trial.leader(), "model-2"):
+        trial.fleet.signal(name, signal.SIGSTOP)
+        print(f"{name} frozen", flush=True)
+        time.sleep(5)
+        trial.fleet.signal(name, signal.SIGCONT)
+        time.sleep(5)
+
+
+def soak(trial: Trial):
+    """Nothing but load, for minutes."""
+    for _ in range(12):
+        time.sleep(15)
+        trial.sample()
+
+
+TRIALS = {"rolling": (rolling, 75), "kills": (kills, 55), "freezes": (freezes, 45), "soak": (soak, 190)}
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.trials", description=__doc__)
+    parser.add_argument("names", nargs="*", choices=[*TRIALS, []], help="which; all but soak by default")
+    parser.add_argument("--city", default="kosice", choices=["kosice", "central-java"])
+    given = parser.parse_args()
+    isGood = True
+    for name in given.names or ("rolling", "kills", "freezes"):
+        do, seconds = TRIALS[name]
+        print(f"== {name}: {do.__doc__}", flush=True)
+        isGood &= Trial(given.city, Path(tempfile.mkdtemp(prefix="sumachook-"))).run(name, do, seconds)
+    raise SystemExit(0 if isGood else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/sumachook/guise/report.py
+++ b/sumachook/guise/report.py
@@ -15,11 +15,12 @@
     if file:
         lines = [msgspec.json.encode({
             "number": call.number, "group": call.group, "outcome": call.outcome, "status": call.status, "class": call.faultClass,
-            "run": call.run, "request": call.request, "edge": call.edge, "moves": call.moves,
+            "run": call.run, "request": call.request, "edge": call.edge, "moves": call.moves, "hasMoved": call.hasMoved, "safe": call.safe, "tag": call.tag,
             "seconds": (call.endedAt - call.sentAt).total_seconds() if call.endedAt else None}) for call in calls]
         Path(file).write_bytes(b"\n".join(lines) + b"\n")
     if not calls:
         return "no calls"
+    calls = [call for call in calls if not call.hasMoved]  # those are judged by what came of going on to another edge
     rows = Counter((call.group, call.outcome, call.faultClass or "") for call in calls)
     times = {}
     for call in calls:
--- a/sumachook/pulse/rising.py
+++ b/sumachook/pulse/rising.py
@@ -2,7 +2,7 @@
 
 
 class Rising:
-    """A slot whose value only rises; a lower one is ignored (§6.2).
+    """A slot whose value only rises; a lower one is ignored (§8.2).
 
     >>> class Follower:
     ...     __slots__ = ("_number",)
--- a/sumachook/role/daemon.py
+++ b/sumachook/role/daemon.py
@@ -50,7 +50,7 @@
             await asyncio.sleep(PULSE.total_seconds())
 
     async def _disk(self):
-        """All that waits goes out with one sync a file, in order; followups come only after it (§9.2)."""
+        """All that waits goes out with one sync a file, in order; followups come only after it (§13.2)."""
         while True:
             batch = [await self.writes.get()]
             while not self.writes.empty():
--- a/sumachook/vault/folder.py
+++ b/sumachook/vault/folder.py
@@ -10,7 +10,7 @@
 
 
 class Folder:
-    """Files of one data folder; nothing counts before `fsync` came back (§9.1)."""
+    """Files of one data folder; nothing counts before `fsync` came back (§13.1)."""
 
     __slots__ = ("path",)
 
--- a/sumachook/vault/records.py
+++ b/sumachook/vault/records.py
@@ -1,4 +1,4 @@
-"""How records lie in the file: length, checksum, body (§9.1)."""
+"""How records lie in the file: length, checksum, body (§13.1)."""
 
 import struct
 import zlib
