--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -45,12 +45,11 @@
 class Exchange:
     """One HTTP request between two boxes."""
 
-    __slots__ = ("cid", "client", "clientLife", "tid", "server", "serverLife", "mode", "parser", "isOpen", "head", "reached")
+    __slots__ = ("cid", "client", "clientLife", "tid", "server", "serverLife", "mode", "parser", "isOpen", "isBroken")
 
     def __init__(self, cid, client, tid, server, mode):
         self.cid, self.client, self.clientLife, self.tid, self.server = cid, client, client.life, tid, server
-        self.serverLife, self.mode, self.parser, self.isOpen, self.head = server.life, mode, Parser(), True, None
-        self.reached = False
+        self.serverLife, self.mode, self.parser, self.isOpen, self.isBroken = server.life, mode, Parser(), True, False
 
 
 class Fleet:
@@ -183,7 +182,11 @@
         self._later(at - self.now, self._arrive, key, other, call, words)
 
     def _arrive(self, key, other, call, words):
-        if key not in self.cuts and not other.isGone:
+        exchange = words[0] if isinstance(words[0], Exchange) else None
+        if key in self.cuts or other.isGone:
+            if exchange is not None:
+                exchange.isBroken = True  # a connection that lost something says nothing more
+        elif exchange is None or not exchange.isBroken:
             call(*words)
 
     # effects --------------------------------------------------------------------------
@@ -277,7 +280,6 @@
             self._to_client(exchange, "fault", "refused")
             return
         self._fetched(exchange.client, exchange.clientLife, exchange.tid, "sent")
-        exchange.reached = True
         self._send(exchange.client, exchange.server, self._hand_alive, exchange, message)
 
     def _hand_alive(self, exchange, message):
@@ -314,7 +316,6 @@
             headers = {name.lower(): value for name, value in effect[3].items()}
             self._to_client(exchange, "done", effect[2], headers, effect[4])
         elif kind == "head":
-            exchange.head = effect[2]
             headers = {name.lower(): value for name, value in effect[3].items()}
             self._fetched(exchange.client, exchange.clientLife, exchange.tid, "head", effect[2], headers)
         elif kind == "chunk":
--- a/sumachook/guise/model.py
+++ b/sumachook/guise/model.py
@@ -151,6 +151,8 @@
                 self.held[name] = "loaded"
                 if name in self.sizes:
                     self.readyAt[name] = now
+        if self.isDark:
+            return []  # it holds back what it has to say; a stream cannot skip
         for run in list(self.active.values()):
             out += self._speak(run, now)
             if run.isDone:
@@ -162,7 +164,7 @@
                 self.active.pop(request, None)
                 if run in self.waiting:
                     self.waiting.remove(run)
-        return [] if self.isDark else out
+        return out
 
     def _speak(self, run, now):
         if run.goneAt is not None and not run.said:
