--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -59,12 +59,12 @@
     """
 
     __slots__ = ("now", "draw", "heap", "count", "boxes", "byAddress", "byDoor", "cuts", "loss", "latest", "exchanges", "byTid", "logs",
-                 "cluster", "latency", "tries", "dropped")
+                 "cluster", "latency", "tries")
 
     def __init__(self, seed: int, cluster: str = "fleet"):
         self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
         self.boxes, self.byAddress, self.byDoor, self.cuts, self.loss = {}, {}, {}, set(), 0.0
-        self.latest, self.exchanges, self.byTid, self.logs, self.dropped = {}, {}, {}, [], 0
+        self.latest, self.exchanges, self.byTid, self.logs = {}, {}, {}, []
         self.latency, self.tries = (0.0005, 0.003), {}
 
     # building ----------------------------------------------------------------------
@@ -221,7 +221,7 @@
             sender, address, _, message = parcel
             self._hand(other, ("heard", sender, address, message))
         else:
-            self.dropped += 1
+            self._hand(other, ("garbage",))
 
     def _disk(self, box, effect):
         verb, name, records = effect[:3]
--- a/sumachook/pulse/clock.py
+++ b/sumachook/pulse/clock.py
@@ -14,7 +14,8 @@
     __slots__ = ()
 
     def mono(self) -> timedelta:
-        return timedelta(seconds=time.monotonic())
+        """Counts on while the machine sleeps, so that a lease is over when it wakes."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def wall(self) -> datetime:
         return datetime.now(timezone.utc)
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -99,6 +99,9 @@
             return self._http(message, now)
         if kind == "gone":
             return self.desk.take(message, now)
+        if kind == "garbage":
+            self.ignored += 1
+            return []
         if kind == "stop":
             self.stopAt = now + timedelta(seconds=1)
             note = ("log", "info", "core", "Leaving, duties are given back.", {})
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -23,7 +23,7 @@
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "nextDemand", "stopBy",
-                 "ignored", "savedAt", "savedNumber", "hasDisk", "startedAt", "wasAlone")
+                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "startedAt", "wasAlone")
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
@@ -38,6 +38,7 @@
         self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()), clock.wall)
         self.nextDemand, self.stopBy, self.ignored, self.wasAlone = now, None, 0, False
         self.savedAt, self.savedNumber, self.hasDisk = now, self.state.number, params.data is not None
+        self.savedGeneration = self.state.generation
 
     def take(self, message: tuple, now) -> list:
         out, work = [], [message]
@@ -65,6 +66,9 @@
             return self._pulse(now)
         if kind == "http":
             return self._http(message, now)
+        if kind == "garbage":
+            self.ignored += 1
+            return []
         if kind in ("gone", "fetched"):
             return self.ferry.take(message, now)
         if kind == "stop":
@@ -123,10 +127,11 @@
 
     def _save(self, now):
         """An image on the own disk, so that a start needs no core to be up (§8.4)."""
+        isNew = self.savedGeneration != self.state.generation  # a configuration that was obeyed is kept at once
         isDue = self.savedNumber != self.state.number and now - self.savedAt > timedelta(seconds=2)
-        if not self.hasDisk or not isDue:
+        if not self.hasDisk or not (isNew or isDue):
             return []
-        self.savedAt, self.savedNumber = now, self.state.number
+        self.savedAt, self.savedNumber, self.savedGeneration = now, self.state.number, self.state.generation
         return [("rewrite", "image", (("image", self.state.image()),), None)]
 
     def _stopping(self, now):
--- a/sumachook/wire/ports.py
+++ b/sumachook/wire/ports.py
@@ -69,11 +69,11 @@
 class NodePort(asyncio.DatagramProtocol):
     """Both sockets of one node's address; garbage is dropped and counted (§2.2)."""
 
-    __slots__ = ("address", "cluster", "hear", "links", "tasks", "transport", "garbage")
+    __slots__ = ("address", "cluster", "hear", "links", "tasks", "transport")
 
     def __init__(self, address: str, cluster: str, hear):
         self.address, self.cluster, self.hear = address, cluster, hear
-        self.links, self.tasks, self.transport, self.garbage = {}, set(), None, 0
+        self.links, self.tasks, self.transport = {}, set(), None
 
     async def run(self):
         host, port = split_address(self.address)
@@ -113,17 +113,47 @@
             sender, address, _, message = parcel
             self.hear(("heard", sender, address, message))
         else:
-            self.garbage += 1
+            self.hear(("garbage",))
 
     async def _serve(self, reader, writer):
         try:
             while True:
                 length = int.from_bytes(await reader.readexactly(HEAD), "big")
                 if length > MOST_BYTES:
-                    self.garbage += 1
+                    self.hear(("garbage",))
                     return
                 self._take(await reader.readexactly(length))
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # cancelled only when the whole process ends
         finally:
             writer.close()
+
+
+def test_parcels_arrive_and_garbage_is_counted():
+    from sumachook.wire.codec import Codec
+    from sumachook.wire.door import _free_address
+
+    async def story():
+        heard, done = [], asyncio.Event()
+
+        def hear(message):
+            heard.append(message)
+            if len(heard) == 3:
+                done.set()
+
+        port, other = NodePort(_free_address(), "c", hear), NodePort(_free_address(), "c", hear)
+        tasks = [asyncio.get_running_loop().create_task(each.run()) for each in (port, other)]
+        while port.transport is None or other.transport is None:
+            await asyncio.sleep(0)
+        raw = Codec("c", "n", other.address, 1).pack(("follow", 7, 1))
+        other.cast(port.address, b"garbage")
+        other.cast(port.address, raw)
+        other.tell(port.address, raw)
+        await asyncio.wait_for(done.wait(), 5)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return heard
+
+    heard = asyncio.run(story())
+    assert heard.count(("heard", "n", heard[-1][2], ("follow", 7, 1))) == 2 and heard.count(("garbage",)) == 1
