--- a/harness/scenarios.py
+++ b/harness/scenarios.py
@@ -367,7 +367,7 @@
     last = max((call.sentAt for call in bad if call.sentAt >= scene.faultAt), default=None)
     return {"scenario": scenario.__doc__, "city": city, "calls": len(calls), "ok": len(calls) - len(bad), "classes": dict(classes),
             "resends": again / first, "last": (last - scene.faultAt) / SECOND if last else None, "figures": scene.figures,
-            "broken": scene.witness.faults()}
+            "unlogged": len(scene.witness.unaccounted()), "broken": scene.witness.faults()}
 
 
 def write_row(row) -> str:
@@ -375,7 +375,7 @@
     figures = "; ".join(f"{name}: {value}" for name, value in row["figures"].items()) or "-"
     last = f"{row['last']:.1f}" if row["last"] is not None else "-"
     return (f"| {row['scenario']} | {row['city']} | {row['calls']} | {row['ok']} | {classes} | {row['resends']:.3f} | {last} | {figures} "
-            f"| {len(row['broken'])} |")
+            f"| {row['unlogged']} | {len(row['broken'])} |")
 
 
 def main():
@@ -384,8 +384,8 @@
     parser.add_argument("--seed", type=int, default=7)
     given = parser.parse_args()
     chosen = [each for each in SCENARIOS if not given.only or each.__name__ in given.only.split(",")]
-    print("| scenario | city | calls | answered | not answered | resends to first tries | last bad call, s after the fault | figures | rules broken |")
-    print("|---|---|---|---|---|---|---|---|---|")
+    print("| scenario | city | calls | answered | not answered | resends to first tries | last bad call, s after the fault | figures | in no log | rules broken |")
+    print("|---|---|---|---|---|---|---|---|---|---|")
     with ProcessPoolExecutor(8) as pool:
         rows = [pool.submit(play, each, city, given.seed) for each in chosen for city in ("kosice", "central-java")]
         broken = []
