An operator's junk is judged on every node, never raised; references beside shapes

Cause (fuzzing the check, seen failing): a name that is a list made the merge raise, inside the ordered state, on all nodes at once. Ruled out: msgspec. Now such an item stays for the check to refuse. References are checked beside the shapes, so one refusal names both; plan lists as drops only what the change takes out of a pair.

--- a/sumachook/atlas/catalogue.py
+++ b/sumachook/atlas/catalogue.py
@@ -114,48 +114,66 @@
     if faults:
         return None, tuple(faults)
     catalogue, faults = check(doc, Catalogue)
-    if catalogue is None:
-        return None, faults
-    faults = tuple(_dangling(catalogue))
+    if isinstance(doc, dict):
+        known = {path for path, _ in faults}
+        faults += tuple(fault for fault in _dangling(doc) if fault[0] not in known)
     return (None, faults) if faults else (catalogue, ())
 
 
-def _dangling(catalogue):
+def _items(doc, part):
+    """(place, item) of a list in the operator's document, as far as it is one; so references are checked beside shapes."""
+    items = doc.get(part, ())
+    pairs = enumerate(items) if isinstance(items, (list, tuple)) else ()
+    return [(place, item) for place, item in pairs if isinstance(item, dict)]
+
+
+def _names(doc, part):
+    return {item["name"] for _, item in _items(doc, part) if isinstance(item.get("name"), str)}
+
+
+def _dangling(doc):
+    models, adapters, lines = (_names(doc, part) for part in ("models", "adapters", "lines"))
     for part in ("models", "adapters", "lines", "callers", "routes"):
         seen = set()
-        for place, item in enumerate(getattr(catalogue, part)):
-            if item.name in seen:
-                yield f"{part}[{place}].name", f"duplicate name {item.name!r}"
-            seen.add(item.name)
-    if not catalogue.areas:
-        yield "areas", "at least one is needed"
-    for place, area in enumerate(catalogue.areas):
-        if area in catalogue.areas[:place]:
-            yield f"areas[{place}]", f"duplicate name {area!r}"
-    models = {model.name for model in catalogue.models}
-    adapters = {adapter.name for adapter in catalogue.adapters}
-    lines = {line.name for line in catalogue.lines}
-    for place, adapter in enumerate(catalogue.adapters):
-        if adapter.model not in models:
-            yield f"adapters[{place}].model", f"no model {adapter.model!r}"
-        if adapter.name in models:
-            yield f"adapters[{place}].name", f"{adapter.name!r} is a model's name"
+        for place, item in _items(doc, part):
+            name = item.get("name")
+            if isinstance(name, str):
+                if name in seen:
+                    yield f"{part}[{place}].name", f"duplicate name {name!r}"
+                seen.add(name)
+    areas = doc.get("areas")
+    if isinstance(areas, (list, tuple)):
+        if not areas:
+            yield "areas", "at least one is needed"
+        for place, area in enumerate(areas):
+            if area in areas[:place]:
+                yield f"areas[{place}]", f"duplicate name {area!r}"
+    for place, adapter in _items(doc, "adapters"):
+        if isinstance(adapter.get("model"), str) and adapter["model"] not in models:
+            yield f"adapters[{place}].model", f"no model {adapter['model']!r}"
+        if isinstance(adapter.get("name"), str) and adapter["name"] in models:
+            yield f"adapters[{place}].name", f"{adapter['name']!r} is a model's name"
     keys = {}
-    for place, caller in enumerate(catalogue.callers):
-        if caller.line not in lines:
-            yield f"callers[{place}].line", f"no line {caller.line!r}"
-        if caller.key in keys:
-            yield f"callers[{place}].key", f"the key of callers[{keys[caller.key]}]"
-        keys.setdefault(caller.key, place)
-    for place, route in enumerate(catalogue.routes):
-        if route.target not in models and route.target not in adapters:
-            yield f"routes[{place}].target", f"no model or adapter {route.target!r}"
-        if route.name in models or route.name in adapters:
-            yield f"routes[{place}].name", f"{route.name!r} is taken by a model or adapter"
-    for role in ROLES:
-        program = compile_policy(role, getattr(catalogue.policies, role))
-        if program == POLICY_REFUSED:
-            yield f"policies.{role}", program.reason
+    for place, caller in _items(doc, "callers"):
+        if isinstance(caller.get("line"), str) and caller["line"] not in lines:
+            yield f"callers[{place}].line", f"no line {caller['line']!r}"
+        key = caller.get("key")
+        if isinstance(key, str):
+            if key in keys:
+                yield f"callers[{place}].key", f"the key of callers[{keys[key]}]"
+            keys.setdefault(key, place)
+    for place, route in _items(doc, "routes"):
+        target, name = route.get("target"), route.get("name")
+        if isinstance(target, str) and target not in models and target not in adapters:
+            yield f"routes[{place}].target", f"no model or adapter {target!r}"
+        if isinstance(name, str) and (name in models or name in adapters):
+            yield f"routes[{place}].name", f"{name!r} is taken by a model or adapter"
+    policies = doc.get("policies")
+    for role in ROLES if isinstance(policies, dict) else ():
+        if isinstance(policies.get(role, ""), str):
+            program = compile_policy(role, policies.get(role, ""))
+            if program == POLICY_REFUSED:
+                yield f"policies.{role}", program.reason
 
 
 def merge(whole: dict, part: dict) -> dict:
@@ -172,7 +190,9 @@
         if field in KEYED and field != "areas" and isinstance(value, (list, tuple)):
             items = {item.get("name"): item for item in whole.get(field, ()) if isinstance(item, dict)}
             for place, item in enumerate(value):
-                name = item.get("name") if isinstance(item, dict) else place
+                name = item.get("name") if isinstance(item, dict) else None
+                if not isinstance(name, str):
+                    name = (place,)  # no name: it stays as it is, for the check to refuse
                 if isinstance(item, dict) and item.get("remove") is True and set(item) == {"name", "remove"}:
                     items.pop(name, None)
                 else:
@@ -194,10 +214,38 @@
 
 def test_every_fault_is_named_by_path():
     assert read_catalogue(_example())[1] == ()
-    doc = _example() | {"colour": 1, "adapters": [{"name": "x", "model": 3, "memory": -1.0}], "store": {"pace": "fast"}}
+    doc = _example() | {"colour": 1, "adapters": [{"name": "x", "model": 3, "memory": -1.0}], "store": {"pace": "fast"},
+                       "routes": [{"name": "r", "target": "gone"}]}
     doc["callers"] = [{"name": "clerk", "key": "clerk-key", "line": "counter", "patience": -2.0}]
     assert [path for path, _ in read_catalogue(doc)[1]] == [
-        "colour", "callers[0].patience", "adapters[0].model", "adapters[0].memory", "store.pace"]
+        "colour", "callers[0].patience", "adapters[0].model", "adapters[0].memory", "store.pace", "routes[0].target"]
+
+
+def test_no_junk_makes_the_check_or_the_merge_fall():
+    """Whatever an operator sends is judged, never raised: it is judged on every node."""
+    from random import Random
+
+    draw = Random(5)
+    junk = (None, True, -1, 1e308, "", "x" * 99, [], [[]], {}, {"name": []}, [{"name": {}}], {"a": {"b": [1]}}, [None, 3, {"name": None}])
+
+    def bend(value, depth=0):
+        if draw.random() < 0.04:
+            return draw.choice(junk)
+        if isinstance(value, dict):
+            return {name: bend(item, depth + 1) for name, item in value.items() if draw.random() < 0.99}
+        if isinstance(value, list):
+            return [bend(item, depth + 1) for item in value]
+        return value
+
+    whole = _example() | {"adapters": [{"name": "x", "model": "m"}], "routes": [{"name": "r", "target": "m"}], "policies": {"hold": "True"}}
+    judged = {True: 0, False: 0}
+    for _ in range(2000):
+        doc = bend(whole)
+        for wanted in (doc, merge(whole, doc) if isinstance(doc, dict) else doc):
+            catalogue, faults = read_catalogue(wanted)
+            assert (catalogue is None) == bool(faults)
+            judged[catalogue is None] += 1
+    assert min(judged.values()) > 50
 
 
 def test_references_duplicates_and_bounds_are_refused():
--- a/sumachook/loom/outlook.py
+++ b/sumachook/loom/outlook.py
@@ -12,10 +12,8 @@
         for server in filter(None, pair):
             if model not in state.held.get(server, {}):
                 loads.append({"model": model, "server": server, "gigabytes": sizes[model]})
-    for server, items in sorted(state.held.items()):
-        for name in sorted(items):
-            if name in state.pairs and server not in pairs.get(name, ()):
-                drops.append({"model": name, "server": server, "needed": name in pairs})
+    for model, pair in sorted(state.pairs.items()):
+        drops += [{"model": model, "server": server} for server in pair if server and server not in pairs.get(model, ())]
     total = sum(load["gigabytes"] for load in loads)
     moved = sorted(model for model in set(pairs) | set(state.pairs) if pairs.get(model) != state.pairs.get(model))
     return {"generation": state.generation, "changed": {model: {"from": state.pairs.get(model), "to": pairs.get(model)} for model in moved},
