A seat's identity lies with its promises; resumes enter no closed area; drawing after faults

Cause (read through): identity and control records lay in two files, so a core that lost the one kept its name and forgot its promises. Now one file: who lost it comes back as somebody new. A resume at a leaving or evacuated server is a new entry too, so it is not made. Servers are drawn by how long ago they failed the request, in place of a rule of its own for each count of servers.

--- a/sumachook/accord/accord.py
+++ b/sumachook/accord/accord.py
@@ -294,10 +294,10 @@
         return []
 
     def _records(self):
-        """The whole file anew: promise, image, view and the entries after the image."""
+        """The whole file anew: who we are, promise, image, view and the entries after the image."""
         image = ("image", self.chain.base, self.chain.image, self.chain.baseRoster)
         entries = tuple(entry.decode() for entry in self.chain.entries)
-        return (("promise", self.promised), image, ("view", self.view, self.members, self.chain.base + 1, entries))
+        return (("seat", self.seat), ("promise", self.promised), image, ("view", self.view, self.members, self.chain.base + 1, entries))
 
     def _rewrite(self, followup):
         return [("rewrite", FILE, self._records(), followup)]
--- a/sumachook/ferry/ferry.py
+++ b/sumachook/ferry/ferry.py
@@ -287,9 +287,8 @@
             return None
         open_ = [name for name, server in self.state.servers.items()
                  if server["kind"] == "records" and self._is_usable(server, trust) and not self._lane(name).is_shut(now)]
-        fresh = [name for name in open_ if name not in row.avoid] or open_
-        near = [name for name in fresh if self.state.servers[name]["area"] == self.area] or fresh
-        return min(near, key=lambda name: (self._lane(name).inUse, name), default=None)
+        return min(open_, default=None, key=lambda name: (
+            _failed_at(row, name), self.state.servers[name]["area"] != self.area, self._lane(name).inUse, name))
 
     def _draw_server(self, row, now):
         """A server's name, None to wait on, or a fault (§7.4)."""
@@ -311,7 +310,7 @@
                 row.retryAfter = max(1.0, (soonest - now).total_seconds())
                 return faults.UNREACHABLE.because("the breaker is open")
             return self._waking(row, now)
-        ready.sort(key=lambda item: item[0] in row.avoid)
+        ready.sort(key=lambda item: _failed_at(row, item[0]))
         for name, server, isWarm in ready:
             if self._has_room(row, name, server, isWarm, now):
                 return name
@@ -503,7 +502,7 @@
         if not allowed or now + pause >= row.cutoff:
             return out + self._settle(row, fault, now)
         row.state, row.notBefore, row.needsCredit = LINED, now + pause, True
-        row.avoid = (*row.avoid, server)[-2:] if len(set(row.avoid) | {server}) < 3 else (server,)
+        row.avoid = (*(name for name in row.avoid if name != server), server)
         if row.kind == LOOKUP:
             self.lookups.append(row)
         else:
@@ -519,7 +518,8 @@
         """After the first token: the same server, by event id, through a GET; or the end (§7.9)."""
         server = self.state.servers.get(row.server)
         canResume = fault in (faults.CUT, faults.RESET, faults.UNREACHABLE) and row.lastEventId and row.resumes < MOST_RESUMES
-        if not canResume or server is None or now >= row.totalBy:
+        mayEnter = server is not None and self._is_usable(server, self.follower.trust(now))
+        if not canResume or not mayEnter or now >= row.totalBy:
             return self._settle(row, fault, now)
         row.resumes += 1
         row.attempt += 1
@@ -622,6 +622,11 @@
     return f"{stem}:{int(number) + 1}" if number.isdigit() else None
 
 
+def _failed_at(row, name) -> int:
+    """0 for a server that has not failed this request, else higher the later it did."""
+    return row.avoid.index(name) + 1 if name in row.avoid else 0
+
+
 def _status_fault(status, headers, row):
     if status in (429, 503):
         stated = headers.get("retry-after", "")
--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -82,7 +82,7 @@
     logs = Logs(params.node, params.logLevel)
     folder = Folder(Path(params.data)) if params.data else None
     records = {}
-    for name in ("seat", "accord", "ledger", "image", "spool") if folder else ():
+    for name in ("accord", "ledger", "image", "spool") if folder else ():
         records[name] = folder.load(name)
         if isinstance(records[name], Fault):
             logs.log("error", "vault", "A file is damaged, not starting.", {"reason": str(records[name])})
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sumachook.accord.accord import Accord
+from sumachook.accord.accord import FILE as ACCORD_FILE, Accord
 from sumachook.atlas.catalogue import merge, read_catalogue
 from sumachook.atlas.state import State
 from sumachook.fault import Fault
@@ -35,18 +35,16 @@
     __slots__ = ("params", "node", "boot", "state", "rumour", "accord", "rota", "source", "placer", "watcher", "keeper", "accountant",
                  "desk", "isNew", "isReady", "stopAt", "ignored", "clock", "finds", "changedAt", "draw")
 
-    FILES = ("seat", "accord", "ledger")
-
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
         self.params, self.boot, self.clock, self.draw = params, boot, clock, draw
-        seats = records.get("seat", ())
-        self.isNew = not seats  # a blank folder is a new identity
-        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seats[0][1]
+        seats = [record[1] for record in records.get(ACCORD_FILE, ()) if record[0] == "seat"]
+        self.isNew = not seats  # a blank folder is a new identity; what it promised and who it is go together (§4.6)
+        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seats[0]
         self.isReady = not self.isNew
         self.state = State()
         self.accord = Accord(self.node, params.address, params.founding, Random(draw.random()), self.state.image,
-                             records.get("accord", ()), timedelta(seconds=params.seatAway), now)
+                             records.get(ACCORD_FILE, ()), timedelta(seconds=params.seatAway), now)
         number, image = self.accord.restore()
         if image is not None:
             self.state.restore(image)
@@ -63,7 +61,7 @@
     def take(self, message: tuple, now) -> list:
         if self.isNew:
             self.isNew = False
-            return [("disk", "seat", (("seat", self.node),), ("seat-ready",))]
+            return [("disk", ACCORD_FILE, (("seat", self.node),), ("seat-ready",))]
         if not self.isReady:
             self.isReady = message[0] == "seat-ready"
             return []
--- a/sumachook/role/daemon.py
+++ b/sumachook/role/daemon.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from sumachook.pulse.supervisor import Supervisor
+from sumachook.role.desk import reply
 from sumachook.wire.codec import Codec
 from sumachook.wire.door import Door
 from sumachook.wire.fetcher import Fetcher
@@ -86,7 +87,7 @@
         except Exception as error:
             what = message[3][0] if message[0] == "heard" else message[0]
             self.log("error", "daemon", "A message could not be taken.", {"kind": str(what), "error": repr(error)})
-            return []
+            return [reply(message[1], 500, {"fault": {"class": "inner", "reason": "see the log"}})] if message[0] == "http" else []
 
     def _do(self, effect):
         kind = effect[0]
--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -277,3 +277,14 @@
     for seed in (1, 2, 3):
         _, acked, delivered, faults = play(seed, 40.0)
         assert faults == [] and acked and delivered > acked
+
+
+def test_core_that_lost_its_file_is_not_who_it_was():
+    """Given a core whose control file is gone while its ledger is still there, it comes back as somebody new."""
+    town = settled(72, seatAway=4.0)
+    former = town.boxes["core-1"].machine.node
+    town.kill("core-1")
+    del town.boxes["core-1"].disk.files["accord"]
+    town.start("core-1")
+    assert town.boxes["core-1"].machine.node != former
+    assert town.run_until(lambda: leader(town) is not None and town.boxes["core-1"].machine.node in leader(town).accord.members, 25)
