No caller is held for a credit that does not come; an unfinished end is shown to be a cut

Cause: a safe request without credit waited until its cutoff (20 s) with an answer long known. Now three seconds at most. A mutant that took an early, orderly end of a stream for the answer's end was caught by no test; a story with such a server catches it now.

--- a/sumachook/ferry/ferry.py
+++ b/sumachook/ferry/ferry.py
@@ -24,6 +24,7 @@
 LOOKUP_CONNECT = timedelta(seconds=0.7)
 LOOKUP_TOTAL = timedelta(seconds=1.5)
 HEADROOM = 1.5
+CREDIT_WAIT = timedelta(seconds=3)
 MOST_ROWS = 4000
 MOST_ALERTS = 500
 
@@ -75,7 +76,7 @@
         self.purse.earn()
         self._count("admitted", row.kind)
         if row.kind == PROMPT:
-            for name in {row.name, row.model.name}:
+            for name in dict.fromkeys((row.name, row.model.name)):
                 self.demand[name] = self.demand.get(name, 0) + 1
         return [("open", self._record(row), row.isSafe)]
 
@@ -501,7 +502,7 @@
             pause, row.retryAfter = max(pause, timedelta(seconds=row.retryAfter)), None
         if not allowed or now + pause >= row.cutoff:
             return out + self._settle(row, fault, now)
-        row.state, row.notBefore, row.needsCredit = LINED, now + pause, True
+        row.state, row.notBefore, row.needsCredit, row.creditBy = LINED, now + pause, True, now + pause + CREDIT_WAIT
         row.avoid = (*(name for name in row.avoid if name != server), server)
         if row.kind == LOOKUP:
             self.lookups.append(row)
@@ -541,6 +542,8 @@
                 elif now >= row.totalBy:
                     isCutoff = row.totalBy >= row.cutoff
                     out += self._stop_try(row, faults.CUTOFF if isCutoff else faults.TOTAL_TIMEOUT, now)
+            elif row.needsCredit and now >= row.creditBy:
+                out += self._settle(row, row.lastFault.because("no credit for a resend"), now)
             elif now >= row.cutoff:
                 fault = faults.CUTOFF.because(f"nothing within {row.cutoff - row.arrivedAt}, last: {row.lastFault or 'waiting'}")
                 out += self._settle(row, fault, now)
--- a/sumachook/guise/model.py
+++ b/sumachook/guise/model.py
@@ -39,7 +39,7 @@
     """Takes (message, now); notes in its record all that it ran and was ordered (§12.2)."""
 
     __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest",
-                 "record", "fence", "isDark", "hasIds", "skips", "readyAt", "prefill", "loadRate")
+                 "record", "fence", "isDark", "hasIds", "skips", "endsAfter", "readyAt", "prefill", "loadRate")
 
     def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True, record=None):
         self.name, self.memory, self.places, self.slots = listed["name"], listed["memory"], listed["places"], listed["slots"]
@@ -48,7 +48,7 @@
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
         self.held = {name: "loaded" for name in held}
         self.active, self.waiting, self.byRequest, self.record = {}, [], {}, record or Record()
-        self.fence, self.isDark, self.hasIds, self.skips = 0, False, hasIds, 0
+        self.fence, self.isDark, self.hasIds, self.skips, self.endsAfter = 0, False, hasIds, 0, None
         self.readyAt, self.prefill, self.loadRate = {}, timedelta(seconds=0.1), loadRate
 
     def take(self, message: tuple, now) -> list:
@@ -192,6 +192,9 @@
             eventId = f"{run.request}:{number}" if self.hasIds else None
             out.append(("chunk", run.cid, send(Event(data=msgspec.json.encode(run.events[number]).decode(), id=eventId))))
         run.flushed = len(run.events)
+        if self.endsAfter is not None and run.flushed >= self.endsAfter:  # ends in good order, but with no word of being done
+            run.isDone, run.goneAt = True, now
+            return [*out, ("end", run.cid)]
         if run.said > EVENTS:
             out += [("chunk", run.cid, send(Event(data="[DONE]"))), ("end", run.cid)]
             run.isDone, run.goneAt = True, now
--- a/sumachook/loom/orders.py
+++ b/sumachook/loom/orders.py
@@ -1,5 +1,7 @@
 """What to order next, from what is wanted and what is held: a pure function."""
 
+from math import fsum
+
 from sumachook.creed.policy import compile_policy
 from sumachook.loom.plan import plan_adapters
 
@@ -91,7 +93,7 @@
 
 
 def _used(names, sizes, adapters) -> float:
-    return sum(sizes.get(name, adapters[name].memory if name in adapters else 0.0) for name in names)
+    return fsum(sizes.get(name, adapters[name].memory if name in adapters else 0.0) for name in names)
 
 
 def _leaving(actual, inFlight, server):
--- a/sumachook/tally/keeper.py
+++ b/sumachook/tally/keeper.py
@@ -179,7 +179,7 @@
             owners &= set(self.roster)
             if not owners:
                 del self.hints[request]
-            for owner in owners:
+            for owner in sorted(owners):
                 if owner in live and len(batches.setdefault(owner, [])) < 200:
                     batches[owner].append((self.rows[request], ()))
         return [("tell", self.roster[owner], ("hand", tuple(rows))) for owner, rows in batches.items() if rows]
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -76,6 +76,20 @@
     assert witness(town, callers).faults() == []
 
 
+def test_stream_that_ends_in_good_order_but_unfinished_is_cut():
+    """Rule 3. Given a server that closes its stream properly after three pieces, nobody is told that this was all: a caller who
+    streams sees it cut, one who does not gets a fault, and neither a finish reason nor [DONE] is made up."""
+    town = settled(49)
+    callers = quiet(town)
+    for server in town.machines("model"):
+        server.endsAfter, server.hasIds = 3, False
+    streamed, whole = ask(town, callers, "refunds", model="refund-01"), ask(town, callers, "claims", model="claim-01")
+    town.run(20)
+    assert streamed.outcome == "cut" and not streamed.isDone and streamed.text.count("/") == 6
+    assert whole.outcome == "fault" and whole.faultClass == "cut" and whole.text == ""
+    assert witness(town, callers).faults() == []
+
+
 def test_resume_goes_on_exactly_where_it_stopped():
     """Rule 2. Given event ids and a connection that breaks in mid-stream, the same server goes on at the next piece, run once."""
     town = settled(35)
