Three rules get stories that fail when their guard is taken away

Mutants that survived the stories: leaving servers drawn (pairs move off them at once; now a records server leaves too), evacuated areas drawn (now their neighbours' server is gone as well), resends that cost nothing (breakers had hidden it; now servers are busy without end, which opens none). Each story was seen failing with its mutant and passing without.

--- a/tests/placement_stories.py
+++ b/tests/placement_stories.py
@@ -46,8 +46,9 @@
     town.run(5)
     busiest = max((name for name in town.arrivals if "model" in name), key=lambda name: len(town.arrivals[name]))
     check = witness(town, callers)
-    town.boxes["platform"].machine.servers[busiest]["leaving"] = True
-    check.leavings.append((busiest, town.now, timedelta(days=1)))
+    for name in (busiest, "stamps-1"):
+        town.boxes["platform"].machine.servers[name]["leaving"] = True
+        check.leavings.append((name, town.now, timedelta(days=1)))
     town.run(20)
     callers.isOn = False
     town.run(8)
@@ -64,7 +65,9 @@
     town.run(4)
     assert town.ask("core-1", "POST", "/operator/evacuate", {"request": "out", "area": "hall-b"})[0] == 200
     start = town.now
-    town.run(25)
+    town.run(5)
+    town.kill("stamps-1")  # its callers look for another area's server now
+    town.run(20)
     end = town.now
     assert town.ask("core-2", "POST", "/operator/restore", {"request": "back", "area": "hall-b"})[0] == 200
     check.evacuations.append(("hall-b", start, end))
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -233,6 +233,22 @@
     assert witness(town, callers).faults() == []
 
 
+def test_resends_do_not_follow_every_refusal():
+    """Rule 7. Given two of three records servers that are busy without end, which opens no breaker, resends still stay near a
+    fifth; what finds no credit is told so with a time to come back."""
+    town = settled(50, edges=5)
+    callers = town.call_in(2.0, [group(town, "stamps")])
+    town.run(4)
+    for name in ("stamps-1", "stamps-2"):
+        town.boxes[name].machine.isBusy = True
+    town.run(25)
+    callers.isOn = False
+    town.run(8)
+    first, again = witness(town, callers).resends()
+    assert 0.1 * first < again <= 0.2 * first + 2, (first, again)
+    assert {call.faultClass for call in callers.calls if call.outcome != "ok"} <= {"overload", "cutoff"}
+
+
 def test_credit_reaches_the_one_small_node_that_meets_the_fault():
     """Rule 7. Given one edge without credit that alone meets a fault, credit is lent to it and the fleet's sum never rises."""
     town = settled(44, edges=4)
