Total loss on real processes; audits beside shops; a caller gone between two writes

Cause of a traceback in a stand-in's log: writing to a caller that had just gone raised out of the door. The story of audits now has shop prompts that can go nowhere else; without the line's share it fails, which it did not before.

--- a/harness/trials.py
+++ b/harness/trials.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from harness.processes import Processes
+from sumachook.pulse.clock import Clock
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -17,10 +18,10 @@
 class Trial:
     """One fleet under callers, while things are done to it; `run` tells what came of it."""
 
-    __slots__ = ("fleet", "work", "samples", "told")
+    __slots__ = ("fleet", "work", "samples", "backAt")
 
     def __init__(self, city: str, work: Path):
-        self.fleet, self.work, self.samples, self.told = Processes(EXAMPLES / city, work), work, [], []
+        self.fleet, self.work, self.samples, self.backAt = Processes(EXAMPLES / city, work), work, [], None
 
     def run(self, name: str, do, seconds: float) -> bool:
         print(f"up in {self.fleet.bring_up():.1f} s", flush=True)
@@ -50,9 +51,19 @@
         failed = [call for call in final if call["safe"] and call["outcome"] != "ok"]
         twice = [call["tag"] for call in calls if not call["safe"] and runs[call["tag"]] > 1]
         hidden = [call["tag"] for call in calls if call["run"] == "no" and runs[call["tag"]]]
+        logged = {json.loads(line)["tag"] for path in self.work.glob("*/day-*.jsonl") for line in path.read_text().splitlines()}
+        unlogged = [call["tag"] for call in calls if call["outcome"] != "ok" and call["class"] not in ("refused", "connect-timeout")
+                    and call["tag"] not in logged and (runs[call["tag"]] or call["seconds"] > 0.5)]
         broken = [line for proof in proofs.values() for line in proof.get("broken", ())]
         print(f"{name}: {len(final)} calls, {len(failed)} safe ones not answered, {len(twice)} unsafe ones run twice, "
               f"{len(hidden)} told 'not run' that ran, {len(broken)} orders beyond room")
+        print(f"{len(unlogged)} calls that reached a node and were not answered are in no day's log "
+              f"(but for those of the node's last half second of which nothing ran): {unlogged[:5]}")
+        bad = [call["at"] for call in final if call["outcome"] != "ok"]
+        if self.backAt is not None:
+            last = max((at - self.backAt for at in bad if at > self.backAt), default=None)
+            print("after the return of all, the last call not answered was made at "
+                  + (f"{last:.1f} s" if last is not None else "no time"))
         print("memory (MB) and open files at the begin and the end: " + self.growth())
         uncaught = [path.name for path in self.work.glob("*.log") if "Traceback" in path.read_text()]
         print(f"exit codes other than 0: { {name: code for name, code in codes.items() if code} or 'none'}, tracebacks in {uncaught or 'no log'}")
@@ -113,6 +124,22 @@
         time.sleep(5)
 
 
+def total(trial: Trial):
+    """SIGKILL of all of our nodes at once; all return three seconds later."""
+    names = trial.names("core") + trial.names("edge")
+    for name in names:
+        trial.fleet.signal(name, signal.SIGKILL)
+    for name in names:
+        trial.fleet.running.pop(name).wait()
+    time.sleep(3)
+    trial.backAt = Clock().mono().total_seconds()
+    for name in names:
+        trial.fleet.start(name)
+    isReady = trial.fleet.wait_for(lambda: trial.fleet.are_ready("edge"), 30)
+    print(f"all edges ready again: {isReady}, after {Clock().mono().total_seconds() - trial.backAt:.1f} s", flush=True)
+    time.sleep(15)
+
+
 def soak(trial: Trial):
     """Nothing but load, for minutes."""
     for _ in range(12):
@@ -120,7 +147,7 @@
         trial.sample()
 
 
-TRIALS = {"rolling": (rolling, 75), "kills": (kills, 55), "freezes": (freezes, 45), "soak": (soak, 190)}
+TRIALS = {"rolling": (rolling, 75), "kills": (kills, 55), "freezes": (freezes, 45), "total": (total, 40), "soak": (soak, 190)}
 
 
 def main():
@@ -129,7 +156,7 @@
     parser.add_argument("--city", default="kosice", choices=["kosice", "central-java"])
     given = parser.parse_args()
     isGood = True
-    for name in given.names or ("rolling", "kills", "freezes"):
+    for name in given.names or ("rolling", "kills", "freezes", "total"):
         do, seconds = TRIALS[name]
         print(f"== {name}: {do.__doc__}", flush=True)
         isGood &= Trial(given.city, Path(tempfile.mkdtemp(prefix="sumachook-"))).run(name, do, seconds)
--- a/sumachook/guise/report.py
+++ b/sumachook/guise/report.py
@@ -16,7 +16,7 @@
         lines = [msgspec.json.encode({
             "number": call.number, "group": call.group, "outcome": call.outcome, "status": call.status, "class": call.faultClass,
             "run": call.run, "request": call.request, "edge": call.edge, "moves": call.moves, "hasMoved": call.hasMoved, "safe": call.safe, "tag": call.tag,
-            "seconds": (call.endedAt - call.sentAt).total_seconds() if call.endedAt else None}) for call in calls]
+            "at": call.sentAt.total_seconds(), "seconds": (call.endedAt - call.sentAt).total_seconds() if call.endedAt else None}) for call in calls]
         Path(file).write_bytes(b"\n".join(lines) + b"\n")
     if not calls:
         return "no calls"
--- a/sumachook/wire/door.py
+++ b/sumachook/wire/door.py
@@ -95,6 +95,8 @@
             answer = await self._answer(request, exchange)
             isWhole = True
             return answer
+        except ConnectionResetError:  # the caller went away between two writes
+            raise asyncio.CancelledError from None
         finally:
             del self.exchanges[cid]
             if not isWhole and not exchange.isOver:
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -202,11 +202,17 @@
 
 
 def test_lookups_never_wait_behind_audits():
-    """Rule 11. Given audits that fill every server, lookups and shop prompts are answered as fast as without them."""
+    """Rule 11. Given slow audits that fill every place they may have, lookups and shop prompts are answered as fast as without."""
     town = settled(42, edges=4)
-    callers = town.call_in(1.0, [group(town, "stamps"), group(town, "claims")])
+    pairs = leader(town).state.pairs
+    crowded = {server for place in (1, 2, 3) for server in pairs[f"audit-0{place}"]}
+    beside = [model for model, pair in pairs.items() if not model.startswith("audit") and set(pair) - {""} <= crowded]
+    assert beside  # shop prompts that have nowhere to go but where the audits are
+    callers = town.call_in(1.0, [group(town, "stamps"), group(town, "claims", models=beside)])
     town.run(10)
     calm = max(call.endedAt - call.sentAt for call in outcomes(callers, group="stamps", outcome="ok"))
+    for server in town.machines("model"):
+        server.rates |= {name: 4.0 for name in server.rates if name.startswith("audit")}
     flood = town.call_in(1.0, [group(town, "audits", rate=30.0)], "flood")
     town.run(20)
     flood.isOn = callers.isOn = False
@@ -215,7 +221,7 @@
     shops = [call for call in callers.calls if call.group == "claims"]
     assert all(call.outcome == "ok" for call in lookups + shops)
     assert max(call.endedAt - call.sentAt for call in lookups) < calm + 0.1 * SECOND
-    assert max(call.endedAt - call.sentAt for call in shops) < 3 * SECOND
+    assert max(call.endedAt - call.sentAt for call in shops) < 1.5 * SECOND
 
 
 def test_resends_stay_near_a_fifth_over_all_nodes():
