--- a/sumachook/accord/accord.py
+++ b/sumachook/accord/accord.py
@@ -555,3 +555,43 @@
             del self.newcomers[newSeat]
             return self._admit(pack_entry(("seat-in", newSeat, address)), None, now)
         return []
+
+
+def _member():
+    """A seat that stands in view 4 of three seats, led by a."""
+    found = pack_entry(("found", {"a": "a:1", "b": "b:1", "c": "c:1"})).decode()
+    records = (("seat", "c"), ("promise", (4, "a")), ("view", (4, "a"), ("a", "b", "c"), 1, (found, '["founded"]')))
+    machine = Accord("c", "c:1", (), Random(1), dict, records, None, timedelta(seconds=5))
+    machine.role, machine.leader = "member", "a"
+    return machine
+
+
+def test_who_promised_a_higher_ballot_takes_nothing_more_of_the_old_view():
+    now, entry = timedelta(seconds=5), b'["founded"]'
+    grow = ("heard", "a", "a:1", ("grow", (4, "a"), 3, (entry,), 2))
+    assert [effect[0] for effect in _member().take(grow, now)][-1] == "disk"
+    stopped = _member()
+    (promise,) = stopped.take(("heard", "b", "b:1", ("stop", (5, "b"), 0, {"a": "a:1", "b": "b:1", "c": "c:1"})), now)
+    assert promise[:3] == ("disk", FILE, (("promise", (5, "b")),))
+    ((_, address, answer),) = stopped.take(promise[3], now)
+    assert address == "b:1" and answer[0] == "stopped" and answer[4] == 2
+    assert stopped.take(grow, now) == [] and stopped.chain.end == 2
+    old = ("heard", "a", "a:1", ("install", (4, "a"), ("a", "c"), 3, (entry,), None))
+    older = ("heard", "a", "a:1", ("install", (3, "a"), ("a", "c"), 3, (entry,), None))
+    assert stopped.take(old, now) == [] and stopped.take(older, now) == []
+    assert stopped.take(("heard", "a", "a:1", ("stop", (3, "a"), 0, {"a": "a:1", "c": "c:1"})), now) == []
+
+
+def test_the_log_of_the_highest_view_is_taken_not_the_longest():
+    now, (first, second) = timedelta(seconds=5), (b'["founded"]', b'["seat-out","x"]')
+    machine = _member()
+    machine._start_ballot(now)
+    machine.take(("accord_synced", "own-stop", machine.ballot), now)
+    machine.chain.extend(3, [first, first, first])
+    machine.answers["c"] = (machine.view, 0, machine.chain.end, 1, None, None)
+    newer = ("stopped", machine.ballot, (4, "b"), 0, 3, 1, (machine.chain.entries[0], first, second), None)
+    machine.take(("heard", "b", "b:1", newer), now)
+    machine.take(("pulse", ()), now)
+    out = machine.take(("pulse", ()), now + machine.GATHER)
+    assert any(effect[0] == "rewrite" for effect in out)
+    assert machine.chain.entries[1:] == [first, second] and machine.members == ("b", "c")
