--- a/tests/placement_stories.py
+++ b/tests/placement_stories.py
@@ -145,3 +145,21 @@
     town.run(60)
     refused = sum("not taken" in line[4] for line in town.logs) - before
     assert 2 <= refused <= 10
+
+
+def test_model_that_just_woke_is_not_flooded_by_those_who_waited():
+    """Rule 8. Given sixty prompts at five edges that wait for a cold model, when it is loaded they come to it a few at a time,
+    doubling, and all are answered."""
+    town = settled(29, edges=5)
+    for server in town.machines("model"):
+        server.sizes["fresh"], server.rates["fresh"] = 12.0, 200.0
+    doc = {"models": [{"name": "fresh", "memory": 12.0, "decodeRate": 200.0}]}
+    callers = quiet(town)
+    assert town.ask("core-1", "POST", "/operator/apply", {"request": "go", "doc": doc, "part": True})[0] == 200
+    for _ in range(60):
+        ask(town, callers, "refunds", model="fresh")
+    town.run(20)
+    peaks = [record.warmPeak["fresh"] for record in town.records.values() if "fresh" in record.warmPeak]
+    assert peaks and max(peaks) <= 4
+    assert {call.outcome for call in callers.calls} == {"ok"}
+    assert witness(town, callers).faults() == []
