Read through: what nothing used is gone; impossible sizes refused; rewriting cut off at each step

A model larger than the store's bucket could never be loaded and, being first in turn, would have held up every load behind it. Now the catalogue is refused with the model's path.

--- a/sumachook/accord/faults.py
+++ b/sumachook/accord/faults.py
@@ -4,5 +4,3 @@
 
 NO_VIEW = Fault("accord", "no working view")
 TOO_MANY = Fault("accord", "too many changes waiting")
-NO_ANSWER = Fault("accord", "not acknowledged in time")
-BROKEN_DISK = Fault("accord", "records do not fit together")
--- a/sumachook/atlas/catalogue.py
+++ b/sumachook/atlas/catalogue.py
@@ -127,6 +127,10 @@
     return [(place, item) for place, item in pairs if isinstance(item, dict)]
 
 
+def _is_number(value):
+    return isinstance(value, (int, float)) and not isinstance(value, bool)
+
+
 def _names(doc, part):
     return {item["name"] for _, item in _items(doc, part) if isinstance(item.get("name"), str)}
 
@@ -168,6 +172,11 @@
             yield f"routes[{place}].target", f"no model or adapter {target!r}"
         if isinstance(name, str) and (name in models or name in adapters):
             yield f"routes[{place}].name", f"{name!r} is taken by a model or adapter"
+    store = doc.get("store")
+    burst = store.get("burst", Store().burst) if isinstance(store, dict) else Store().burst
+    for place, model in _items(doc, "models"):
+        if _is_number(model.get("memory")) and _is_number(burst) and model["memory"] > burst:
+            yield f"models[{place}].memory", f"{model['memory']} is more than store.burst, {burst}, lets begin at once"
     policies = doc.get("policies")
     for role in ROLES if isinstance(policies, dict) else ():
         if isinstance(policies.get(role, ""), str):
@@ -252,9 +261,9 @@
     doc = _example()
     doc["callers"].append({"name": "clerk", "key": "clerk-key", "line": "nowhere", "patience": 1.0})
     doc["adapters"] = [{"name": "x", "model": "gone"}]
-    doc["policies"] = {"hold": "patience +"}
+    doc["policies"], doc["store"] = {"hold": "patience +"}, {"burst": 3.0}
     paths = [path for path, _ in read_catalogue(doc)[1]]
-    assert paths == ["callers[1].name", "adapters[0].model", "callers[1].line", "callers[1].key", "policies.hold"]
+    assert paths == ["callers[1].name", "adapters[0].model", "callers[1].line", "callers[1].key", "models[0].memory", "policies.hold"]
     doc = _example() | {"routes": [{"name": f"r{place}", "target": "m"} for place in range(5001)]}
     assert read_catalogue(doc)[1] == (("routes", "5001 entries, at most 5000"),)
     assert read_catalogue([])[1][0][0] == "$"
--- a/sumachook/guise/storm.py
+++ b/sumachook/guise/storm.py
@@ -102,9 +102,6 @@
         boxes = [box for box in self.town.boxes.values() if box.role in roles and box.machine is not None and not box.isFrozen]
         return self.draw.choice(boxes) if boxes else None
 
-    def _cores_well(self):
-        return all(box.machine is not None and not box.isFrozen for box in self.town.boxes.values() if box.role == "core")
-
     def _revive(self, name):
         if self.town.boxes[name].machine is None:
             self.town.start(name)
--- a/sumachook/loom/orders.py
+++ b/sumachook/loom/orders.py
@@ -18,7 +18,7 @@
     sizes = {model.name: model.memory for model in catalogue.models}
     adapters = {adapter.name: adapter for adapter in catalogue.adapters}
     evict = compile_policy("evict", catalogue.policies.evict)
-    wantedAdapters = plan_adapters(catalogue, servers, pairs, demand, actual)
+    wantedAdapters = plan_adapters(catalogue, servers, pairs, demand)
     wanted = {server: set() for server in actual}
     for model, pair in pairs.items():
         for server in pair:
--- a/sumachook/loom/placer.py
+++ b/sumachook/loom/placer.py
@@ -21,7 +21,7 @@
     Out: ("fetch", ...), ("propose", change), ("log", ...).
     """
 
-    __slots__ = ("state", "port", "fence", "actual", "readAt", "fails", "inFlight", "budget", "budgetAt", "demand", "demandAt",
+    __slots__ = ("state", "port", "fence", "actual", "fails", "inFlight", "budget", "budgetAt", "demand", "demandAt",
                  "nextPoll", "nextPlan", "dirty", "news", "warmSince", "sentHeld", "sentPairs", "number", "models", "dark", "unanswered", "unsure", "refused")
 
     POLL = timedelta(seconds=0.8)
@@ -47,7 +47,7 @@
 
     def _start(self, now):
         """§9.4: a new holder knows nothing until it has read it from the servers."""
-        self.actual, self.readAt, self.fails, self.inFlight, self.models, self.dark = {}, {}, {}, {}, {}, set()
+        self.actual, self.fails, self.inFlight, self.models, self.dark = {}, {}, {}, {}, set()
         self.budget, self.budgetAt, self.nextPoll, self.nextPlan = 0.0, now, now, now + self.POLL * 2
         self.warmSince, self.sentHeld, self.sentPairs = {}, now - self.RESEND, now - self.RESEND
         self.unanswered, self.unsure, self.refused = {}, {}, {}
@@ -146,7 +146,6 @@
         if self.fails[name] == self.DARK_AFTER:
             self.dark.add(name)
             self.actual.pop(name, None)
-            self.readAt.pop(name, None)
             self.dirty = True
             return [("log", "warning", "loom", "A server is dark.", {"server": name})]
         return []
@@ -157,7 +156,7 @@
         Reads are counted, not seconds: a server that froze has not had the time to show anything.
         """
         before = self.actual.get(name)
-        self.actual[name], self.readAt[name] = items, now
+        self.actual[name] = items
         self.unsure.pop(name, None)
         for (server, item), (verb, reads) in list(self.inFlight.items()):
             if server == name and ((verb == LOAD) == (item in items) or reads >= self.MOST_READS):
--- a/sumachook/loom/plan.py
+++ b/sumachook/loom/plan.py
@@ -72,7 +72,7 @@
     return result
 
 
-def plan_adapters(catalogue, servers: dict, pairs: dict, demand: dict, held: dict) -> dict:
+def plan_adapters(catalogue, servers: dict, pairs: dict, demand: dict) -> dict:
     """{server: adapters wanted there}, within the server's adapter places (§9.3)."""
     wanted = {name: [] for name in servers}
     adapters = sorted(catalogue.adapters, key=lambda adapter: (-demand.get(adapter.name, 0.0), adapter.name))
@@ -124,6 +124,6 @@
 def test_adapters_keep_to_their_places():
     catalogue, servers = _world()
     pairs = plan_pairs(catalogue, servers, (), (), {}, {}, {})
-    wanted = plan_adapters(catalogue, servers, pairs, {"x07": 5.0}, {})
+    wanted = plan_adapters(catalogue, servers, pairs, {"x07": 5.0})
     assert all(len(names) <= 4 for names in wanted.values())
     assert "x07" in wanted[pairs["m07"][0]]
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -33,11 +33,11 @@
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "accord", "rota", "source", "placer", "watcher", "keeper", "accountant",
-                 "desk", "isNew", "isReady", "stopAt", "ignored", "clock", "finds", "changedAt", "draw")
+                 "desk", "isNew", "isReady", "stopAt", "ignored", "finds")
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
-        self.params, self.boot, self.clock, self.draw = params, boot, clock, draw
+        self.params, self.boot = params, boot
         seats = [record[1] for record in records.get(ACCORD_FILE, ()) if record[0] == "seat"]
         self.isNew = not seats  # a blank folder is a new identity; what it promised and who it is go together (§4.6)
         self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seats[0]
@@ -56,7 +56,7 @@
         self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now)
         self.keeper = Keeper(self.node, clock.wall, params.retention, records.get("ledger", ()), now)
         self.accountant, self.desk, self.finds = Accountant(now), Desk(), {}
-        self.stopAt, self.ignored, self.changedAt = None, 0, now
+        self.stopAt, self.ignored = None, 0
 
     def take(self, message: tuple, now) -> list:
         if self.isNew:
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -23,11 +23,11 @@
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "nextDemand", "stopBy",
-                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "startedAt", "wasAlone")
+                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "wasAlone")
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
-        self.params, self.node, self.boot, self.startedAt = params, params.node, boot, now
+        self.params, self.node, self.boot = params, params.node, boot
         self.state = State()
         for record in records.get("image", ()):
             self.state.restore(record[1])
--- a/sumachook/rumour/member.py
+++ b/sumachook/rumour/member.py
@@ -4,11 +4,11 @@
 class Member:
     """One node as rumoured; `news()` is how it travels (§3.1)."""
 
-    __slots__ = ("node", "address", "role", "area", "incarnation", "condition", "door", "boot", "since", "heardAt", "feed")
+    __slots__ = ("node", "address", "role", "area", "incarnation", "condition", "door", "boot", "since")
 
     def __init__(self, news: tuple, now):
         self.node, self.address, self.role, self.area, self.incarnation, self.condition, self.door, self.boot = news
-        self.since, self.heardAt, self.feed = now, now, 0
+        self.since = now
 
     def news(self) -> tuple:
         return (self.node, self.address, self.role, self.area, self.incarnation, self.condition, self.door, self.boot)
--- a/sumachook/rumour/rumour.py
+++ b/sumachook/rumour/rumour.py
@@ -18,7 +18,7 @@
     """
 
     __slots__ = ("me", "seeds", "draw", "members", "spread", "turn", "nextProbe", "nextSeed", "pending", "relays",
-                 "number", "lastPulse", "_feedHeard", "wokeAt", "nextGone")
+                 "number", "lastPulse", "_feedHeard", "wokeAt", "feed")
 
     feedHeard = Rising("_feedHeard")
     PROBE_EVERY = timedelta(seconds=0.3)
@@ -33,7 +33,8 @@
     def __init__(self, me: tuple, seeds: tuple, draw: Random, now):
         self.me, self.seeds, self.draw = Member(me, now), tuple(seeds), draw
         self.members, self.spread, self.turn = {}, {}, []
-        self.nextProbe = self.nextSeed = self.nextGone = now
+        self.nextProbe = self.nextSeed = now
+        self.feed = 0
         self.pending, self.relays, self.number = {}, {}, 0
         self.lastPulse, self.wokeAt = now, now - self.SUSPECT_FOR * 4
         self.spread[self.me.node] = 0
@@ -53,7 +54,7 @@
 
     def _pulse(self, now, feed):
         out = []
-        self.me.feed = feed
+        self.feed = feed
         if now - self.lastPulse > self.LATE_PULSE:
             self.wokeAt = now  # §3.3: it was me who was away; doubt nobody yet
             self.pending.clear()
@@ -85,7 +86,7 @@
             if target:
                 self.number += 1
                 self.pending[self.number] = (target.node, now, False)
-                out.append(("cast", target.address, ("probe", self.number, self._news(target), self.me.feed)))
+                out.append(("cast", target.address, ("probe", self.number, self._news(target), self.feed)))
         if now >= self.nextSeed:
             self.nextSeed = now + self.SEED_EVERY * self.draw.uniform(0.8, 1.2)
             out += self._knock()
@@ -111,12 +112,12 @@
 
     def _on_probe(self, sender, address, body, now):
         out = self._read(body[2], now)
-        self._heard(sender, now, body[3])
-        return out + [("cast", address, ("probe_ack", body[1], self._news(self.members.get(sender)), self.me.feed))]
+        self.feedHeard = body[3]
+        return out + [("cast", address, ("probe_ack", body[1], self._news(self.members.get(sender)), self.feed))]
 
     def _on_probe_ack(self, sender, address, body, now):
         self.pending.pop(body[1], None)
-        self._heard(sender, now, body[3])
+        self.feedHeard = body[3]
         return self._read(body[2], now)
 
     def _on_probe_via(self, sender, address, body, now):
@@ -149,11 +150,6 @@
     def _live(self):
         return [member for member in self.members.values() if member.condition in (ALIVE, SUSPECT)]
 
-    def _heard(self, node, now, feed):
-        self.feedHeard = feed
-        if node in self.members:
-            self.members[node].heardAt, self.members[node].feed = now, feed
-
     def _news(self, target=None):
         """Up to a parcel's worth; what we think ill of the receiver always goes along, so that it can object."""
         bound = 3 * ceil(log2(len(self.members) + 2))
@@ -190,9 +186,7 @@
         if known is None and condition in (GONE, LEFT):
             return []
         self.spread[node] = 0
-        feed = known.feed if known else 0
-        fresh = self.members[node] = Member(news, now)
-        fresh.feed = feed
+        self.members[node] = Member(news, now)
         return [("member", node, condition, news)]
 
 
--- a/sumachook/tally/keeper.py
+++ b/sumachook/tally/keeper.py
@@ -17,13 +17,13 @@
     Out: ("tell", address, message), ("disk" | "rewrite", FILE, records, followup), ("journal", day, lines).
     """
 
-    __slots__ = ("seat", "wall", "rows", "keys", "hints", "awaySince", "nextHand", "stored", "retention", "roster", "startedAt",
+    __slots__ = ("seat", "wall", "rows", "keys", "hints", "awaySince", "nextHand", "stored", "retention", "roster",
                  "nextSweep", "openRows", "rewriting")
 
     def __init__(self, seat, wall, retention, records, now):
         self.seat, self.wall, self.retention = seat, wall, retention
         self.rows, self.keys, self.hints, self.awaySince, self.openRows = {}, {}, {}, {}, {}
-        self.nextHand = self.nextSweep = self.startedAt = now
+        self.nextHand = self.nextSweep = now
         self.roster, self.stored, self.rewriting = {}, 0, False
         for record in records:
             self._keep(record[1], record[2])
--- a/sumachook/vault/folder.py
+++ b/sumachook/vault/folder.py
@@ -87,3 +87,25 @@
     assert "damaged" in str(folder.load("log"))
     folder.take([("disk", "log", [["old"]]), ("rewrite", "log", [["fresh"]]), ("disk", "log", [["more"]])])
     assert folder.load("log") == (("fresh",), ("more",))
+
+
+def test_a_rewrite_cut_off_at_any_step_leaves_the_old_file_or_the_new(tmp_path, monkeypatch):
+    folder = Folder(tmp_path)
+    folder.take([("disk", "log", [["old"]])])
+    steps = ("fsync of the new file", "rename")
+    for step in steps:
+        with monkeypatch.context() as patch:
+
+            def fall(*_):
+                raise OSError(step)
+
+            patch.setattr(os, "fsync" if step == steps[0] else "replace", fall)
+            try:
+                folder.take([("rewrite", "log", [["new"]])])
+            except OSError:
+                pass
+        assert Folder(tmp_path).load("log") == (("old",),)
+    (tmp_path / "log.new").write_bytes(b"half a recor")
+    assert folder.load("log") == (("old",),)
+    folder.take([("rewrite", "log", [["new"]])])
+    assert folder.load("log") == (("new",),)
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -139,7 +139,7 @@
     """Given a model that cannot be loaded anywhere, its prompt gets one delayed resend and then a wake timeout, not run."""
     town = settled(38)
     callers = quiet(town)
-    doc = {"models": [{"name": "giant", "memory": 900.0, "decodeRate": 9.0, "wake": 2.0}]}
+    doc = {"models": [{"name": "giant", "memory": 900.0, "decodeRate": 9.0, "wake": 2.0}], "store": {"burst": 1000.0}}
     assert town.ask("core-1", "POST", "/operator/apply", {"request": "giant", "doc": doc, "part": True})[0] == 200
     call = ask(town, callers, "refunds", model="giant")
     town.run(12)
