An edge that knows no other yet sends a warming server nothing

Cause (read through): until its first list of members came, a new edge took itself for the only one and the whole of a warming server's share for its own. Now it waits for the list, three seconds at most. Its test was written with it: without the check the first prompt went out at once.

--- a/sumachook/ferry/ferry.py
+++ b/sumachook/ferry/ferry.py
@@ -39,7 +39,7 @@
     """
 
     __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "wall", "port", "table", "byCid", "lines",
-                 "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "serviceTime", "callers", "generation",
+                 "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "knowsEdges", "serviceTime", "callers", "generation",
                  "targets", "alerts")
 
     def __init__(self, node, incarnation, area, state, follower, purse, draw: Random, wall):
@@ -47,6 +47,7 @@
         self.follower, self.purse, self.draw, self.wall, self.port = follower, purse, draw, wall, OpenPort()
         self.table, self.byCid, self.lines, self.lanes, self.lookups = {}, {}, Lines(), {}, []
         self.counts, self.demand, self.isDraining, self.number = {}, {}, False, 0
+        self.knowsEdges = False  # until the first list of members has come
         self.edges, self.serviceTime, self.callers, self.generation, self.targets, self.alerts = (node,), {}, {}, -1, {}, {}
 
     def take(self, message: tuple, now) -> list:
@@ -341,6 +342,8 @@
         if not isWarm:
             lane.warmSince.pop(item, None)
             return True
+        if not self.knowsEdges:
+            return False  # it would take itself for the only one, and all of the share
         return lane.byItem.get(item, 0) < lane.warm_share(item, server["slots"], rank, count, now)
 
     def _deliver(self, row, name, now):
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -17,17 +17,18 @@
 FEED = {"image", "news", "feed_beat"}
 GRACE = timedelta(seconds=8)
 ALONE_AFTER = timedelta(seconds=2)
+KNOWN_AFTER = timedelta(seconds=3)
 
 
 class Edge:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "nextDemand", "stopBy",
-                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "wasAlone")
+                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "wasAlone", "startedAt")
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
-        self.params, self.node, self.boot = params, params.node, boot
+        self.params, self.node, self.boot, self.startedAt = params, params.node, boot, now
         self.state = State()
         for record in records.get("image", ()):
             self.state.restore(record[1])
@@ -110,6 +111,7 @@
         live = {member.node for member in self.rumour.members.values() if member.condition in (ALIVE, SUSPECT)}
         out += self.quill.take(("pulse", self.state.roster, live), now)
         out += self.purse.take(("pulse", cores), now)
+        self.ferry.knowsEdges |= bool(self.rumour.members) or now - self.startedAt > KNOWN_AFTER
         isAlone = now - self.follower.beatAt > ALONE_AFTER
         if self.wasAlone and not isAlone:
             out += self.ferry.take(("rejoined",), now)
@@ -180,3 +182,24 @@
     assert edge.take(("pulse",), now + GRACE)[-1] == ("leave", 0)
 
 
+
+
+def test_edge_that_knows_no_other_sends_a_warming_server_nothing():
+    from sumachook.atlas.params import Params
+    from sumachook.pulse.clock import Clock
+
+    doc = {"name": "c", "areas": ["a"], "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}], "lines": [{"name": "l"}],
+           "callers": [{"name": "clerk", "key": "clerk-key", "line": "l", "patience": 9.0, "safe": True}]}
+    state = State()
+    state.apply(1, ("apply", "r", doc, False, None))
+    state.servers = {"s": {"kind": "model", "address": "127.0.0.1:9", "area": "a", "leaving": False, "slots": 8}}
+    state.pairs, state.held = {"m": ("s", "")}, {"s": {"m": "warm"}}
+    params = Params(node="e1", address="127.0.0.1:1", door="127.0.0.1:2", area="a", seeds=("127.0.0.1:3",))
+    edge, now = Edge(params, {"image": (("image", state.image()),)}, 1, Clock(), Random(1)), Clock().mono()
+    edge.follower.beatAt = edge.follower.lastPulse = now
+    body = b'{"model":"m","messages":[{"role":"user","content":"x"}]}'
+    edge.ferry.take(("http", 1, "POST", "/v1/chat/completions", {"authorization": "Bearer clerk-key"}, body), now)
+    (request,) = edge.ferry.table
+    assert edge.ferry.take(("recorded", request), now) == []
+    edge.ferry.knowsEdges = True
+    assert [effect[0] for effect in edge.ferry.take(("pulse",), now)] == ["fetch"]
