Read once more: one place for who is live, for a row's line and for turning an area

Behaviour as before. Rumour.live in place of four copies of the same filter in edge and core; the edge no longer tells rumour its own number, which nothing needed; Ferry._line in place of two look-ups; evacuate and restore share how they are sent.

--- a/sumachook/ferry/ferry.py
+++ b/sumachook/ferry/ferry.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from random import Random
+from zlib import crc32
 
 import msgspec
 from assel import Event, send
@@ -197,7 +198,7 @@
         if row.kind == LOOKUP:
             self.lookups.append(row)
             return []
-        line = next((line for line in self.state.catalogue.lines if line.name == row.line), None)
+        line = self._line(row)
         bound, waiting = line.bound if line else 1, self.lines.length(row.line)
         isHeld = compile_policy("hold", row.policies.hold)(
             {"line": row.line, "caller": row.caller.name, "model": row.model.name, "patience": row.caller.patience,
@@ -209,6 +210,10 @@
         self.lines.push(row.line, row)
         return []
 
+    def _line(self, row):
+        """The row's line as the catalogue has it now, or None if it was taken out."""
+        return next((line for line in self.state.catalogue.lines if line.name == row.line), None)
+
     def _expected_wait(self, row) -> float:
         """Seconds, from those ahead in line for the same model and how long its line's answers took of late."""
         ahead = sum(other.model.name == row.model.name for other in self.lines.rows.get(row.line, ()))
@@ -334,7 +339,7 @@
         lane = self._lane(name)
         rank, count = self._rank(name)
         limit = self._limit(server)
-        line = next((line for line in self.state.catalogue.lines if line.name == row.line), None)
+        line = self._line(row)
         share = max(1, int(limit * line.share)) if line else 1
         if lane.inUse >= limit or lane.byLine.get(row.line, 0) >= share:
             return False
@@ -613,8 +618,6 @@
 
 
 def hash_of(*words) -> int:
-    from zlib import crc32
-
     return crc32("|".join(words).encode())
 
 
--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -170,12 +170,16 @@
     request: Annotated[str | None, cappa.Arg(long=True, help="id of the order, for repeating one whose answer was lost")] = None
 
 
+def _send_turn(path: str, command):
+    _show(*command.desk.ask("POST", path, {"request": command.request or new_request(), "area": command.area}))
+
+
 def send_evacuate(command: "Evacuate"):
-    _show(*command.desk.ask("POST", "/operator/evacuate", {"request": command.request or new_request(), "area": command.area}))
+    _send_turn("/operator/evacuate", command)
 
 
 def send_restore(command: "Restore"):
-    _show(*command.desk.ask("POST", "/operator/restore", {"request": command.request or new_request(), "area": command.area}))
+    _send_turn("/operator/restore", command)
 
 
 @cappa.command(name="evacuate", invoke=send_evacuate, help="Let no request into an area.")
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -17,7 +17,7 @@
 from sumachook.role.desk import Desk, read_order, reply
 from sumachook.role.edge import RUMOUR
 from sumachook.rota.rota import Rota
-from sumachook.rumour.rumour import ALIVE, SUSPECT, Rumour
+from sumachook.rumour.rumour import ALIVE, Rumour
 from sumachook.tally.keeper import Keeper
 from sumachook.tally.purse import Accountant
 from sumachook.wire.codec import read_entry
@@ -154,18 +154,15 @@
             out.append(("leave", 0))
         return out
 
-    def _live(self):
-        return [member for member in self.rumour.members.values() if member.condition in (ALIVE, SUSPECT)]
-
     def _core_addresses(self):
-        return (*self.params.seeds, *(member.address for member in self._live() if member.role == "core"))
+        return (*self.params.seeds, *(member.address for member in self.rumour.live if member.role == "core"))
 
     def _live_boots(self):
-        boots = {member.node: member.boot for member in self._live()}
+        boots = {member.node: member.boot for member in self.rumour.live}
         return boots | {self.node: self.boot}
 
     def _live_nodes(self):
-        return sorted([member.node for member in self._live() if member.condition == ALIVE and member.role == "edge"])
+        return sorted([member.node for member in self.rumour.live if member.condition == ALIVE and member.role == "edge"])
 
     def _confirmed(self):
         return self.source.confirmed
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -9,7 +9,7 @@
 from sumachook.feed.follower import Follower
 from sumachook.ferry.ferry import Ferry
 from sumachook.role.desk import reply
-from sumachook.rumour.rumour import ALIVE, SUSPECT, Rumour
+from sumachook.rumour.rumour import ALIVE, Rumour
 from sumachook.tally.purse import Purse
 from sumachook.tally.quill import Quill
 
@@ -93,22 +93,19 @@
         return []
 
     def _learn_edges(self):
-        others = [member.node for member in self.rumour.members.values()
-                  if member.role == "edge" and member.condition in (ALIVE, SUSPECT)]
+        others = [member.node for member in self.rumour.live if member.role == "edge"]
         self.ferry.edges = tuple(sorted({self.node, *others}))
 
     def _cores(self):
         """Addresses of live cores: rumoured ones first, else the roster's, else the seeds."""
-        live = [member.address for member in self.rumour.members.values()
-                if member.role == "core" and member.condition in (ALIVE, SUSPECT)]
+        live = [member.address for member in self.rumour.live if member.role == "core"]
         return tuple(sorted(live) or sorted(self.state.roster.values()) or self.params.seeds)
 
     def _pulse(self, now):
         out = self.rumour.take(("pulse", self.follower.number), now)
         cores = self._cores()
-        self.rumour.feedHeard = self.follower.number
         out += self.follower.take(("pulse", cores, self.rumour.feedHeard), now)
-        live = {member.node for member in self.rumour.members.values() if member.condition in (ALIVE, SUSPECT)}
+        live = {member.node for member in self.rumour.live}
         out += self.quill.take(("pulse", self.state.roster, live), now)
         out += self.purse.take(("pulse", cores), now)
         self.ferry.knowsEdges |= bool(self.rumour.members) or now - self.startedAt > KNOWN_AFTER
--- a/sumachook/rumour/rumour.py
+++ b/sumachook/rumour/rumour.py
@@ -46,7 +46,7 @@
         if kind == "leave":
             self.me.condition = LEFT
             self.spread[self.me.node] = 0
-            return [("cast", member.address, ("join", (self.me.news(),))) for member in self._live()]
+            return [("cast", member.address, ("join", (self.me.news(),))) for member in self.live]
         sender, address, body = message[1:4]
         return getattr(self, "_on_" + body[0])(sender, address, body, now)
 
@@ -65,7 +65,7 @@
                 del self.pending[number]
             elif not asked and now - sentAt >= self.ACK_WITHIN:
                 self.pending[number] = (node, sentAt, True)
-                helpers = [other for other in self._live() if other.node != node]
+                helpers = [other for other in self.live if other.node != node]
                 for helper in self.draw.sample(helpers, min(self.HELPERS, len(helpers))):
                     out.append(("cast", helper.address, ("probe_via", number, member.address, self._news())))
             elif now - sentAt >= self.ACK_WITHIN * 3:
@@ -94,7 +94,7 @@
 
     def _knock(self):
         """Seeds are a way in; a gone member is asked now and then, so that halves find each other (§3.2)."""
-        known = {member.address for member in self._live()}
+        known = {member.address for member in self.live}
         doors = [seed for seed in self.seeds if seed not in known and seed != self.me.address]
         gone = [member.address for member in self.members.values() if member.condition == GONE]
         if gone:
@@ -106,7 +106,7 @@
             member = self.members.get(self.turn.pop())
             if member and member.condition in (ALIVE, SUSPECT):
                 return member
-        self.turn = [member.node for member in self._live()]
+        self.turn = [member.node for member in self.live]
         self.draw.shuffle(self.turn)
         return self.members[self.turn.pop()] if self.turn else None
 
@@ -147,7 +147,9 @@
 
     # news -------------------------------------------------------------------
 
-    def _live(self):
+    @property
+    def live(self) -> list:
+        """The others that are not known to be gone."""
         return [member for member in self.members.values() if member.condition in (ALIVE, SUSPECT)]
 
     def _news(self, target=None):
