A view of two no longer stands for ever, heard by all and acknowledging nothing

Ruled out: the disk, the blank seat, the roster. Now a seat that hears the beat of the view it last installed is a member of it again, and a leader whose only other member owes the same entry for three seconds steps back. Both have a test, seen failing first.

--- a/sumachook/accord/accord.py
+++ b/sumachook/accord/accord.py
@@ -480,6 +480,8 @@
                 return [("tell", address, ("beat_ack", ballot, self.promised, self.chain.end, self.blank))]
         self.leaderHeard, self.leader = now, seat
         out = []
+        if ballot == self.view == self.promised and self.role in ("idle", "asking"):
+            self.role = "member"  # §4.3: it doubted this leader, or was started anew; all that it ever acked is synced
         if ballot == self.view == self.promised and self.role == "member":
             if isFresh:
                 self.freshAt = now
@@ -516,9 +518,9 @@
             if (isSilent or self._is_stalled(seat, now)) and len(self.members) - 1 >= most_of(roster):
                 self._punish(seat, now)
                 return [("log", "warning", "accord", "A seat is put out of the view.", {"seat": seat})] + self._start_ballot(now)
-            if silence > self.SILENCE * 3:
+            if silence > self.SILENCE * 3 or now - self.owed.get(seat, (0, now))[1] > self.SILENCE * 3:
                 self._rest(now)
-                return [("log", "warning", "accord", "No majority is heard, stepping back.", {})]
+                return [("log", "warning", "accord", "No majority takes changes, stepping back.", {})]
         out = self._beat(now) if now >= self.nextBeat else []
         late = [seat for seat in self.members if seat != self.seat and self.acked.get(seat, 0) < self.chain.end]
         if late and now - self.sentAt > self.RESEND:
@@ -595,3 +597,28 @@
     out = machine.take(("pulse", ()), now + machine.GATHER)
     assert any(effect[0] == "rewrite" for effect in out)
     assert machine.chain.entries[1:] == [first, second] and machine.members == ("b", "c")
+
+
+def test_a_member_that_doubted_its_leader_and_hears_it_again_is_a_member_again():
+    """Else a view of two stands for ever, heard by all and acknowledging nothing."""
+    now, entry = timedelta(seconds=5), b'["founded"]'
+    member = _member()
+    member.leaderHeard = member.retryAt = now - member.SILENCE * 2
+    assert member.take(("pulse", ()), now)[0][2][0] == "ask" and member.role == "asking"
+    member.take(("heard", "a", "a:1", ("beat", (4, "a"), 2, True, ("a", "b", "c"))), now + member.ROUND / 2)
+    member.take(("pulse", ()), now + member.ROUND * 1.1)
+    grow = ("heard", "a", "a:1", ("grow", (4, "a"), 3, (entry,), 2))
+    assert [effect[0] for effect in member.take(grow, now + member.ROUND * 1.2)][-1] == "disk"
+
+
+def test_a_leader_whose_only_member_takes_nothing_steps_back():
+    now, second = timedelta(seconds=5), timedelta(seconds=1)
+    leader = _member()
+    leader.role, leader.ballot, leader.members, leader.acked = "leading", (4, "c"), ("b", "c"), {"b": 2, "c": 2}
+    leader.view = leader._promised = (4, "c")
+    leader.take(("propose", ("founded",)), now)
+    leader.take(("accord_synced", "own-grow", (4, "c"), 3), now)
+    for step in range(70):
+        leader.take(("heard", "b", "b:1", ("beat_ack", (4, "c"), (4, "c"), 2, False)), now + step * second / 20)
+        leader.take(("pulse", ()), now + step * second / 20)
+    assert leader.role == "idle"
