--- /dev/null
+++ b/harness/breaches.py
@@ -0,0 +1,109 @@
+"""python -m harness.breaches: takes one guard out at a time, in a scratch copy, and runs the stories that should see it."""
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+REQUESTS, PLACEMENT, LEDGER, CONTROL, DAYS = (f"tests/{name}_stories.py" for name in ("request", "placement", "ledger", "control", "day"))
+
+# (rule, what is taken out, the guard's text, what stands in its place, where it should be seen, by name)
+BREACHES = (
+    (1, "an unsafe prompt is sent again after it was sent", "mayRepeat = wasNeverSent or row.isSafe", "mayRepeat = True",
+     REQUESTS, "unsafe_prompt_that_was_sent"),
+    (1, "'not run' is told although it was sent", 'row.ran = "maybe" if row.kind == PROMPT else row.ran', "pass", REQUESTS, "unsafe_prompt_that_was_sent"),
+    (1, "a key counts at one keeper only", "if answer == \"opened\" and first is not None and first != request:", "if False:",
+     REQUESTS, "same_key_at_two_edges"),
+    (2, "a resume is not checked for the next id", "if not eventId or next_id(row.resumeFrom) != eventId:", "if False:", REQUESTS, "does_not_continue"),
+    (2, "a stream whose first token is out is sent again", "        if row.reachedCaller:\n            return out + self._resume(row, fault, now)\n",
+     "", REQUESTS, "never_stitched"),
+    (3, "an end without a finish reason counts as the end", "if row.finish is None:", "if False:", REQUESTS, "unfinished_is_cut"),
+    (3, "a cut stream is closed in good order", '("drop", row.cid)]', '("chunk", row.cid, b"data: [DONE]\\n\\n"), ("end", row.cid)]',
+     REQUESTS, "never_stitched"),
+    (4, "leaving servers are drawn", 'return not server["leaving"] and self.shunned.get(name, now) <= now and', "return", PLACEMENT, "leaving_server"),
+    (4, "only the leader reads the list", "if self.isLeading or wasSeen:", "if self.isLeading:", PLACEMENT, "notice_while"),
+    (4, "no word goes ahead of the order", 'out.append(("word", leaving))', "pass", PLACEMENT, "notice_while"),
+    (4, "an old comparison may be ordered", "if basis != self.listedAt:", "if False:", "sumachook/atlas", "image_brings_back"),
+    (5, "a follower stays with a silent core", "isQuiet = now - max(self.beatAt, self.askedAt) > self.SILENCE", "isQuiet = self.core is None",
+     "sumachook/feed", "silent_core"),
+    (5, "an older image is accepted", "        if body[1] <= self.number:\n            return []\n", "", "sumachook/feed", "never_goes_back"),
+    (5, "the ack does not wait for the disks of all members", "reached = min(self.acked.get(seat, 0) for seat in self.members)",
+     "reached = max(self.acked.get(seat, 0) for seat in self.members)", CONTROL, "dense_faults or power_loss or obeys_within"),
+    (5, "an edge goes on by the catalogue that it read first", "if self.generation == self.state.generation and self.callers:", "if self.callers:",
+     CONTROL, "probe_sees"),
+    (6, "evacuated areas are drawn", "self.state.is_open(server[\"area\"]) and isNear", "isNear", PLACEMENT, "evacuated_area"),
+    (6, "an edge in the area goes on admitting", "if not self.state.is_open(self.area):\n            return faults.EVACUATED", "if False:\n            return faults.EVACUATED",
+     PLACEMENT, "evacuated_area"),
+    (6, "what came in just after waking is not looked at again", "row.tag, row.isUnsure = tag, self.follower.trust(now) == WAITING",
+     "row.tag = tag", PLACEMENT, "woken_edge"),
+    (6, "a beat from a buffer is believed on waking", "if nonce != self.nonce or address != self.core:", "if address != self.core:",
+     "sumachook/feed", "never_goes_back"),
+    (7, "resends cost nothing", "        self.balance -= 1\n", "", REQUESTS, "do_not_follow_every_refusal"),
+    (7, "credit is saved up without end", "self.balance = min(CAP, self.balance + RATIO)", "self.balance = self.balance + RATIO", REQUESTS, "burst_of_faults"),
+    (8, "no slow start of a model", "(item, isWarm, lane.byItem.get(item, 0))", "(item, False, 0)", PLACEMENT, "just_woke"),
+    (8, "no slow start of a server", "(WHOLE, isCold, lane.inUse)", "(WHOLE, False, 0)", PLACEMENT, "comes_up_cold"),
+    (8, "a new edge takes itself for the only one", "            elif not self.knowsEdges:\n                return False", "            elif False:\n                return False",
+     "sumachook/role", "knows_no_other"),
+    (9, "room is not counted", "        if room >= size:\n", "        if True:\n", "sumachook/loom", "memory_places_and_pace"),
+    (9, "adapter places are not counted", 'if len(holdsNow) + len(leaving) < servers[server]["places"]:', "if True:", PLACEMENT, "adapters_asked_for_all_together"),
+    (9, "a duty is kept without a lease", "return fence if fence and leasedFence == fence and now < until else 0", "return fence",
+     CONTROL, "woken_duty_holder"),
+    (10, "the store's pace is not kept", "if size > budget - begun:", "if False:", "sumachook/loom", "memory_places_and_pace"),
+    (11, "heavy lines have no share", "share = max(1, int(limit * line.share)) if line else 1", "share = limit", REQUESTS, "behind_audits"),
+    (11, "lookups stand in lines like prompts", "self.lookups.append(row)\n            return []", "self.lines.push(row.line, row)\n            return []",
+     REQUESTS, "behind_audits"),
+    (12, "open rows of a lost edge stay open", "        if not gone:\n            return []\n        for row in gone:", "        if True:\n            return []\n        for row in gone:",
+     LEDGER, "killed_edge"),
+    (12, "only closings are in the day's log", "            row = self.rows.get(record[\"request\"], record)\n",
+     "            row = self.rows.get(record[\"request\"], record)\n            if row[\"state\"] == OPEN:\n                continue\n", LEDGER, "ends_without_calm"),
+    (12, "refusals at admission are not recorded", "        self.early.append((now, record))\n", "", LEDGER, "total_loss"),
+    (12, "nobody carries the records of an edge that is cut off", 'return [("tell", address, parcel) for address in carriers[:2]] if late else []',
+     "return []", LEDGER, "carried"),
+    (12, "each node believes its own wall clock", "            self.offset, self.isAgreed = median_low(largest), True",
+     "            self.offset, self.isAgreed = self.wall() - ZERO - now, True", DAYS, "day"),
+    (12, "a retry is sent for the keepers only once", "            if now - entry.askedAt > entry.pause:", "            if False:", LEDGER, "half_a_second"),
+    (0, "a promise to a higher ballot is not kept", "if tuple(ballot) != self.view or self.view != self.promised or self.role != \"member\":",
+     "if tuple(ballot) != self.view or self.role not in (\"member\", \"idle\"):", "sumachook/accord", "higher_ballot"),
+    (0, "the longest log counts, not the highest view's", "key=lambda seat: (self.answers[seat][0], self.answers[seat][2], seat))",
+     "key=lambda seat: (self.answers[seat][2], seat))", "sumachook/accord", "highest_view"),
+    (0, "a member that doubted its leader stays out", 'self.role in ("idle", "asking"):', 'self.role == "nobody":', "sumachook/accord", "member_again"),
+)
+
+
+def try_breach(breach) -> str:
+    """'caught', 'not caught', or why it could not be tried."""
+    _, _, guard, instead, where, stories = breach
+    with tempfile.TemporaryDirectory(prefix="breach-") as folder:
+        copy = Path(folder) / "copy"
+        shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns(".git", "__pycache__", ".pytest_cache"))
+        found = [path for path in (copy / "sumachook").rglob("*.py") if guard in path.read_text()]
+        if len(found) != 1 or found[0].read_text().count(guard) != 1:
+            return f"the guard's text stands {sum(path.read_text().count(guard) for path in found)} times, not once"
+        found[0].write_text(found[0].read_text().replace(guard, instead))
+        command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", where, "-k", stories]
+        done = subprocess.run(command, cwd=copy, env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}, capture_output=True, text=True, timeout=400)
+        return {0: "not caught", 1: "caught"}.get(done.returncode, f"pytest ended with {done.returncode}")
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.breaches", description=__doc__)
+    parser.add_argument("--rule", type=int, help="only those of one rule (0: the order of changes)")
+    given = parser.parse_args()
+    chosen = [breach for breach in BREACHES if given.rule is None or breach[0] == given.rule]
+    print("| rule | taken out | stories | |\n|---|---|---|---|")
+    with ThreadPoolExecutor(8) as pool:
+        results = list(pool.map(try_breach, chosen))
+    for breach, result in zip(chosen, results):
+        print(f"| {breach[0]} | {breach[1]} | `{breach[4]}` {breach[5]} | {result} |")
+    missed = sum(result != "caught" for result in results)
+    print(f"{len(chosen)} breaches, {missed} not caught")
+    raise SystemExit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/harness/scenarios.py
+++ b/harness/scenarios.py
@@ -99,7 +99,6 @@
     platform.servers["model-1"]["leaving"] = True
     scene.town.run(3)
     scene.town.kill("model-1")
-    scene.witness.leavings.append(("model-1", scene.faultAt, scene.town.now))
     scene.end(30)
 
 
@@ -145,13 +144,10 @@
     scene.town.freeze("edge-1")
     area = next(area for area in scene.town.city.catalogue["areas"] if area != scene.town.boxes["edge-1"].area)
     scene.order("core-1", "evacuate", area=area)
-    start = scene.town.now
     scene.town.run(6)
     scene.town.wake("edge-1")
     scene.town.run(10)
-    end = scene.town.now
     scene.order("core-1", "restore", area=area)
-    scene.witness.evacuations.append((area, start, end))
     scene.end(15)
 
 
@@ -265,7 +261,7 @@
 def isolated(scene):
     """Single machines are isolated one after the other, four seconds each"""
     for name in ("edge-1", "core-2", "model-1", "edge-4", "core-3", "model-3"):
-        scene.town.cut([name], [other for other in scene.town.boxes if other not in ("operator", "callers")])
+        scene.town.cut([name], scene.town.inside(name))
         scene.town.run(4)
         scene.town.heal()
         scene.town.run(4)
@@ -316,9 +312,7 @@
     """An area is evacuated and restored"""
     area = scene.town.city.catalogue["areas"][1]
     scene.order("core-1", "evacuate", area=area)
-    start = scene.town.now
     scene.town.run(15)
-    scene.witness.evacuations.append((area, start, scene.town.now))
     scene.order("core-1", "restore", area=area)
     scene.end(25)
 
--- a/harness/storms.py
+++ b/harness/storms.py
@@ -10,27 +10,33 @@
 CITIES = ("kosice", "central-java")
 
 
-def play(seed: int, seconds: float = 60.0, edges=5):
-    """(seed, city, outcomes, (first tries, resends), faults) of one storm; the city alternates with the seed."""
+def play(seed: int, seconds: float = 60.0, edges=None):
+    """(seed, city, outcomes, (first tries, resends), faults, what was done) of one storm; the city alternates with the seed,
+    every third storm ends in a closing fault with no calm after it."""
     city = CITIES[seed % 2]
-    town = settled(seed, city, edges, seatAway=600.0, data="disk")
+    town = settled(seed, city, edges, seatAway=6.0)
     callers = town.call_in(0.6)
     storm = Storm(town, callers, seed)
-    found = storm.run(seconds)
-    return seed, city, dict(Counter(call.outcome for call in callers.calls)), storm.witness.resends(), found
+    found = storm.run(seconds, closing=seed % 3 == 2)
+    return seed, city, dict(Counter(call.outcome for call in storm.witness.calls)), storm.witness.resends(), found, storm.told
 
 
 def main():
     parser = argparse.ArgumentParser(prog="python -m harness.storms", description=__doc__)
     parser.add_argument("first", type=int)
     parser.add_argument("last", type=int, help="at most 2000 seeds after the first")
+    parser.add_argument("--tell", action="store_true", help="of a storm with faults, print also what was done to it")
     given = parser.parse_args()
     seeds = range(given.first, min(given.last, given.first + 2000) + 1)
     bad = 0
     with ProcessPoolExecutor(8) as pool:
-        for seed, city, outcomes, resends, found in pool.map(play, seeds):
+        for seed, city, outcomes, resends, found, told in pool.map(play, seeds):
             bad += bool(found)
-            print(seed, city, outcomes, f"resends {resends[1]}/{resends[0]}", found or "", flush=True)
+            print(seed, city, outcomes, f"resends {resends[1]}/{resends[0]}", flush=True)
+            for line in found:
+                print("   ", line, flush=True)
+            for line in told if given.tell and found else ():
+                print("       ", *line, flush=True)
     print(f"{len(seeds)} storms, {bad} with faults")
     raise SystemExit(1 if bad else 0)
 
--- a/sumachook/atlas/params.py
+++ b/sumachook/atlas/params.py
@@ -28,9 +28,9 @@
     logLevel: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
-def _address_fault(text: str):
+def address_fault(text: str):
     """
-    >>> _address_fault("127.0.0.1:7000"), _address_fault("[::1]:7000"), _address_fault("host:7000")
+    >>> address_fault("127.0.0.1:7000"), address_fault("[::1]:7000"), address_fault("host:7000")
     (None, None, "'host' is no IP number")
     """
     host, _, port = text.rpartition(":")
@@ -51,7 +51,7 @@
     for part in ("seeds", "founding"):
         addresses += [(f"{part}[{place}]", address) for place, address in enumerate(getattr(params, part))]
     for path, address in addresses:
-        if reason := _address_fault(address):
+        if reason := address_fault(address):
             found.append((path, reason))
     if params.address == params.door:
         found.append(("door", "the same as address"))
--- a/sumachook/atlas/state.py
+++ b/sumachook/atlas/state.py
@@ -4,7 +4,7 @@
 from sumachook.atlas.catalogue import merge, read_catalogue
 
 MOST_REQUESTS = 1000
-DUTIES = ("placer", "watcher", "accountant")
+DUTIES = ("placer", "accountant")
 
 
 class State:
@@ -18,19 +18,19 @@
     """
 
     __slots__ = ("number", "generation", "doc", "catalogue", "evacuated", "servers", "duties", "pairs", "held", "requests",
-                 "roster")
+                 "roster", "listedAt")
 
     def __init__(self):
         self.number, self.generation, self.doc, self.catalogue = 0, 0, None, None
         self.evacuated, self.servers, self.pairs, self.held, self.roster = (), {}, {}, {}, {}
         self.duties = {duty: ("", 0) for duty in DUTIES}
-        self.requests = {}
+        self.requests, self.listedAt = {}, 0
 
     def image(self) -> dict:
         return {
             "number": self.number, "generation": self.generation, "doc": self.doc, "evacuated": self.evacuated,
             "servers": self.servers, "duties": self.duties, "pairs": self.pairs, "held": self.held, "roster": self.roster,
-            "requests": tuple(self.requests.items()),
+            "requests": tuple(self.requests.items()), "listedAt": self.listedAt,
         }
 
     def restore(self, image: dict):
@@ -40,6 +40,7 @@
         self.servers, self.pairs, self.roster = dict(image["servers"]), dict(image["pairs"]), dict(image["roster"])
         self.held = {server: dict(items) for server, items in image["held"].items()}
         self.duties = {duty: tuple(item) for duty, item in image["duties"].items()}
+        self.listedAt = image["listedAt"]
         self.requests = {request: result for request, result in image["requests"]}
 
     def apply(self, number: int, change) -> tuple:
@@ -51,7 +52,8 @@
         return self.duties[duty][1] if self.duties[duty][0] == holder else 0
 
     def is_open(self, area: str) -> bool:
-        return area not in self.evacuated
+        """An area that the catalogue does not name is closed: nobody could empty it."""
+        return area not in self.evacuated and (self.catalogue is None or area in self.catalogue.areas)
 
     # the seats ----------------------------------------------------------------
 
@@ -134,11 +136,11 @@
     def _ordered_by(self, duty, fence):
         return self.duties[duty][0] and self.duties[duty][1] == fence
 
-    def _servers(self, fence, servers):
-        """The watcher's list; a server's state here is the platform's word."""
-        if not self._ordered_by("watcher", fence):
-            return ("refused", (("fence", "an older watcher"),))
-        self.servers = dict(servers)
+    def _servers(self, basis, servers):
+        """The platform's word, by whichever core saw a difference; `basis` is the change that it was compared with (§9.1)."""
+        if basis != self.listedAt:
+            return ("refused", (("basis", f"the list is of change {self.listedAt}, not {basis}"),))
+        self.servers, self.listedAt = dict(servers), self.number
         self.held = {server: items for server, items in self.held.items() if server in self.servers}
         return ("ok",)
 
@@ -180,7 +182,7 @@
     state, again = State(), State()
     state.apply(1, ("found", {"s": "x:1"}))
     state.apply(2, ("apply", "r1", _doc(), False, None))
-    state.apply(3, ("duty-fill", "watcher", "s", 1))
-    state.apply(4, ("servers", 1, {"v": {"area": "a"}}))
+    state.apply(3, ("servers", 0, {"v": {"area": "a"}}))
+    assert state.apply(4, ("servers", 0, {}))[0] == "refused" and state.listedAt == 3
     again.restore(state.image())
     assert again.image() == state.image() and again.catalogue == state.catalogue
--- a/sumachook/feed/follower.py
+++ b/sumachook/feed/follower.py
@@ -93,7 +93,7 @@
         return [("changed",), ("tell", address, ("confirm", self.number))] if self.number > before else []
 
     def _on_feed_beat(self, node, address, body, now):
-        _, number, nonce = body
+        _, number, nonce, _ = body
         if nonce != self.nonce or address != self.core:
             return []
         if number > self.number and now - self.askedAt > self.SILENCE:
@@ -118,17 +118,23 @@
     asked = follower.take(("pulse", ("core:1",), 0), second * 0.9)[-1]
     assert asked[1:] == ("core:1", ("follow", 0, follower.nonce))
     follower.take(("heard", "c", "core:1", ("news", 1, (b'["founded"]', b'["founded"]'))), second)
-    follower.take(("heard", "c", "core:1", ("feed_beat", 2, follower.nonce)), second)
+    follower.take(("heard", "c", "core:1", ("feed_beat", 2, follower.nonce, 0)), second)
     assert follower.number == 2 and follower.trust(second) == FRESH
     follower.take(("heard", "c", "core:1", ("news", 1, (b'["founded"]',))), second)
     follower.take(("heard", "c", "core:1", ("image", 1, {})), second)
     assert follower.number == 2
     oldNonce, woken = follower.nonce, second * 9
     assert follower.trust(woken) == WAITING
-    follower.take(("heard", "c", "core:1", ("feed_beat", 2, oldNonce)), woken)
+    follower.take(("heard", "c", "core:1", ("feed_beat", 2, oldNonce, 0)), woken)
     assert follower.trust(woken) == WAITING
-    follower.take(("heard", "c", "core:1", ("feed_beat", 2, follower.nonce)), woken)
+    follower.take(("heard", "c", "core:1", ("feed_beat", 2, follower.nonce, 0)), woken)
     assert follower.trust(woken) == FRESH
     for step in range(1, 80):
         follower.take(("pulse", (), 0), woken + step * timedelta(seconds=0.05))
     assert follower.trust(woken + 80 * timedelta(seconds=0.05)) == CUT
+
+
+def test_follower_leaves_a_silent_core():
+    follower, step, cores = _follower(), timedelta(seconds=0.05), ("core:1", "core:2")
+    asked = [effect for at in range(80) for effect in follower.take(("pulse", cores, 0), at * step) if effect[0] == "tell"]
+    assert {effect[1] for effect in asked} == set(cores) and 2 <= len(asked) <= 4
--- a/sumachook/feed/source.py
+++ b/sumachook/feed/source.py
@@ -16,10 +16,10 @@
     Out: ("tell", address, message).
     """
 
-    __slots__ = ("state", "entries", "first", "followers", "confirmed", "nextBeat", "core_addresses")
+    __slots__ = ("state", "entries", "first", "followers", "confirmed", "nextBeat", "core_addresses", "almanac")
 
-    def __init__(self, state, core_addresses, now):
-        self.state, self.core_addresses = state, core_addresses
+    def __init__(self, state, core_addresses, now, almanac):
+        self.state, self.core_addresses, self.almanac = state, core_addresses, almanac
         self.entries, self.first = deque(), state.number + 1
         self.followers, self.confirmed, self.nextBeat = {}, {}, now
 
@@ -49,7 +49,7 @@
         if now >= self.nextBeat:
             self.nextBeat = now + BEAT
             if isFresh:
-                out += [("tell", item[0], ("feed_beat", self.state.number, item[3])) for item in self.followers.values()]
+                out += [("tell", item[0], ("feed_beat", self.state.number, item[3], self.almanac.vote)) for item in self.followers.values()]
         return out
 
     def _serve(self, node):
--- a/sumachook/ferry/ferry.py
+++ b/sumachook/ferry/ferry.py
@@ -10,7 +10,7 @@
 from sumachook.creed.policy import compile_policy
 from sumachook.feed.follower import CUT, EMPTY, WAITING
 from sumachook.ferry import faults
-from sumachook.ferry.lane import Lane
+from sumachook.ferry.lane import LONGEST_REST, LOOKUP_REST, PROBES_APART, WHOLE, Lane
 from sumachook.ferry.lines import Lines
 from sumachook.ferry.port import OpenPort
 from sumachook.ferry.row import LINED, LOOKUP, PROMPT, RECORDING, SETTLED, STREAMING, TRYING, Row
@@ -26,6 +26,8 @@
 LOOKUP_TOTAL = timedelta(seconds=1.5)
 HEADROOM = 1.5
 CREDIT_WAIT = timedelta(seconds=3)
+SHUN = timedelta(seconds=2)
+EARLY = timedelta(seconds=30)
 MOST_ROWS = 4000
 MOST_ALERTS = 500
 
@@ -34,21 +36,23 @@
     """Takes (message, now): admit, record, draw, deliver, stream, settle (§7.2).
 
     In: ("http", cid, method, path, headers, body), ("gone", cid), ("fetched", tid, ...), ("pulse",), ("drain",),
-    ("recorded" | "unrecorded" | "duplicate", request, ...).
+    ("recorded" | "unrecorded" | "duplicate", request, ...), ("leaving", servers).
     Out: ("reply" | "head" | "chunk" | "end" | "drop", cid, ...), ("fetch" | "unfetch", tid, ...), ("open" | "close", record, ...),
     ("log", ...).
     """
 
-    __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "wall", "port", "table", "byCid", "lines",
+    __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "almanac", "port", "table", "byCid", "lines",
                  "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "knowsEdges", "serviceTime", "callers", "generation",
-                 "targets", "alerts")
+                 "targets", "alerts", "shunned", "knowsTime", "early")
 
-    def __init__(self, node, incarnation, area, state, follower, purse, draw: Random, wall):
+    def __init__(self, node, incarnation, area, state, follower, purse, draw: Random, almanac):
         self.node, self.incarnation, self.area, self.state = node, incarnation, area, state
-        self.follower, self.purse, self.draw, self.wall, self.port = follower, purse, draw, wall, OpenPort()
+        self.follower, self.purse, self.draw, self.almanac, self.port = follower, purse, draw, almanac, OpenPort()
         self.table, self.byCid, self.lines, self.lanes, self.lookups = {}, {}, Lines(), {}, []
         self.counts, self.demand, self.isDraining, self.number = {}, {}, False, 0
-        self.knowsEdges = False  # until the first list of members has come
+        self.knowsEdges = self.knowsTime = False  # until the first list of members, and of their clocks, has come
+        self.early = []  # (when, record) of what was turned away before this node knew what day it is (§11.3)
+        self.shunned = {}  # servers that a core says are leaving, before that is ordered (§9.1)
         self.edges, self.serviceTime, self.callers, self.generation, self.targets, self.alerts = (node,), {}, {}, -1, {}, {}
 
     def take(self, message: tuple, now) -> list:
@@ -71,8 +75,8 @@
         tag = headers.get("x-request-id", "")[:100]
         row = self._admit(cid, method, path, headers, body, now)
         if not isinstance(row, Row):
-            return self._turn_away(cid, row, path, tag) + self._alert(row, now)
-        row.tag = tag
+            return self._turn_away(cid, row, path, tag, now) + self._alert(row, now)
+        row.tag, row.isUnsure = tag, self.follower.trust(now) == WAITING
         self.table[row.request] = row
         self.byCid[cid] = row.request
         self.purse.earn()
@@ -82,6 +86,14 @@
                 self.demand[name] = self.demand.get(name, 0) + 1
         return [("open", self._record(row), row.isSafe)]
 
+    def _leaving(self, message, now):
+        """A core's word, repeated until the ordered list says so or no longer needs to."""
+        self.shunned |= {name: now + SHUN for name in message[1]}
+        return []
+
+    def _stamp(self, now) -> str:
+        return self.almanac.time(now).isoformat()
+
     def _index(self):
         """What the catalogue gives for admission, worked out once a generation."""
         if self.generation == self.state.generation and self.callers:
@@ -104,7 +116,7 @@
             return faults.MALFORMED.because(f"method {method}")
         if self.isDraining:
             return faults.DRAINING.because("this node is leaving")
-        if self.follower.trust(now) == EMPTY:
+        if self.follower.trust(now) == EMPTY or not self.knowsTime:
             return faults.NOT_READY.because("no catalogue yet")
         if not self.state.is_open(self.area):
             return faults.EVACUATED.because(f"area {self.area} is evacuated, use another area's node")
@@ -125,7 +137,7 @@
             return faults.FORBIDDEN.because("this caller may not look up")
         row = Row(request, cid, LOOKUP, caller, now, timedelta(seconds=caller.lookupPatience))
         row.path, row.generation, row.policies = path, self.state.generation, self.state.catalogue.policies
-        row.openedAt = self.wall().isoformat()
+        row.openedAt = self._stamp(now)
         return row
 
     def _admit_prompt(self, request, cid, caller, headers, body, now):
@@ -149,21 +161,31 @@
         row.body = {**doc, "model": row.name, "max_tokens": wanted}
         row.generation, row.policies = self.state.generation, self.state.catalogue.policies
         row.wakeBy = now + timedelta(seconds=row.model.wake)
-        row.openedAt = self.wall().isoformat()
+        row.openedAt = self._stamp(now)
         return row
 
-    def _turn_away(self, cid, fault, path, tag):
+    def _turn_away(self, cid, fault, path, tag, now):
         """Refused before a row was made. What the caller is not to blame for goes into the day's log all the same."""
         if fault not in faults.COME_BACK and fault != faults.NO_MODEL:
             return self._refuse(cid, fault)
         self.number += 1
-        at = self.wall().isoformat()
+        at = self._stamp(now)
         record = {"request": f"{self.node}.{self.incarnation}.{self.number}", "caller": "", "line": "", "asked": "", "key": "",
                   "kind": LOOKUP if path.startswith("/records/") else PROMPT, "edge": self.node, "incarnation": self.incarnation,
                   "state": "fault", "openedAt": at, "endedAt": at, "generation": self.state.generation, "tag": tag,
                   "class": fault.name, "status": faults.STATUS[fault], "run": "no", "tries": (), "attempt": 0, "firstToken": None,
                   "duration": 0.0, "tokens": 0, "late": False}
-        return self._refuse(cid, fault, record["request"]) + [("close", record)]
+        out = self._refuse(cid, fault, record["request"])
+        if self.almanac.isAgreed:
+            return out + [("close", record)]
+        self.early.append((now, record))
+        return out
+
+    def _stamp_early(self, now):
+        """Once the cohort agrees on the time, or after a while without it."""
+        isDue = self.early and (self.almanac.isAgreed or now - self.early[0][0] > EARLY or len(self.early) > MOST_ROWS)
+        early, self.early = (self.early, []) if isDue else ([], self.early)
+        return [("close", {**record, "openedAt": self._stamp(at), "endedAt": self._stamp(at)}) for at, record in early]
 
     def _refuse(self, cid, fault, request="", tries=0, run="no", retryAfter=None):
         self._count("refused", fault.name)
@@ -245,6 +267,9 @@
         out = []
         if not self.lookups and not any(self.lines.rows.values()):
             return out
+        trust = self.follower.trust(now)
+        if trust not in (EMPTY, WAITING):
+            out += self._look_again(now)
         for row in list(self.lookups):
             if row.notBefore <= now:
                 server = self._draw_records(row, now)
@@ -267,6 +292,16 @@
                 out += self._settle(row, server, now)
         return out
 
+    def _look_again(self, now):
+        """What came in while this edge had just woken was let in unseen: the area may have been evacuated meanwhile (§8.3)."""
+        out, isOpen = [], self.state.is_open(self.area)
+        for row in [*self.lookups, *(row for rows in self.lines.rows.values() for row in rows)]:
+            if row.isUnsure:
+                row.isUnsure = False
+                if not isOpen:
+                    out += self._settle(row, faults.EVACUATED.because(f"area {self.area} is evacuated, use another area's node"), now)
+        return out
+
     def _may_go(self, row):
         """A resend costs a credit; without one the row waits within its cutoff (§7.7)."""
         if row.needsCredit and not self.purse.spend():
@@ -274,9 +309,9 @@
         row.needsCredit = False
         return True
 
-    def _is_usable(self, server, trust):
+    def _is_usable(self, name, server, trust, now):
         isNear = trust != CUT or server["area"] == self.area
-        return not server["leaving"] and self.state.is_open(server["area"]) and isNear
+        return not server["leaving"] and self.shunned.get(name, now) <= now and self.state.is_open(server["area"]) and isNear
 
     def _lane(self, name):
         if name not in self.lanes:
@@ -293,7 +328,7 @@
         if trust in (EMPTY, WAITING):
             return None
         open_ = [name for name, server in self.state.servers.items()
-                 if server["kind"] == "records" and self._is_usable(server, trust) and not self._lane(name).is_shut(now)]
+                 if server["kind"] == "records" and self._is_usable(name, server, trust, now) and not self._lane(name).is_shut(now)]
         return min(open_, default=None, key=lambda name: (
             _failed_at(row, name), self.state.servers[name]["area"] != self.area, self._lane(name).inUse, name))
 
@@ -305,7 +340,7 @@
         servers, ready, shut = self.state.servers, [], []
         for name in self.state.pairs.get(row.model.name, ()):
             server, items = servers.get(name), self.state.held.get(name, {})
-            if server is None or not self._is_usable(server, trust):
+            if server is None or not self._is_usable(name, server, trust, now):
                 continue
             conditions = {items.get(row.model.name)} | ({items.get(row.adapter)} if row.adapter else set())
             if not conditions <= {"ready", "warm"}:
@@ -343,13 +378,15 @@
         share = max(1, int(limit * line.share)) if line else 1
         if lane.inUse >= limit or lane.byLine.get(row.line, 0) >= share:
             return False
-        item = row.model.name
-        if not isWarm:
-            lane.warmSince.pop(item, None)
-            return True
-        if not self.knowsEdges:
-            return False  # it would take itself for the only one, and all of the share
-        return lane.byItem.get(item, 0) < lane.warm_share(item, server["slots"], rank, count, now)
+        item, isCold = row.model.name, "ready" not in self.state.held.get(name, {}).values()
+        for what, isWarming, inHand in ((item, isWarm, lane.byItem.get(item, 0)), (WHOLE, isCold, lane.inUse)):
+            if not isWarming:
+                lane.warmSince.pop(what, None)
+            elif not self.knowsEdges:
+                return False  # it would take itself for the only one, and all of the share
+            elif inHand >= lane.warm_share(what, server["slots"], rank, count, now):
+                return False
+        return True
 
     def _deliver(self, row, name, now):
         server, lane = self.state.servers[name], self._lane(name)
@@ -398,6 +435,8 @@
         if kind in ("refused", "connect-timeout") and not row.wasSent:
             return self._try_failed(row, faults.UNREACHABLE.because(kind), now)
         row.wasSent = True
+        if kind == "timeout" and now >= row.cutoff:
+            return self._stop_try(row, faults.CUTOFF, now)
         if kind == "timeout":
             return self._try_failed(row, faults.TOTAL_TIMEOUT if row.wasHeard else faults.FIRST_TOKEN_TIMEOUT, now)
         return self._try_failed(row, faults.CUT if row.firstAt and row.kind == PROMPT else faults.RESET, now)
@@ -474,7 +513,7 @@
         if fault is None or fault in (faults.REFUSED, faults.OVERLOAD, faults.HUNG_UP):
             lane.note(True, now, 0.0)
         else:
-            lane.note(False, now, rank / count)
+            lane.note(False, now, rank / count, LOOKUP_REST if row.kind == LOOKUP else max(LONGEST_REST, PROBES_APART * count))
             lane.fell_while_warm(item, now)
         duration = (now - row.tryAt).total_seconds()
         if fault is None and row.kind == PROMPT:
@@ -527,7 +566,7 @@
         """After the first token: the same server, by event id, through a GET; or the end (§7.9)."""
         server = self.state.servers.get(row.server)
         canResume = fault in (faults.CUT, faults.RESET, faults.UNREACHABLE) and row.lastEventId and row.resumes < MOST_RESUMES
-        mayEnter = server is not None and self._is_usable(server, self.follower.trust(now))
+        mayEnter = server is not None and self._is_usable(row.server, server, self.follower.trust(now), now)
         if not canResume or not mayEnter or now >= row.totalBy:
             return self._settle(row, fault, now)
         row.resumes += 1
@@ -542,7 +581,7 @@
     # settle ---------------------------------------------------------------------------------
 
     def _pulse(self, message, now):
-        out = []
+        out = self._stamp_early(now)
         for row in list(self.table.values()):
             if row.state in (TRYING, STREAMING):
                 if row.firstAt is None and now >= row.firstBy and row.totalBy > row.firstBy:
@@ -608,7 +647,7 @@
         first = (row.firstAt - row.arrivedAt).total_seconds() if row.firstAt else None
         record = {**self._record(row), "state": state, "class": name, "status": status, "run": row.ran, "tries": tuple(row.tries),
                   "attempt": row.attempt, "firstToken": first, "duration": round(duration, 4), "tokens": row.tokens,
-                  "late": now > row.cutoff, "endedAt": self.wall().isoformat()}
+                  "late": now > row.cutoff, "endedAt": self._stamp(now)}
         level = "info" if state == "done" else "warning"
         note = {field: record[field] for field in ("request", "status", "class", "attempt", "firstToken", "duration", "tokens", "run")}
         return [("close", record), ("log", level, "ferry", "Request settled.", note)]
--- a/sumachook/ferry/lane.py
+++ b/sumachook/ferry/lane.py
@@ -4,8 +4,10 @@
 
 FALLS = 4
 FIRST_REST = timedelta(seconds=2)
-LONGEST_REST = timedelta(seconds=30)
+LONGEST_REST, LOOKUP_REST = timedelta(seconds=5), timedelta(seconds=2)
+PROBES_APART = timedelta(seconds=0.5)  # over all edges together
 STEP = timedelta(seconds=1.5)
+WHOLE = ""  # in place of an item: the server as a whole, when nothing it holds is older than its warming
 
 
 class Lane:
@@ -40,8 +42,8 @@
         self.byItem[item] -= 1
         self.byLine[line] -= 1
 
-    def note(self, isGood: bool, now, spread: float):
-        """`spread` (0..1) is this edge's place among all, so that their probes do not meet."""
+    def note(self, isGood: bool, now, spread: float, longest=LONGEST_REST):
+        """`spread` (0..1) is this edge's place among all, so that their probes do not meet; `longest` grows with their number."""
         self.isProbing = False
         if isGood:
             self.falls, self.rest, self.shutUntil = 0, FIRST_REST, None
@@ -49,7 +51,7 @@
         self.falls += 1
         if self.falls >= FALLS:
             self.shutUntil = now + self.rest * (1 + spread)
-            self.rest = min(self.rest * 2, LONGEST_REST)
+            self.rest = min(self.rest * 2, longest)
 
     def reopen(self, now):
         """What was seen while this edge itself was cut off says nothing of the server: ask it now, with one probe."""
@@ -63,8 +65,9 @@
         return total // count + (rank < total % count)
 
     def fell_while_warm(self, item, now):
-        if item in self.warmSince:
-            self.warmSince[item] = now
+        for what in (item, WHOLE):
+            if what in self.warmSince:
+                self.warmSince[what] = now
 
 
 def test_warm_shares_of_all_edges_add_up_to_a_doubling():
--- a/sumachook/ferry/row.py
+++ b/sumachook/ferry/row.py
@@ -15,7 +15,7 @@
         "request", "cid", "kind", "caller", "line", "isSafe", "isStream", "key", "model", "adapter", "body", "path", "generation",
         "policies", "arrivedAt", "cutoff", "openedAt", "state", "attempt", "notBefore", "tid", "server", "tryAt", "wasSent",
         "wasHeard", "firstBy", "totalBy", "_firstAt", "tokens", "reachedCaller", "lastEventId", "texts", "finish", "tries",
-        "lastFault", "ran", "avoid", "needsCredit", "creditBy", "wakeBy", "wakes", "resumes", "resumeFrom", "retryAfter", "tag",
+        "lastFault", "ran", "avoid", "needsCredit", "creditBy", "wakeBy", "wakes", "resumes", "resumeFrom", "retryAfter", "tag", "isUnsure",
     )
 
     firstAt = Once("_firstAt")
@@ -29,7 +29,7 @@
         self.tid = self.server = self.tryAt = self.firstBy = self.totalBy = self.finish = self.lastFault = None
         self.wasSent = self.wasHeard = self.reachedCaller = self.needsCredit = False
         self.tokens, self.lastEventId, self.texts, self.tries, self.ran = 0, None, [], [], "no"
-        self.creditBy = None
+        self.creditBy, self.isUnsure = None, False
         self.avoid, self.wakeBy, self.wakes, self.resumes, self.resumeFrom, self.retryAfter = (), None, 0, 0, None, None
 
     @property
--- a/sumachook/guise/callers.py
+++ b/sumachook/guise/callers.py
@@ -13,10 +13,10 @@
     """One request as its caller saw it."""
 
     __slots__ = ("number", "kind", "group", "edge", "sentAt", "endedAt", "outcome", "status", "run", "faultClass", "request", "text",
-                 "firstAt", "finish", "isStream", "patience", "moves", "model", "key", "safe", "tag", "hasMoved", "isDone")
+                 "firstAt", "finish", "isStream", "patience", "moves", "model", "key", "safe", "tag", "hasMoved", "isDone", "caller", "tried")
 
-    def __init__(self, number, tag, group, edge, now, model, patience, safe, moves=0):
-        self.tag = tag
+    def __init__(self, number, tag, group, edge, now, model, patience, safe, moves=0, tried=()):
+        self.tag, self.caller, self.tried = tag, group["caller"], tried
         self.number, self.group, self.edge, self.sentAt, self.model = number, group["name"], edge, now, model
         self.kind, self.isStream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
         self.endedAt, self.outcome, self.status, self.run, self.faultClass, self.request = None, PENDING, None, None, None, ""
@@ -26,14 +26,16 @@
 class Callers:
     """Takes (message, now); makes traffic by the city's rates and keeps each call (§12.2).
 
-    A caller whose connection is refused, or who is told that the node is leaving or evacuated, tries one more edge at once,
-    as a client with a list of addresses does; nothing else is asked again.
+    A caller holds one address in each area. Whose connection is refused, or who is told that the node is leaving, evacuated
+    or not ready, asks an edge of an area not asked yet, at once; nothing else is asked again. A group may have shares of
+    prompts that are `keyed`, and of those that are sent `again` under the same key at another edge, as after a double click.
     """
 
-    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "isOn", "pace", "startAt", "stopAfter", "name")
+    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "isOn", "pace", "startAt", "stopAfter", "name", "areas")
 
-    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stopAfter=None, name="callers"):
+    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stopAfter=None, name="callers", areas=None):
         self.name = name
+        self.areas = {edge: (areas or {}).get(edge, edge) for edge in edges}  # areas unknown: each edge is its own
         self.edges, self.groups, self.draw = dict(edges), traffic, draw
         self.callers = {caller["name"]: caller for caller in catalogue["callers"]}
         self.calls, self.open, self.isOn, self.pace, self.startAt, self.stopAfter = [], {}, True, pace, now, stopAfter
@@ -56,7 +58,7 @@
         for group in self.groups:
             while self.isOn and now >= self.due[group["name"]]:
                 self.due[group["name"]] += timedelta(seconds=self.draw.expovariate(group["rate"] * self.pace))
-                out += self.ask(group, now)
+                out += self._ask_anew(group, now)
         for number, call in list(self.open.items()):
             if now - call.sentAt > call.patience * 1.5 + timedelta(seconds=5):
                 del self.open[number]
@@ -64,7 +66,17 @@
                 out.append(("unfetch", ("call", number)))
         return out
 
-    def ask(self, group, now, edge=None, model=None, key="", moves=0):
+    def _ask_anew(self, group, now):
+        isKeyed = group.get("keyed") and self.draw.random() < group["keyed"]
+        key = f"{self.name}-{len(self.calls)}" if isKeyed else ""
+        out = self.ask(group, now, key=key)
+        if isKeyed and self.draw.random() < group.get("again", 0.0):
+            first = self.calls[-1]
+            others = [edge for edge in sorted(self.edges) if edge != first.edge]
+            out += self.ask(group, now, self.draw.choice(others) if others else None, first.model, key)
+        return out
+
+    def ask(self, group, now, edge=None, model=None, key="", moves=0, tried=()):
         caller = self.callers[group["caller"]]
         edge = edge or self.draw.choice(sorted(self.edges))
         isLookup = group["kind"] == "lookup"
@@ -72,7 +84,7 @@
         patience = timedelta(seconds=caller.get("lookupPatience", 5.0) if isLookup else caller["patience"])
         number = len(self.calls)
         tag = f"{self.name} {number}"
-        call = Call(number, tag, group, edge, now, model, patience, isLookup or caller.get("safe", False), moves)
+        call = Call(number, tag, group, edge, now, model, patience, isLookup or caller.get("safe", False), moves, (*tried, self.areas.get(edge, edge)))
         call.key = key
         self.calls.append(call)
         self.open[number] = call
@@ -91,10 +103,9 @@
         return [("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)]
 
     def _model(self, group):
-        """Some models are asked for much more than others."""
+        """A few names are asked for much, each of the others now and then: as 1, 1/2, 1/3 and so on."""
         names = group["models"]
-        place = min(int(self.draw.expovariate(1.0 / max(1.0, len(names) / 4))), len(names) - 1)
-        return names[place]
+        return self.draw.choices(names, [1 / place for place in range(1, len(names) + 1)])[0]
 
     def _fetched(self, message, now):
         _, (_, number), outcome, *rest = message
@@ -153,12 +164,12 @@
         return []
 
     def _move(self, call, now):
-        """One other edge, for a call that surely was not begun."""
-        others = [edge for edge in sorted(self.edges) if edge != call.edge]
+        """An edge of an area not asked yet, for a call that surely was not begun."""
+        others = [edge for edge in sorted(self.edges) if self.areas[edge] not in call.tried]
         if call.moves >= 2 or not others or not self.isOn:
             return []
         group = next((group for group in self.groups if group["name"] == call.group), None)
         if group is None:
             return []
         call.hasMoved = True
-        return self.ask(group, now, self.draw.choice(others), call.model, call.key, call.moves + 1)
+        return self.ask(group, now, self.draw.choice(others), call.model, call.key, call.moves + 1, call.tried)
--- a/sumachook/guise/city.py
+++ b/sumachook/guise/city.py
@@ -1,6 +1,7 @@
 """A city's example files, and its whole fleet in memory."""
 
 import json
+from datetime import timedelta
 from pathlib import Path
 from random import Random
 
@@ -9,6 +10,7 @@
 from sumachook.guise.fleet import Fleet
 from sumachook.guise.model import ModelServer, Record
 from sumachook.guise.platform import Platform
+from sumachook.guise.probe import Probe
 from sumachook.guise.records import RecordsServer
 from sumachook.role.core import Core
 from sumachook.role.edge import Edge
@@ -37,11 +39,11 @@
 class Town(Fleet):
     """A city's fleet in memory: nodes, stand-ins and callers (§12.3)."""
 
-    __slots__ = ("city", "paramsMore", "records")
+    __slots__ = ("city", "paramsMore", "records", "orders", "probe")
 
     def __init__(self, city: City, seed: int, edges=None, loadRate=40.0, hasIds=True, **paramsMore):
         super().__init__(seed, city.cluster)
-        self.city, self.paramsMore, self.records = city, paramsMore, {}
+        self.city, self.paramsMore, self.records, self.orders, self.probe = city, paramsMore, {}, [], None
         self.add("platform", "platform", lambda box: Platform(city.servers), "", "", city.platform)
         for server in city.servers:
             self.add_server(server, loadRate, hasIds)
@@ -73,21 +75,42 @@
     def call_in(self, pace=1.0, traffic=None, name="callers", edges=None):
         """Callers begin; gives their machine."""
         doors = {box.name: box.door for box in self.boxes.values() if box.role == "edge" and (edges is None or box.name in edges)}
+        areas = {edge: self.boxes[edge].area for edge in doors}
         groups = self.city.traffic if traffic is None else traffic
-        self.add(name, "callers", lambda box: Callers(doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace, None, name),
-                 "", "", name)
+        self.add(name, "callers", lambda box: Callers(doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace, None,
+                                                      name, areas), "", "", name)
         return self.boxes[name].machine
 
+    def probe_in(self):
+        """A probe of what edges obey begins; gives it."""
+        self.probe = Probe(self)
+        self.add("probe", "probe", lambda box: self.probe, "", "", "probe")
+        return self.probe
+
+    def operator(self):
+        box = self.boxes.get("operator") or self.add("operator", "operator", lambda box: Operator(), "", "", "operator")
+        return box.machine
+
+    def inside(self, *but) -> list:
+        """All that a cut of the network can part: nodes, servers, the platform."""
+        return [box.name for box in self.boxes.values() if box.role in ("core", "edge", "model", "records", "platform") and box.name not in but]
+
     def machines(self, role: str) -> list:
         return [box.machine for box in self.boxes.values() if box.role == role and box.machine is not None]
 
-    def ask(self, core: str, method: str, path: str, doc=None, wait=8.0):
-        """An operator's request to a core: (status, answer), or None if none came in time."""
-        box = self.boxes.get("operator") or self.add("operator", "operator", lambda box: Operator(), "", "", "operator")
-        number = box.machine.ask(f"http://{self.boxes[core].door}{path}", method, doc)
-        self._hand(box, ("pulse",))
-        self.run_until(lambda: number in box.machine.answers, wait)
-        return box.machine.answers.get(number)
+    def ask(self, core: str, method: str, path: str, doc=None, wait=8.0, step=None):
+        """An operator's request to a core: (status, answer), or None if none came in time; noted for the witness."""
+        sentAt = self.now
+        operator = self.operator()
+        number = operator.ask(f"http://{self.boxes[core].door}{path}", method, doc)
+        self._hand(self.boxes["operator"], ("pulse",))
+        if step is None:
+            self.run_until(lambda: number in operator.answers, wait)
+        while step is not None and number not in operator.answers and self.now - sentAt < timedelta(seconds=wait):
+            step()  # the asker has other things to see to meanwhile
+        answer = operator.answers.get(number)
+        self.orders.append((path, doc, sentAt, self.now, answer[0] if answer else 0))
+        return answer
 
 
 class Operator:
@@ -104,8 +127,6 @@
         return self.number
 
     def take(self, message, now):
-        from datetime import timedelta
-
         wait = timedelta(seconds=8)
         if message[0] == "pulse":
             sent, self.waiting = self.waiting, []
--- a/sumachook/guise/disk.py
+++ b/sumachook/guise/disk.py
@@ -12,10 +12,11 @@
     {'log': [('a',)]}
     """
 
-    __slots__ = ("files", "pending", "stalledUntil", "delay")
+    __slots__ = ("files", "pending", "stalledUntil", "delay", "opened")
 
     def __init__(self):
         self.files, self.pending, self.stalledUntil, self.delay = {}, [], timedelta(0), timedelta(seconds=0.002)
+        self.opened = set()  # tags whose record was ever synced in a ledger here, noted for the witness
 
     def begin(self, verb, name, records, followup):
         self.pending.append((verb, name, tuple(records), followup))
@@ -27,6 +28,8 @@
             self.files[name] = list(records)
         else:
             self.files.setdefault(name, []).extend(records)
+            if name == "ledger":
+                self.opened.update(record[1]["tag"] for record in records)
         return followup
 
     def lose_power(self):
--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -8,6 +8,7 @@
 from assel import Parser
 
 from sumachook.guise.disk import Disk
+from sumachook.guise.reach import EVERY as LOOK_EVERY, Reach
 from sumachook.wire.codec import Codec, as_tuples, read_parcel
 
 PULSE = timedelta(seconds=0.05)
@@ -27,7 +28,7 @@
         return self.fleet.now
 
     def wall(self):
-        return START + self.fleet.now + self.jump
+        return self.fleet.dawn + self.fleet.now + self.jump
 
 
 class Box:
@@ -59,13 +60,15 @@
     """
 
     __slots__ = ("now", "draw", "heap", "count", "boxes", "byAddress", "byDoor", "cuts", "loss", "latest", "exchanges", "byTid", "logs",
-                 "cluster", "latency", "tries", "arrivals", "deaths", "freezes")
+                 "cluster", "latency", "tries", "arrivals", "deaths", "freezes", "reach", "dawn")
 
     def __init__(self, seed: int, cluster: str = "fleet"):
         self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
         self.boxes, self.byAddress, self.byDoor, self.cuts, self.loss = {}, {}, {}, set(), 0.0
         self.latest, self.exchanges, self.byTid, self.logs = {}, {}, {}, []
-        self.latency, self.tries, self.arrivals, self.deaths, self.freezes = (0.0005, 0.003), {}, {}, [], []
+        self.latency, self.tries, self.arrivals, self.deaths, self.freezes = (0.0005, 0.003), [], {}, [], []
+        self.reach, self.dawn = Reach(self), START
+        self._later(LOOK_EVERY, self._look)
 
     # building ----------------------------------------------------------------------
 
@@ -158,6 +161,10 @@
         self.now = end
         return isReached()
 
+    def _look(self):
+        self.reach.look()
+        self._later(LOOK_EVERY, self._look)
+
     def _pulse(self, box, life):
         if box.life != life or box.machine is None:
             return
@@ -263,8 +270,8 @@
         server = self.byDoor.get(address)
         self.count += 1
         cid = self.count
-        if box.role == "edge":
-            self.tries[(tid[0], tid[2])] = self.tries.get((tid[0], tid[2]), 0) + 1
+        if box.role == "edge" and (tid[0] == "lookup" or method == "POST"):  # a resume runs nothing and is no resend
+            self.tries.append((self.now, tid[2] > 1))
         isReachable = server is not None and self._reach(box, server) and self._reach(server, box)
         if not isReachable:
             self._later(connect, self._fetched, box, box.life, tid, "fault", "connect-timeout")
--- a/sumachook/guise/model.py
+++ b/sumachook/guise/model.py
@@ -9,18 +9,27 @@
 JSON = {"Content-Type": "application/json"}
 EVENTS = 8
 KEEP_AFTER = timedelta(seconds=5)
+STEP, WARMING = timedelta(seconds=1.5), timedelta(seconds=4.5)
+SERVER = "all models"
+
+
+def most_while_warming(age) -> int:
+    """Rule 8: two at first, doubling every step (§7.5); twice that, as edges may differ over who the others are."""
+    return 4 << int(age / STEP)
 
 
 class Record:
     """What one server saw, kept by the world outside: it outlives the server's crashes (§12.2).
 
-    `runs` {tag of the call: times run}, `broken` what it was told and must never be told, `stale` orders under old fences.
+    `runs` {tag of the call: times run}, `broken` what it was told and must never be told, `stale` orders under old fences,
+    `warmPeak` the most it had in hand of a model, or of all, in a first step of warming, `floods` where that or a later step
+    was beyond its bound.
     """
 
-    __slots__ = ("runs", "broken", "loads", "warmPeak", "stale", "orders")
+    __slots__ = ("runs", "broken", "loads", "warmPeak", "stale", "orders", "floods")
 
     def __init__(self):
-        self.runs, self.broken, self.loads, self.warmPeak, self.stale, self.orders = {}, [], [], {}, [], []
+        self.runs, self.broken, self.loads, self.warmPeak, self.stale, self.orders, self.floods = {}, [], [], {}, [], [], []
 
 
 class Run:
@@ -39,7 +48,7 @@
     """Takes (message, now); notes in its record all that it ran and was ordered (§12.2)."""
 
     __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest",
-                 "record", "fence", "isDark", "hasIds", "skips", "endsAfter", "readyAt", "prefill", "loadRate")
+                 "record", "fence", "isDark", "hasIds", "skips", "endsAfter", "readyAt", "prefill", "loadRate", "coldAt", "isBusy", "saysDone")
 
     def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True, record=None):
         self.name, self.memory, self.places, self.slots = listed["name"], listed["memory"], listed["places"], listed["slots"]
@@ -48,8 +57,8 @@
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
         self.held = {name: "loaded" for name in held}
         self.active, self.waiting, self.byRequest, self.record = {}, [], {}, record or Record()
-        self.fence, self.isDark, self.hasIds, self.skips, self.endsAfter = 0, False, hasIds, 0, None
-        self.readyAt, self.prefill, self.loadRate = {}, timedelta(seconds=0.1), loadRate
+        self.fence, self.isDark, self.hasIds, self.skips, self.endsAfter, self.isBusy, self.saysDone = 0, False, hasIds, 0, None, False, False
+        self.readyAt, self.prefill, self.loadRate, self.coldAt = {}, timedelta(seconds=0.1), loadRate, None
 
     def take(self, message: tuple, now) -> list:
         kind = message[0]
@@ -73,7 +82,7 @@
             data = [{"id": name, "parent": self.adapters.get(name)} for name, value in self.held.items() if value == "loaded"]
             return [_reply(cid, 200, {"object": "list", "data": data})]
         if path == "/proof":
-            return [_reply(cid, 200, {name: getattr(self.record, name) for name in ("runs", "broken", "loads", "warmPeak", "stale")})]
+            return [_reply(cid, 200, {name: getattr(self.record, name) for name in ("runs", "broken", "loads", "warmPeak", "stale", "floods")})]
         if method == "POST" and path == "/v1/chat/completions":
             return self._prompt(cid, headers, msgspec.json.decode(body), now)
         if method == "GET" and path.startswith("/v1/chat/completions/"):
@@ -123,7 +132,7 @@
         model = self.adapters.get(asked, asked)
         if self.held.get(asked) != "loaded" or self.held.get(model) != "loaded":
             return [_reply(cid, 404, {"error": {"message": f"model {asked} is not loaded"}})]
-        if len(self.active) + len(self.waiting) >= self.slots * 3:
+        if self.isBusy or len(self.active) + len(self.waiting) >= self.slots * 3:
             return [("reply", cid, 429, {**JSON, "Retry-After": "1"}, b'{"error":{"message":"busy"}}')]
         count = min(body.get("max_tokens", 64), 12 + crc32(request.encode()) % 60)
         tag = str(body["messages"][-1].get("content"))
@@ -131,12 +140,21 @@
         self.record.runs[tag] = self.record.runs.get(tag, 0) + 1
         self.byRequest[request] = run
         self.waiting.append(run)
-        busy = sum(other.model == model for other in [*self.active.values(), *self.waiting])
-        if now - self.readyAt.get(model, now - timedelta(days=1)) < timedelta(seconds=1.4):
-            self.record.warmPeak[model] = max(self.record.warmPeak.get(model, 0), busy)
+        inHand = [other for other in [*self.active.values(), *self.waiting] if other.goneAt is None]
+        self._note_warming(model, self.readyAt.get(model), sum(other.model == model for other in inHand), now)
+        self._note_warming(SERVER, self.coldAt, len(inHand), now)
         self._begin(now)
         return []
 
+    def _note_warming(self, what, since, busy, now):
+        age = now - since if since is not None else WARMING
+        if age >= WARMING:
+            return
+        if age < STEP:
+            self.record.warmPeak[what] = max(self.record.warmPeak.get(what, 0), busy)
+        if busy > most_while_warming(age):
+            self.record.floods.append((what, now.total_seconds(), age.total_seconds(), busy, most_while_warming(age)))
+
     def _begin(self, now):
         while self.waiting and len(self.active) < self.slots:
             run = self.waiting.pop(0)
@@ -147,9 +165,11 @@
         out = []
         for name, value in list(self.held.items()):
             if not isinstance(value, str) and now >= value:
-                self.held[name] = "loaded"
                 if name in self.sizes:
                     self.readyAt[name] = now
+                    if not any(self.held.get(other) == "loaded" for other in self.sizes):
+                        self.coldAt = now  # it comes up cold: nothing else was there
+                self.held[name] = "loaded"
         if self.isDark:
             return []  # it holds back what it has to say; a stream cannot skip
         for run in list(self.active.values()):
@@ -191,10 +211,11 @@
         for number in range(run.flushed, len(run.events)):
             eventId = f"{run.request}:{number}" if self.hasIds else None
             out.append(("chunk", run.cid, send(Event(data=msgspec.json.encode(run.events[number]).decode(), id=eventId))))
-        run.flushed = len(run.events)
+        run.flushed = max(run.flushed, len(run.events))
         if self.endsAfter is not None and run.flushed >= self.endsAfter:  # ends in good order, but with no word of being done
             run.isDone, run.goneAt = True, now
-            return [*out, ("end", run.cid)]
+            word = [("chunk", run.cid, send(Event(data="[DONE]")))] if self.saysDone else []
+            return [*out, *word, ("end", run.cid)]
         if run.said > EVENTS:
             out += [("chunk", run.cid, send(Event(data="[DONE]"))), ("end", run.cid)]
             run.isDone, run.goneAt = True, now
--- a/sumachook/guise/platform.py
+++ b/sumachook/guise/platform.py
@@ -8,12 +8,15 @@
 class Platform:
     """Takes (message, now): GET /servers; POST /leaving {"name", "leaving"}; POST /servers {"servers"} (§12.2)."""
 
-    __slots__ = ("servers",)
+    __slots__ = ("servers", "leavings", "extra")
 
     def __init__(self, servers):
         self.servers = {server["name"]: {**server} for server in servers}
+        self.leavings = {}  # {server: [[listed as leaving since, until or None]]}, for the witness
+        self.extra = []  # what else the list says, sound or not
 
     def take(self, message: tuple, now) -> list:
+        self._note(now)
         if message[0] == "stop":
             return [("leave", 0)]
         if message[0] != "http":
@@ -28,4 +31,13 @@
             self.servers = {server["name"]: server for server in msgspec.json.decode(body)["servers"]}
         elif path != "/servers":
             return [("reply", cid, 404, JSON, b'{"error":"not found"}')]
-        return [("reply", cid, 200, JSON, msgspec.json.encode({"servers": list(self.servers.values())}))]
+        return [("reply", cid, 200, JSON, msgspec.json.encode({"servers": [*self.servers.values(), *self.extra]}))]
+
+    def _note(self, now):
+        for name, server in self.servers.items():
+            spans = self.leavings.setdefault(name, [])
+            isOpen = bool(spans) and spans[-1][1] is None
+            if server.get("leaving") and not isOpen:
+                spans.append([now, None])
+            elif not server.get("leaving") and isOpen:
+                spans[-1][1] = now
--- /dev/null
+++ b/sumachook/guise/probe.py
@@ -0,0 +1,51 @@
+"""Asks each edge from outside whether it obeys what was acknowledged."""
+
+from datetime import timedelta
+
+EVERY = timedelta(seconds=0.5)
+WAIT = timedelta(seconds=1)
+KNOWN, UNKNOWN = 403, 401
+
+
+class Probe:
+    """Takes (message, now); asks each edge for a record with keys of callers that may not look up (§12.4).
+
+    An edge that knows the key answers 403, one that does not 401; neither begins a request.
+    `present` and `absent` {key: since}: what an ack has promised; `notes` (edge, askedAt, key, status, life of the edge).
+    """
+
+    __slots__ = ("town", "present", "absent", "notes", "nextAt", "number", "waiting")
+
+    def __init__(self, town):
+        self.town, self.present, self.absent, self.notes = town, {}, {}, []
+        self.nextAt, self.number, self.waiting = town.now, 0, {}
+
+    def promise(self, present=(), absent=(), now=timedelta(0)):
+        """From an ack on, these keys are known and those are not."""
+        self.forget((*present, *absent))
+        self.present |= {key: now for key in present}
+        self.absent |= {key: now for key in absent}
+
+    def forget(self, keys):
+        """An order is on its way that may change them: nothing is promised of them any more."""
+        for key in keys:
+            self.present.pop(key, None)
+            self.absent.pop(key, None)
+
+    def take(self, message: tuple, now) -> list:
+        if message[0] == "fetched":
+            if message[2] == "done" and message[1] in self.waiting:
+                edge, askedAt, key, life, wanted, since = self.waiting.pop(message[1])
+                self.notes.append((edge, askedAt, key, message[3], life, wanted, since))
+            return []
+        if message[0] != "pulse" or now < self.nextAt:
+            return []
+        self.nextAt, out = now + EVERY, []
+        wanted = [(key, KNOWN, at) for key, at in self.present.items()] + [(key, UNKNOWN, at) for key, at in self.absent.items()]
+        for box in self.town.boxes.values():
+            for key, status, since in wanted if box.role == "edge" else ():
+                self.number += 1
+                self.waiting[("probe", self.number)] = (box.name, now, key, box.life, status, since)
+                out.append(("fetch", ("probe", self.number), "GET", f"http://{box.door}/records/probe",
+                            {"Authorization": f"Bearer {key}"}, b"", WAIT, WAIT, "whole"))
+        return out
--- a/sumachook/guise/storm.py
+++ b/sumachook/guise/storm.py
@@ -1,4 +1,4 @@
-"""Seeded random faults over a whole town, then calm; the witness looks on."""
+"""Seeded random faults over a whole town, then calm, or an end without one; the witness looks on."""
 
 from datetime import timedelta
 from random import Random
@@ -6,19 +6,24 @@
 from sumachook.guise.witness import Witness
 
 FOREVER = timedelta(days=9)
+LOSS_EVERY = timedelta(seconds=45)
+POLICIES = ({"hold": "waiting < bound / 2 or line == 'counter'"}, {"retry": "attempt < 3 and fault != 'overload'"},
+            {"evict": "memory if not paired else 0 - demand"}, {"place": "0.3 if memory > 5 else 0"},
+            {"hold": "", "retry": "", "evict": "", "place": ""})
 
 
 class Storm:
-    """`run(seconds)` brings faults about and then calm; `left` says what did not come back (§12.5)."""
+    """`run(seconds)` brings faults about and then calm, or with `closing` one last fault; gives what broke a rule (§12.5)."""
 
-    __slots__ = ("town", "callers", "witness", "draw", "told", "undo", "ackedGeneration", "number", "obeyed", "slipped")
+    __slots__ = ("town", "callers", "witness", "draw", "told", "undo", "ackedGeneration", "number", "lostAt", "retired", "key", "isChanging")
 
     def __init__(self, town, callers, seed: int):
         self.town, self.callers, self.draw = town, callers, Random(seed)
         self.witness, self.told, self.undo, self.number = Witness(town, callers), [], [], 0
-        self.ackedGeneration, self.obeyed, self.slipped = 0, {}, []
+        self.ackedGeneration, self.lostAt, self.retired, self.key, self.isChanging = 0, -LOSS_EVERY, set(), "", False
+        town.probe or town.probe_in()
 
-    def run(self, seconds: float, calm: float = 40.0) -> list:
+    def run(self, seconds: float, calm: float = 40.0, closing: bool = False) -> list:
         kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("_fault_")]
         end = self.town.now + timedelta(seconds=seconds)
         while self.town.now < end:
@@ -28,45 +33,63 @@
             if what:
                 self.told.append((round(self.town.now.total_seconds(), 2), what))
             self._go_on(self.draw.uniform(0.3, 3.0))
+        if closing:
+            return self._close()
         self._go_on(10.0)
-        for _, undo in self.undo:
-            undo()
-        self.undo = []
-        self.town.heal()
-        for box in self.town.boxes.values():
-            if box.isFrozen:
-                self.town.wake(box.name)
-        for box in self.town.boxes.values():
-            if box.machine is None and box.role in ("core", "edge", "model", "records"):
-                self.town.start(box.name)
+        self._end_faults()
         self.town.run(5)
         for area in self.town.city.catalogue["areas"]:  # an order that was not acknowledged may have been carried out
             self._order("/operator/restore", {"area": area})
         self.town.run(calm)
-        self.callers.isOn = False
+        self._hush()
         self.town.run(8)
-        lost = [f"accounted: {call.tag} of {call.group} at {call.edge}, {call.outcome} {call.faultClass}, is in no log"
+        return self.witness.faults() + self._lost() + self.left()
+
+    def _close(self):
+        """The day ends here: every node of ours is gone and none returns; the disks have the last word."""
+        self._go_on(self.draw.uniform(0.0, 2.0))
+        self._hush()
+        nodes = [box.name for box in self.town.boxes.values() if box.role in ("edge", "core")]
+        self.draw.shuffle(nodes)
+        for name in nodes:
+            self.town.kill(name)
+        self.told.append((round(self.town.now.total_seconds(), 2), "all nodes are gone for good"))
+        self.town.run(20)
+        return self.witness.faults() + self._lost()
+
+    def _hush(self):
+        for box in self.town.boxes.values():
+            if box.role == "callers":
+                box.machine.isOn = False
+
+    def _lost(self):
+        return [f"accounted: {call.tag} of {call.group} at {call.edge}, {call.outcome} {call.faultClass}, is not in that day's log"
                 for call in self.witness.unaccounted()]
-        return self.witness.faults() + self.slipped + lost + self.left()
+
+    def _end_faults(self):
+        last, self.undo = self.undo, []
+        for _, undo in last:
+            undo()
+        self.town.heal()
+        for box in self.town.boxes.values():
+            if box.isFrozen:
+                self.town.wake(box.name)
+            self._revive(box.name)
+        self._go_on(12.0)  # what could not be undone at once is tried again until now
+        self.undo = []
 
     def _go_on(self, seconds):
         """Time passes in steps, so that what is due to end does."""
         end = self.town.now + timedelta(seconds=seconds)
         while self.town.now < end:
-            self.town.run(0.25)
-            self._look_for_slips()
-            due = [item for item in self.undo if item[0] <= self.town.now]
-            self.undo = [item for item in self.undo if item[0] > self.town.now]
-            for _, undo in due:
-                undo()
-
-    def _look_for_slips(self):
-        """Rule 5: what an edge obeys never becomes older while it runs."""
-        for edge in self.town.machines("edge"):
-            key = (edge.node, edge.boot)
-            if edge.state.generation < self.obeyed.get(key, 0):
-                self.slipped.append(f"slipped: {edge.node} from {self.obeyed[key]} to {edge.state.generation}")
-            self.obeyed[key] = edge.state.generation
+            self._step()
+
+    def _step(self):
+        self.town.run(0.25)
+        for item in list(self.undo):
+            if item[0] <= self.town.now and item in self.undo:
+                self.undo.remove(item)
+                item[1]()
 
     def _later(self, seconds, undo):
         self.undo.append((self.town.now + timedelta(seconds=seconds), undo))
@@ -89,8 +112,9 @@
             found.append(f"acked generation {self.ackedGeneration}, now {leaders[0].state.generation}")
         if leaders and any(not holder for holder, _ in leaders[0].state.duties.values()):
             found.append(f"duties {leaders[0].state.duties}")
-        answered = [call for call in self.callers.calls if call.sentAt > town.now - timedelta(seconds=16) and call.outcome != "pending"]
-        bad = [call for call in answered if call.outcome != "ok"]
+        answered = [call for call in self.callers.calls if call.sentAt > town.now - timedelta(seconds=19) and call.outcome != "pending"
+                    and not call.key]
+        bad = [call for call in answered if call.outcome != "ok" and not call.hasMoved]
         if not answered or len(bad) > 0.02 * len(answered):
             found.append(f"{len(bad)} of {len(answered)} calls fail after the calm: "
                          + str(sorted({(call.group, call.outcome, call.faultClass) for call in bad}, key=str)))
@@ -103,7 +127,8 @@
         return self.draw.choice(boxes) if boxes else None
 
     def _revive(self, name):
-        if self.town.boxes[name].machine is None:
+        box = self.town.boxes[name]
+        if box.machine is None and name not in self.retired and box.role in ("core", "edge", "model", "records", "platform"):
             self.town.start(name)
 
     def _fault_kill_node(self, lasts):
@@ -161,13 +186,10 @@
         town.cut(first, second, oneWay)
         added = town.cuts - before
         self._later(lasts, lambda: town.cuts.difference_update(added))
-        for name in first:
-            self.witness.isolated.append((name, town.now, town.now + timedelta(seconds=lasts + 2)))
 
     def _fault_isolate(self, lasts):
         box = self._one("edge", "core")
-        others = [name for name in self.town.boxes if name not in ("operator", "callers")]
-        self._cut([box.name] if box else [], others, False, lasts)
+        self._cut([box.name] if box else [], self.town.inside(), False, lasts)
         return f"{box.name} isolated for {lasts:.1f}" if box else None
 
     def _fault_one_way(self, lasts):
@@ -214,45 +236,296 @@
         platform.servers[name]["leaving"] = True
 
         def back():
-            platform.servers[name]["leaving"] = False
+            platform.servers.get(name, {})["leaving"] = False
 
         self._later(lasts + 6, back)
         return f"{name} is leaving for {lasts + 6:.1f}"
 
+    # configuration and orders
+
     def _order(self, path, doc):
         """An operator's order to a core that is up; gives the answer's document if it was acknowledged."""
         core = self._one("core")
         if core is None:
             return None
         self.number += 1
-        answer = self.town.ask(core.name, "POST", path, {"request": f"storm-{self.number}", **doc}, 7.0)
+        answer = self.town.ask(core.name, "POST", path, {"request": f"storm-{self.number}", **doc}, 7.0, self._step)
         if answer and answer[0] == 200:
             self.ackedGeneration = max(self.ackedGeneration, answer[1]["generation"])
             return answer[1]
         return None
 
+    def _probing(self):
+        """(part of a configuration, its key, keys whose fate it decides): a caller that only the probe uses, the last one out."""
+        self.number += 1
+        name = f"probe-{self.number}"
+        line = self.town.city.catalogue["lines"][0]["name"]
+        caller = {"name": name, "key": f"{name}-key", "line": line, "patience": 5.0, "lookups": False}
+        callers = [caller] + ([{"name": self.key.removesuffix("-key"), "remove": True}] if self.key else [])
+        return {"callers": callers}, caller["key"]
+
+    def _change(self, part):
+        """A partial configuration that the probe will look for; gives its answer if it was acknowledged. One at a time."""
+        if self.isChanging:
+            return None
+        self.isChanging = True
+        more, key = self._probing()
+        before = [self.key] if self.key else []
+        self.town.probe.forget(before)
+        self.key = key  # whether it was taken or not, the next one takes it out
+        doc = {**part, "callers": [*part.get("callers", ()), *more["callers"]]}
+        answer = self._order("/operator/apply", {"doc": doc, "part": True})
+        self.isChanging = False
+        if answer is not None:
+            self.town.probe.promise([key], before, self.town.now)
+        return answer
+
     def _fault_apply(self, lasts):
         target = self.town.city.catalogue["models"][0]["name"]
         routes = [{"name": f"storm-{self.number}-{place}", "target": target} for place in range(self.draw.randrange(1, 60))]
-        answer = self._order("/operator/apply", {"doc": {"routes": routes}, "part": True})
+        answer = self._change({"routes": routes})
         return f"{len(routes)} routes applied: {answer and answer['generation']}"
 
+    def _fault_policies(self, lasts):
+        policies = self.draw.choice(POLICIES)
+
+        def back():
+            if self._change({"policies": POLICIES[-1]}) is None:
+                self._later(1.0, back)
+
+        self._later(lasts + 3, back)
+        return f"policies {policies} applied: {self._change({'policies': policies}) is not None}"
+
+    def _fault_removal(self, lasts):
+        """A model that is in use, and a caller that calls, are taken out and put back."""
+        catalogue = self.town.city.catalogue
+        model = self.draw.choice([model for model in catalogue["models"]
+                                  if not any(adapter["model"] == model["name"] for adapter in catalogue["adapters"])])
+        caller = self.draw.choice(catalogue["callers"])
+        gone = {"models": [{"name": model["name"], "remove": True}], "callers": [{"name": caller["name"], "remove": True}]}
+        answer = self._change(gone)
+
+        def back():
+            if self._change({"models": [model], "callers": [caller]}) is None:
+                self._later(1.0, back)
+
+        self._later(lasts, back)
+        return f"{model['name']} and {caller['name']} taken out for {lasts:.1f}: {answer is not None}"
+
+    def _fault_race(self, lasts):
+        """A whole configuration and a partial one at two cores at once; their order decides what is left of the part."""
+        cores = [box for box in self.town.boxes.values() if box.role == "core" and box.machine is not None and not box.isFrozen]
+        if len(cores) < 2 or self.isChanging:
+            return None
+        one, other = self.draw.sample(cores, 2)
+        wholePart, wholeKey = self._probing()
+        partPart, partKey = self._probing()
+        partPart["callers"] = partPart["callers"][:1]
+        before = [self.key] if self.key else []
+        self.town.probe.forget([*before, *self.town.probe.present, *self.town.probe.absent])
+        whole = self.town.city.catalogue
+        whole = {**whole, "callers": [*whole["callers"], *wholePart["callers"][:1]]}
+        operator = self.town.operator()
+        asked = [operator.ask(f"http://{one.door}/operator/apply", "POST", {"request": f"whole-{self.number}", "doc": whole}),
+                 operator.ask(f"http://{other.door}/operator/apply", "POST", {"request": f"part-{self.number}", "doc": partPart, "part": True})]
+        self.town.run_until(lambda: all(number in operator.answers for number in asked), 9.0)
+        answers = [operator.answers.get(number) for number in asked]
+        self.number += 1
+        isGood = [bool(answer) and answer[0] == 200 for answer in answers]
+        if all(isGood):
+            self.ackedGeneration = max(self.ackedGeneration, *(answer[1]["generation"] for answer in answers))
+            isPartLast = answers[1][1]["number"] > answers[0][1]["number"]
+            self.town.probe.promise([wholeKey] + [partKey] * isPartLast, before + [partKey] * (not isPartLast), self.town.now)
+        self.key = wholeKey  # the part's goes with the next whole one, and is forgotten there
+        return f"a whole and a partial configuration raced: {isGood}"
+
     def _fault_evacuate(self, lasts):
-        if any(end == FOREVER for _, _, end in self.witness.evacuations):
+        if len(self.witness.evacuations()) and self.witness.evacuations()[-1][2] >= self.town.now:
             return None
         area = self.draw.choice(self.town.city.catalogue["areas"])
         if self._order("/operator/evacuate", {"area": area}) is None:
             return f"evacuation of {area} not acknowledged"
-        start, place = self.town.now, len(self.witness.evacuations)
-        self.witness.evacuations.append((area, start, FOREVER))
 
         def restore():
-            end = self.town.now
-            for _ in range(20):
-                if self._order("/operator/restore", {"area": area}) is not None:
-                    break
-                self.town.run(1)
-            self.witness.evacuations[place] = (area, start, end)
-
-        self._later(lasts + 6, restore)
-        return f"{area} evacuated for {lasts + 6:.1f}"
+            if self._order("/operator/restore", {"area": area}) is None:
+                self._later(1.0, restore)
+
+        self._later(lasts + 8, restore)
+        return f"{area} evacuated for {lasts + 8:.1f}"
+
+    # traffic
+
+    def _crowd(self, what, pace, traffic, lasts):
+        self.number += 1
+        crowd = self.town.call_in(pace, traffic, f"{what}-{self.number}", [box.name for box in self.town.boxes.values() if box.role == "edge"])
+
+        def end():
+            crowd.isOn = False
+
+        self._later(lasts, end)
+        return f"{what} for {lasts:.1f}"
+
+    def _fault_crowd(self, lasts):
+        return self._crowd("crowd", 5.0, None, min(lasts, 4.0))
+
+    def _fault_heavy(self, lasts):
+        return self._crowd("heavy", 1.0, [{**self.town.city.traffic[-1], "rate": 8.0}], lasts)
+
+    def _fault_rare(self, lasts):
+        """Every model and adapter but the heaviest, once, all at once."""
+        group = next(each for each in self.town.city.traffic if each["kind"] == "prompt" and not each.get("stream", True))
+        heavy = {name for name in self.town.city.traffic[-1]["models"]}
+        catalogue, before = self.town.city.catalogue, len(self.callers.calls)
+        for item in [*catalogue["models"], *catalogue["adapters"]]:
+            if item["name"] not in heavy:
+                for effect in self.callers.ask(group, self.town.now, model=item["name"]):
+                    self.town._do(self.town.boxes[self.callers.name], effect)
+        return f"{len(self.callers.calls) - before} models and adapters asked for at once"
+
+    # loss, wear and power
+
+    def _may_lose(self):
+        """One core at a time may be lost for good, and only while the others hold everything."""
+        cores = [box for box in self.town.boxes.values() if box.role == "core" and box.name not in self.retired]
+        isWhole = all(box.machine is not None and not box.isFrozen and len(box.machine.accord.members) == 3 for box in cores)
+        if not isWhole or self.town.now - self.lostAt < LOSS_EVERY:
+            return None
+        self.lostAt = self.town.now
+        return self.draw.choice(cores)
+
+    def _fault_blank(self, lasts):
+        box = self._may_lose()
+        if box is None:
+            return None
+        self.town.kill(box.name)
+        box.disk.wipe()
+        self._later(lasts, lambda: self._revive(box.name))
+        return f"{box.name} loses its disk and is back after {lasts:.1f}"
+
+    def _fault_swap(self, lasts):
+        box = self._may_lose()
+        if box is None:
+            return None
+        self.number += 1
+        self.town.vanish(box.name)
+        self.retired.add(box.name)
+        node = {"name": f"core-{10 + self.number}", "role": "core", "area": box.area, "address": f"127.0.0.9:{20000 + self.number}",
+                "door": f"127.0.0.9:{30000 + self.number}"}
+        seeds = tuple(each.address for each in self.town.boxes.values() if each.role == "core" and each.name not in self.retired)
+        self._later(lasts, lambda: self.town.add_node(node, founding=[], seeds=seeds))
+        return f"{box.name} is swapped for an empty {node['name']} after {lasts:.1f}"
+
+    def _fault_slow_disks(self, lasts):
+        delay = timedelta(seconds=self.draw.uniform(0.02, 0.15))
+        disks = [box.disk for box in self.town.boxes.values() if box.role == "core"]
+        for disk in disks:
+            disk.delay = delay
+
+        def fast():
+            for disk in disks:
+                disk.delay = timedelta(seconds=0.002)
+
+        self._later(lasts, fast)
+        return f"all disks take {delay.total_seconds():.3f} a sync for {lasts:.1f}"
+
+    def _power(self, roles, lasts):
+        names = [box.name for box in self.town.boxes.values() if box.role in roles and box.machine is not None]
+        for name in names:
+            self.town.kill(name)
+        for name in names:
+            self._later(lasts + self.draw.uniform(0, 0.5), lambda name=name: self._revive(name))
+
+    def _fault_power_after_ack(self, lasts):
+        answer = self._change({"routes": [{"name": f"power-{self.number}", "target": self.town.city.catalogue["models"][0]["name"]}]})
+        self._power(("core",), min(lasts, 3.0))
+        return f"all cores lose power after {'an' if answer else 'no'} ack, for {min(lasts, 3.0):.1f}"
+
+    def _fault_total_loss(self, lasts):
+        self._power(("core", "edge") if self.draw.random() < 0.6 else ("core", "edge", "model", "records"), min(lasts, 4.0))
+        return f"everything of ours loses power for {min(lasts, 4.0):.1f}"
+
+    def _fault_short_warning(self, lasts):
+        box = self._one("edge", "core", "edge")
+        if box is None:
+            return None
+        life = box.life
+        self.town.stop(box.name)
+
+        def end():
+            if box.life == life:
+                self.town.kill(box.name)
+
+        self._later(self.draw.uniform(0.2, 3.0), end)
+        self._later(3.5 + lasts, lambda: self._revive(box.name))
+        return f"{box.name} is told to stop and killed soon after"
+
+    # servers
+
+    def _fault_replace(self, lasts):
+        """A model server is announced as leaving, ends a little later in mid-stream, and comes back empty."""
+        platform = self.town.boxes["platform"].machine
+        box = self._one("model")
+        if box is None or platform is None or sum(server["leaving"] for server in platform.servers.values()) > 1:
+            return None
+        platform.servers.get(box.name, {})["leaving"] = True
+        notice = self.draw.uniform(3.0, 9.0)
+
+        def back():
+            self._revive(box.name)
+            platform.servers.get(box.name, {})["leaving"] = False
+
+        self._later(notice, lambda: self.town.kill(box.name))
+        self._later(notice + lasts, back)
+        return f"{box.name} is emptied within {notice:.1f} and replaced after {lasts:.1f}"
+
+    def _fault_half_of_the_servers(self, lasts):
+        names = [box.name for box in self.town.boxes.values() if box.role in ("model", "records") and box.machine is not None][::2]
+        how = self.draw.choice(("dark", "killed", "refusing"))
+        machines = [self.town.boxes[name].machine for name in names]
+        for name, machine in zip(names, machines):
+            if how == "killed":
+                self.town.kill(name)
+                self._later(lasts, lambda name=name: self._revive(name))
+            else:
+                setattr(machine, "isDark" if how == "dark" else "isBusy", True)
+
+        def well():
+            for machine in machines:
+                machine.isDark = machine.isBusy = False
+
+        self._later(lasts, well)
+        return f"half of the servers {how} for {lasts:.1f}"
+
+    def _fault_records_gone(self, lasts):
+        names = [box.name for box in self.town.boxes.values() if box.role == "records" and box.machine is not None]
+        for name in names:
+            self.town.kill(name)
+            self._later(min(lasts, 5.0), lambda name=name: self._revive(name))
+        return f"no records server for {min(lasts, 5.0):.1f}"
+
+    def _fault_bad_list(self, lasts):
+        """The platform's list is empty, half gone or full of junk for a while."""
+        platform = self.town.boxes["platform"].machine
+        if platform is None or platform.extra:
+            return None
+        how = self.draw.choice(("empty", "half", "junk"))
+        gone = dict(list(platform.servers.items())[:: 1 if how == "empty" else 2]) if how != "junk" else {}
+        for name in gone:
+            del platform.servers[name]
+        platform.extra = [{"name": 3}, {"kind": "model"}, None, {"name": "model-1", "kind": "cake", "address": "x", "area": "y"}]
+
+        def well():
+            platform.extra = []
+            platform.servers = {**gone, **platform.servers}
+
+        self._later(min(lasts, 6.0), well)
+        return f"the platform's list is {how} for {min(lasts, 6.0):.1f}"
+
+    def _fault_bad_air(self, lasts):
+        self.town.loss, self.town.latency = 0.25, (0.001, 0.06)
+
+        def well():
+            self.town.loss, self.town.latency = 0.0, (0.0005, 0.003)
+
+        self._later(lasts, well)
+        return f"a quarter of the datagrams lost and all slow for {lasts:.1f}"
--- a/sumachook/guise/witness.py
+++ b/sumachook/guise/witness.py
@@ -1,40 +1,56 @@
 """The independent check of the rules, from what callers and stand-ins saw."""
 
+from bisect import bisect_left
 from datetime import timedelta
 
 from sumachook.guise.model import EVENTS
+from sumachook.guise.probe import KNOWN, UNKNOWN
 
 SECOND = timedelta(seconds=1)
+LEAVING_WITHIN = SECOND * 3.6  # three seconds, and the half in which the list may lie unread
+OBEY_WITHIN = SECOND * 2
+SETTLED = SECOND * 3
+RATIO, STOCK = 0.2, 4.0  # §7.7: a fifth, and what an edge may have saved up
+WINDOWS = (1, 3, 10, 30, 60)
+LAST_MOMENT, CARRIED_WITHIN = SECOND / 2, SECOND * 2.5
 
 
 class Witness:
     """`faults()` lists what broke a rule; it never asks the router (§12.4)."""
 
-    __slots__ = ("town", "callers", "evacuations", "leavings", "isolated")
+    __slots__ = ("town", "callers")
 
     def __init__(self, town, callers):
         self.town, self.callers = town, callers
-        self.evacuations, self.leavings, self.isolated = [], [], []
 
     def faults(self) -> list:
-        checks = (self._runs, self._texts, self._leaving, self._evacuated, self._resends, self._warm, self._orders, self._store)
+        checks = (self._runs, self._texts, self._leaving, self._obeys, self._evacuated, self._resends, self._warm, self._orders, self._store)
         return [f"{check.__name__[1:]}: {fault}" for check in checks for fault in check()]
 
+    @property
+    def calls(self) -> list:
+        """Of all callers in the town: a crowd is judged like everybody."""
+        return [call for box in self.town.boxes.values() if box.role == "callers" and box.machine for call in box.machine.calls]
+
     def runs_of(self, call) -> int:
         return sum(record.runs.get(call.tag, 0) for record in self.town.records.values())
 
     def _runs(self):
-        """Rule 1: an unsafe prompt runs once at most, and "no" means no."""
-        for call in self.callers.calls:
+        """Rule 1: an unsafe prompt runs once at most, whoever repeats its key, and "no" means no."""
+        byKey = {}
+        for call in self.calls:
             runs = self.runs_of(call) if call.kind == "prompt" else 0
-            if runs > 1 and (not call.safe or call.key):
+            if call.key:
+                byKey[(call.caller, call.key)] = byKey.get((call.caller, call.key), 0) + runs
+            if runs > 1 and not call.safe:
                 yield f"{call.tag} of {call.group} ran {runs} times"
             if runs and call.run == "no":
                 yield f"{call.tag} was told that it did not run, and ran {runs} times"
+        yield from (f"key {key} ran {runs} times" for key, runs in byKey.items() if runs > 1)
 
     def _texts(self):
         """Rules 2 and 3: one server, in order, one's own, whole when it looks whole."""
-        for call in self.callers.calls:
+        for call in self.calls:
             if call.kind == "lookup":
                 if call.outcome == "ok" and not call.text.endswith(str(call.number)):
                     yield f"{call.tag} got {call.text}"
@@ -53,67 +69,123 @@
                 yield f"{call.tag} looks whole with {len(places)} pieces"
 
     def _leaving(self):
-        """Rule 4, with a second for the platform's list to be read."""
-        for server, at, until in self.leavings:
-            late = [when for when, _ in self.town.arrivals.get(server, ()) if until > when > at + SECOND * 4]
-            if late:
-                yield f"{server}, leaving since {at}, was given {len(late)} new ones, the last at {late[-1]}"
+        """Rule 4, from the moment that the platform lists it, for every edge that some core could tell all the while."""
+        platform = self.town.boxes["platform"].machine
+        for server, spans in (platform.leavings if platform else {}).items():
+            for at, until in spans:
+                late = [(when, edge) for when, edge in self.town.arrivals.get(server, ())
+                        if at + LEAVING_WITHIN < when < (until or when + SECOND)
+                        and self.town.reach.unbroken("word", edge, when - LEAVING_WITHIN, when)]
+                if late:
+                    yield f"{server}, leaving since {at}, was given {len(late)} new ones, the last at {late[-1][0]} by {late[-1][1]}"
+
+    def _obeys(self):
+        """Rule 5, by what edges answer to the probe: two seconds after an ack all that can be reached obey, and none goes back."""
+        probe, seen = self.town.probe, set()
+        for edge, at, key, status, life, wanted, since in sorted(probe.notes if probe else (), key=lambda note: note[1]):
+            if status not in (KNOWN, UNKNOWN):
+                continue  # it serves nobody just now
+            if status == wanted:
+                seen.add((edge, life, key, wanted, since))
+            elif (edge, life, key, wanted, since) in seen:
+                yield f"{edge} slipped back at {at}: key {key} gives {status} again, against the ack at {since}"
+            elif at >= since + OBEY_WITHIN and self.town.reach.unbroken("obey", edge, since - SETTLED, at + SECOND / 10):
+                yield f"{edge} does not obey at {at}: key {key} gives {status}, against the ack at {since}"
+
+    def evacuations(self) -> list:
+        """(area, from when nothing may enter, until) by the operators' own notes: five seconds after the order, three after its ack."""
+        found = []
+        for path, doc, sentAt, ackedAt, status in self.town.orders:
+            if path == "/operator/evacuate" and status == 200:
+                again = [other[2] for other in self.town.orders if other[0] == "/operator/restore" and other[1]["area"] == doc["area"]
+                         and other[2] >= ackedAt]
+                found.append((doc["area"], max(sentAt + SECOND * 5, ackedAt + SECOND * 3), min(again, default=self.town.now)))
+        return found
 
     def _evacuated(self):
-        """Rule 6: nothing enters the area from five seconds after the order's ack to its end."""
-        for area, start, end in self.evacuations:
+        """Rule 6: nothing enters the area, neither a server nor an edge's door."""
+        for area, start, end in self.evacuations():
             for server in self.town.city.servers:
                 if server["area"] != area:
                     continue
-                late = [at for at, edge in self.town.arrivals.get(server["name"], ())
-                        if start + SECOND * 5 < at < end and not self._was_isolated_inside(edge, area, at)]
+                late = [(at, edge) for at, edge in self.town.arrivals.get(server["name"], ())
+                        if start < at < end and not self._is_inside_alone(edge, area, at)]
                 if late:
-                    yield f"{server['name']} in {area}, evacuated at {start}, was given {len(late)}, the last at {late[-1]}"
-
-    def _was_isolated_inside(self, edge, area, at):
-        """An edge of the area that nobody could tell: it serves those who are inside with it."""
+                    yield f"{server['name']} in {area}, evacuated from {start}, was given {len(late)}, the last at {late[-1]}"
+            entered = [call for call in self.calls if start < call.sentAt < end and self.town.boxes[call.edge].area == area
+                       and _was_admitted(call) and not self._is_inside_alone(call.edge, area, call.sentAt)]
+            if entered:
+                yield f"{area}, evacuated from {start}, let in {len(entered)} calls, the last {entered[-1].tag} at {entered[-1].edge}"
+
+    def _is_inside_alone(self, edge, area, at):
+        """An edge of the area that nobody could tell (§8.3): it serves those who are inside with it."""
         inside = edge in self.town.boxes and self.town.boxes[edge].area == area
-        return inside and any(name == edge and start <= at <= end for name, start, end in self.isolated)
+        return inside and not self.town.reach.unbroken("order", edge, at - SETTLED, at)
 
     def resends(self):
         """(first tries, resends) as the wire saw them, over all edges together."""
-        first = sum(count for (role, attempt), count in self.town.tries.items() if attempt == 1)
-        return first, sum(self.town.tries.values()) - first
+        again = sum(isAgain for _, isAgain in self.town.tries)
+        return len(self.town.tries) - again, again
 
     def _resends(self):
-        """Rule 7, with the start's few."""
-        first, again = self.resends()
-        if again > 0.2 * first + 5:
-            yield f"{again} resends over {first} first tries"
+        """Rule 7, in every window: a fifth of the calls of that time, and what all edges may have saved up before it.
+
+        A call counts when its caller made it: that is the real traffic. What was lined up before the window is in the stock.
+        """
+        edges = sum(box.role == "edge" for box in self.town.boxes.values())
+        again = [at for at, isAgain in self.town.tries if isAgain]
+        made = sorted(call.sentAt for call in self.calls)
+        for window in WINDOWS:
+            for place, start in enumerate(again):
+                end = start + SECOND * window
+                resent = bisect_left(again, end) - place
+                real = bisect_left(made, end) - bisect_left(made, start - SECOND)
+                if resent > RATIO * real + STOCK * edges + 1e-6:
+                    yield f"{resent} resends in {window} s from {start}, with {real} calls"
+                    return
 
     def unaccounted(self) -> list:
-        """Rule 12: calls that ended late or not well and are in no day's log of any core.
+        """Rule 12: calls that ended late or not well and are not in the log of the day on which they came in.
 
-        Not counted: what never reached a node of ours, and what came in the last moment before its node died or while it was
-        frozen before that, if nothing of it ran.
+        Not counted: strangers, what never reached a node of ours, and what came to an edge that had no chance to hand a record
+        in: from then to its death it was never in reach of two keepers for half a second, nor of an edge that was for 2.5 s,
+        both counted from when it was ready if it was not, since until then it knew no keeper.
         """
-        logged = {row["tag"] for box in self.town.boxes.values() for name, rows in box.disk.files.items()
+        logged = {(row["tag"], name) for box in self.town.boxes.values() for name, rows in box.disk.files.items()
                   if name.startswith("day-") for row in rows}
-        return [call for call in self.callers.calls if call.tag not in logged and self._should_be_logged(call)]
+        return [call for call in self.calls if not {(call.tag, name) for name in self._days(call)} & logged and self._should_be_logged(call)]
+
+    def _days(self, call):
+        """The day by the world's own clock; a call that came in within a second of midnight may be in either."""
+        return {f"day-{(self.town.dawn + call.sentAt + SECOND * slack).date().isoformat()}.jsonl" for slack in (0, 1)}
 
     def _should_be_logged(self, call):
-        if call.outcome == "pending" or call.faultClass in ("refused", "connect-timeout"):
+        if call.outcome == "pending" or call.faultClass in ("refused", "connect-timeout", "unknown-caller"):
             return False
         if call.outcome == "ok":
             return call.endedAt - call.sentAt > call.patience
+        return not self.was_last_moment(call)
+
+    def was_last_moment(self, call) -> bool:
+        """Whether its edge died before any disk had a record of it and with no chance to have one written."""
         diedAt = [at for name, at in self.town.deaths if name == call.edge and at >= call.sentAt]
-        wasLastMoment = diedAt and (min(diedAt) - call.sentAt < SECOND / 2 or self._was_frozen(call.edge, call.sentAt))
-        return not wasLastMoment or self.runs_of(call) > 0
+        if not diedAt or any(call.tag in box.disk.opened for box in self.town.boxes.values()):
+            return False
+        knewAt = call.sentAt if call.faultClass != "not-ready" else self._ready_after(call)
+        reach, span = self.town.reach, (call.edge, min(knewAt, *diedAt), min(diedAt))
+        wasAble = reach.had("hand", *span, LAST_MOMENT) or reach.had("carry", *span, CARRIED_WITHIN)
+        return not wasAble
 
-    def _was_frozen(self, name, at):
-        return any(box == name and start - SECOND / 2 <= at <= end for box, start, end in self.town.freezes)
+    def _ready_after(self, call):
+        """When its edge, not ready then, served somebody: only from then on did it know any keeper."""
+        return min((other.sentAt for other in self.calls if other.edge == call.edge and other.sentAt > call.sentAt
+                    and other.status not in (None, 503)), default=self.town.now)
 
     def _warm(self):
-        """Rule 8: no more than a few at once in the first second and a half after a cold load."""
+        """Rule 8, over the whole warming time and all edges: what a model, and a server that came up cold, has in hand."""
         for name, record in self.town.records.items():
-            for model, peak in record.warmPeak.items():
-                if peak > 4:
-                    yield f"{name} had {peak} of {model} while warming up"
+            for what, at, age, busy, most in record.floods[:1]:
+                yield f"{name} had {busy} of {what} at {at:.2f}, {age:.2f} s after it was ready, at most {most}"
 
     def _orders(self):
         """Rule 9: no load beyond room; fences only rise at each server."""
@@ -134,3 +206,10 @@
                 if begun > store["burst"] + store["pace"] * (at - loads[start][0]) + 1e-6 + store["pace"] * 0.1:
                     yield f"{begun:.1f} GB begun within {at - loads[start][0]:.2f} s"
                     return
+
+
+def _was_admitted(call) -> bool:
+    """Whether a node let it in: anything but a refusal at the door."""
+    if call.outcome == "pending" or call.status is None:
+        return False
+    return not (call.run == "no" and call.faultClass in ("evacuated", "draining", "not-ready"))
--- a/sumachook/loom/watcher.py
+++ b/sumachook/loom/watcher.py
@@ -8,6 +8,7 @@
 
 from sumachook.atlas.catalogue import Name
 from sumachook.atlas.check import check
+from sumachook.atlas.params import address_fault
 
 
 class Listed(msgspec.Struct, forbid_unknown_fields=False, frozen=True):
@@ -23,61 +24,142 @@
     leaving: bool = False
 
 
-class Listing(msgspec.Struct, frozen=True):
-    """The platform's answer."""
-
-    servers: tuple[Listed, ...]
-
-
 class Watcher:
-    """Takes (message, now); proposes the list when it differs from the ordered one (§9.1)."""
+    """Takes (message, now): ("pulse", isFresh, isLeading), ("fetched", ...); one in every core (§9.1).
+
+    Out: ("fetch", ...), ("propose", change), ("word", names of servers that leave and are not yet ordered so), ("log", ...).
+    """
 
-    __slots__ = ("state", "platform", "nextPoll", "number", "fence", "sentAt", "fails")
+    __slots__ = ("state", "platform", "nextPoll", "number", "isFresh", "isLeading", "fails", "seen", "doubtAt", "oddities")
 
     POLL = timedelta(seconds=0.5)
+    DOUBT = timedelta(seconds=10)
 
     def __init__(self, state, platform, now):
-        self.state, self.platform, self.nextPoll, self.number, self.fence = state, platform, now, 0, 0
-        self.sentAt, self.fails = now - self.POLL, 0
+        self.state, self.platform, self.nextPoll, self.number = state, platform, now, 0
+        self.isFresh = self.isLeading = False
+        self.fails, self.seen, self.doubtAt, self.oddities = 0, None, None, ()
 
     def take(self, message: tuple, now) -> list:
         if message[0] == "pulse":
-            self.fence = message[1]
-            if not self.fence or not self.platform or now < self.nextPoll:
+            self.isFresh, self.isLeading = message[1], message[2]
+            if not self.platform or now < self.nextPoll:
                 return []
             self.nextPoll = now + self.POLL
             self.number += 1
-            tid, url = ("watcher", self.fence, self.number), f"http://{self.platform}/servers"
+            tid, url = ("watcher", self.state.listedAt, self.number), f"http://{self.platform}/servers"
             return [("fetch", tid, "GET", url, {}, b"", self.POLL * 4, self.POLL * 4, "whole")]
         return self._read(message, now)
 
     def _read(self, message, now):
-        _, (_, fence, _), outcome, *answer = message
-        if fence != self.fence:
-            return []
-        reason = f"{outcome} {answer[0]}"
-        if outcome == "done" and answer[0] == 200:
-            listing, reason = self._listing(answer[2])
-            if listing is not None:
-                self.fails = 0
-                servers = {item.name: {field: getattr(item, field) for field in item.__struct_fields__ if field != "name"}
-                           for item in listing.servers}
-                if servers == self.state.servers or now - self.sentAt < self.POLL:
-                    return []
-                self.sentAt = now
-                return [("propose", ("servers", fence, servers))]
-        self.fails += 1
-        if self.fails in (3, 30, 300):
-            return [("log", "warning", "loom", "The platform's list cannot be had.", {"reason": reason, "fails": self.fails})]
-        return []
-
-    def _listing(self, body):
+        _, (_, basis, _), outcome, *answer = message
+        items, reason = self._items(answer[2]) if outcome == "done" and answer[0] == 200 else (None, f"{outcome} {answer[0]}")
+        if items is None:
+            self.fails += 1
+            note = {"reason": reason, "fails": self.fails}
+            return [("log", "warning", "loom", "The platform's list cannot be had.", note)] if self.fails in (3, 30, 300) else []
+        self.fails = 0
+        listed, oddities = self._sound(items)
+        out = [("log", "warning", "loom", "The platform's list has odd entries.", {"entries": oddities})] if oddities != self.oddities else []
+        self.oddities = oddities
+        servers, kept = self._believed(listed, now)
+        if kept and self.doubtAt == now:
+            out.append(("log", "warning", "loom", "The platform's list lacks more than half, not believed yet.", {"kept": sorted(kept)}))
+        leaving = tuple(name for name, server in servers.items()
+                        if server["leaving"] and not self.state.servers.get(name, {}).get("leaving", True))
+        if leaving:
+            out.append(("word", leaving))
+        wasSeen, self.seen = self.seen == servers, servers
+        if servers == self.state.servers or basis != self.state.listedAt or not self.isFresh:
+            return out
+        if self.isLeading or wasSeen:  # the others leave it to the leader for one poll
+            out.append(("propose", ("servers", basis, servers)))
+        return out
+
+    def _items(self, body):
         try:
             doc = msgspec.json.decode(body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return None, str(error)
-        listing, faults = check(doc, Listing)
-        names = [item.name for item in listing.servers] if listing else []
-        if len(set(names)) < len(names):
-            return None, "duplicate name"
-        return listing, str(faults[:1])
+        items = doc.get("servers") if isinstance(doc, dict) else None
+        return (items, "") if isinstance(items, list) else (None, "servers: a list is needed")
+
+    def _sound(self, items):
+        """({name: server}, what is odd). An entry that cannot be read changes nothing but that it may say `leaving`."""
+        listed, oddities = {}, []
+        for place, item in enumerate(items):
+            entry, faults = check(item, Listed, f"servers[{place}]")
+            if entry is None:
+                oddities.append(": ".join(faults[0]))
+            elif reason := address_fault(entry.address):
+                oddities.append(f"servers[{place}].address: {reason}")
+            elif entry.name in listed:
+                oddities.append(f"servers[{place}].name: duplicate name {entry.name!r}")
+            else:
+                listed[entry.name] = {field: getattr(entry, field) for field in entry.__struct_fields__ if field != "name"}
+        for item in items:
+            name = item.get("name") if isinstance(item, dict) else None
+            stands = listed.get(name) or self.state.servers.get(name) if isinstance(name, str) else None
+            if stands:
+                isLeaving = stands["leaving"] if name in listed else False
+                listed[name] = {**stands, "leaving": isLeaving or item.get("leaving") is True}
+        return listed, tuple(oddities)
+
+    def _believed(self, listed, now):
+        """(servers, those kept against the list): a list that lacks more than half of a kind at once is believed after a while."""
+        kept = {}
+        for kind in ("model", "records"):
+            known = {name: server for name, server in self.state.servers.items() if server["kind"] == kind and not server["leaving"]}
+            gone = {name: server for name, server in known.items() if name not in listed}
+            if len(gone) * 2 > len(known):
+                kept |= gone
+        if not kept:
+            self.doubtAt = None
+            return listed, kept
+        self.doubtAt = self.doubtAt or now
+        return ({**kept, **listed}, kept) if now - self.doubtAt < self.DOUBT else (listed, {})
+
+
+def _watcher():
+    from sumachook.atlas.state import State
+
+    state = State()
+    server = {"kind": "model", "address": "127.0.0.1:9", "area": "a", "memory": 8.0, "places": 1, "slots": 2, "leaving": False}
+    state.apply(1, ("servers", 0, {f"s{place}": dict(server) for place in range(5)}))
+    watcher = Watcher(state, "127.0.0.1:1", timedelta(0))
+    watcher.take(("pulse", True, True), timedelta(0))
+
+    def read(items, now, basis=1):
+        return watcher.take(("fetched", ("watcher", basis, 1), "done", 200, {}, msgspec.json.encode({"servers": items})), now)
+
+    return watcher, [{"name": name, **server} for name in state.servers], read
+
+
+def test_a_shrunken_list_is_believed_only_after_a_while_and_a_leaving_one_at_once():
+    watcher, items, read = _watcher()
+    second = timedelta(seconds=1)
+    assert read(items, second) == []
+    out = read([{**items[0], "leaving": True}], second * 2)
+    assert [effect[0] for effect in out] == ["log", "word", "propose"] and out[1] == ("word", ("s0",))
+    assert len(out[2][1][2]) == 5 and out[2][1][2]["s0"]["leaving"]
+    assert len(read([], second * 3)) == 0
+    assert read([], second * 12)[-1] == ("propose", ("servers", 1, {}))
+
+
+def test_junk_and_duplicates_change_nothing_but_may_say_leaving():
+    watcher, items, read = _watcher()
+    junk = [None, 3, {"name": "s1", "kind": "cake", "leaving": True}, {**items[2], "address": "host"}, {**items[3], "memory": 1.0}]
+    out = read([*items[:1], *items[3:], *junk], timedelta(seconds=1))
+    (change,) = [effect[1] for effect in out if effect[0] == "propose"]
+    servers = change[2]
+    assert set(servers) == {"s0", "s1", "s2", "s3", "s4"} and servers["s1"]["leaving"] and servers["s3"]["memory"] == 8.0
+    assert not servers["s2"]["leaving"] and any("odd entries" in effect[3] for effect in out if effect[0] == "log")
+
+
+def test_others_leave_a_difference_to_the_leader_for_one_poll_and_an_old_comparison_is_not_proposed():
+    watcher, items, read = _watcher()
+    second = timedelta(seconds=1)
+    watcher.take(("pulse", True, False), second)
+    news = items[1:]
+    assert read(news, second) == [] and read(news, second * 2)[0][0] == "propose"
+    assert read(news, second * 3, basis=0) == []
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -14,6 +14,7 @@
 from sumachook.loom.outlook import foresee
 from sumachook.loom.placer import Placer
 from sumachook.loom.watcher import Watcher
+from sumachook.pulse.almanac import Almanac
 from sumachook.role.desk import Desk, read_order, reply
 from sumachook.role.edge import RUMOUR
 from sumachook.rota.rota import Rota
@@ -33,7 +34,7 @@
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "accord", "rota", "source", "placer", "watcher", "keeper", "accountant",
-                 "desk", "isNew", "isReady", "stopAt", "ignored", "finds")
+                 "desk", "isNew", "isReady", "stopAt", "ignored", "finds", "almanac")
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
@@ -50,11 +51,12 @@
             self.state.restore(image)
         self.state.number = number
         me = (self.node, params.address, "core", params.area, boot, ALIVE, params.door, boot)
-        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now)
+        self.almanac = Almanac(clock.wall, now)
+        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.rota = Rota(self.node, self.state, Random(draw.random()), now)
-        self.source = Source(self.state, self._other_cores, now)
+        self.source = Source(self.state, self._other_cores, now, self.almanac)
         self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now)
-        self.keeper = Keeper(self.node, clock.wall, params.retention, records.get("ledger", ()), now)
+        self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
         self.accountant, self.desk, self.finds = Accountant(now), Desk(), {}
         self.stopAt, self.ignored = None, 0
 
@@ -70,6 +72,8 @@
             for effect in self._dispatch(work.pop(0), now):
                 if effect[0] in ("propose", "deliver", "restored", "compact", "refused"):
                     work.append(effect)
+                elif effect[0] == "word":
+                    out += [("tell", member.address, ("leaving", effect[1])) for member in self.rumour.live if member.role == "edge"]
                 elif effect[0] not in ("view", "member", "objected"):
                     out.append(effect)
         return out
@@ -142,10 +146,11 @@
         isFresh, isLeading = self.accord.fresh(now), self.accord.role == "leading"
         out = self.rumour.take(("pulse", self.state.number if isFresh else 0), now)
         out += self.accord.take(("pulse", self._core_addresses()), now)
+        self.almanac.take(("pulse",), now)
         out += self.rota.take(("pulse", isFresh, isLeading), now)
         out += self.source.take(("pulse", isFresh), now)
         out += self.placer.take(("pulse", self.rota.holds("placer", now)), now)
-        out += self.watcher.take(("pulse", self.rota.holds("watcher", now)), now)
+        out += self.watcher.take(("pulse", isFresh, isLeading), now)
         out += self.accountant.take(("pulse", self.rota.holds("accountant", now)), now)
         out += self.keeper.take(("pulse", self._live_boots(), self.state.roster), now)
         out += self.desk.take(("pulse", self._live_nodes(), self._confirmed()), now)
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -9,6 +9,7 @@
 from sumachook.feed.follower import Follower
 from sumachook.ferry.ferry import Ferry
 from sumachook.role.desk import reply
+from sumachook.pulse.almanac import Almanac
 from sumachook.rumour.rumour import ALIVE, Rumour
 from sumachook.tally.purse import Purse
 from sumachook.tally.quill import Quill
@@ -24,7 +25,7 @@
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "nextDemand", "stopBy",
-                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "wasAlone", "startedAt")
+                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "wasAlone", "startedAt", "almanac")
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
@@ -33,10 +34,12 @@
         for record in records.get("image", ()):
             self.state.restore(record[1])
         me = (self.node, params.address, "edge", params.area, boot, ALIVE, params.door, boot)
-        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now)
+        self.almanac = Almanac(clock.wall, now)
+        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.follower = Follower(self.state, Random(draw.random()), now)
         self.purse, self.quill = Purse(), Quill(params.data is not None, records.get("spool", ()), now)
-        self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()), clock.wall)
+        self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()),
+                           self.almanac)
         self.nextDemand, self.stopBy, self.ignored, self.wasAlone = now, None, 0, False
         self.savedAt, self.savedNumber, self.hasDisk = now, self.state.number, params.data is not None
         self.savedGeneration = self.state.generation
@@ -83,12 +86,16 @@
         kind = message[3][0]
         if kind in RUMOUR:
             return self.rumour.take(message, now)
+        if kind == "feed_beat":
+            self.almanac.take(("vote", message[1], message[3][3]), now)
         if kind in FEED:
             return self.follower.take(message, now)
-        if kind in ("opened", "closed"):
+        if kind in ("opened", "closed", "carry"):
             return self.quill.take(message, now)
         if kind in ("lend", "gift"):
             return self.purse.take(message, now)
+        if kind == "leaving":
+            return self.ferry.take(message[3], now)
         self.ignored += 1
         return []
 
@@ -96,6 +103,11 @@
         others = [member.node for member in self.rumour.live if member.role == "edge"]
         self.ferry.edges = tuple(sorted({self.node, *others}))
 
+    def _carriers(self):
+        """Addresses of other edges, those of other areas first (§11.5)."""
+        edges = [member for member in self.rumour.live if member.role == "edge"]
+        return tuple(member.address for member in sorted(edges, key=lambda member: (member.area == self.params.area, member.node)))
+
     def _cores(self):
         """Addresses of live cores: rumoured ones first, else the roster's, else the seeds."""
         live = [member.address for member in self.rumour.live if member.role == "core"]
@@ -105,10 +117,13 @@
         out = self.rumour.take(("pulse", self.follower.number), now)
         cores = self._cores()
         out += self.follower.take(("pulse", cores, self.rumour.feedHeard), now)
+        self.almanac.take(("pulse",), now)
         live = {member.node for member in self.rumour.live}
-        out += self.quill.take(("pulse", self.state.roster, live), now)
+        out += self.quill.take(("pulse", self.state.roster, live, self._carriers()), now)
         out += self.purse.take(("pulse", cores), now)
-        self.ferry.knowsEdges |= bool(self.rumour.members) or now - self.startedAt > KNOWN_AFTER
+        isOld = now - self.startedAt > KNOWN_AFTER
+        self.ferry.knowsEdges |= bool(self.rumour.members) or isOld
+        self.ferry.knowsTime |= self.almanac.isAgreed or (isOld and not self.almanac.votes) or now - self.startedAt > KNOWN_AFTER * 10
         isAlone = now - self.follower.beatAt > ALONE_AFTER
         if self.wasAlone and not isAlone:
             out += self.ferry.take(("rejoined",), now)
@@ -134,7 +149,7 @@
         return [("rewrite", "image", (("image", self.state.image()),), None)]
 
     def _stopping(self, now):
-        isDone = not self.ferry.table and not self.quill.entries
+        isDone = not self.ferry.table and not self.quill.entries and not self.ferry.early
         if not isDone and now < self.stopBy:
             return []
         out = []
@@ -195,6 +210,7 @@
     edge, now = Edge(params, {"image": (("image", state.image()),)}, 1, Clock(), Random(1)), Clock().mono()
     edge.follower.beatAt = edge.follower.lastPulse = now
     body = b'{"model":"m","messages":[{"role":"user","content":"x"}]}'
+    edge.ferry.knowsTime = True
     edge.ferry.take(("http", 1, "POST", "/v1/chat/completions", {"authorization": "Bearer clerk-key"}, body), now)
     (request,) = edge.ferry.table
     assert edge.ferry.take(("recorded", request), now) == []
--- a/sumachook/rumour/rumour.py
+++ b/sumachook/rumour/rumour.py
@@ -18,7 +18,7 @@
     """
 
     __slots__ = ("me", "seeds", "draw", "members", "spread", "turn", "nextProbe", "nextSeed", "pending", "relays",
-                 "number", "lastPulse", "_feedHeard", "wokeAt", "feed")
+                 "number", "lastPulse", "_feedHeard", "wokeAt", "feed", "almanac")
 
     feedHeard = Rising("_feedHeard")
     PROBE_EVERY = timedelta(seconds=0.3)
@@ -30,8 +30,8 @@
     HELPERS = 3
     NEWS_A_PARCEL = 8
 
-    def __init__(self, me: tuple, seeds: tuple, draw: Random, now):
-        self.me, self.seeds, self.draw = Member(me, now), tuple(seeds), draw
+    def __init__(self, me: tuple, seeds: tuple, draw: Random, now, almanac):
+        self.me, self.seeds, self.draw, self.almanac = Member(me, now), tuple(seeds), draw, almanac
         self.members, self.spread, self.turn = {}, {}, []
         self.nextProbe = self.nextSeed = now
         self.feed = 0
@@ -86,7 +86,7 @@
             if target:
                 self.number += 1
                 self.pending[self.number] = (target.node, now, False)
-                out.append(("cast", target.address, ("probe", self.number, self._news(target), self.feed)))
+                out.append(("cast", target.address, ("probe", self.number, self._news(target), self.feed, self.almanac.vote)))
         if now >= self.nextSeed:
             self.nextSeed = now + self.SEED_EVERY * self.draw.uniform(0.8, 1.2)
             out += self._knock()
@@ -113,11 +113,13 @@
     def _on_probe(self, sender, address, body, now):
         out = self._read(body[2], now)
         self.feedHeard = body[3]
-        return out + [("cast", address, ("probe_ack", body[1], self._news(self.members.get(sender)), self.feed))]
+        self.almanac.take(("vote", sender, body[4]), now)
+        return out + [("cast", address, ("probe_ack", body[1], self._news(self.members.get(sender)), self.feed, self.almanac.vote))]
 
     def _on_probe_ack(self, sender, address, body, now):
         self.pending.pop(body[1], None)
         self.feedHeard = body[3]
+        self.almanac.take(("vote", sender, body[4]), now)
         return self._read(body[2], now)
 
     def _on_probe_via(self, sender, address, body, now):
@@ -197,11 +199,13 @@
 
 
 def _pair():
+    from sumachook.pulse.almanac import ZERO, Almanac
+
     zero = timedelta(0)
     machines = {}
     for name in ("a", "b", "c"):
         me = (name, name, "edge", "hall", 1, ALIVE, name, 1)
-        machines[name] = Rumour(me, ("a",), Random(name), zero)
+        machines[name] = Rumour(me, ("a",), Random(name), zero, Almanac(lambda: ZERO, zero))
     return machines
 
 
--- a/sumachook/tally/keeper.py
+++ b/sumachook/tally/keeper.py
@@ -17,11 +17,11 @@
     Out: ("tell", address, message), ("disk" | "rewrite", FILE, records, followup), ("journal", day, lines).
     """
 
-    __slots__ = ("seat", "wall", "rows", "keys", "hints", "awaySince", "nextHand", "stored", "retention", "roster",
+    __slots__ = ("seat", "almanac", "rows", "keys", "hints", "awaySince", "nextHand", "stored", "retention", "roster",
                  "nextSweep", "openRows", "rewriting")
 
-    def __init__(self, seat, wall, retention, records, now):
-        self.seat, self.wall, self.retention = seat, wall, retention
+    def __init__(self, seat, almanac, retention, records, now):
+        self.seat, self.almanac, self.retention = seat, almanac, retention
         self.rows, self.keys, self.hints, self.awaySince, self.openRows = {}, {}, {}, {}, {}
         self.nextHand = self.nextSweep = now
         self.roster, self.stored, self.rewriting = {}, 0, False
@@ -110,14 +110,15 @@
     def _write(self, fresh, reply):
         records = tuple(("row", record, hint) for record, hint in fresh)
         self.stored += len(records)
-        closed = [record for record, _ in fresh if record["state"] != OPEN]
-        return [("disk", FILE, records, ("keeper-synced", reply))] + self._journal(closed)
+        return self._journal(fresh) + [("disk", FILE, records, ("keeper-synced", reply))]
 
-    def _journal(self, closed):
-        if not closed:
-            return []
-        day = self.wall().date().isoformat()
-        return [("journal", f"day-{day}.jsonl", tuple(self.rows[record["request"]] for record in closed))]
+    def _journal(self, fresh):
+        """§11.3: open and closed, in the log of the day on which the request came in, before the ack goes out."""
+        days = {}
+        for record, _ in fresh:
+            row = self.rows.get(record["request"], record)
+            days.setdefault(row["openedAt"][:10], []).append(row)
+        return [("journal", f"day-{day}.jsonl", tuple(rows)) for day, rows in days.items()]
 
     def _synced(self, message, now):
         if message[1] is None:
@@ -166,7 +167,7 @@
             if live.get(writer[0]) == writer[1]:
                 self.awaySince.pop(writer, None)
             elif now - self.awaySince.setdefault(writer, now) > LOST_AFTER:
-                gone.append({**row, "state": LOST, "class": LOST, "run": "maybe", "endedAt": self.wall().isoformat()})
+                gone.append({**row, "state": LOST, "class": LOST, "run": "maybe", "endedAt": self.almanac.time(now).isoformat()})
         if not gone:
             return []
         for row in gone:
@@ -196,13 +197,14 @@
 
 
 def _keeper(records=()):
-    from datetime import datetime, timezone
+    from sumachook.pulse.almanac import ZERO, Almanac
 
-    return Keeper("a", lambda: datetime(2026, 1, 2, tzinfo=timezone.utc), 3, records, timedelta(0))
+    return Keeper("a", Almanac(lambda: ZERO, timedelta(0)), 3, records, timedelta(0))
 
 
 def _row(request, state=OPEN, **more):
-    return {"request": request, "caller": "c", "key": "", "edge": "e", "incarnation": 1, "state": state, **more}
+    return {"request": request, "caller": "c", "key": "", "edge": "e", "incarnation": 1, "state": state, "openedAt": "2026-01-02T00:00:00",
+            **more}
 
 
 def test_key_is_kept_until_it_did_not_run():
@@ -212,7 +214,7 @@
     assert answer[2][1][0][:2] == ("r2", "duplicate") and answer[2][1][0][2]["request"] == "r1"
     keeper.take(("heard", "e", "e:1", ("close", ((_row("r1", "refused", key="k", run="no"), ()),))), zero)
     answer = keeper.take(("heard", "e", "e:1", ("open", ((_row("r2", key="k"), ()),))), zero)[0]
-    assert answer[0] == "disk" and answer[3][1][2][1][0][:2] == ("r2", "ok")
+    assert answer[:2] == ("journal", "day-2026-01-02.jsonl") and keeper.find("r2")["state"] == OPEN
 
 
 def test_rows_of_a_gone_edge_are_lost_until_its_word_comes():
--- a/sumachook/tally/purse.py
+++ b/sumachook/tally/purse.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 RATIO = 0.2
-CAP = 20.0
+CAP = 4.0  # what may be saved up: with a city's edges, about one second of its traffic
 
 
 class Purse:
@@ -102,5 +102,5 @@
     poor.take(("heard", "r", "r:1", gift), now)
     poor.take(("heard", "r", "r:1", gift), now)
     rich.take(("heard", "core", "c", lend), now)
-    assert abs(poor.balance + rich.balance - 10) < 1e-9 and poor.spend()
+    assert abs(poor.balance + rich.balance - CAP) < 1e-9 and poor.spend()
     assert accountant.take(("pulse", 0), now * 9) == []
--- a/sumachook/tally/quill.py
+++ b/sumachook/tally/quill.py
@@ -6,22 +6,28 @@
 from sumachook.tally.ranges import keepers_of, range_key
 
 MOST_WAITING = 20000
+FIRST_RESEND, LONGEST_RESEND = timedelta(seconds=0.3), timedelta(seconds=2)
+CARRY_AFTER = timedelta(seconds=0.8)
+CARRY_EVERY = timedelta(seconds=2)
+MOST_CARRIED = 100
 
 
 class Entry:
     """One record on its way to two keepers."""
 
-    __slots__ = ("record", "isClose", "isSafe", "acks", "askedAt", "startedAt", "settled", "sent")
+    __slots__ = ("record", "isClose", "isSafe", "acks", "askedAt", "startedAt", "settled", "sent", "carryAt", "pause")
 
     def __init__(self, record, isClose, isSafe, now):
         self.record, self.isClose, self.isSafe, self.startedAt = record, isClose, isSafe, now
-        self.acks, self.sent, self.askedAt, self.settled = set(), set(), now, isClose
+        self.acks, self.sent, self.askedAt, self.settled, self.carryAt = set(), set(), now, isClose, now + CARRY_AFTER
+        self.pause = FIRST_RESEND
 
 
 class Quill:
     """Takes (message, now) (§11.1).
 
-    In: ("open", record, isSafe), ("close", record), ("pulse", roster, liveSeats), ("heard", seat, address, message).
+    In: ("open", record, isSafe), ("close", record), ("pulse", roster, liveSeats, carriers),
+    ("heard", seat, address, message).
     Out: ("tell", address, message), ("recorded", request), ("unrecorded", request, fault), ("duplicate", request, first);
     with a disk also ("disk" | "rewrite", "spool", records, None) for what waits too long for its keepers.
     """
@@ -31,7 +37,6 @@
     HINT_AFTER = timedelta(seconds=0.15)
     SAFE_WAIT = timedelta(seconds=0.4)
     UNSAFE_WAIT = timedelta(seconds=1.5)
-    RESEND = timedelta(seconds=1)
     SPOOL_AFTER = timedelta(seconds=0.3)
 
     def __init__(self, hasDisk: bool, spool, now):
@@ -47,7 +52,9 @@
             return self._start(message, now)
         if kind == "pulse":
             self.roster, self.live = message[1], message[2]
-            return self._pulse(now)
+            return self._pulse(message[3], now)
+        if message[3][0] == "carry":
+            return self._on_carry(message[3], now)
         return self._on_acks(message[1], message[3], now)
 
     def _start(self, message, now):
@@ -67,7 +74,7 @@
         kind = "close" if entry.isClose else "open"
         return [("tell", self.roster[seat], (kind, ((entry.record, hint),))) for seat in seats]
 
-    def _pulse(self, now):
+    def _pulse(self, carriers, now):
         out = []
         for key, entry in list(self.entries.items()):
             order = self._owners(entry.record)
@@ -76,8 +83,8 @@
                 isLate = now - entry.startedAt > self.HINT_AFTER
                 if missing and (isLate or any(seat not in self.live for seat in missing)):
                     out += self._send(entry, order[2:], order[:2])
-            if now - entry.askedAt > self.RESEND:
-                entry.askedAt = now
+            if now - entry.askedAt > entry.pause:
+                entry.askedAt, entry.pause = now, min(entry.pause * 2, LONGEST_RESEND)
                 out += self._send(entry, [seat for seat in order[:2] if seat not in entry.acks])
                 entry.sent.discard(order[2] if len(order) == 3 and order[2] not in entry.acks else "")
             if not entry.settled and now - entry.startedAt > (self.SAFE_WAIT if entry.isSafe else self.UNSAFE_WAIT):
@@ -87,7 +94,25 @@
                     out.append(("recorded", request))  # goes on; the record follows from memory
                 else:
                     out.append(("unrecorded", request, faults.NO_QUORUM))
-        return out + self._spool(now)
+        return out + self._carry(carriers, now) + self._spool(now)
+
+    def _carry(self, carriers, now):
+        """§11.5: what no two keepers take is given to two other edges as well; whoever reaches the keepers hands it in."""
+        late = [entry for entry in self.entries.values() if now >= entry.carryAt][:MOST_CARRIED]
+        for entry in late:
+            entry.carryAt = now + CARRY_EVERY
+        parcel = ("carry", tuple((entry.record, entry.isClose) for entry in late))
+        return [("tell", address, parcel) for address in carriers[:2]] if late else []
+
+    def _on_carry(self, body, now):
+        out = []
+        for record, isClose in body[1]:
+            if (record["request"], isClose) not in self.entries:
+                out += self._start(("close", record) if isClose else ("open", record, True), now)
+                entry = self.entries.get((record["request"], isClose))
+                if entry is not None:
+                    entry.settled, entry.carryAt = True, now + timedelta(days=999)  # it is carried once
+        return out
 
     def _spool(self, now):
         """§11.1: records that no two keepers take go to the own disk, until they do."""
--- a/sumachook/wire/codec.py
+++ b/sumachook/wire/codec.py
@@ -114,9 +114,9 @@
     """Packs one message of a node; the reading side is `read_parcel` (§2.2).
 
     >>> codec = Codec("kosice", "core-1", "127.0.0.1:7001", 3)
-    >>> raw = codec.pack(("probe", 9, (), 41))
+    >>> raw = codec.pack(("probe", 9, (), 41, 7))
     >>> read_parcel("kosice", raw)
-    ('core-1', '127.0.0.1:7001', 3, ('probe', 9, (), 41))
+    ('core-1', '127.0.0.1:7001', 3, ('probe', 9, (), 41, 7))
     >>> read_parcel("java", raw) == faults.STRANGER, read_parcel("kosice", b"zzz") == faults.GARBAGE
     (True, True)
     """
--- a/sumachook/wire/shapes.py
+++ b/sumachook/wire/shapes.py
@@ -6,8 +6,8 @@
 
 SHAPES = {
     # rumour
-    "probe": "number:i news:m feed:i",
-    "probe_ack": "number:i news:m feed:i",
+    "probe": "number:i news:m feed:i wall:i",
+    "probe_ack": "number:i news:m feed:i wall:i",
     "probe_via": "number:i target:s news:m",
     "probe_for": "number:i origin:s news:m",
     "via_ack": "number:i news:m",
@@ -35,7 +35,7 @@
     "follow": "number:i nonce:i",
     "image": "number:i image:d",
     "news": "first:i entries:e",
-    "feed_beat": "number:i nonce:i",
+    "feed_beat": "number:i nonce:i wall:i",
     "confirm": "number:i",
     "confirmed": "node:s number:i",
     # tally and credit
@@ -45,13 +45,14 @@
     "closed": "acks:d",
     "hand": "records:d",
     "handed": "acks:d",
+    "carry": "records:d",
     "credit": "balance:f wanted:f",
     "lend": "loan:s amount:f target:s",
     "gift": "loan:s amount:f",
     # loom
     "demand": "counts:d",
     # any
-    "leaving": "incarnation:i",
+    "leaving": "servers:d",
     "find": "asker:s request:s",
     "found": "asker:s record:d",
 }
--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -288,3 +288,54 @@
     town.start("core-1")
     assert town.boxes["core-1"].machine.node != former
     assert town.run_until(lambda: leader(town) is not None and town.boxes["core-1"].machine.node in leader(town).accord.members, 25)
+
+
+def test_probe_sees_that_all_obey_though_the_leader_is_lost_right_after_the_ack():
+    """Rules 5 and 6. Given changes and an evacuation each followed at once by the leader being killed, frozen or cut off, a probe
+    from outside sees every edge that can be reached obey within two seconds, and none go back; nothing enters the area."""
+    from sumachook.guise.storm import Storm
+    from tests.scene import witness
+
+    for how in ("kill", "freeze", "cut"):
+        town = settled(74, edges=4)
+        callers = town.call_in(1.0)
+        storm = Storm(town, callers, 74)
+        for step in range(3):
+            if step < 2:
+                assert storm._change({"routes": [{"name": f"after-{step}", "target": "refund-01"}]}), how
+            else:
+                assert town.ask("core-1", "POST", "/operator/evacuate", {"request": "out", "area": "hall-b"})[0] == 200
+            lost = box_of(town, leader(town)).name
+            if how == "cut":
+                town.cut([lost], town.inside(lost))
+            else:
+                getattr(town, how)(lost)
+            town.run(9)
+            town.heal()
+            if how == "kill":
+                town.start(lost)
+            elif how == "freeze":
+                town.wake(lost)
+            assert town.run_until(lambda: leader(town) is not None and len(leader(town).accord.members) == 3, 15), how
+        callers.isOn = False
+        town.run(5)
+        assert witness(town, callers).faults() == [], how
+        assert sum(note[3] == note[5] for note in town.probe.notes) > 100 and len(witness(town, callers).evacuations()) == 1
+
+
+def test_node_restarted_with_seeds_that_are_all_gone_is_let_in_by_those_who_miss_it():
+    """Given cores that were all swapped for new ones, an edge that is killed and started with its old params serves again."""
+    town = settled(75, seatAway=3.0)
+    for place in (1, 2, 3):
+        node = {"name": f"core-{place + 3}", "role": "core", "area": "hall-a", "address": f"127.0.0.9:{17100 + place}",
+                "door": f"127.0.0.9:{17200 + place}"}
+        town.add_node(node, founding=[])
+        town.run(3)
+        town.vanish(f"core-{place}")
+        newSeat = town.boxes[f"core-{place + 3}"].machine.node
+        assert town.run_until(lambda: leader(town) is not None and newSeat in leader(town).accord.members, 30), place
+    town.kill("edge-1")
+    town.run(4)
+    town.start("edge-1")
+    edge = town.boxes["edge-1"].machine
+    assert town.run_until(lambda: edge.follower.trust(town.now) == "fresh", 20)
--- a/tests/ledger_stories.py
+++ b/tests/ledger_stories.py
@@ -8,13 +8,14 @@
 
 
 def _day_rows(town):
-    """{tag: [rows]} of the day logs on all cores' disks; one tag may stand in two cores' logs."""
+    """{tag: [closing rows]} of the day logs on all cores' disks; one tag may stand in two cores' logs."""
     rows = {}
     for box in town.boxes.values():
         for name, records in box.disk.files.items():
             if name.startswith("day-"):
                 for row in records:
-                    rows.setdefault(row["tag"], []).append(row)
+                    if row["state"] != "open":
+                        rows.setdefault(row["tag"], []).append(row)
     return rows
 
 
@@ -73,7 +74,7 @@
     for box in town.boxes.values():
         for name, records in box.disk.files.items():
             if name.startswith("day-"):
-                requests = [row["request"] for row in records]
+                requests = [row["request"] for row in records if row["state"] != "open"]
                 assert len(requests) == len(set(requests)), box.name
 
 
@@ -163,3 +164,49 @@
     alone = [call for call in callers.calls if call.outcome != "ok"]
     assert alone and witness(town, callers).unaccounted() == []
     assert town.boxes["edge-1"].disk.files["spool"] == []
+
+
+def test_a_cut_of_half_a_second_does_not_cost_an_unsafe_prompt_its_record():
+    """Given the only edge cut off from every core for half a second just as an unsafe prompt comes, it is recorded and answered."""
+    town = settled(87, edges=1)
+    callers = quiet(town)
+    town.cut(["edge-1"], ["core-1", "core-2", "core-3"])
+    call = ask(town, callers, "bookings", model="refund-01")
+    town.run(0.5)
+    town.heal()
+    town.run(5)
+    assert call.outcome == "ok" and witness(town, callers).runs_of(call) == 1
+
+
+def test_a_day_that_ends_without_calm_is_whole_on_the_disks():
+    """Rule 12. Given traffic and a crowd, when every node is lost in one instant and none returns, each call that was in hand
+    stands in that day's log, on disks alone."""
+    town = settled(85, edges=5)
+    callers = town.call_in(3.0)
+    town.run(6)
+    for box in list(town.boxes.values()):
+        if box.role in ("core", "edge"):
+            town.kill(box.name)
+    town.run(10)
+    check = witness(town, callers)
+    inHand = [call for call in callers.calls if call.outcome in ("cut", "none") and check.runs_of(call)]
+    assert inHand and check.unaccounted() == []
+
+
+def test_records_of_an_edge_cut_off_from_the_keepers_are_carried_by_others():
+    """Rule 12. Given an edge without a disk that reaches other edges but no core, serves and refuses, and then dies for good, its
+    requests are in the day's log."""
+    town = settled(86, edges=4)
+    callers = town.call_in(2.0, edges=["edge-1"])
+    town.run(2)
+    town.cut(["edge-1"], ["core-1", "core-2", "core-3"])
+    town.run(6)
+    callers.isOn = False
+    town.run(3)
+    town.vanish("edge-1")
+    town.run(8)
+    alone = [call for call in callers.calls if call.outcome != "ok"]
+    assert alone and witness(town, callers).unaccounted() == []
+    served = [call for call in outcomes(callers, outcome="ok") if call.sentAt > town.now - 14 * SECOND]
+    rows = _day_rows(town)
+    assert served and all(call.tag in rows for call in served)
--- a/tests/placement_stories.py
+++ b/tests/placement_stories.py
@@ -48,7 +48,6 @@
     check = witness(town, callers)
     for name in (busiest, "stamps-1"):
         town.boxes["platform"].machine.servers[name]["leaving"] = True
-        check.leavings.append((name, town.now, timedelta(days=1)))
     town.run(20)
     callers.isOn = False
     town.run(8)
@@ -68,9 +67,7 @@
     town.run(5)
     town.kill("stamps-1")  # its callers look for another area's server now
     town.run(20)
-    end = town.now
     assert town.ask("core-2", "POST", "/operator/restore", {"request": "back", "area": "hall-b"})[0] == 200
-    check.evacuations.append(("hall-b", start, end))
     town.run(10)
     callers.isOn = False
     town.run(8)
@@ -163,3 +160,127 @@
     assert peaks and max(peaks) <= 4
     assert {call.outcome for call in callers.calls} == {"ok"}
     assert witness(town, callers).faults() == []
+
+
+def test_notice_while_its_readers_are_lost_is_heeded_all_the_same():
+    """Rule 4. Given that at the moment of the notice the leader is killed, frozen, split off or cut off from the platform, or two
+    cores are lost, nothing new goes to the leaving servers from three seconds on."""
+    for place, how in enumerate(("killed", "frozen", "split off", "cut off from the platform", "two killed")):
+        town = settled(73 + place, edges=3)
+        callers = town.call_in(2.0)
+        town.run(3)
+        lead = next(box.name for box in town.boxes.values() if box.machine is leader(town))
+        rest = [name for name in ("core-1", "core-2", "core-3") if name != lead]
+        busiest = max((name for name in town.arrivals if "model" in name), key=lambda name: len(town.arrivals[name]))
+        for name in (busiest, "stamps-1"):
+            town.boxes["platform"].machine.servers[name]["leaving"] = True
+        if how == "frozen":
+            town.freeze(lead)
+        elif how == "split off":
+            town.cut([lead], town.inside(lead))
+        elif how == "cut off from the platform":
+            town.cut([lead], ["platform"])
+        else:
+            for name in [lead, rest[0]][: 1 + (how == "two killed")]:
+                town.kill(name)
+        town.run(10)
+        callers.isOn = False
+        town.run(4)
+        assert witness(town, callers).faults() == [], how
+        if how != "two killed":
+            listed = town.ask(rest[1], "GET", "/show/servers")[1]["servers"]
+            assert listed[busiest]["leaving"] and listed["stamps-1"]["leaving"], how
+        assert len(callers.calls) > 300 and town.arrivals["stamps-1"], how
+
+
+def test_list_that_lacks_everything_does_not_wipe_the_fleet():
+    """Given a platform whose list is empty, then junk, for eight seconds, every call goes on being answered."""
+    town = settled(78)
+    callers = town.call_in(1.5)
+    platform = town.boxes["platform"].machine
+    town.run(3)
+    before, platform.servers = platform.servers, {}
+    town.run(4)
+    platform.extra = [None, {"name": "model-1", "kind": "cake"}, {"name": "stamps-1"}]
+    town.run(4)
+    platform.servers, platform.extra = before, []
+    town.run(4)
+    callers.isOn = False
+    town.run(8)
+    assert {call.outcome for call in callers.calls} == {"ok"}
+    assert any("lacks more than half" in line[4] for line in town.logs)
+
+
+def test_server_in_an_area_that_nobody_knows_is_given_nothing_and_a_removed_area_is_closed():
+    """Given a server listed in an unknown area, and an area that a change takes out, neither is entered."""
+    town = settled(79)
+    town.boxes["platform"].machine.servers["stamps-1"]["area"] = "nowhere"
+    town.run(3)
+    callers = town.call_in(2.0)
+    areas = [area for area in town.city.catalogue["areas"] if area != "hall-c"]
+    status, _ = town.ask("core-1", "POST", "/operator/apply", {"request": "less", "doc": {"areas": areas}, "part": True})
+    takenAt = town.now
+    town.run(10)
+    callers.isOn = False
+    town.run(6)
+    inside = [server["name"] for server in town.city.servers if server["area"] == "hall-c"] + ["stamps-1"]
+    late = [at for name in inside for at, _ in town.arrivals.get(name, ()) if at > takenAt + timedelta(seconds=2)]
+    assert status == 200 and late == [] and outcomes(callers, outcome="ok")
+
+
+def test_woken_edge_admits_nothing_into_an_area_evacuated_while_it_slept():
+    """Rule 6. Given an edge that is frozen and cut off while its area is evacuated, what was sent to it meanwhile is refused as not run."""
+    town = settled(80, edges=4)
+    callers = quiet(town)
+    town.freeze("edge-2")
+    town.cut(["edge-2"], town.inside("edge-2"))
+    area = town.boxes["edge-2"].area
+    assert town.ask("core-1", "POST", "/operator/evacuate", {"request": "out", "area": area})[0] == 200
+    town.run(6)
+    calls = [ask(town, callers, name, edge="edge-2") for name in ("stamps", "refunds", "claims") for _ in range(3)]
+    town.run(2)
+    town.heal()
+    town.wake("edge-2")
+    town.run(12)
+    assert witness(town, callers).faults() == []
+    assert {(call.faultClass, call.run) for call in calls} == {("evacuated", "no")}
+
+
+def test_server_that_comes_up_cold_is_not_flooded_over_all_its_models():
+    """Rule 8. Given all model servers lost, one of them back empty, a store that is fast, and prompts waiting for every model, it
+    never has more in hand, over all its models together, than the doubling allows."""
+    town = settled(81, edges=6)
+    town.city.catalogue["store"] = {"pace": 200.0, "burst": 200.0}
+    fast = {"request": "fast", "doc": {"store": town.city.catalogue["store"]}, "part": True}
+    assert town.ask("core-1", "POST", "/operator/apply", fast)[0] == 200
+    names = [box.name for box in town.boxes.values() if box.role == "model"]
+    for name in names:
+        town.kill(name)
+    town.run(6)
+    town.start(names[0])
+    town.boxes[names[0]].machine.rates = dict.fromkeys(town.boxes[names[0]].machine.rates, 30.0)  # what is in hand adds up
+    callers = quiet(town)
+    for model in town.city.catalogue["models"]:
+        for _ in range(3):
+            ask(town, callers, "refunds", model=model["name"])
+    town.run(60)
+    assert witness(town, callers).faults() == []
+    held = {model for model, pair in _pairs(town).items() if names[0] in pair}
+    answered = outcomes(callers, outcome="ok")
+    assert len(held) > 8 and len(answered) > 10
+    assert town.records[names[0]].warmPeak["all models"] >= 1
+
+
+def test_adapters_asked_for_all_together_are_loaded_within_their_places():
+    """Rule 9. Given every adapter asked for at once, each is answered and no server is told to hold more than its places."""
+    for city in ("kosice", "central-java"):
+        town = settled(82, city, edges=4)
+        group = "claims" if city == "kosice" else "deferred"
+        callers = quiet(town)
+        for _ in range(2):
+            for adapter in town.city.catalogue["adapters"]:
+                ask(town, callers, group, model=adapter["name"])
+            town.run(30)
+        assert witness(town, callers).faults() == []
+        bad = [(call.model, call.faultClass) for call in callers.calls if call.outcome != "ok"]
+        assert bad == [], bad
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -35,9 +35,9 @@
     town = settled(32)
     callers = quiet(town)
     _earn(town)
-    primary, understudy = _pair(town, "refund-01")
+    primary, understudy = _pair(town, "claim-01")
     town.boxes[primary].machine.prefill = 2 * SECOND
-    unsafe, safe = ask(town, callers, "bookings", model="refund-01"), ask(town, callers, "refunds", model="refund-01")
+    unsafe, safe = ask(town, callers, "bookings", model="claim-01"), ask(town, callers, "refunds", model="claim-01")
     town.run(0.5)
     check = witness(town, callers)
     assert (check.runs_of(unsafe), check.runs_of(safe)) == (1, 1)
@@ -77,17 +77,18 @@
 
 
 def test_stream_that_ends_in_good_order_but_unfinished_is_cut():
-    """Rule 3. Given a server that closes its stream properly after three pieces, nobody is told that this was all: a caller who
-    streams sees it cut, one who does not gets a fault, and neither a finish reason nor [DONE] is made up."""
-    town = settled(49)
-    callers = quiet(town)
-    for server in town.machines("model"):
-        server.endsAfter, server.hasIds = 3, False
-    streamed, whole = ask(town, callers, "refunds", model="refund-01"), ask(town, callers, "claims", model="claim-01")
-    town.run(20)
-    assert streamed.outcome == "cut" and not streamed.isDone and streamed.text.count("/") == 6
-    assert whole.outcome == "fault" and whole.faultClass == "cut" and whole.text == ""
-    assert witness(town, callers).faults() == []
+    """Rule 3. Given a server that closes its stream properly after three pieces, with [DONE] or without, nobody is told that this
+    was all: a caller who streams sees it cut, one who does not gets a fault; no finish reason and no [DONE] is made up."""
+    for saysDone in (False, True):
+        town = settled(49)
+        callers = quiet(town)
+        for server in town.machines("model"):
+            server.endsAfter, server.hasIds, server.saysDone = 3, False, saysDone
+        streamed, whole = ask(town, callers, "refunds", model="refund-01"), ask(town, callers, "claims", model="claim-01")
+        town.run(20)
+        assert streamed.outcome == "cut" and not streamed.isDone and streamed.text.count("/") == 6
+        assert whole.outcome == "fault" and whole.faultClass == "cut" and whole.text == ""
+        assert witness(town, callers).faults() == []
 
 
 def test_resume_goes_on_exactly_where_it_stopped():
@@ -110,6 +111,8 @@
     """Rule 2. Given a server whose resume skips a piece, the stream is cut, not patched."""
     town = settled(36)
     callers = quiet(town)
+    for server in town.machines("model"):
+        server.rates["refund-04"] = 9.0
     call = ask(town, callers, "refunds", model="refund-04")
     assert town.run_until(lambda: call.firstAt is not None, 3)
     for server in town.machines("model"):
@@ -127,11 +130,11 @@
     """Given a model that nobody configured, the caller is told at once, one alert is logged, no server is tried."""
     town = settled(37)
     callers = quiet(town)
-    before = sum(town.tries.values())
+    before = len(town.tries)
     calls = [ask(town, callers, "refunds", model="nobody-knows", edge="edge-1") for _ in range(5)]
     town.run(1)
     assert {(call.status, call.faultClass, call.run) for call in calls} == {(404, "no-model", "no")}
-    assert sum(town.tries.values()) == before
+    assert len(town.tries) == before
     assert len([line for line in town.logs if "not configured" in line[4]]) == 1
 
 
@@ -160,12 +163,12 @@
              ("POST", "/v1/chat/completions", key, b'{"model":"refund-01","messages":[{}],"max_tokens":99999}', 400),
              ("GET", "/v1/chat/completions", key, b"", 400), ("GET", "/elsewhere", key, b"", 404),
              ("GET", "/records/1", {"Authorization": "Bearer wrong-key"}, b"", 401)]
-    before, edge = sum(town.tries.values()), town.boxes["edge-1"].machine
+    before, edge = len(town.tries), town.boxes["edge-1"].machine
     for method, path, headers, body, status in cases:
         headers = {name.lower(): value for name, value in headers.items()}
         (answer,) = [effect for effect in edge.take(("http", 10**6, method, path, headers, body), town.now) if effect[0] == "reply"]
         assert answer[2] == status and json.loads(answer[4])["fault"]["reason"], (method, path, answer)
-    assert door and sum(town.tries.values()) == before
+    assert door and len(town.tries) == before
 
 
 def test_same_key_at_two_edges_runs_once():
@@ -326,3 +329,57 @@
     town.run(6)
     late = [call for call in callers.calls if call.sentAt > healedAt + 2 * SECOND]
     assert late and all(call.outcome == "ok" and call.endedAt - call.sentAt < SECOND for call in late)
+
+
+def test_burst_of_faults_after_a_long_calm_is_met_with_few_resends():
+    """Rule 7. Given a minute of calm and then half the servers refusing under a crowd, no window sees more than a fifth and what
+    the edges may have saved up; afterwards all is answered again."""
+    town = settled(83, edges=5)
+    callers = town.call_in(2.0)
+    town.run(45)
+    names = [box.name for box in town.boxes.values() if box.role in ("model", "records")][::2]
+    for name in names:
+        town.boxes[name].machine.isBusy = True
+    crowd = town.call_in(5.0, name="crowd")
+    town.run(6)
+    crowd.isOn = False
+    town.run(20)
+    for name in names:
+        town.boxes[name].machine.isBusy = False
+    town.run(15)
+    callers.isOn = False
+    town.run(8)
+    check = witness(town, callers)
+    assert check.faults() == [] and check.resends()[1] > 40
+    late = [call for call in callers.calls if call.sentAt > town.now - 18 * SECOND]
+    assert late and all(call.outcome == "ok" for call in late)
+
+
+def test_lookups_move_on_when_records_servers_are_lost():
+    """Given records servers that crash, go dark or slow, one area's or all of them, lookups move on within their patience."""
+    for how in ("killed", "dark", "vanished", "all dark"):
+        town = settled(84, "central-java", edges=4)
+        callers = town.call_in(1.0, [group(town, "status")])
+        town.run(4)
+        names = ["records-1", "records-2", "records-3"] if how == "all dark" else ["records-1", "records-2"]
+        for name in names:
+            if how == "killed":
+                town.kill(name)
+            elif how == "vanished":
+                town.vanish(name)
+            else:
+                town.boxes[name].machine.isDark = True
+        hitAt = town.now
+        town.run(12)
+        for name in names:
+            town.start(name)
+        town.run(12)
+        callers.isOn = False
+        town.run(6)
+        bad = [call for call in callers.calls if call.outcome != "ok"]
+        assert all(call.endedAt - call.sentAt <= call.patience + SECOND for call in callers.calls), how
+        if how != "all dark":
+            late = [call for call in bad if call.sentAt > hitAt + 6 * SECOND]
+            assert len(bad) < 90 and not late, (how, len(bad), len(late))
+        assert not [call for call in bad if call.sentAt > town.now - 14 * SECOND], how
+        assert witness(town, callers).faults() == [] and witness(town, callers).unaccounted() == [], how
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -48,7 +48,7 @@
 
 def others(town, name):
     """All boxes but one, as seen by a cut."""
-    return [box for box in town.boxes if box not in (name, "operator", "callers")]
+    return town.inside(name)
 
 
 def outcomes(callers, **wanted) -> list:
@@ -67,9 +67,9 @@
     return callers
 
 
-def ask(town, callers, name, **more):
+def ask(town, callers, name, maxTokens=64, **more):
     """One call of a group, made now; gives it."""
-    for effect in callers.ask(group(town, name), town.now, **more):
+    for effect in callers.ask(group(town, name, maxTokens=maxTokens), town.now, **more):
         town._do(town.boxes["callers"], effect)
     return callers.calls[-1]
 
--- a/tests/storm_stories.py
+++ b/tests/storm_stories.py
@@ -5,10 +5,11 @@
 from harness.storms import play
 
 
-@pytest.mark.parametrize("seed", [11, 94, 1023, 4, 5, 6])
+@pytest.mark.parametrize("seed", [100, 114, 118, 121])
 def test_storm_breaks_no_rule_and_passes(seed):
-    """Given a town under random faults, no rule is broken at any time, and after the calm everything is as it was.
+    """Given a whole city under random faults, no rule is broken at any time, and after the calm everything is as it was; every
+    third storm ends with all nodes lost, and the disks have the last word.
 
-    11, 94 and 1023 once broke the store's pace and the adapter places.
+    100 and 121 once showed slips, 114 a view that stood for ever and acknowledged nothing, 118 calls in no log.
     """
-    assert play(seed)[-1] == []
+    assert play(seed)[4] == []
