--- a/harness/processes.py
+++ b/harness/processes.py
@@ -126,8 +126,9 @@
         command = ["stand-in", "callers", "--catalogue", f"{city}/catalogue.json", "--traffic", f"{city}/traffic.json",
                    "--door", self.city.platform.rpartition(":")[0] + ":" + str(int(self.city.platform.rpartition(":")[2]) + 1),
                    "--seconds", str(seconds), "--pace", str(pace), "--calls", str(calls), "--draw", str(draw)]
-        for door in self.doors("edge"):
-            command += ["--edge", door]
+        for node in self.city.nodes:
+            if node["role"] == "edge":
+                command += ["--edge", f"{node['area']}/{node['door']}"]
         return subprocess.Popen(PROGRAM + command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
 
     def proofs(self) -> dict:
--- a/harness/storms.py
+++ b/harness/storms.py
@@ -15,7 +15,8 @@
     every third storm ends in a closing fault with no calm after it."""
     city = CITIES[seed % 2]
     town = settled(seed, city, edges, seatAway=6.0)
-    callers = town.call_in(0.6)
+    again = [{**group, "again": 0.3} if "keyed" in group else group for group in town.city.traffic]  # double clicks
+    callers = town.call_in(0.6, again)
     storm = Storm(town, callers, seed)
     found = storm.run(seconds, closing=seed % 3 == 2)
     return seed, city, dict(Counter(call.outcome for call in storm.witness.calls)), storm.witness.resends(), found, storm.told
--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -26,7 +26,6 @@
 
 REFUSED, USAGE, DAMAGED, UNREACHED = 1, 2, 3, 4
 Text = Annotated[str | None, cappa.Arg(long=True)]
-Texts = Annotated[list[str], cappa.Arg(long=True)]
 
 
 def _fail(code: int, *lines: str):
@@ -322,10 +321,12 @@
     from sumachook.guise.callers import Callers
     from sumachook.guise.report import report_calls
 
-    edges = {f"edge-{place}": door for place, door in enumerate(command.edge, 1)}
+    given = {f"edge-{place}": door.rpartition("/") for place, door in enumerate(command.edge, 1)}
+    edges = {edge: door for edge, (_, _, door) in given.items()}
+    areas = {edge: area for edge, (area, _, _) in given.items() if area}
     clock = Clock()
     machine = Callers(edges, _read_json(command.traffic)["groups"], _read_json(command.catalogue), Random(command.draw), clock.mono(),
-                      command.pace, timedelta(seconds=command.seconds))
+                      command.pace, timedelta(seconds=command.seconds), "callers", areas)
     try:
         _serve_stand_in(machine, "callers", command.door)
     finally:
@@ -361,7 +362,7 @@
     catalogue: Annotated[str, cappa.Arg(long=True)]
     traffic: Annotated[str, cappa.Arg(long=True)]
     door: Annotated[str, cappa.Arg(long=True, help="IP:PORT of its own, for its condition")]
-    edge: Texts = field(default_factory=list)
+    edge: Annotated[list[str], cappa.Arg(long=True, help="AREA/IP:PORT of an edge, or IP:PORT")] = field(default_factory=list)
     seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
     pace: Annotated[float, cappa.Arg(long=True, help="times the city's rates")] = 1.0
     draw: Annotated[int, cappa.Arg(long=True, help="seed of its random draw")] = 1
