--- /dev/null
+++ b/sumachook/ferry/close.py
@@ -0,0 +1,26 @@
+"""The end of a row: out of the table, into the ledger."""
+
+from sumachook.ferry.row import SETTLED
+
+
+class Close:
+    """The end of a row: out of the table, into the ledger (§11.1)."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, table):
+        self.table = table
+
+    def take(self, row, state, status, name, now):
+        row.state = SETTLED
+        self.table.rows.pop(row.request, None)
+        self.table.byCid.pop(row.cid, None)
+        self.table.count(state, row.kind)
+        duration = (now - row.arrivedAt).total_seconds()
+        first = (row.firstAt - row.arrivedAt).total_seconds() if row.firstAt else None
+        record = {**self.table.record(row), "state": state, "class": name, "status": status, "run": row.ran, "tries": tuple(row.tries),
+                  "attempt": row.attempt, "firstToken": first, "duration": round(duration, 4), "tokens": row.tokens,
+                  "late": now > row.cutoff, "endedAt": self.table.stamp(now)}
+        level = "info" if state == "done" else "warning"
+        note = {field: record[field] for field in ("request", "status", "class", "attempt", "firstToken", "duration", "tokens", "run")}
+        return [("close", record), ("log", level, "ferry", "Request settled.", note)]
--- /dev/null
+++ b/sumachook/ferry/deliver.py
@@ -0,0 +1,39 @@
+"""The pass that sends a row to the server drawn for it."""
+
+from datetime import timedelta
+
+from sumachook.ferry.row import LOOKUP, TRYING
+
+CONNECT = timedelta(seconds=2)
+LOOKUP_CONNECT = timedelta(seconds=0.7)
+LOOKUP_TOTAL = timedelta(seconds=1.5)
+HEADROOM = 1.5
+
+
+class Deliver:
+    """The pass that sends a row to the server drawn for it (§7.4)."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, table):
+        self.table = table
+
+    def take(self, row, name, now):
+        server, lane = self.table.state.servers[name], self.table.lane(name)
+        row.attempt += 1
+        row.state, row.server, row.tryAt = TRYING, name, now
+        row.tid = (row.kind, row.request, row.attempt)
+        row.wasSent = row.wasHeard = False
+        lane.begin(row.name if row.kind == LOOKUP else row.model.name, row.line, now)
+        left = row.cutoff - now
+        if row.kind == LOOKUP:
+            row.firstBy = row.totalBy = now + min(LOOKUP_TOTAL, left)
+            url, connect = f"http://{server['address']}{row.path}", min(LOOKUP_CONNECT, left)
+            return [("fetch", row.tid, "GET", url, {"X-Request-Id": row.request}, b"", connect, min(LOOKUP_TOTAL, left), "whole")]
+        first = timedelta(seconds=row.model.firstToken)
+        hasOther = row.isSafe and any(other != name for other in self.table.state.pairs.get(row.model.name, ()) if other)
+        row.firstBy = now + min(first, left / 2 if hasOther and row.attempt == 1 else left)
+        decode = timedelta(seconds=row.body["max_tokens"] / row.model.decodeRate * HEADROOM)
+        row.totalBy = min(row.cutoff, row.firstBy + decode)
+        method, path, headers, body = self.table.port.chat(row.request, row.body)
+        return [("fetch", row.tid, method, f"http://{server['address']}{path}", headers, body, min(CONNECT, left), left, "events")]
--- /dev/null
+++ b/sumachook/ferry/drawing.py
@@ -0,0 +1,133 @@
+"""The pass that draws servers for the rows that wait."""
+
+from datetime import timedelta
+
+from sumachook.feed.follower import EMPTY, WAITING
+from sumachook.ferry import faults
+from sumachook.ferry.lane import WHOLE
+from sumachook.ferry.row import LINED
+
+
+class Drawing:
+    """The pass that draws servers for the rows that wait (§7.5)."""
+
+    __slots__ = ("table", "deliver", "settle")
+
+    def __init__(self, table, deliver, settle):
+        self.table, self.deliver, self.settle = table, deliver, settle
+
+    def take(self, now):
+        out = []
+        if not self.table.lookups and not any(self.table.lines.rows.values()):
+            return out
+        trust = self.table.follower.trust(now)
+        if trust not in (EMPTY, WAITING):
+            out += self._look_again(now)
+        for row in list(self.table.lookups):
+            if row.notBefore <= now:
+                server = self._draw_records(row, now)
+                if server and self._may_go(row):
+                    self.table.lookups.remove(row)
+                    out += self.deliver.take(row, server, now)
+        catalogue = self.table.state.catalogue
+        weights = {line.name: line.weight for line in catalogue.lines}
+        for line, row in self.table.lines.turns(weights):
+            if row.state != LINED or row.notBefore > now:
+                continue
+            server = self._draw_server(row, now)
+            if isinstance(server, str):
+                if self._may_go(row):
+                    self.table.lines.remove(line, row)
+                    self.table.lines.took(line, weights)
+                    out += self.deliver.take(row, server, now)
+            elif server is not None:
+                self.table.lines.remove(line, row)
+                out += self.settle.take(row, server, now)
+        return out
+
+    def _look_again(self, now):
+        """What came in while this edge had just woken was let in unseen: the area may have been evacuated meanwhile (§8.3)."""
+        out, isOpen = [], self.table.state.is_open(self.table.area)
+        for row in [*self.table.lookups, *(row for rows in self.table.lines.rows.values() for row in rows)]:
+            if row.isUnsure:
+                row.isUnsure = False
+                if not isOpen:
+                    out += self.settle.take(row, faults.EVACUATED.because(f"area {self.table.area} is evacuated, use another area's node"), now)
+        return out
+
+    def _may_go(self, row):
+        """A resend costs a credit; without one the row waits within its cutoff (§7.7)."""
+        if row.needsCredit and not self.table.purse.spend():
+            return False
+        row.needsCredit = False
+        return True
+
+    def _draw_records(self, row, now):
+        trust = self.table.follower.trust(now)
+        if trust in (EMPTY, WAITING):
+            return None
+        open_ = [name for name, server in self.table.state.servers.items()
+                 if server["kind"] == "records" and self.table.is_usable(name, server, trust, now) and not self.table.lane(name).is_shut(now)]
+        return min(open_, default=None, key=lambda name: (
+            _failed_at(row, name), self.table.state.servers[name]["area"] != self.table.area, self.table.lane(name).inUse, name))
+
+    def _draw_server(self, row, now):
+        """A server's name, None to wait on, or a fault (§7.4)."""
+        trust = self.table.follower.trust(now)
+        if trust in (EMPTY, WAITING):
+            return None
+        servers, ready, shut = self.table.state.servers, [], []
+        for name in self.table.state.pairs.get(row.model.name, ()):
+            server, items = servers.get(name), self.table.state.held.get(name, {})
+            if server is None or not self.table.is_usable(name, server, trust, now):
+                continue
+            conditions = {items.get(row.model.name)} | ({items.get(row.adapter)} if row.adapter else set())
+            if not conditions <= {"ready", "warm"}:
+                continue
+            (shut if self.table.lane(name).is_shut(now) else ready).append((name, server, "warm" in conditions))
+        if not ready:
+            if shut:
+                soonest = min(self.table.lane(name).shutUntil for name, _, _ in shut)
+                row.retryAfter = max(1.0, (soonest - now).total_seconds())
+                return faults.UNREACHABLE.because("the breaker is open")
+            return self._waking(row, now)
+        ready.sort(key=lambda item: _failed_at(row, item[0]))
+        for name, server, isWarm in ready:
+            if self._has_room(row, name, server, isWarm, now):
+                return name
+        return None
+
+    def _waking(self, row, now):
+        """§7.3: a waking model is one that is placed but not held yet; one delayed resend, then the end."""
+        if now < row.wakeBy:
+            return None
+        if row.wakes:
+            return faults.WAKE_TIMEOUT.because(f"{row.name} was not ready in time")
+        row.wakes = 1
+        row.tries.append({"server": "", "class": faults.WAKE_TIMEOUT.name})
+        row.notBefore = now + self.table.pause(row)
+        row.wakeBy = now + timedelta(seconds=row.model.wake)
+        return None
+
+    def _has_room(self, row, name, server, isWarm, now):
+        lane = self.table.lane(name)
+        rank, count = self.table.rank(name)
+        limit = self.table.limit(server)
+        line = self.table.line(row)
+        share = max(1, int(limit * line.share)) if line else 1
+        if lane.inUse >= limit or lane.byLine.get(row.line, 0) >= share:
+            return False
+        item, isCold = row.model.name, "ready" not in self.table.state.held.get(name, {}).values()
+        for what, isWarming, inHand in ((item, isWarm, lane.byItem.get(item, 0)), (WHOLE, isCold, lane.inUse)):
+            if not isWarming:
+                lane.warmSince.pop(what, None)
+            elif not self.table.knowsEdges:
+                return False  # it would take itself for the only one, and all of the share
+            elif inHand >= lane.warm_share(what, server["slots"], rank, count, now):
+                return False
+        return True
+
+
+def _failed_at(row, name) -> int:
+    """0 for a server that has not failed this request, else higher the later it did."""
+    return row.avoid.index(name) + 1 if name in row.avoid else 0
--- /dev/null
+++ b/sumachook/ferry/ending.py
@@ -0,0 +1,32 @@
+"""The end of one try: its place is given back, its class noted."""
+
+from sumachook.ferry import faults
+from sumachook.ferry.lane import LONGEST_REST, LOOKUP_REST, PROBES_APART
+from sumachook.ferry.row import LOOKUP, PROMPT
+
+
+class Ending:
+    """The end of one try: its place is given back, its class noted (§7.3)."""
+
+    __slots__ = ("table",)
+
+    def __init__(self, table):
+        self.table = table
+
+    def take(self, row, fault, now):
+        """Gives the place back and notes the try; the fault's class is decided by now."""
+        lane, item = self.table.lane(row.server), row.name if row.kind == LOOKUP else row.model.name
+        lane.end(item, row.line)
+        rank, count = self.table.rank(row.server)
+        if fault is None or fault in (faults.REFUSED, faults.OVERLOAD, faults.HUNG_UP):
+            lane.note(True, now, 0.0)
+        else:
+            lane.note(False, now, rank / count, LOOKUP_REST if row.kind == LOOKUP else max(LONGEST_REST, PROBES_APART * count))
+            lane.fell_while_warm(item, now)
+        duration = (now - row.tryAt).total_seconds()
+        if fault is None and row.kind == PROMPT:
+            self.table.serviceTime[row.line] = 0.9 * self.table.serviceTime.get(row.line, duration) + 0.1 * duration
+        first = (row.firstAt - row.tryAt).total_seconds() if row.firstAt and row.firstAt >= row.tryAt else None
+        row.tries.append({"server": row.server, "class": fault.name if fault is not None else "ok", "sent": row.wasSent,
+                          "firstToken": first, "duration": round(duration, 4), "tokens": row.tokens, "attempt": row.attempt})
+        row.tid = None
--- /dev/null
+++ b/sumachook/ferry/enline.py
@@ -0,0 +1,58 @@
+"""The pass over rows whose record is kept, or is not: into their line."""
+
+from sumachook.creed.policy import compile_policy
+from sumachook.ferry import faults
+from sumachook.ferry.row import LINED, LOOKUP, RECORDING
+
+
+class Enline:
+    """The pass over rows whose record is kept, or is not: into their line (§7.6)."""
+
+    __slots__ = ("table", "settle")
+
+    def __init__(self, table, settle):
+        self.table, self.settle = table, settle
+
+    def take(self, message: tuple, now) -> list:
+        return getattr(self, "_" + message[0])(message, now)
+
+    def _recorded(self, message, now):
+        row = self.table.rows.get(message[1])
+        if row is None or row.state != RECORDING:
+            return []
+        row.state = LINED
+        if row.kind == LOOKUP:
+            self.table.lookups.append(row)
+            return []
+        line = self.table.line(row)
+        bound, waiting = line.bound if line else 1, self.table.lines.length(row.line)
+        isHeld = compile_policy("hold", row.policies.hold)(
+            {"line": row.line, "caller": row.caller.name, "model": row.model.name, "patience": row.caller.patience,
+             "waiting": waiting, "bound": bound, "busy": sum(lane.inUse for lane in self.table.lanes.values())})
+        if waiting >= bound or (waiting and not isHeld):
+            return self.settle.take(row, faults.OVERLOAD.because(f"{waiting} wait in line {row.line}"), now)
+        if self._expected_wait(row) > (row.cutoff - now).total_seconds():
+            return self.settle.take(row, faults.OVERLOAD.because("the cutoff cannot be met"), now)
+        self.table.lines.push(row.line, row)
+        return []
+
+    def _expected_wait(self, row) -> float:
+        """Seconds, from those ahead in line for the same model and how long its line's answers took of late."""
+        ahead = sum(other.model.name == row.model.name for other in self.table.lines.rows.get(row.line, ()))
+        pair = [name for name in self.table.state.pairs.get(row.model.name, ()) if name in self.table.state.servers]
+        places = sum(self.table.limit(self.table.state.servers[name]) for name in pair)
+        return ahead * self.table.serviceTime.get(row.line, 0.0) / max(1, places)
+
+    def _unrecorded(self, message, now):
+        row = self.table.rows.get(message[1])
+        if row is None or row.state != RECORDING:
+            return []
+        return self.settle.take(row, faults.UNRECORDED.because(message[2].reason or message[2].name), now)
+
+    def _duplicate(self, message, now):
+        row = self.table.rows.get(message[1])
+        if row is None or row.state != RECORDING:
+            return []
+        first = message[2]
+        fault = faults.DUPLICATE.because(f"request {first['request']} is {first['state']}, run {first['run']}")
+        return self.settle.take(row, fault, now)
--- /dev/null
+++ b/sumachook/ferry/table.py
@@ -0,0 +1,80 @@
+"""The request table of an edge, and what the passes over it share."""
+
+from datetime import timedelta
+from zlib import crc32
+
+from sumachook.feed.follower import CUT
+from sumachook.ferry.lane import Lane
+from sumachook.ferry.lines import Lines
+from sumachook.ferry.port import OpenPort
+from sumachook.ferry.row import PROMPT
+
+LONGEST_PAUSE = timedelta(seconds=30)
+FIRST_PAUSE = timedelta(seconds=1)
+MOST_ROWS = 4000
+
+
+class Table:
+    """Rows by request, lines, lanes and what is known of the rest of the fleet; the passes hold the logic (§7.1)."""
+
+    __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "almanac", "port", "rows", "byCid", "lines",
+                 "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "knowsEdges", "serviceTime", "callers",
+                 "generation", "targets", "alerts", "shunned", "knowsTime", "early")
+
+    def __init__(self, node, incarnation, area, state, follower, purse, draw, almanac):
+        self.node, self.incarnation, self.area, self.state = node, incarnation, area, state
+        self.follower, self.purse, self.draw, self.almanac, self.port = follower, purse, draw, almanac, OpenPort()
+        self.rows, self.byCid, self.lines, self.lanes, self.lookups = {}, {}, Lines(), {}, []
+        self.counts, self.demand, self.isDraining, self.number = {}, {}, False, 0
+        self.knowsEdges = self.knowsTime = False  # until the first list of members, and of their clocks, has come
+        self.early = []  # (when, record) of what was turned away before this node knew what day it is (§11.3)
+        self.shunned = {}  # servers that a core says are leaving, before that is ordered (§9.1)
+        self.edges, self.serviceTime, self.callers, self.generation, self.targets, self.alerts = (node,), {}, {}, -1, {}, {}
+
+    def count(self, *what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def stamp(self, now) -> str:
+        return self.almanac.time(now).isoformat()
+
+    def line(self, row):
+        """The row's line as the catalogue has it now, or None if it was taken out."""
+        return next((line for line in self.state.catalogue.lines if line.name == row.line), None)
+
+    def limit(self, server) -> int:
+        """This edge's places at a server: half again its even share, so that an uneven crowd finds room (§7.5)."""
+        return max(1, -(-3 * server["slots"] // (2 * len(self.edges))))
+
+    def is_usable(self, name, server, trust, now):
+        isNear = trust != CUT or server["area"] == self.area
+        return not server["leaving"] and self.shunned.get(name, now) <= now and self.state.is_open(server["area"]) and isNear
+
+    def lane(self, name):
+        if name not in self.lanes:
+            self.lanes[name] = Lane()
+        return self.lanes[name]
+
+    def rank(self, salt):
+        """(this edge's place, how many edges) in an order that differs from server to server."""
+        order = sorted(self.edges, key=lambda edge: hash_of(edge, salt))
+        return (order.index(self.node) if self.node in order else 0), max(1, len(order))
+
+    def record(self, row):
+        return {"request": row.request, "caller": row.caller.name, "line": row.line, "kind": row.kind, "asked": row.name,
+                "key": row.key, "edge": self.node, "incarnation": self.incarnation, "state": "open", "openedAt": row.openedAt,
+                "generation": row.generation, "tag": row.tag}
+
+    def unline(self, row):
+        if row.kind == PROMPT:
+            self.lines.remove(row.line, row)
+        elif row in self.lookups:
+            self.lookups.remove(row)
+
+    def pause(self, row):
+        """Doubling, fully jittered; scaled down for little patience (§7.4)."""
+        start = min(FIRST_PAUSE, (row.cutoff - row.arrivedAt) / 20)
+        return min(LONGEST_PAUSE, start * 2 ** max(0, row.attempt - 1)) * self.draw.random()
+
+
+def hash_of(*words) -> int:
+    return crc32("|".join(words).encode())
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -78,7 +78,7 @@
         if kind == "stop":
             self.stopBy = now + GRACE
             self.ferry.take(("drain",), now)
-            note = ("log", "info", "edge", "Leaving, no new requests.", {"inHand": len(self.ferry.table)})
+            note = ("log", "info", "edge", "Leaving, no new requests.", {"inHand": len(self.ferry.table.rows)})
             return [note, *self.rumour.take(("leave",), now)]
         return []
 
@@ -101,7 +101,7 @@
 
     def _learn_edges(self):
         others = [member.node for member in self.rumour.live if member.role == "edge"]
-        self.ferry.edges = tuple(sorted({self.node, *others}))
+        self.ferry.table.edges = tuple(sorted({self.node, *others}))
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
@@ -122,8 +122,8 @@
         out += self.quill.take(("pulse", self.state.roster, live, self._carriers()), now)
         out += self.purse.take(("pulse", cores), now)
         isOld = now - self.startedAt > KNOWN_AFTER
-        self.ferry.knowsEdges |= bool(self.rumour.members) or isOld
-        self.ferry.knowsTime |= self.almanac.isAgreed or (isOld and not self.almanac.votes) or now - self.startedAt > KNOWN_AFTER * 10
+        self.ferry.table.knowsEdges |= bool(self.rumour.members) or isOld
+        self.ferry.table.knowsTime |= self.almanac.isAgreed or (isOld and not self.almanac.votes) or now - self.startedAt > KNOWN_AFTER * 10
         isAlone = now - self.follower.beatAt > ALONE_AFTER
         if self.wasAlone and not isAlone:
             out += self.ferry.take(("rejoined",), now)
@@ -131,9 +131,9 @@
         out += self.ferry.take(("pulse",), now)
         if now >= self.nextDemand:
             self.nextDemand = now + timedelta(seconds=1)
-            if self.ferry.demand:
-                out += [("tell", core, ("demand", self.ferry.demand)) for core in cores]
-                self.ferry.demand = {}
+            if self.ferry.table.demand:
+                out += [("tell", core, ("demand", self.ferry.table.demand)) for core in cores]
+                self.ferry.table.demand = {}
         out += self._save(now)
         if self.stopBy is not None:
             out += self._stopping(now)
@@ -149,15 +149,12 @@
         return [("rewrite", "image", (("image", self.state.image()),), None)]
 
     def _stopping(self, now):
-        isDone = not self.ferry.table and not self.quill.entries and not self.ferry.early
+        isDone = not self.ferry.table.rows and not self.quill.entries and not self.ferry.table.early
         if not isDone and now < self.stopBy:
             return []
-        out = []
-        if now >= self.stopBy and self.ferry.table:
-            for row in list(self.ferry.table.values()):
-                out += self.ferry.cut_short(row, now)
+        if now >= self.stopBy and self.ferry.table.rows:
             self.stopBy = now + timedelta(seconds=1)
-            return out
+            return self.ferry.take(("cut-short",), now)
         return [("leave", 0)]
 
     def _http(self, message, now):
@@ -173,10 +170,10 @@
         return self.ferry.take(message, now)
 
     def _metrics(self, now):
-        counts = {"_".join(what): count for what, count in self.ferry.counts.items()}
-        lanes = {name: {"inUse": lane.inUse, "shut": lane.is_shut(now)} for name, lane in self.ferry.lanes.items()}
-        return {"node": self.node, "counts": counts, "lanes": lanes, "rows": len(self.ferry.table),
-                "lines": {line: len(rows) for line, rows in self.ferry.lines.rows.items()},
+        counts = {"_".join(what): count for what, count in self.ferry.table.counts.items()}
+        lanes = {name: {"inUse": lane.inUse, "shut": lane.is_shut(now)} for name, lane in self.ferry.table.lanes.items()}
+        return {"node": self.node, "counts": counts, "lanes": lanes, "rows": len(self.ferry.table.rows),
+                "lines": {line: len(rows) for line, rows in self.ferry.table.lines.rows.items()},
                 "ledgerWaiting": len(self.quill.entries), "ledgerDropped": self.quill.lost,
                 "credit": round(self.purse.balance, 2), "number": self.follower.number, "ignored": self.ignored,
                 "members": len(self.rumour.members) + 1}
@@ -210,9 +207,9 @@
     edge, now = Edge(params, {"image": (("image", state.image()),)}, 1, Clock(), Random(1)), Clock().mono()
     edge.follower.beatAt = edge.follower.lastPulse = now
     body = b'{"model":"m","messages":[{"role":"user","content":"x"}]}'
-    edge.ferry.knowsTime = True
+    edge.ferry.table.knowsTime = True
     edge.ferry.take(("http", 1, "POST", "/v1/chat/completions", {"authorization": "Bearer clerk-key"}, body), now)
-    (request,) = edge.ferry.table
+    (request,) = edge.ferry.table.rows
     assert edge.ferry.take(("recorded", request), now) == []
-    edge.ferry.knowsEdges = True
+    edge.ferry.table.knowsEdges = True
     assert [effect[0] for effect in edge.ferry.take(("pulse",), now)] == ["fetch"]
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -279,10 +279,10 @@
     callers = quiet(town)
     call = ask(town, callers, "refunds", model="refund-07")
     assert town.run_until(lambda: call.firstAt is not None, 3)
-    row = next(row for edge in town.machines("edge") for row in edge.ferry.table.values())
+    row = next(row for edge in town.machines("edge") for row in edge.ferry.table.rows.values())
     town._unfetch(town.boxes["callers"], ("call", call.number))
     town.run(1)
-    assert not any(edge.ferry.table for edge in town.machines("edge"))
+    assert not any(edge.ferry.table.rows for edge in town.machines("edge"))
     assert town.ask("core-1", "GET", f"/ledger/{row.request}")[1]["class"] == "hung-up"
 
 
