--- a/sumachook/ferry/table.py
+++ b/sumachook/ferry/table.py
@@ -18,7 +18,7 @@
     """Rows by request, lines, lanes and what is known of the rest of the fleet; the passes hold the logic (§7.1)."""
 
     __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "almanac", "port", "rows", "byCid", "lines",
-                 "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "knowsEdges", "serviceTime", "callers",
+                 "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "kin", "knowsEdges", "serviceTime", "callers",
                  "generation", "targets", "alerts", "shunned", "knowsTime", "early")
 
     def __init__(self, node, incarnation, area, state, follower, purse, draw, almanac):
@@ -29,7 +29,8 @@
         self.knowsEdges = self.knowsTime = False  # until the first list of members, and of their clocks, has come
         self.early = []  # (when, record) of what was turned away before this node knew what day it is (§11.3)
         self.shunned = {}  # servers that a core says are leaving, before that is ordered (§9.1)
-        self.edges, self.serviceTime, self.callers, self.generation, self.targets, self.alerts = (node,), {}, {}, -1, {}, {}
+        self.edges = self.kin = (node,)  # who is live; and who was so within the last minute
+        self.serviceTime, self.callers, self.generation, self.targets, self.alerts = {}, {}, -1, {}, {}
 
     def count(self, *what):
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -56,7 +57,7 @@
 
     def rank(self, salt):
         """(this edge's place, how many edges) in an order that differs from server to server."""
-        order = sorted(self.edges, key=lambda edge: hash_of(edge, salt))
+        order = sorted(self.kin, key=lambda edge: hash_of(edge, salt))
         return (order.index(self.node) if self.node in order else 0), max(1, len(order))
 
     def record(self, row):
--- a/sumachook/guise/disk.py
+++ b/sumachook/guise/disk.py
@@ -38,3 +38,4 @@
     def wipe(self):
         self.files.clear()
         self.pending.clear()
+        self.opened.clear()
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -10,7 +10,7 @@
 from sumachook.ferry.ferry import Ferry
 from sumachook.role.desk import reply
 from sumachook.pulse.almanac import Almanac
-from sumachook.rumour.rumour import ALIVE, Rumour
+from sumachook.rumour.rumour import ALIVE, GONE, SUSPECT, Rumour
 from sumachook.tally.purse import Purse
 from sumachook.tally.quill import Quill
 
@@ -19,6 +19,7 @@
 GRACE = timedelta(seconds=8)
 ALONE_AFTER = timedelta(seconds=2)
 KNOWN_AFTER = timedelta(seconds=3)
+KIN_FOR = timedelta(seconds=60)
 
 
 class Edge:
@@ -55,7 +56,7 @@
                 elif effect[0] in ("changed", "objected"):
                     continue
                 elif effect[0] == "member":
-                    self._learn_edges()
+                    self._learn_edges(now)
                 else:
                     out.append(effect)
         return out
@@ -99,9 +100,13 @@
         self.ignored += 1
         return []
 
-    def _learn_edges(self):
-        others = [member.node for member in self.rumour.live if member.role == "edge"]
-        self.ferry.table.edges = tuple(sorted({self.node, *others}))
+    def _learn_edges(self, now):
+        """Live ones, for even shares; for the slow start also those gone of late: each side of a split counts the other (§7.5)."""
+        edges = [member for member in self.rumour.members.values() if member.role == "edge"]
+        live = [member.node for member in edges if member.condition in (ALIVE, SUSPECT)]
+        late = [member.node for member in edges if member.condition == GONE and now - member.since < KIN_FOR]
+        self.ferry.table.edges = tuple(sorted({self.node, *live}))
+        self.ferry.table.kin = tuple(sorted({self.node, *live, *late}))
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
@@ -122,7 +127,7 @@
         out += self.quill.take(("pulse", self.state.roster, live, self._carriers()), now)
         out += self.purse.take(("pulse", cores), now)
         isOld = now - self.startedAt > KNOWN_AFTER
-        self.ferry.table.knowsEdges |= bool(self.rumour.members) or isOld
+        self.ferry.table.knowsEdges |= isOld
         self.ferry.table.knowsTime |= self.almanac.isAgreed or (isOld and not self.almanac.votes) or now - self.startedAt > KNOWN_AFTER * 10
         isAlone = now - self.follower.beatAt > ALONE_AFTER
         if self.wasAlone and not isAlone:
@@ -131,6 +136,7 @@
         out += self.ferry.take(("pulse",), now)
         if now >= self.nextDemand:
             self.nextDemand = now + timedelta(seconds=1)
+            self._learn_edges(now)
             if self.ferry.table.demand:
                 out += [("tell", core, ("demand", self.ferry.table.demand)) for core in cores]
                 self.ferry.table.demand = {}
--- a/sumachook/tally/quill.py
+++ b/sumachook/tally/quill.py
@@ -6,7 +6,8 @@
 from sumachook.tally.ranges import keepers_of, range_key
 
 MOST_WAITING = 20000
-FIRST_RESEND, LONGEST_RESEND = timedelta(seconds=0.3), timedelta(seconds=2)
+RESEND = timedelta(seconds=0.3)
+MOST_A_PARCEL = 100
 CARRY_AFTER = timedelta(seconds=0.8)
 CARRY_EVERY = timedelta(seconds=2)
 MOST_CARRIED = 100
@@ -15,12 +16,11 @@
 class Entry:
     """One record on its way to two keepers."""
 
-    __slots__ = ("record", "isClose", "isSafe", "acks", "askedAt", "startedAt", "settled", "sent", "carryAt", "pause")
+    __slots__ = ("record", "isClose", "isSafe", "acks", "askedAt", "startedAt", "settled", "sent", "carryAt")
 
     def __init__(self, record, isClose, isSafe, now):
         self.record, self.isClose, self.isSafe, self.startedAt = record, isClose, isSafe, now
         self.acks, self.sent, self.askedAt, self.settled, self.carryAt = set(), set(), now, isClose, now + CARRY_AFTER
-        self.pause = FIRST_RESEND
 
 
 class Quill:
@@ -83,8 +83,8 @@
                 isLate = now - entry.startedAt > self.HINT_AFTER
                 if missing and (isLate or any(seat not in self.live for seat in missing)):
                     out += self._send(entry, order[2:], order[:2])
-            if now - entry.askedAt > entry.pause:
-                entry.askedAt, entry.pause = now, min(entry.pause * 2, LONGEST_RESEND)
+            if now - entry.askedAt > RESEND:
+                entry.askedAt = now
                 out += self._send(entry, [seat for seat in order[:2] if seat not in entry.acks])
                 entry.sent.discard(order[2] if len(order) == 3 and order[2] not in entry.acks else "")
             if not entry.settled and now - entry.startedAt > (self.SAFE_WAIT if entry.isSafe else self.UNSAFE_WAIT):
@@ -94,7 +94,7 @@
                     out.append(("recorded", request))  # goes on; the record follows from memory
                 else:
                     out.append(("unrecorded", request, faults.NO_QUORUM))
-        return out + self._carry(carriers, now) + self._spool(now)
+        return _merged(out) + self._carry(carriers, now) + self._spool(now)
 
     def _carry(self, carriers, now):
         """§11.5: what no two keepers take is given to two other edges as well; whoever reaches the keepers hands it in."""
@@ -145,3 +145,20 @@
                 if not entry.settled:
                     out.append(("recorded", request))
         return out
+
+
+def _merged(effects):
+    """What goes to one keeper in one pulse goes in one parcel.
+
+    >>> one, other = ("tell", "k:1", ("open", ("a",))), ("tell", "k:1", ("open", ("b",)))
+    >>> _merged([one, ("recorded", "r"), other])
+    [('recorded', 'r'), ('tell', 'k:1', ('open', ('a', 'b')))]
+    """
+    parcels, rest = {}, []
+    for effect in effects:
+        if effect[0] == "tell":
+            parcels.setdefault((effect[1], effect[2][0]), []).extend(effect[2][1])
+        else:
+            rest.append(effect)
+    return rest + [("tell", address, (kind, tuple(records[place : place + MOST_A_PARCEL])))
+                   for (address, kind), records in parcels.items() for place in range(0, len(records), MOST_A_PARCEL)]
