--- /dev/null
+++ b/harness/costs.py
@@ -0,0 +1,161 @@
+"""python -m harness.costs: what the fleet spends: messages, bytes and syncs at rest, per request and per change; --real: added time and how much one edge bears."""
+
+import argparse
+import http.client
+import json
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from statistics import median, quantiles
+
+from harness.processes import Processes
+from sumachook.guise.city import City
+from sumachook.guise.fleet import Fleet
+from tests.scene import EXAMPLES, quiet, settled
+
+SIZES = (None, 12, 50, 200)
+
+
+class Meter:
+    """Counts what a fleet says and writes, by role; `since()` gives what came since the last call."""
+
+    __slots__ = ("town", "counts", "before", "tell", "synced")
+
+    def __init__(self, town):
+        self.town, self.counts, self.before = town, Counter(), Counter()
+        self.tell, self.synced = Fleet._tell, Fleet._synced
+
+        def tell(fleet, box, address, message, isCast):
+            self.counts[box.role, "messages"] += 1
+            self.counts["kind", message[0]] += 1
+            self.counts[box.role, "bytes"] += len(box.codec.pack(message))
+            self.tell(fleet, box, address, message, isCast)
+
+        def synced(fleet, box, life, count):
+            if box.life == life:
+                self.counts[box.role, "syncs"] += len({item[1] for item in box.disk.pending[:count]})
+            self.synced(fleet, box, life, count)
+
+        Fleet._tell, Fleet._synced = tell, synced
+
+    def since(self):
+        found, self.before = self.counts - self.before, Counter(self.counts)
+        return found
+
+
+def grown(city: City, count):
+    """The same city with as many edges; those that are new stand in its areas in turn."""
+    for place in range(sum(node["role"] == "edge" for node in city.nodes), count or 0):
+        city.nodes.append({"name": f"edge-{place + 1}", "role": "edge", "area": city.catalogue["areas"][place % 3],
+                           "address": f"127.1.0.{place}:17005", "door": f"127.1.0.{place}:17025"})
+
+
+def play(count) -> str:
+    """One row: a city with this many edges, at rest, under its traffic, under changes."""
+    import tests.scene as scene
+
+    plain = scene.city
+    scene.city = lambda name="kosice": (lambda city: grown(city, count) or city)(plain(name))
+    try:
+        town = settled(61, "kosice", None)
+    finally:
+        scene.city = plain
+    edges, meter = len(town.machines("edge")), Meter(town)
+    quiet(town)
+    town.run(10)
+    meter.since()
+    town.run(20)
+    rest = meter.since()
+    perEdge = [rest["edge", what] / 20 / edges for what in ("messages", "bytes")]
+    perCore = [rest["core", what] / 20 / 3 for what in ("messages", "bytes")]
+    for number in range(20):
+        doc = {"routes": [{"name": f"cost-{number}", "target": "refund-01"}]}
+        assert town.ask("core-1", "POST", "/operator/apply", {"request": f"cost-{number}", "doc": doc, "part": True})[0] == 200
+    change = meter.since()
+    callers = town.call_in(1.0, name="traffic")
+    town.run(20)
+    callers.isOn = False
+    busy = meter.since()
+    calls = len(callers.calls)
+    kinds = [f"{kind} {busy['kind', kind] / calls:.2f}" for kind in ("open", "opened", "close", "closed")]
+    messages = (busy["edge", "messages"] + busy["core", "messages"] - rest["edge", "messages"] - rest["core", "messages"]) / calls
+    size = (busy["edge", "bytes"] + busy["core", "bytes"] - rest["edge", "bytes"] - rest["core", "bytes"]) / calls
+    return (f"| {edges} | {perEdge[0]:.1f}, {perEdge[1] / 1000:.2f} | {perCore[0]:.1f}, {perCore[1] / 1000:.2f} "
+            f"| {messages:.1f}, {size / 1000:.2f} ({', '.join(kinds)}) | {busy['core', 'syncs'] / calls:.2f} | {change['core', 'syncs'] / 20:.1f} |")
+
+
+# real processes ------------------------------------------------------------------------
+
+
+def _ask(door, method, path, key, doc=None, request="") -> float:
+    """Seconds to the first word of the answer, on a fresh connection."""
+    host, _, port = door.rpartition(":")
+    begun = time.perf_counter()
+    link = http.client.HTTPConnection(host, int(port), timeout=10)
+    headers = {"Authorization": f"Bearer {key}", "X-Request-Id": request, "Content-Type": "application/json"}
+    link.request(method, path, json.dumps(doc) if doc else None, headers)
+    answer = link.getresponse()
+    line = answer.readline()
+    took = time.perf_counter() - begun
+    answer.read()
+    link.close()
+    assert answer.status == 200, (door, path, answer.status, line)
+    return took
+
+
+def _pairs(name, count, direct, routed):
+    """Both ways in turn, so that what the machine does meanwhile meets both."""
+    direct(), routed()
+    rows = [(direct(), routed()) for _ in range(count)]
+    added = [(later - sooner) * 1000 for sooner, later in rows]
+    spread = quantiles(added, n=20)
+    print(f"{name}: {count} pairs; direct median {median(one for one, _ in rows) * 1000:.2f} ms, routed {median(two for _, two in rows) * 1000:.2f} ms; "
+          f"added median {median(added):.2f} ms, 5 to 95 of 100: {spread[0]:.2f} to {spread[-1]:.2f} ms", flush=True)
+
+
+def real():
+    fleet = Processes(EXAMPLES / "kosice", Path(tempfile.mkdtemp(prefix="sumachook-")))
+    try:
+        fleet.bring_up()
+        edge = fleet.doors("edge")[0]
+        records = next(server["address"] for server in fleet.city.servers if server["kind"] == "records")
+        pairs = fleet.get(fleet.doors("core")[0], "/show/pairs")[1]["pairs"]
+        model, (primary, _) = next(item for item in sorted(pairs.items()) if item[1][1])
+        server = next(item["address"] for item in fleet.city.servers if item["name"] == primary)
+        doc = {"model": model, "stream": True, "max_tokens": 16, "messages": [{"role": "user", "content": "cost"}]}
+        chat = "/v1/chat/completions"
+        _pairs("lookup", 300, lambda: _ask(records, "GET", "/records/a", ""), lambda: _ask(edge, "GET", "/records/a", "kosice-customs-key"))
+        number = iter(range(10**6))
+        _pairs("first token", 60, lambda: _ask(server, "POST", chat, "", doc, f"direct-{next(number)}"),
+               lambda: _ask(edge, "POST", chat, "kosice-counter-key", doc))
+        for pace in (1, 2, 4, 8, 12, 16, 24):
+            callers = fleet.call_in(8, pace, fleet.work / "one.jsonl", pace, 1, edges=1)
+            callers.communicate(timeout=200)
+            calls = [json.loads(line) for line in (fleet.work / "one.jsonl").read_text().splitlines()]
+            bad = Counter(call["class"] for call in calls if call["outcome"] != "ok")
+            late = sorted(call["seconds"] for call in calls if call["group"] == "stamps" and call["outcome"] == "ok")
+            print(f"one edge at {pace} times the city's rates: {len(calls)} calls, {sum(bad.values())} not answered {dict(bad)}, "
+                  f"99 of 100 lookups within {late[int(len(late) * 0.99)] if late else 0:.2f} s", flush=True)
+            if sum(bad.values()) > 0.02 * len(calls):
+                break
+    finally:
+        fleet.stop_all()
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.costs", description=__doc__)
+    parser.add_argument("--real", action="store_true", help="real processes on loopback, in place of the fleet in memory")
+    given = parser.parse_args()
+    if given.real:
+        return real()
+    print("| edges | an edge at rest: messages, kB a second | a core at rest | a request: messages, kB | syncs a request, all cores | syncs a change, all cores |")
+    print("|---|---|---|---|---|---|")
+    with ProcessPoolExecutor(len(SIZES)) as pool:
+        for row in pool.map(play, SIZES):
+            print(row, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -30,7 +30,7 @@
             more = ["--catalogue", files["catalogue"]] if server["kind"] == "model" else []
             self.commands[server["name"]] = ["stand-in", server["kind"], server["name"], "--servers", files["servers"], *more]
         for node in self.city.nodes:
-            data = {"data": str(work / node["name"])} if node["role"] == "core" else {}
+            data = {"data": str(work / node["name"]), "seatAway": 5.0} if node["role"] == "core" else {}
             params = work / f"{node['name']}.json"
             params.write_text(json.dumps(self.city.params(node, **data)))
             self.commands[node["name"]] = [node["role"], "--params", str(params)]
@@ -72,16 +72,21 @@
     def doors(self, role: str) -> list:
         return [node["door"] for node in self.city.nodes if node["role"] == role]
 
-    def get(self, door: str, path: str):
-        """(status, document), or None where nothing answers."""
+    def get(self, door: str, path: str, key: str = "", doc=None):
+        """(status, document), or None where nothing answers; with a document it is a POST."""
+        body = json.dumps(doc).encode() if doc is not None else None
+        request = urllib.request.Request(f"http://{door}{path}", body, {"Authorization": f"Bearer {key}"} if key else {})
         try:
-            with urllib.request.urlopen(f"http://{door}{path}", timeout=2) as answer:
+            with urllib.request.urlopen(request, timeout=2) as answer:
                 return answer.status, json.loads(answer.read())
         except urllib.error.HTTPError as error:
             return error.code, json.loads(error.read())
         except (OSError, ValueError):
             return None
 
+    def post(self, door: str, path: str, doc):
+        return self.get(door, path, doc=doc)
+
     def wait_for(self, isReached, seconds: float) -> bool:
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -121,14 +126,13 @@
             raise SystemExit("pairs were not held within 120 s; see " + str(self.work))
         return time.monotonic() - begun
 
-    def call_in(self, seconds: float, pace: float, calls: Path, draw: int = 1) -> subprocess.Popen:
+    def call_in(self, seconds: float, pace: float, calls: Path, draw: int = 1, place: int = 1, edges=None) -> subprocess.Popen:
         city = str(self.folder)
         command = ["stand-in", "callers", "--catalogue", f"{city}/catalogue.json", "--traffic", f"{city}/traffic.json",
-                   "--door", self.city.platform.rpartition(":")[0] + ":" + str(int(self.city.platform.rpartition(":")[2]) + 1),
+                   "--door", self.city.platform.rpartition(":")[0] + ":" + str(int(self.city.platform.rpartition(":")[2]) + place),
                    "--seconds", str(seconds), "--pace", str(pace), "--calls", str(calls), "--draw", str(draw)]
-        for node in self.city.nodes:
-            if node["role"] == "edge":
-                command += ["--edge", f"{node['area']}/{node['door']}"]
+        for node in [node for node in self.city.nodes if node["role"] == "edge"][:edges]:
+            command += ["--edge", f"{node['area']}/{node['door']}"]
         return subprocess.Popen(PROGRAM + command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True)
 
     def proofs(self) -> dict:
--- a/harness/scenarios.py
+++ b/harness/scenarios.py
@@ -344,9 +344,101 @@
     scene.figures["last call not served, after the return"] = f"{(max(bad) - backAt) / SECOND:.2f} s" if bad else "none"
 
 
+def _total(scene, roles, wipe=None):
+    ours = [box.name for box in scene.town.boxes.values() if box.role in roles]
+    for name in ours:
+        scene.town.kill(name)
+    if wipe:
+        scene.town.boxes[wipe].disk.wipe()
+    scene.town.run(3)
+    for name in ours:
+        scene.town.start(name)
+    backAt = scene.town.now
+    scene.end(45)
+    calls = [call for call in scene.callers.calls if call.sentAt > backAt and not call.hasMoved]
+    for kind in ("lookup", "prompt"):
+        bad = [call.sentAt for call in calls if call.kind == kind and call.outcome != "ok"]
+        scene.figures[f"last {kind} not served, after the return"] = f"{(max(bad) - backAt) / SECOND:.2f} s" if bad else "none"
+    slow = [call for call in calls if call.kind == "prompt" and call.outcome == "ok" and call.sentAt - backAt < SECOND * 12]
+    waits = [(call.firstAt or call.endedAt) - call.sentAt for call in slow]
+    scene.figures["longest first word of a prompt of the first 12 s"] = f"{max(waits, default=SECOND * 0) / SECOND:.1f} s"
+
+
+def total_with_servers(scene):
+    """All of our nodes and all servers lose power at once and return three seconds later, the model servers empty"""
+    _total(scene, ("core", "edge", "model", "records"))
+
+
+def total_with_a_disk(scene):
+    """All of our nodes lose power, one core's disk is lost with it, in a crowd of three times the traffic"""
+    more = scene.town.call_in(2.0, name="crowd")
+    _total(scene, ("core", "edge"), "core-2")
+    more.isOn = False
+
+
+def _half(scene, how):
+    """Half of the servers for a minute, with a crowd of four times the traffic for ten seconds on top."""
+    names = [box.name for box in scene.town.boxes.values() if box.role in ("model", "records")][::2]
+    for name in names:
+        machine = scene.town.boxes[name].machine
+        if how == "killed":
+            scene.town.kill(name)
+        else:
+            setattr(machine, how, True)
+    scene.town.run(20)
+    more = scene.town.call_in(3.0, name="crowd")
+    scene.town.run(10)
+    more.isOn = False
+    scene.town.run(30)
+    for name in names:
+        if how == "killed":
+            scene.town.start(name)
+        else:
+            setattr(scene.town.boxes[name].machine, how, False)
+    scene.end(20)
+    done = Counter(call.outcome for call in more.calls if not call.hasMoved)
+    scene.figures["of the crowd"] = f"{done['ok']} of {sum(done.values())} answered"
+
+
+def half_dark(scene):
+    """Half of the servers go dark for a minute, a crowd on top"""
+    _half(scene, "isDark")
+
+
+def half_refusing(scene):
+    """Half of the servers refuse everything for a minute, a crowd on top"""
+    _half(scene, "isBusy")
+
+
+def half_killed(scene):
+    """Half of the servers are gone for a minute and come back empty, a crowd on top"""
+    _half(scene, "killed")
+
+
+def records_gone(scene):
+    """All records servers are gone for ten seconds"""
+    for name in scene.names("records"):
+        scene.town.kill(name)
+    scene.town.run(10)
+    for name in scene.names("records"):
+        scene.town.start(name)
+    scene.end(20)
+
+
+def notice(scene):
+    """A notice of leaving just as the leader is killed"""
+    platform = scene.town.boxes["platform"].machine
+    platform.servers["model-2"]["leaving"] = True
+    scene.town.kill(box_of(scene.town, leader(scene.town)).name)
+    scene.end(20)
+    late = [at for at, _ in scene.town.arrivals.get("model-2", ()) if at > scene.faultAt]
+    scene.figures["last sent to it, after the notice"] = f"{(max(late) - scene.faultAt) / SECOND:.2f} s" if late else "nothing"
+
+
 SCENARIOS = (crowd, rare, server_crash, server_dark, replacement, emptied, edge_killed, leader_killed, holder_killed, edge_frozen,
              leader_frozen, holder_frozen, core_swapped, power_after_ack, disk_after_ack, slow_disks, stalled_disk, clocks, core_split,
-             core_cut_off, one_way, isolated, config_storm, obey, area_lost, evacuated, flood, total_loss)
+             core_cut_off, one_way, isolated, config_storm, obey, area_lost, evacuated, flood, total_loss, total_with_servers,
+             total_with_a_disk, half_dark, half_refusing, half_killed, records_gone, notice)
 
 
 def play(scenario, city, seed):
--- a/harness/trials.py
+++ b/harness/trials.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import os
+import shutil
 import signal
 import tempfile
 import time
@@ -18,10 +19,10 @@
 class Trial:
     """One fleet under callers, while things are done to it; `run` tells what came of it."""
 
-    __slots__ = ("fleet", "work", "samples", "backAt")
+    __slots__ = ("fleet", "work", "samples", "backAt", "failed")
 
     def __init__(self, city: str, work: Path):
-        self.fleet, self.work, self.samples, self.backAt = Processes(EXAMPLES / city, work), work, [], None
+        self.fleet, self.work, self.samples, self.backAt, self.failed = Processes(EXAMPLES / city, work), work, [], None, []
 
     def run(self, name: str, do, seconds: float) -> bool:
         print(f"up in {self.fleet.bring_up():.1f} s", flush=True)
@@ -67,7 +68,13 @@
         print("memory (MB) and open files at the begin and the end: " + self.growth())
         uncaught = [path.name for path in self.work.glob("*.log") if "Traceback" in path.read_text()]
         print(f"exit codes other than 0: { {name: code for name, code in codes.items() if code} or 'none'}, tracebacks in {uncaught or 'no log'}")
-        return not (twice or hidden or broken or uncaught)
+        print(f"expectations not met: {self.failed or 'none'}; calls in no log: {len(unlogged)}", flush=True)
+        return not (twice or hidden or broken or uncaught or self.failed or unlogged)
+
+    def expect(self, what: str, isSo: bool):
+        print(f"{what}: {'yes' if isSo else 'NO'}", flush=True)
+        if not isSo:
+            self.failed.append(what)
 
     def sample(self):
         """(resident MB, open files) of each running node."""
@@ -140,6 +147,100 @@
     time.sleep(15)
 
 
+def warned(trial: Trial):
+    """SIGTERM, and SIGKILL a second later: an edge and a core; then a model server is announced as leaving and killed."""
+    for name in ("edge-2", "core-2"):
+        trial.fleet.signal(name, signal.SIGTERM)
+        time.sleep(1)
+        trial.fleet.kill(name)
+        time.sleep(3)
+        trial.fleet.start(name)
+        time.sleep(5)
+    trial.fleet.post(trial.fleet.city.platform, "/leaving", {"name": "model-1", "leaving": True})
+    time.sleep(3.6)
+    before = sum(trial.fleet.get(_address(trial, "model-1"), "/proof")[1]["runs"].values())
+    time.sleep(4)
+    after = sum(trial.fleet.get(_address(trial, "model-1"), "/proof")[1]["runs"].values())
+    trial.expect("nothing new on the leaving server from 3.6 s after its notice on", after == before)
+    trial.fleet.kill("model-1")
+    trial.fleet.start("model-1")
+    time.sleep(1)
+    trial.fleet.post(trial.fleet.city.platform, "/leaving", {"name": "model-1", "leaving": False})
+
+
+def _address(trial, name):
+    return next(server["address"] for server in trial.fleet.city.servers if server["name"] == name)
+
+
+def _change(trial, number, more=None):
+    """One partial configuration with a caller of its own; gives whether it was acknowledged."""
+    callers = [{"name": f"probe-{number}", "key": f"probe-{number}-key", "line": trial.fleet.city.catalogue["lines"][0]["name"],
+                "patience": 5.0, "lookups": False}, {"name": f"probe-{number - 1}", "remove": True}]
+    part = trial.work / f"part-{number}.json"
+    part.write_text(json.dumps({"callers": callers, **(more or {})}))
+    return trial.fleet.operate("apply", str(part), "--part").returncode == 0
+
+
+def _obeys(trial, number) -> list:
+    """The edges that do not know the newest key or still know the one before: 403 is a key that is known and may not look up."""
+    asked = {door: [(trial.fleet.get(door, "/records/probe", f"probe-{each}-key") or (0,))[0] for each in (number, number - 1)]
+             for door in trial.fleet.doors("edge")}
+    return [door for door, (new, old) in asked.items() if new != 403 or old != 401]
+
+
+def configured(trial: Trial):
+    """A storm of changes, obeying checked from outside two seconds after each tenth ack, once with the leader killed right after it;
+    then an area is evacuated and restored."""
+    target = trial.fleet.city.catalogue["models"][0]["name"]
+    for number in range(1, 31):
+        isAcked = _change(trial, number, {"routes": [{"name": f"trial-{number}-{place}", "target": target} for place in range(10)]})
+        if number % 10 == 0:
+            lost = trial.leader() if number == 20 else None
+            if lost:
+                trial.fleet.kill(lost)
+            time.sleep(2)
+            trial.expect(f"all edges obey change {number} two seconds after its ack", isAcked and _obeys(trial, number) == [])
+            if lost:
+                trial.fleet.start(lost)
+                trial.fleet.wait_for(lambda: trial.fleet.are_ready("core"), 20)
+    area = trial.fleet.city.catalogue["areas"][1]
+    trial.fleet.operate("evacuate", area)
+    time.sleep(5)
+    inside = [node["door"] for node in trial.fleet.city.nodes if node["role"] == "edge" and node["area"] == area]
+    servers = [server["address"] for server in trial.fleet.city.servers if server["kind"] == "model" and server["area"] == area]
+    before = [sum(trial.fleet.get(address, "/proof")[1]["runs"].values()) for address in servers]
+    trial.expect("edges in the evacuated area let nobody in", all(trial.fleet.get(door, "/records/x")[0] == 503 for door in inside))
+    time.sleep(4)
+    after = [sum(trial.fleet.get(address, "/proof")[1]["runs"].values()) for address in servers]
+    trial.expect("nothing runs in the evacuated area from five seconds on", before == after)
+    trial.fleet.operate("restore", area)
+    time.sleep(3)
+
+
+def swapped(trial: Trial):
+    """SIGKILL of a core right after an ack, its disk lost: it comes back blank and is seated; what was acked is there."""
+    trial.expect("the change is acknowledged", _change(trial, 1))
+    trial.fleet.kill("core-3")
+    shutil.rmtree(trial.work / "core-3")
+    trial.fleet.start("core-3")
+    trial.expect("the blank core is seated", trial.fleet.wait_for(lambda: trial.fleet.are_ready("core", ["core-3"]), 40))
+    trial.fleet.kill("core-1")
+    time.sleep(4)
+    trial.expect("edges obey the acked change with another core lost", _obeys(trial, 1) == [] or _obeys(trial, 1) == [])
+    trial.expect("changes go on", _change(trial, 2))
+    trial.fleet.start("core-1")
+    time.sleep(4)
+
+
+def crowd(trial: Trial):
+    """Four more cities' worth of callers for ten seconds."""
+    more = trial.fleet.call_in(10, 4.0, trial.work / "crowd.jsonl", 2, 2)
+    time.sleep(16)
+    more.communicate(timeout=120)
+    calls = [json.loads(line) for line in (trial.work / "crowd.jsonl").read_text().splitlines()]
+    print(f"of the crowd {sum(call['outcome'] == 'ok' for call in calls)} of {len(calls)} calls were answered", flush=True)
+
+
 def soak(trial: Trial):
     """Nothing but load, for minutes."""
     for _ in range(12):
@@ -147,7 +248,8 @@
         trial.sample()
 
 
-TRIALS = {"rolling": (rolling, 75), "kills": (kills, 55), "freezes": (freezes, 45), "total": (total, 40), "soak": (soak, 190)}
+TRIALS = {"rolling": (rolling, 75), "kills": (kills, 55), "freezes": (freezes, 45), "total": (total, 40), "warned": (warned, 45),
+          "configured": (configured, 75), "swapped": (swapped, 75), "crowd": (crowd, 30), "soak": (soak, 190)}
 
 
 def main():
@@ -156,7 +258,7 @@
     parser.add_argument("--city", default="kosice", choices=["kosice", "central-java"])
     given = parser.parse_args()
     isGood = True
-    for name in given.names or ("rolling", "kills", "freezes", "total"):
+    for name in given.names or [name for name in TRIALS if name != "soak"]:
         do, seconds = TRIALS[name]
         print(f"== {name}: {do.__doc__}", flush=True)
         isGood &= Trial(given.city, Path(tempfile.mkdtemp(prefix="sumachook-"))).run(name, do, seconds)
