--- a/sumachook/guise/callers.py
+++ b/sumachook/guise/callers.py
@@ -166,7 +166,7 @@
     def _move(self, call, now):
         """An edge of an area not asked yet, for a call that surely was not begun."""
         others = [edge for edge in sorted(self.edges) if self.areas[edge] not in call.tried]
-        if call.moves >= 2 or not others or not self.isOn:
+        if call.moves >= 2 or not others:
             return []
         group = next((group for group in self.groups if group["name"] == call.group), None)
         if group is None:
