--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -20,6 +20,7 @@
 from sumachook.fault import Fault
 from sumachook.pulse.clock import Clock
 from sumachook.role.client import Client, new_request
+from sumachook.role.core import seat_of
 from sumachook.role.daemon import Daemon
 from sumachook.role.logs import Logs
 from sumachook.vault.folder import Folder
@@ -86,6 +87,9 @@
         if isinstance(records[name], Fault):
             logs.log("error", "vault", "A file is damaged, not starting.", {"reason": str(records[name])})
             _fail(DAMAGED, f"{params.data}: {records[name]}")
+    seat = seat_of(records)
+    if seat and seat.rpartition("-")[0] != params.node:
+        _fail(USAGE, f"{params.data}: accord: the folder is of seat {seat!r}, not of node {params.node!r}")
     clock = Clock()
     boot = time.time_ns() // 1_000_000
     machine = make(params, records, boot, clock, Random(int.from_bytes(os.urandom(8), "big")))
@@ -385,5 +389,15 @@
     cappa.invoke(Sumachook, version=cappa.Arg(VERSION, long=True), completion=False)
 
 
+def test_a_data_folder_of_another_node_is_refused(tmp_path, capsys):
+    Folder(tmp_path).take([("disk", "accord", [["seat", "core-2-0badcafe"]])])
+    flags = NodeFlags(node="core-1", address="127.0.0.1:1", door="127.0.0.1:2", area="a", seed=["127.0.0.1:3"], data=str(tmp_path))
+    try:
+        _serve_node(flags, "core", None)
+    except SystemExit as end:
+        assert end.code == USAGE
+    assert "of seat 'core-2-0badcafe', not of node 'core-1'" in capsys.readouterr().err
+
+
 if __name__ == "__main__":
     run()
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -30,6 +30,11 @@
 FIND_WITHIN = timedelta(seconds=1)
 
 
+def seat_of(records: dict) -> str:
+    """The seat that a data folder belongs to, or "" for a blank one."""
+    return next((record[1] for record in records.get(ACCORD_FILE, ()) if record[0] == "seat"), "")
+
+
 class Core:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
@@ -39,9 +44,9 @@
     def __init__(self, params, records: dict, boot: int, clock, draw: Random):
         now = clock.mono()
         self.params, self.boot = params, boot
-        seats = [record[1] for record in records.get(ACCORD_FILE, ()) if record[0] == "seat"]
-        self.isNew = not seats  # a blank folder is a new identity; what it promised and who it is go together (§4.6)
-        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seats[0]
+        seat = seat_of(records)
+        self.isNew = not seat  # a blank folder is a new identity; what it promised and who it is go together (§4.6)
+        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seat
         self.isReady = not self.isNew
         self.state = State()
         self.accord = Accord(self.node, params.address, params.founding, Random(draw.random()), self.state.image,
--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -339,3 +339,24 @@
     town.start("edge-1")
     edge = town.boxes["edge-1"].machine
     assert town.run_until(lambda: edge.follower.trust(town.now) == "fresh", 20)
+
+
+def test_every_area_evacuated_refuses_everybody_and_one_restored_serves_again():
+    """Given all areas evacuated, every call is refused as not run; when one is restored, its edges serve from its own servers."""
+    from tests.scene import ask, quiet, witness
+
+    town = settled(76)
+    callers, areas = quiet(town), town.city.catalogue["areas"]
+    for area in areas:
+        assert town.ask("core-1", "POST", "/operator/evacuate", {"request": f"out-{area}", "area": area})[0] == 200
+    town.run(6)
+    refused = [ask(town, callers, name) for name in ("stamps", "refunds", "bookings")]
+    town.run(3)
+    assert {(call.faultClass, call.run) for call in refused} == {("evacuated", "no")}
+    assert town.ask("core-2", "POST", "/operator/restore", {"request": "back", "area": areas[0]})[0] == 200
+    town.run(40)
+    model = next(model for model, pair in leader(town).state.pairs.items() if pair[0])
+    served = [ask(town, callers, "stamps", edge="edge-1"), ask(town, callers, "refunds", edge="edge-1", model=model)]
+    town.run(8)
+    assert {call.outcome for call in served} == {"ok"} and witness(town, callers).faults() == []
+    assert town.ask("core-1", "POST", "/operator/evacuate", {"request": "x", "area": "nowhere"})[0] == 422
