--- a/sumachook/ferry/drawing.py
+++ b/sumachook/ferry/drawing.py
@@ -69,7 +69,7 @@
         open_ = [name for name, server in self.table.state.servers.items()
                  if server["kind"] == "records" and self.table.is_usable(name, server, trust, now) and not self.table.lane(name).is_shut(now)]
         return min(open_, default=None, key=lambda name: (
-            _failed_at(row, name), self.table.state.servers[name]["area"] != self.table.area, self.table.lane(name).inUse, name))
+            _failed_at(row, name), self.table.lane(name).is_full(now), self.table.state.servers[name]["area"] != self.table.area, self.table.lane(name).inUse, name))
 
     def _draw_server(self, row, now):
         """A server's name, None to wait on, or a fault (§7.4)."""
@@ -91,7 +91,7 @@
                 row.retryAfter = max(1.0, (soonest - now).total_seconds())
                 return faults.UNREACHABLE.because("the breaker is open")
             return self._waking(row, now)
-        ready.sort(key=lambda item: _failed_at(row, item[0]))
+        ready.sort(key=lambda item: (_failed_at(row, item[0]), self.table.lane(item[0]).is_full(now)))
         for name, server, isWarm in ready:
             if self._has_room(row, name, server, isWarm, now):
                 return name
--- a/sumachook/ferry/ending.py
+++ b/sumachook/ferry/ending.py
@@ -1,7 +1,7 @@
 """The end of one try: its place is given back, its class noted."""
 
 from sumachook.ferry import faults
-from sumachook.ferry.lane import LONGEST_REST, LOOKUP_REST, PROBES_APART
+from sumachook.ferry.lane import FULL_REST, LONGEST_REST, LOOKUP_REST, PROBES_APART
 from sumachook.ferry.row import LOOKUP, PROMPT
 
 
@@ -20,6 +20,10 @@
         rank, count = self.table.rank(row.server)
         if fault is None or fault in (faults.REFUSED, faults.OVERLOAD, faults.HUNG_UP):
             lane.note(True, now, 0.0)
+            if fault == faults.OVERLOAD:
+                lane.note_full(now, row.retryAfter)
+            elif fault is None:
+                lane.fullUntil, lane.fullRest = None, FULL_REST
         else:
             lane.note(False, now, rank / count, LOOKUP_REST if row.kind == LOOKUP else max(LONGEST_REST, PROBES_APART * count))
             lane.fell_while_warm(item, now)
--- a/sumachook/ferry/lane.py
+++ b/sumachook/ferry/lane.py
@@ -6,6 +6,7 @@
 FIRST_REST = timedelta(seconds=2)
 LONGEST_REST, LOOKUP_REST = timedelta(seconds=5), timedelta(seconds=2)
 PROBES_APART = timedelta(seconds=0.5)  # over all edges together
+FULL_REST, LONGEST_FULL = timedelta(seconds=1), timedelta(seconds=8)
 STEP = timedelta(seconds=1.5)
 WHOLE = ""  # in place of an item: the server as a whole, when nothing it holds is older than its warming
 
@@ -21,15 +22,24 @@
     True
     """
 
-    __slots__ = ("inUse", "byItem", "byLine", "falls", "rest", "shutUntil", "isProbing", "warmSince")
+    __slots__ = ("inUse", "byItem", "byLine", "falls", "rest", "shutUntil", "isProbing", "warmSince", "fullUntil", "fullRest")
 
     def __init__(self):
         self.inUse, self.byItem, self.byLine, self.falls = 0, {}, {}, 0
         self.rest, self.shutUntil, self.isProbing, self.warmSince = FIRST_REST, None, False, {}
+        self.fullUntil, self.fullRest = None, FULL_REST
 
     def is_shut(self, now) -> bool:
         return self.shutUntil is not None and (now < self.shutUntil or self.isProbing)
 
+    def is_full(self, now) -> bool:
+        """Whether it said of late that it is overloaded: others go first, but where there is none it is asked (§7.5)."""
+        return self.fullUntil is not None and now < self.fullUntil
+
+    def note_full(self, now, stated):
+        self.fullUntil = now + max(self.fullRest, timedelta(seconds=stated or 0.0))
+        self.fullRest = min(self.fullRest * 2, LONGEST_FULL)
+
     def begin(self, item, line, now):
         self.inUse += 1
         self.byItem[item] = self.byItem.get(item, 0) + 1
