--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -15,6 +15,19 @@
     return {machine.state.generation for role in ("core", "edge") for machine in town.machines(role)}
 
 
+def _swap_all_cores(town):
+    """One after the other: a new machine at a new address, then the old one is gone for good."""
+    for place in (1, 2, 3):
+        node = {"name": f"core-{place + 3}", "role": "core", "area": "hall-a", "address": f"127.0.0.9:{17100 + place}",
+                "door": f"127.0.0.9:{17200 + place}"}
+        town.add_node(node, founding=[])
+        town.run(3)
+        town.vanish(f"core-{place}")
+        newSeat = town.boxes[f"core-{place + 3}"].machine.node
+        assert town.run_until(lambda: leader(town) is not None and newSeat in leader(town).accord.members, 30), place
+        town.run(2)
+
+
 def test_founding_needs_all_three_blank_cores():
     """Given two of three cores, when they start, no view is founded; when the third comes, one is, with all in it."""
     from sumachook.guise.city import Town
@@ -207,15 +220,7 @@
 def test_edges_follow_a_new_roster_and_seeds_are_only_a_way_in():
     """Given edges that came in through seeds that are all gone now, they still learn changes from the cores that took over."""
     town = settled(17, seatAway=3.0)
-    for place in (1, 2, 3):
-        node = {"name": f"core-{place + 3}", "role": "core", "area": "hall-a", "address": f"127.0.0.9:{17100 + place}",
-                "door": f"127.0.0.9:{17200 + place}"}
-        town.add_node(node, founding=[])
-        town.run(3)
-        town.vanish(f"core-{place}")
-        newSeat = town.boxes[f"core-{place + 3}"].machine.node
-        assert town.run_until(lambda: leader(town) is not None and newSeat in leader(town).accord.members, 30), place
-        town.run(2)
+    _swap_all_cores(town)
     status, answer = _apply(town, "core-6", "new cores")
     assert status == 200 and answer["unconfirmed"] == [] and len(answer["confirmed"]) == 3
 
@@ -326,14 +331,7 @@
 def test_node_restarted_with_seeds_that_are_all_gone_is_let_in_by_those_who_miss_it():
     """Given cores that were all swapped for new ones, an edge that is killed and started with its old params serves again."""
     town = settled(75, seatAway=3.0)
-    for place in (1, 2, 3):
-        node = {"name": f"core-{place + 3}", "role": "core", "area": "hall-a", "address": f"127.0.0.9:{17100 + place}",
-                "door": f"127.0.0.9:{17200 + place}"}
-        town.add_node(node, founding=[])
-        town.run(3)
-        town.vanish(f"core-{place}")
-        newSeat = town.boxes[f"core-{place + 3}"].machine.node
-        assert town.run_until(lambda: leader(town) is not None and newSeat in leader(town).accord.members, 30), place
+    _swap_all_cores(town)
     town.kill("edge-1")
     town.run(4)
     town.start("edge-1")
