--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -328,9 +328,9 @@
     given = {f"edge-{place}": door.rpartition("/") for place, door in enumerate(command.edge, 1)}
     edges = {edge: door for edge, (_, _, door) in given.items()}
     areas = {edge: area for edge, (area, _, _) in given.items() if area}
-    clock = Clock()
+    clock, name = Clock(), "callers" if command.draw == 1 else f"callers-{command.draw}"  # tags of two at once must differ
     machine = Callers(edges, _read_json(command.traffic)["groups"], _read_json(command.catalogue), Random(command.draw), clock.mono(),
-                      command.pace, timedelta(seconds=command.seconds), "callers", areas)
+                      command.pace, timedelta(seconds=command.seconds), name, areas)
     try:
         _serve_stand_in(machine, "callers", command.door)
     finally:
