--- a/harness/scenarios.py
+++ b/harness/scenarios.py
@@ -330,30 +330,29 @@
         scene.figures[f"longest {each['name']}"] = f"{max(waits) / SECOND:.2f} s"
 
 
-def total_loss(scene):
-    """All of our nodes lose power at once and return three seconds later"""
-    ours = scene.names("core") + scene.names("edge")
+def _lose_power(scene, roles, wipe=None):
+    """Gives the moment of the return, three seconds later."""
+    ours = [box.name for box in scene.town.boxes.values() if box.role in roles]
     for name in ours:
         scene.town.kill(name)
+    if wipe:
+        scene.town.boxes[wipe].disk.wipe()
     scene.town.run(3)
     for name in ours:
         scene.town.start(name)
-    backAt = scene.town.now
+    return scene.town.now
+
+
+def total_loss(scene):
+    """All of our nodes lose power at once and return three seconds later"""
+    backAt = _lose_power(scene, ("core", "edge"))
     scene.end(25)
     bad = [call.sentAt for call in scene.callers.calls if call.sentAt > backAt and call.outcome != "ok"]
     scene.figures["last call not served, after the return"] = f"{(max(bad) - backAt) / SECOND:.2f} s" if bad else "none"
 
 
 def _total(scene, roles, wipe=None):
-    ours = [box.name for box in scene.town.boxes.values() if box.role in roles]
-    for name in ours:
-        scene.town.kill(name)
-    if wipe:
-        scene.town.boxes[wipe].disk.wipe()
-    scene.town.run(3)
-    for name in ours:
-        scene.town.start(name)
-    backAt = scene.town.now
+    backAt = _lose_power(scene, roles, wipe)
     scene.end(45)
     calls = [call for call in scene.callers.calls if call.sentAt > backAt and not call.hasMoved]
     for kind in ("lookup", "prompt"):
--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -60,13 +60,13 @@
     """
 
     __slots__ = ("now", "draw", "heap", "count", "boxes", "byAddress", "byDoor", "cuts", "loss", "latest", "exchanges", "byTid", "logs",
-                 "cluster", "latency", "tries", "arrivals", "deaths", "freezes", "reach", "dawn")
+                 "cluster", "latency", "tries", "arrivals", "deaths", "reach", "dawn")
 
     def __init__(self, seed: int, cluster: str = "fleet"):
         self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
         self.boxes, self.byAddress, self.byDoor, self.cuts, self.loss = {}, {}, {}, set(), 0.0
         self.latest, self.exchanges, self.byTid, self.logs = {}, {}, {}, []
-        self.latency, self.tries, self.arrivals, self.deaths, self.freezes = (0.0005, 0.003), [], {}, [], []
+        self.latency, self.tries, self.arrivals, self.deaths = (0.0005, 0.003), [], {}, []
         self.reach, self.dawn = Reach(self), START
         self._later(LOOK_EVERY, self._look)
 
@@ -85,7 +85,6 @@
         box.life += 1
         box.boots += 1
         box.isFrozen, box.isGone, box.buffer = False, False, []
-        self._thaw(name)
         box.machine = box.make(box)
         node = getattr(box.machine, "node", name)
         box.codec = Codec(self.cluster, node, box.address, box.boots)
@@ -113,19 +112,14 @@
 
     def freeze(self, name):
         self.boxes[name].isFrozen = True
-        self.freezes.append((name, self.now, timedelta(days=9)))
 
     def wake(self, name):
         """What lay in its buffers comes first, then its pulse."""
         box = self.boxes[name]
         box.isFrozen, buffer, box.buffer = False, box.buffer, []
-        self._thaw(name)
         for message in buffer:
             self._hand(box, message)
 
-    def _thaw(self, name):
-        self.freezes = [(other, start, min(end, self.now) if other == name else end) for other, start, end in self.freezes]
-
     def cut(self, first, second, oneWay=False):
         """Boxes of `first` cannot reach those of `second`."""
         for one in first:
--- a/sumachook/pulse/almanac.py
+++ b/sumachook/pulse/almanac.py
@@ -1,5 +1,6 @@
 """What time it is, as the cohort agrees."""
 
+from bisect import bisect_right
 from datetime import datetime, timedelta, timezone
 from statistics import median_low
 
@@ -54,8 +55,9 @@
     def _count(self, now):
         self.votes = {node: vote for node, vote in self.votes.items() if now - vote[1] < self.RECENT}
         offsets = sorted([self.wall() - ZERO - now, *(offset for offset, _ in self.votes.values())])
-        groups = [[other for other in offsets if first <= other <= first + self.NEAR] for first in offsets]
-        largest = max(groups, key=len)
+        spans = [(place, bisect_right(offsets, first + self.NEAR)) for place, first in enumerate(offsets)]
+        first, last = max(spans, key=lambda span: span[1] - span[0])
+        largest = offsets[first:last]
         if len(offsets) > 1 and len(largest) * 2 > len(offsets):
             self.offset, self.isAgreed = median_low(largest), True
 
