--- a/sumachook/ferry/table.py
+++ b/sumachook/ferry/table.py
@@ -17,21 +17,21 @@
 class Table:
     """Rows by request, lines, lanes and what is known of the rest of the fleet; the passes hold the logic (§7.1)."""
 
-    __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "almanac", "port", "rows", "byCid", "lines",
-                 "lanes", "lookups", "counts", "demand", "isDraining", "number", "edges", "kin", "knowsEdges", "serviceTime", "callers",
-                 "generation", "targets", "alerts", "shunned", "knowsTime", "early", "tenants")
+    __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "almanac", "port", "rows", "by_cid", "lines",
+                 "lanes", "lookups", "counts", "demand", "is_draining", "number", "edges", "kin", "knows_edges", "service_time", "callers",
+                 "generation", "targets", "alerts", "shunned", "knows_time", "early", "tenants")
 
     def __init__(self, node, incarnation, area, state, follower, purse, draw, almanac):
         self.node, self.incarnation, self.area, self.state = node, incarnation, area, state
         self.follower, self.purse, self.draw, self.almanac, self.port = follower, purse, draw, almanac, OpenPort()
-        self.rows, self.byCid, self.lines, self.lanes, self.lookups = {}, {}, Lines(), {}, []
-        self.counts, self.demand, self.isDraining, self.number = {}, {}, False, 0
-        self.knowsEdges = self.knowsTime = False  # until the first list of members, and of their clocks, has come
+        self.rows, self.by_cid, self.lines, self.lanes, self.lookups = {}, {}, Lines(), {}, []
+        self.counts, self.demand, self.is_draining, self.number = {}, {}, False, 0
+        self.knows_edges = self.knows_time = False  # until the first list of members, and of their clocks, has come
         self.early = []  # (when, record) of what was turned away before this node knew what day it is (§11.3)
         self.shunned = {}  # servers that a core says are leaving, before that is ordered (§9.1)
         self.tenants = {}  # by caller
         self.edges = self.kin = (node,)  # who is live; and who was so within the last minute
-        self.serviceTime, self.callers, self.generation, self.targets, self.alerts = {}, {}, -1, {}, {}
+        self.service_time, self.callers, self.generation, self.targets, self.alerts = {}, {}, -1, {}, {}
 
     def count(self, *what):
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -48,8 +48,8 @@
         return max(1, -(-3 * server["slots"] // (2 * len(self.edges))))
 
     def is_usable(self, name, server, trust, now):
-        isNear = trust != CUT or server["area"] == self.area
-        return not server["leaving"] and self.shunned.get(name, now) <= now and self.state.is_open(server["area"]) and isNear
+        is_near = trust != CUT or server["area"] == self.area
+        return not server["leaving"] and self.shunned.get(name, now) <= now and self.state.is_open(server["area"]) and is_near
 
     def lane(self, name):
         if name not in self.lanes:
@@ -63,7 +63,7 @@
 
     def record(self, row):
         return {"request": row.request, "caller": row.caller.name, "line": row.line, "kind": row.kind, "asked": row.name,
-                "key": row.key, "edge": self.node, "incarnation": self.incarnation, "state": "open", "openedAt": row.openedAt,
+                "key": row.key, "edge": self.node, "incarnation": self.incarnation, "state": "open", "openedAt": row.opened_at,
                 "generation": row.generation, "tag": row.tag}
 
     def unline(self, row):
@@ -74,7 +74,7 @@
 
     def pause(self, row):
         """Doubling, fully jittered; scaled down for little patience (§7.4)."""
-        start = min(FIRST_PAUSE, (row.cutoff - row.arrivedAt) / 20)
+        start = min(FIRST_PAUSE, (row.cutoff - row.arrived_at) / 20)
         return min(LONGEST_PAUSE, start * 2 ** max(0, row.attempt - 1)) * self.draw.random()
 
 
--- a/sumachook/guise/callers.py
+++ b/sumachook/guise/callers.py
@@ -12,15 +12,15 @@
 class Call:
     """One request as its caller saw it."""
 
-    __slots__ = ("number", "kind", "group", "edge", "sentAt", "endedAt", "outcome", "status", "run", "faultClass", "request", "text",
-                 "firstAt", "finish", "isStream", "patience", "moves", "model", "key", "safe", "tag", "hasMoved", "isDone", "caller", "tried")
+    __slots__ = ("number", "kind", "group", "edge", "sent_at", "ended_at", "outcome", "status", "run", "fault_class", "request", "text",
+                 "first_at", "finish", "is_stream", "patience", "moves", "model", "key", "safe", "tag", "has_moved", "is_done", "caller", "tried")
 
     def __init__(self, number, tag, group, edge, now, model, patience, safe, moves=0, tried=()):
         self.tag, self.caller, self.tried = tag, group["caller"], tried
-        self.number, self.group, self.edge, self.sentAt, self.model = number, group["name"], edge, now, model
-        self.kind, self.isStream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
-        self.endedAt, self.outcome, self.status, self.run, self.faultClass, self.request = None, PENDING, None, None, None, ""
-        self.text, self.firstAt, self.finish, self.moves, self.key, self.hasMoved, self.isDone = "", None, None, moves, "", False, False
+        self.number, self.group, self.edge, self.sent_at, self.model = number, group["name"], edge, now, model
+        self.kind, self.is_stream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
+        self.ended_at, self.outcome, self.status, self.run, self.fault_class, self.request = None, PENDING, None, None, None, ""
+        self.text, self.first_at, self.finish, self.moves, self.key, self.has_moved, self.is_done = "", None, None, moves, "", False, False
 
 
 class Callers:
@@ -31,14 +31,14 @@
     prompts that are `keyed`, and of those that are sent `again` under the same key at another edge, as after a double click.
     """
 
-    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "isOn", "pace", "startAt", "stopAfter", "name", "areas")
+    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "is_on", "pace", "start_at", "stop_after", "name", "areas")
 
-    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stopAfter=None, name="callers", areas=None):
+    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stop_after=None, name="callers", areas=None):
         self.name = name
         self.areas = {edge: (areas or {}).get(edge, edge) for edge in edges}  # areas unknown: each edge is its own
         self.edges, self.groups, self.draw = dict(edges), traffic, draw
         self.callers = {caller["name"]: caller for caller in catalogue["callers"]}
-        self.calls, self.open, self.isOn, self.pace, self.startAt, self.stopAfter = [], {}, True, pace, now, stopAfter
+        self.calls, self.open, self.is_on, self.pace, self.start_at, self.stop_after = [], {}, True, pace, now, stop_after
         self.due = {group["name"]: now + timedelta(seconds=draw.expovariate(group["rate"] * pace)) for group in traffic}
 
     def take(self, message: tuple, now) -> list:
@@ -51,26 +51,26 @@
 
     def _pulse(self, now):
         out = []
-        if self.stopAfter is not None and now - self.startAt > self.stopAfter:
-            self.isOn = False
+        if self.stop_after is not None and now - self.start_at > self.stop_after:
+            self.is_on = False
             if not self.open:
                 return [("leave", 0)]
         for group in self.groups:
-            while self.isOn and now >= self.due[group["name"]]:
+            while self.is_on and now >= self.due[group["name"]]:
                 self.due[group["name"]] += timedelta(seconds=self.draw.expovariate(group["rate"] * self.pace))
                 out += self._ask_anew(group, now)
         for number, call in list(self.open.items()):
-            if now - call.sentAt > call.patience * 1.5 + timedelta(seconds=5):
+            if now - call.sent_at > call.patience * 1.5 + timedelta(seconds=5):
                 del self.open[number]
-                call.outcome, call.endedAt = NONE, now
+                call.outcome, call.ended_at = NONE, now
                 out.append(("unfetch", ("call", number)))
         return out
 
     def _ask_anew(self, group, now):
-        isKeyed = group.get("keyed") and self.draw.random() < group["keyed"]
-        key = f"{self.name}-{len(self.calls)}" if isKeyed else ""
+        is_keyed = group.get("keyed") and self.draw.random() < group["keyed"]
+        key = f"{self.name}-{len(self.calls)}" if is_keyed else ""
         out = self.ask(group, now, key=key)
-        if isKeyed and self.draw.random() < group.get("again", 0.0):
+        if is_keyed and self.draw.random() < group.get("again", 0.0):
             first = self.calls[-1]
             others = [edge for edge in sorted(self.edges) if edge != first.edge]
             out += self.ask(group, now, self.draw.choice(others) if others else None, first.model, key)
@@ -79,26 +79,26 @@
     def ask(self, group, now, edge=None, model=None, key="", moves=0, tried=()):
         caller = self.callers[group["caller"]]
         edge = edge or self.draw.choice(sorted(self.edges))
-        isLookup = group["kind"] == "lookup"
-        model = None if isLookup else model or self._model(group)
-        patience = timedelta(seconds=caller.get("lookupPatience", 5.0) if isLookup else caller["patience"])
+        is_lookup = group["kind"] == "lookup"
+        model = None if is_lookup else model or self._model(group)
+        patience = timedelta(seconds=caller.get("lookupPatience", 5.0) if is_lookup else caller["patience"])
         number = len(self.calls)
         tag = f"{self.name} {number}"
-        call = Call(number, tag, group, edge, now, model, patience, isLookup or caller.get("safe", False), moves, (*tried, self.areas.get(edge, edge)))
+        call = Call(number, tag, group, edge, now, model, patience, is_lookup or caller.get("safe", False), moves, (*tried, self.areas.get(edge, edge)))
         call.key = key
         self.calls.append(call)
         self.open[number] = call
         headers = {"Authorization": f"Bearer {caller['key']}", "X-Request-Id": tag}
-        if isLookup:
+        if is_lookup:
             method, path, body = "GET", f"/records/{group.get('prefix', 'r')}{number}", b""
         else:
             headers["Content-Type"] = "application/json"
             if key:
                 headers["Idempotency-Key"] = key
             method, path = "POST", "/v1/chat/completions"
-            body = msgspec.json.encode({"model": model, "stream": call.isStream, "max_tokens": group.get("maxTokens", 64),
+            body = msgspec.json.encode({"model": model, "stream": call.is_stream, "max_tokens": group.get("maxTokens", 64),
                                         "messages": [{"role": "user", "content": tag}]})
-        mode = "events" if not isLookup and call.isStream else "whole"
+        mode = "events" if not is_lookup and call.is_stream else "whole"
         limit = patience * 1.5 + timedelta(seconds=5)
         return [("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)]
 
@@ -120,24 +120,24 @@
         if outcome == "done":
             return self._whole(call, *rest, now)
         if outcome == "end":
-            return self._end(call, OK if call.isDone else CUT, now)
-        call.faultClass = call.faultClass or rest[0]
+            return self._end(call, OK if call.is_done else CUT, now)
+        call.fault_class = call.fault_class or rest[0]
         if rest[0] in ("refused", "connect-timeout"):
             return self._end(call, NONE, now) + self._move(call, now)
         return self._end(call, CUT if call.status == 200 else NONE, now)
 
     def _event(self, call, data, now):
         if data == "[DONE]":
-            call.isDone = True
+            call.is_done = True
             return []
         doc = msgspec.json.decode(data)
         if "fault" in doc:
-            call.faultClass, call.run = doc["fault"]["class"], doc["fault"]["run"]
+            call.fault_class, call.run = doc["fault"]["class"], doc["fault"]["run"]
             return []
         choice = (doc.get("choices") or [{}])[0]
         text = choice.get("delta", {}).get("content") or ""
-        if text and call.firstAt is None:
-            call.firstAt = now
+        if text and call.first_at is None:
+            call.first_at = now
         call.text += text
         call.finish = choice.get("finish_reason") or call.finish
         return []
@@ -145,7 +145,7 @@
     def _whole(self, call, status, headers, body, now):
         call.status, call.request = status, headers.get("x-request-id", "")
         if status == 200:
-            call.isDone, call.run = True, "yes"
+            call.is_done, call.run = True, "yes"
             if call.kind == "prompt":
                 doc = msgspec.json.decode(body)
                 call.text, call.finish = doc["choices"][0]["message"]["content"], doc["choices"][0]["finish_reason"]
@@ -154,12 +154,12 @@
             return self._end(call, OK, now)
         doc = msgspec.json.decode(body)
         fault = doc.get("fault", {}) if isinstance(doc, dict) else {}
-        call.faultClass, call.run, call.request = fault.get("class"), fault.get("run"), fault.get("request", "")
+        call.fault_class, call.run, call.request = fault.get("class"), fault.get("run"), fault.get("request", "")
         out = self._end(call, FAULT, now)
-        return out + self._move(call, now) if call.faultClass in ("draining", "evacuated", "not-ready") and call.run == "no" else out
+        return out + self._move(call, now) if call.fault_class in ("draining", "evacuated", "not-ready") and call.run == "no" else out
 
     def _end(self, call, outcome, now):
-        call.outcome, call.endedAt = outcome, now
+        call.outcome, call.ended_at = outcome, now
         self.open.pop(call.number, None)
         return []
 
@@ -171,5 +171,5 @@
         group = next((group for group in self.groups if group["name"] == call.group), None)
         if group is None:
             return []
-        call.hasMoved = True
+        call.has_moved = True
         return self.ask(group, now, self.draw.choice(others), call.model, call.key, call.moves + 1, call.tried)
--- a/sumachook/guise/city.py
+++ b/sumachook/guise/city.py
@@ -39,33 +39,33 @@
 class Town(Fleet):
     """A city's fleet in memory: nodes, stand-ins and callers (§12.3)."""
 
-    __slots__ = ("city", "paramsMore", "records", "orders", "probe")
+    __slots__ = ("city", "params_more", "records", "orders", "probe")
 
-    def __init__(self, city: City, seed: int, edges=None, loadRate=40.0, hasIds=True, **paramsMore):
+    def __init__(self, city: City, seed: int, edges=None, load_rate=40.0, has_ids=True, **params_more):
         super().__init__(seed, city.cluster)
-        self.city, self.paramsMore, self.records, self.orders, self.probe = city, paramsMore, {}, [], None
+        self.city, self.params_more, self.records, self.orders, self.probe = city, params_more, {}, [], None
         self.add("platform", "platform", lambda box: Platform(city.servers), "", "", city.platform)
         for server in city.servers:
-            self.add_server(server, loadRate, hasIds)
+            self.add_server(server, load_rate, has_ids)
         chosen = [node for node in city.nodes if node["role"] == "core"]
         chosen += [node for node in city.nodes if node["role"] == "edge"][:edges]
         for node in chosen:
             self.add_node(node)
 
-    def add_server(self, server, loadRate=40.0, hasIds=True):
+    def add_server(self, server, load_rate=40.0, has_ids=True):
         record = self.records.setdefault(server["name"], Record())
 
         def make(box):
             if server["kind"] == "records":
                 return RecordsServer(server["name"])
-            return ModelServer(server, self.city.catalogue, (), loadRate, hasIds, record)
+            return ModelServer(server, self.city.catalogue, (), load_rate, has_ids, record)
 
         self.add(server["name"], server["kind"], make, server["area"], "", server["address"])
 
     def add_node(self, node, **more):
         role = Core if node["role"] == "core" else Edge
         params = Params(**{name: tuple(value) if isinstance(value, list) else value
-                           for name, value in self.city.params(node, **self.paramsMore, **more).items()})
+                           for name, value in self.city.params(node, **self.params_more, **more).items()})
 
         def make(box):
             return role(params, box.disk.files, box.boots, box.clock, Random(self.draw.random()))
@@ -100,16 +100,16 @@
 
     def ask(self, core: str, method: str, path: str, doc=None, wait=8.0, step=None):
         """An operator's request to a core: (status, answer), or None if none came in time; noted for the witness."""
-        sentAt = self.now
+        sent_at = self.now
         operator = self.operator()
         number = operator.ask(f"http://{self.boxes[core].door}{path}", method, doc)
         self._hand(self.boxes["operator"], ("pulse",))
         if step is None:
             self.run_until(lambda: number in operator.answers, wait)
-        while step is not None and number not in operator.answers and self.now - sentAt < timedelta(seconds=wait):
+        while step is not None and number not in operator.answers and self.now - sent_at < timedelta(seconds=wait):
             step()  # the asker has other things to see to meanwhile
         answer = operator.answers.get(number)
-        self.orders.append((path, doc, sentAt, self.now, answer[0] if answer else 0))
+        self.orders.append((path, doc, sent_at, self.now, answer[0] if answer else 0))
         return answer
 
 
--- a/sumachook/guise/disk.py
+++ b/sumachook/guise/disk.py
@@ -12,10 +12,10 @@
     {'log': [('a',)]}
     """
 
-    __slots__ = ("files", "pending", "stalledUntil", "delay", "opened")
+    __slots__ = ("files", "pending", "stalled_until", "delay", "opened")
 
     def __init__(self):
-        self.files, self.pending, self.stalledUntil, self.delay = {}, [], timedelta(0), timedelta(seconds=0.002)
+        self.files, self.pending, self.stalled_until, self.delay = {}, [], timedelta(0), timedelta(seconds=0.002)
         self.opened = set()  # tags whose record was ever synced in a ledger here, noted for the witness
 
     def begin(self, verb, name, records, followup):
--- a/sumachook/guise/engine_stand.py
+++ b/sumachook/guise/engine_stand.py
@@ -57,19 +57,19 @@
             span = timedelta(milliseconds=2) if adapter else max(timedelta(milliseconds=3), self.running.get(model, now) - now)
         elif adapter:
             span = timedelta(milliseconds=12)
-            if sum(map(len, self.models.values())) + 1 > self.engine.adapterPlaces or self._used(items) + items[model].adapterMb > self.engine.memoryMb:
+            if sum(map(len, self.models.values())) + 1 > self.engine.adapter_places or self._used(items) + items[model].adapter_mb > self.engine.memory_mb:
                 self.record.append((now, "breach", (verb, model, adapter)))
         else:
-            isStored = model not in self.had
-            span = timedelta(milliseconds=items[model].loadMs) * (self.slowness() if isStored else 0.3)
-            self.record.append((now, "stored" if isStored else "own", model))
-            if self._used(items) + items[model].sizeMb > self.engine.memoryMb:
+            is_stored = model not in self.had
+            span = timedelta(milliseconds=items[model].load_ms) * (self.slowness() if is_stored else 0.3)
+            self.record.append((now, "stored" if is_stored else "own", model))
+            if self._used(items) + items[model].size_mb > self.engine.memory_mb:
                 self.record.append((now, "breach", (verb, model, adapter)))
         self.busy = (now + span, verb, model, adapter)
         return 202
 
     def _used(self, items):
-        return sum(items[model].sizeMb + len(adapters) * items[model].adapterMb for model, adapters in self.models.items())
+        return sum(items[model].size_mb + len(adapters) * items[model].adapter_mb for model, adapters in self.models.items())
 
     def _settle(self, now):
         if self.busy is None or now < self.busy[0]:
--- a/sumachook/guise/fleet.py
+++ b/sumachook/guise/fleet.py
@@ -34,23 +34,23 @@
 class Box:
     """A place where one process runs, with its disk, clock and addresses."""
 
-    __slots__ = ("name", "make", "machine", "address", "door", "area", "disk", "clock", "life", "isFrozen", "buffer", "boots", "codec",
-                 "isGone", "role", "wake", "slow")
+    __slots__ = ("name", "make", "machine", "address", "door", "area", "disk", "clock", "life", "is_frozen", "buffer", "boots", "codec",
+                 "is_gone", "role", "wake", "slow")
 
     def __init__(self, name, role, make, area, address, door, clock):
         self.name, self.role, self.make, self.area, self.address, self.door = name, role, make, area, address, door
-        self.machine, self.disk, self.clock, self.life, self.isFrozen = None, Disk(), clock, 0, False
-        self.buffer, self.boots, self.codec, self.isGone, self.slow = [], 0, None, False, timedelta(0)
+        self.machine, self.disk, self.clock, self.life, self.is_frozen = None, Disk(), clock, 0, False
+        self.buffer, self.boots, self.codec, self.is_gone, self.slow = [], 0, None, False, timedelta(0)
 
 
 class Exchange:
     """One HTTP request between two boxes."""
 
-    __slots__ = ("cid", "client", "clientLife", "tid", "server", "serverLife", "mode", "parser", "isOpen", "isBroken")
+    __slots__ = ("cid", "client", "client_life", "tid", "server", "server_life", "mode", "parser", "is_open", "is_broken")
 
     def __init__(self, cid, client, tid, server, mode):
-        self.cid, self.client, self.clientLife, self.tid, self.server = cid, client, client.life, tid, server
-        self.serverLife, self.mode, self.parser, self.isOpen, self.isBroken = server.life, mode, Parser(), True, False
+        self.cid, self.client, self.client_life, self.tid, self.server = cid, client, client.life, tid, server
+        self.server_life, self.mode, self.parser, self.is_open, self.is_broken = server.life, mode, Parser(), True, False
 
 
 class Fleet:
@@ -59,13 +59,13 @@
     `run(seconds)` goes on; `kill`, `start`, `freeze`, `wake`, `cut`, `heal`, `vanish` and the disks bring faults about.
     """
 
-    __slots__ = ("now", "draw", "heap", "count", "boxes", "byAddress", "byDoor", "cuts", "loss", "latest", "exchanges", "byTid", "logs",
+    __slots__ = ("now", "draw", "heap", "count", "boxes", "by_address", "by_door", "cuts", "loss", "latest", "exchanges", "by_tid", "logs",
                  "cluster", "latency", "tries", "arrivals", "deaths", "reach", "dawn")
 
     def __init__(self, seed: int, cluster: str = "fleet"):
         self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
-        self.boxes, self.byAddress, self.byDoor, self.cuts, self.loss = {}, {}, {}, set(), 0.0
-        self.latest, self.exchanges, self.byTid, self.logs = {}, {}, {}, []
+        self.boxes, self.by_address, self.by_door, self.cuts, self.loss = {}, {}, {}, set(), 0.0
+        self.latest, self.exchanges, self.by_tid, self.logs = {}, {}, {}, []
         self.latency, self.tries, self.arrivals, self.deaths = (0.0005, 0.003), [], {}, []
         self.reach, self.dawn = Reach(self), START
         self._later(LOOK_EVERY, self._look)
@@ -75,7 +75,7 @@
     def add(self, name, role, make, area="", address="", door="", start=True):
         """`make(box)` gives the machine anew at each start."""
         box = self.boxes[name] = Box(name, role, make, area, address, door, BoxClock(self))
-        self.byAddress[address] = self.byDoor[door] = box
+        self.by_address[address] = self.by_door[door] = box
         if start:
             self.start(name)
         return box
@@ -84,11 +84,11 @@
         box = self.boxes[name]
         box.life += 1
         box.boots += 1
-        box.isFrozen, box.isGone, box.buffer = False, False, []
+        box.is_frozen, box.is_gone, box.buffer = False, False, []
         box.machine = box.make(box)
         node = getattr(box.machine, "node", name)
         box.codec = Codec(self.cluster, node, box.address, box.boots)
-        self.byAddress[box.address] = self.byDoor[box.door] = box
+        self.by_address[box.address] = self.by_door[box.door] = box
         self._later(PULSE * self.draw.random(), self._pulse, box, box.life)
 
     def kill(self, name):
@@ -104,29 +104,29 @@
     def vanish(self, name):
         """The machine is gone: nothing answers, not even a refusal."""
         self.kill(name)
-        self.boxes[name].isGone = True
+        self.boxes[name].is_gone = True
 
     def stop(self, name):
         """The platform's short warning."""
         self._hand(self.boxes[name], ("stop",))
 
     def freeze(self, name):
-        self.boxes[name].isFrozen = True
+        self.boxes[name].is_frozen = True
 
     def wake(self, name):
         """What lay in its buffers comes first, then its pulse."""
         box = self.boxes[name]
-        box.isFrozen, buffer, box.buffer = False, box.buffer, []
+        box.is_frozen, buffer, box.buffer = False, box.buffer, []
         for message in buffer:
             self._hand(box, message)
 
-    def cut(self, first, second, oneWay=False):
+    def cut(self, first, second, one_way=False):
         """Boxes of `first` cannot reach those of `second`."""
         for one in first:
             for other in second:
                 if one != other:
                     self.cuts.add((one, other))
-                    if not oneWay:
+                    if not one_way:
                         self.cuts.add((other, one))
 
     def heal(self):
@@ -141,19 +141,19 @@
     def run(self, seconds: float):
         self.run_until(lambda: False, seconds)
 
-    def run_until(self, isReached, seconds: float) -> bool:
+    def run_until(self, is_reached, seconds: float) -> bool:
         """Whether it was reached within the virtual seconds."""
         end = self.now + timedelta(seconds=seconds)
-        checkAt = self.now
+        check_at = self.now
         while self.heap and self.heap[0][0] <= end:
-            if self.heap[0][0] >= checkAt:
-                if isReached():
+            if self.heap[0][0] >= check_at:
+                if is_reached():
                     return True
-                checkAt = self.heap[0][0] + PULSE
+                check_at = self.heap[0][0] + PULSE
             self.now, _, call, words = heappop(self.heap)
             call(*words)
         self.now = end
-        return isReached()
+        return is_reached()
 
     def _look(self):
         self.reach.look()
@@ -162,14 +162,14 @@
     def _pulse(self, box, life):
         if box.life != life or box.machine is None:
             return
-        if not box.isFrozen:
+        if not box.is_frozen:
             self._hand(box, ("pulse",))
         self._later(PULSE + box.slow, self._pulse, box, life)
 
     def _hand(self, box, message):
         if box.machine is None:
             return
-        if box.isFrozen:
+        if box.is_frozen:
             if len(box.buffer) < MOST_BUFFERED:
                 box.buffer.append(message)
             return
@@ -179,7 +179,7 @@
                 self._do(box, effect)
 
     def _reach(self, box, other):
-        return (box.name, other.name) not in self.cuts and not other.isGone
+        return (box.name, other.name) not in self.cuts and not other.is_gone
 
     def _send(self, box, other, call, *words):
         """In order between two boxes, after the wire's latency; lost where they are cut off."""
@@ -190,10 +190,10 @@
 
     def _arrive(self, key, other, call, words):
         exchange = words[0] if isinstance(words[0], Exchange) else None
-        if key in self.cuts or other.isGone:
+        if key in self.cuts or other.is_gone:
             if exchange is not None:
-                exchange.isBroken = True  # a connection that lost something says nothing more
-        elif exchange is None or not exchange.isBroken:
+                exchange.is_broken = True  # a connection that lost something says nothing more
+        elif exchange is None or not exchange.is_broken:
             call(*words)
 
     # effects --------------------------------------------------------------------------
@@ -215,9 +215,9 @@
         elif kind == "leave":
             self.kill(box.name)
 
-    def _tell(self, box, address, message, isCast):
-        other = self.byAddress.get(address)
-        if other is None or (isCast and self.draw.random() < self.loss):
+    def _tell(self, box, address, message, is_cast):
+        other = self.by_address.get(address)
+        if other is None or (is_cast and self.draw.random() < self.loss):
             return
         raw = box.codec.pack(message)
         self._send(box, other, self._heard, other, raw)
@@ -240,13 +240,13 @@
 
     def _begin_sync(self, box):
         """One sync for all that waits by now; what comes meanwhile is for the next."""
-        delay = max(box.disk.delay, box.disk.stalledUntil - self.now)
+        delay = max(box.disk.delay, box.disk.stalled_until - self.now)
         self._later(delay, self._synced, box, box.life, len(box.disk.pending))
 
     def _synced(self, box, life, count):
         if box.life != life:
             return
-        if self.now < box.disk.stalledUntil:
+        if self.now < box.disk.stalled_until:
             self._begin_sync(box)
             return
         followups = [box.disk.finish() for _ in range(count)]
@@ -261,52 +261,52 @@
     def _fetch(self, box, effect):
         _, tid, method, url, headers, body, connect, total, mode = effect
         address, _, path = url.removeprefix("http://").partition("/")
-        server = self.byDoor.get(address)
+        server = self.by_door.get(address)
         self.count += 1
         cid = self.count
         if box.role == "edge" and (tid[0] == "lookup" or method == "POST"):  # a resume runs nothing and is no resend
             self.tries.append((self.now, tid[2] > 1))
-        isReachable = server is not None and self._reach(box, server) and self._reach(server, box)
-        if not isReachable:
+        is_reachable = server is not None and self._reach(box, server) and self._reach(server, box)
+        if not is_reachable:
             self._later(connect, self._fetched, box, box.life, tid, "fault", "connect-timeout")
             return
         if server.machine is None:
             self._later(timedelta(seconds=0.002), self._fetched, box, box.life, tid, "fault", "refused")
             return
         exchange = self.exchanges[cid] = Exchange(cid, box, tid, server, mode)
-        self.byTid[(box.name, box.life, tid)] = cid
+        self.by_tid[(box.name, box.life, tid)] = cid
         headers = {name.lower(): value for name, value in headers.items()}
         self._later(timedelta(seconds=0.001), self._connected, exchange, ("http", cid, method, "/" + path, headers, body))
         self._later(total, self._expire, exchange)
 
     def _connected(self, exchange, message):
-        if not exchange.isOpen:
+        if not exchange.is_open:
             return
-        if exchange.server.life != exchange.serverLife:
+        if exchange.server.life != exchange.server_life:
             self._to_client(exchange, "fault", "refused")
             return
-        self._fetched(exchange.client, exchange.clientLife, exchange.tid, "sent")
+        self._fetched(exchange.client, exchange.client_life, exchange.tid, "sent")
         self._send(exchange.client, exchange.server, self._hand_alive, exchange, message)
 
     def _hand_alive(self, exchange, message):
-        if exchange.server.life == exchange.serverLife:
+        if exchange.server.life == exchange.server_life:
             if message[0] == "http" and exchange.client.role == "edge":  # it came in now, whenever it is taken up
                 self.arrivals.setdefault(exchange.server.name, []).append((self.now, exchange.client.name))
             self._hand(exchange.server, message)
 
     def _expire(self, exchange):
-        if exchange.isOpen:
+        if exchange.is_open:
             self._finish(exchange)
             self._hand_alive(exchange, ("gone", exchange.cid))
-            self._fetched(exchange.client, exchange.clientLife, exchange.tid, "fault", "timeout")
+            self._fetched(exchange.client, exchange.client_life, exchange.tid, "fault", "timeout")
 
     def _finish(self, exchange):
-        exchange.isOpen = False
+        exchange.is_open = False
         self.exchanges.pop(exchange.cid, None)
-        self.byTid.pop((exchange.client.name, exchange.clientLife, exchange.tid), None)
+        self.by_tid.pop((exchange.client.name, exchange.client_life, exchange.tid), None)
 
     def _unfetch(self, box, tid):
-        exchange = self.exchanges.get(self.byTid.get((box.name, box.life, tid)))
+        exchange = self.exchanges.get(self.by_tid.get((box.name, box.life, tid)))
         if exchange is not None:
             self._finish(exchange)
             self._send(box, exchange.server, self._hand_alive, exchange, ("gone", exchange.cid))
@@ -317,7 +317,7 @@
             self._send(box, exchange.client, self._answered, exchange, effect)
 
     def _answered(self, exchange, effect):
-        if not exchange.isOpen:
+        if not exchange.is_open:
             return
         kind = effect[0]
         if kind == "reply":
@@ -325,10 +325,10 @@
             self._to_client(exchange, "done", effect[2], headers, effect[4])
         elif kind == "head":
             headers = {name.lower(): value for name, value in effect[3].items()}
-            self._fetched(exchange.client, exchange.clientLife, exchange.tid, "head", effect[2], headers)
+            self._fetched(exchange.client, exchange.client_life, exchange.tid, "head", effect[2], headers)
         elif kind == "chunk":
             for event in exchange.parser.receive_bytes(effect[2]):
-                self._fetched(exchange.client, exchange.clientLife, exchange.tid, "event", event.id, event.data)
+                self._fetched(exchange.client, exchange.client_life, exchange.tid, "event", event.id, event.data)
         elif kind == "end":
             self._to_client(exchange, "end")
         else:
@@ -336,7 +336,7 @@
 
     def _to_client(self, exchange, *what):
         self._finish(exchange)
-        self._fetched(exchange.client, exchange.clientLife, exchange.tid, *what)
+        self._fetched(exchange.client, exchange.client_life, exchange.tid, *what)
 
     def _fetched(self, box, life, tid, *what):
         if box.life == life:
@@ -346,7 +346,7 @@
         for exchange in list(self.exchanges.values()):
             if exchange.server is box:
                 self._finish(exchange)
-                self._send(box, exchange.client, self._fetched, exchange.client, exchange.clientLife, exchange.tid, "fault", "reset")
+                self._send(box, exchange.client, self._fetched, exchange.client, exchange.client_life, exchange.tid, "fault", "reset")
             elif exchange.client is box:
                 self._finish(exchange)
                 self._send(box, exchange.server, self._hand_alive, exchange, ("gone", exchange.cid))
--- a/sumachook/guise/model.py
+++ b/sumachook/guise/model.py
@@ -26,39 +26,39 @@
     was beyond its bound.
     """
 
-    __slots__ = ("runs", "broken", "loads", "warmPeak", "stale", "orders", "floods")
+    __slots__ = ("runs", "broken", "loads", "warm_peak", "stale", "orders", "floods")
 
     def __init__(self):
-        self.runs, self.broken, self.loads, self.warmPeak, self.stale, self.orders, self.floods = {}, [], [], {}, [], [], []
+        self.runs, self.broken, self.loads, self.warm_peak, self.stale, self.orders, self.floods = {}, [], [], {}, [], [], []
 
 
 class Run:
     """One prompt being run, and what it has said so far."""
 
-    __slots__ = ("request", "cid", "model", "asked", "events", "said", "count", "startedAt", "stepEvery", "goneAt", "isDone", "flushed",
-                 "hasHead", "tag")
+    __slots__ = ("request", "cid", "model", "asked", "events", "said", "count", "started_at", "step_every", "gone_at", "is_done", "flushed",
+                 "has_head", "tag")
 
     def __init__(self, request, cid, model, asked, count, tag):
         self.tag, self.request, self.cid, self.model, self.asked, self.count = tag, request, cid, model, asked, count
-        self.events, self.said, self.startedAt, self.stepEvery, self.goneAt, self.isDone = [], 0, None, None, None, False
-        self.flushed, self.hasHead = 0, False
+        self.events, self.said, self.started_at, self.step_every, self.gone_at, self.is_done = [], 0, None, None, None, False
+        self.flushed, self.has_head = 0, False
 
 
 class ModelServer:
     """Takes (message, now); notes in its record all that it ran and was ordered (§12.2)."""
 
-    __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "byRequest",
-                 "record", "fence", "isDark", "hasIds", "skips", "endsAfter", "readyAt", "prefill", "loadRate", "coldAt", "isBusy", "saysDone")
+    __slots__ = ("name", "memory", "places", "slots", "sizes", "adapters", "rates", "held", "active", "waiting", "by_request",
+                 "record", "fence", "is_dark", "has_ids", "skips", "ends_after", "ready_at", "prefill", "load_rate", "cold_at", "is_busy", "says_done")
 
-    def __init__(self, listed: dict, catalogue: dict, held=(), loadRate=4.0, hasIds=True, record=None):
+    def __init__(self, listed: dict, catalogue: dict, held=(), load_rate=4.0, has_ids=True, record=None):
         self.name, self.memory, self.places, self.slots = listed["name"], listed["memory"], listed["places"], listed["slots"]
         self.sizes = {model["name"]: model["memory"] for model in catalogue["models"]}
         self.rates = {model["name"]: model["decodeRate"] for model in catalogue["models"]}
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
         self.held = {name: "loaded" for name in (*held, *listed.get("holds", ()))}
-        self.active, self.waiting, self.byRequest, self.record = {}, [], {}, record or Record()
-        self.fence, self.isDark, self.hasIds, self.skips, self.endsAfter, self.isBusy, self.saysDone = 0, False, hasIds, 0, None, False, False
-        self.readyAt, self.prefill, self.loadRate, self.coldAt = {}, timedelta(seconds=0.1), loadRate, None
+        self.active, self.waiting, self.by_request, self.record = {}, [], {}, record or Record()
+        self.fence, self.is_dark, self.has_ids, self.skips, self.ends_after, self.is_busy, self.says_done = 0, False, has_ids, 0, None, False, False
+        self.ready_at, self.prefill, self.load_rate, self.cold_at = {}, timedelta(seconds=0.1), load_rate, None
 
     def take(self, message: tuple, now) -> list:
         kind = message[0]
@@ -72,7 +72,7 @@
 
     def _http(self, message, now):
         _, cid, method, path, headers, body = message
-        if self.isDark:
+        if self.is_dark:
             return []
         if path == "/models":
             data = [{"id": name, "status": {"value": value if isinstance(value, str) else "loading"}}
@@ -99,7 +99,7 @@
             self.record.stale.append((now.total_seconds(), fence, self.fence))
             return [_reply(cid, 409, {"error": {"message": f"fence {fence} is older than {self.fence}"}})]
         self.fence = fence
-        name, isAdapter = body.get("model") or body.get("lora_name"), "lora" in path
+        name, is_adapter = body.get("model") or body.get("lora_name"), "lora" in path
         self.record.orders.append((now, fence, path, name))
         if "unload" in path:
             for item in [name] + [adapter for adapter, model in self.adapters.items() if model == name]:
@@ -109,16 +109,16 @@
             return [_reply(cid, 400, {"error": {"message": "already loaded"}})]
         if name not in self.sizes and name not in self.adapters:
             return [_reply(cid, 404, {"error": {"message": "no such weights"}})]
-        size = 0.1 if isAdapter else self.sizes.get(name, 0.0)
+        size = 0.1 if is_adapter else self.sizes.get(name, 0.0)
         if self._used() + size > self.memory + 1e-6:
             self.record.broken.append(f"{self.name}: {name} beyond memory, {self._used()} + {size} of {self.memory}")
             return [_reply(cid, 507, {"error": {"message": "out of memory"}})]
-        if isAdapter and sum(item in self.adapters for item in self.held) >= self.places:
+        if is_adapter and sum(item in self.adapters for item in self.held) >= self.places:
             self.record.broken.append(f"{self.name}: {name} beyond {self.places} adapter places")
             return [_reply(cid, 507, {"error": {"message": "no adapter place"}})]
-        if isAdapter and self.held.get(self.adapters.get(name)) != "loaded":
+        if is_adapter and self.held.get(self.adapters.get(name)) != "loaded":
             return [_reply(cid, 400, {"error": {"message": "base model is not loaded"}})]
-        self.held[name] = now + timedelta(seconds=size / self.loadRate + 0.2)
+        self.held[name] = now + timedelta(seconds=size / self.load_rate + 0.2)
         self.record.loads.append((now.total_seconds(), size, name))
         return [_reply(cid, 200, {"success": True})]
 
@@ -132,17 +132,17 @@
         model = self.adapters.get(asked, asked)
         if self.held.get(asked) != "loaded" or self.held.get(model) != "loaded":
             return [_reply(cid, 404, {"error": {"message": f"model {asked} is not loaded"}})]
-        if self.isBusy or len(self.active) + len(self.waiting) >= self.slots * 3:
+        if self.is_busy or len(self.active) + len(self.waiting) >= self.slots * 3:
             return [("reply", cid, 429, {**JSON, "Retry-After": "1"}, b'{"error":{"message":"busy"}}')]
         count = min(body.get("max_tokens", 64), 12 + crc32(request.encode()) % 60)
         tag = str(body["messages"][-1].get("content"))
         run = Run(request, cid, model, asked, count, tag)
         self.record.runs[tag] = self.record.runs.get(tag, 0) + 1
-        self.byRequest[request] = run
+        self.by_request[request] = run
         self.waiting.append(run)
-        inHand = [other for other in [*self.active.values(), *self.waiting] if other.goneAt is None]
-        self._note_warming(model, self.readyAt.get(model), sum(other.model == model for other in inHand), now)
-        self._note_warming(SERVER, self.coldAt, len(inHand), now)
+        in_hand = [other for other in [*self.active.values(), *self.waiting] if other.gone_at is None]
+        self._note_warming(model, self.ready_at.get(model), sum(other.model == model for other in in_hand), now)
+        self._note_warming(SERVER, self.cold_at, len(in_hand), now)
         self._begin(now)
         return []
 
@@ -151,14 +151,14 @@
         if age >= WARMING:
             return
         if age < STEP:
-            self.record.warmPeak[what] = max(self.record.warmPeak.get(what, 0), busy)
+            self.record.warm_peak[what] = max(self.record.warm_peak.get(what, 0), busy)
         if busy > most_while_warming(age):
             self.record.floods.append((what, now.total_seconds(), age.total_seconds(), busy, most_while_warming(age)))
 
     def _begin(self, now):
         while self.waiting and len(self.active) < self.slots:
             run = self.waiting.pop(0)
-            run.startedAt, run.stepEvery = now + self.prefill, timedelta(seconds=run.count / self.rates[run.model] / EVENTS)
+            run.started_at, run.step_every = now + self.prefill, timedelta(seconds=run.count / self.rates[run.model] / EVENTS)
             self.active[run.request] = run
 
     def _pulse(self, now):
@@ -166,30 +166,30 @@
         for name, value in list(self.held.items()):
             if not isinstance(value, str) and now >= value:
                 if name in self.sizes:
-                    self.readyAt[name] = now
+                    self.ready_at[name] = now
                     if not any(self.held.get(other) == "loaded" for other in self.sizes):
-                        self.coldAt = now  # it comes up cold: nothing else was there
+                        self.cold_at = now  # it comes up cold: nothing else was there
                 self.held[name] = "loaded"
-        if self.isDark:
+        if self.is_dark:
             return []  # it holds back what it has to say; a stream cannot skip
         for run in list(self.active.values()):
             out += self._speak(run, now)
-            if run.isDone:
+            if run.is_done:
                 del self.active[run.request]
         self._begin(now)
-        for request, run in list(self.byRequest.items()):
-            if run.goneAt is not None and now - run.goneAt > KEEP_AFTER:
-                del self.byRequest[request]
+        for request, run in list(self.by_request.items()):
+            if run.gone_at is not None and now - run.gone_at > KEEP_AFTER:
+                del self.by_request[request]
                 self.active.pop(request, None)
                 if run in self.waiting:
                     self.waiting.remove(run)
         return out
 
     def _speak(self, run, now):
-        if run.goneAt is not None and not run.said:
-            run.isDone = True
+        if run.gone_at is not None and not run.said:
+            run.is_done = True
             return []
-        while run.said <= EVENTS and now >= run.startedAt + run.stepEvery * run.said:
+        while run.said <= EVENTS and now >= run.started_at + run.step_every * run.said:
             if run.said < EVENTS:
                 choice = {"index": 0, "delta": {"content": f"{run.tag}/{self.name}/{run.said} "}}
                 run.events.append({"choices": [choice], "model": run.asked})
@@ -201,38 +201,38 @@
 
     def _flush(self, run, now):
         """What the caller has not had yet; a caller that is gone may come back for it."""
-        if run.goneAt is not None:
-            run.isDone = run.said > EVENTS
+        if run.gone_at is not None:
+            run.is_done = run.said > EVENTS
             return []
         out = []
-        if run.events and not run.hasHead:
-            run.hasHead = True
+        if run.events and not run.has_head:
+            run.has_head = True
             out.append(("head", run.cid, 200, {"Content-Type": "text/event-stream"}))
         for number in range(run.flushed, len(run.events)):
-            eventId = f"{run.request}:{number}" if self.hasIds else None
-            out.append(("chunk", run.cid, send(Event(data=msgspec.json.encode(run.events[number]).decode(), id=eventId))))
+            event_id = f"{run.request}:{number}" if self.has_ids else None
+            out.append(("chunk", run.cid, send(Event(data=msgspec.json.encode(run.events[number]).decode(), id=event_id))))
         run.flushed = max(run.flushed, len(run.events))
-        if self.endsAfter is not None and run.flushed >= self.endsAfter:  # ends in good order, but with no word of being done
-            run.isDone, run.goneAt = True, now
-            word = [("chunk", run.cid, send(Event(data="[DONE]")))] if self.saysDone else []
+        if self.ends_after is not None and run.flushed >= self.ends_after:  # ends in good order, but with no word of being done
+            run.is_done, run.gone_at = True, now
+            word = [("chunk", run.cid, send(Event(data="[DONE]")))] if self.says_done else []
             return [*out, *word, ("end", run.cid)]
         if run.said > EVENTS:
             out += [("chunk", run.cid, send(Event(data="[DONE]"))), ("end", run.cid)]
-            run.isDone, run.goneAt = True, now
+            run.is_done, run.gone_at = True, now
         return out
 
     def _gone(self, cid, now):
-        for run in self.byRequest.values():
-            if run.cid == cid and run.goneAt is None:
-                run.goneAt = now
+        for run in self.by_request.values():
+            if run.cid == cid and run.gone_at is None:
+                run.gone_at = now
         return []
 
     def _resume(self, cid, request, headers, now):
-        run = self.byRequest.get(request)
+        run = self.by_request.get(request)
         last = headers.get("last-event-id", "")
-        if not self.hasIds or run is None or not last.startswith(request + ":"):
+        if not self.has_ids or run is None or not last.startswith(request + ":"):
             return [_reply(cid, 404, {"error": {"message": "nothing to resume"}})]
-        run.cid, run.flushed, run.hasHead, run.goneAt = cid, int(last.rpartition(":")[2]) + 1 + self.skips, False, None
+        run.cid, run.flushed, run.has_head, run.gone_at = cid, int(last.rpartition(":")[2]) + 1 + self.skips, False, None
         return self._flush(run, now)
 
 
--- a/sumachook/guise/platform.py
+++ b/sumachook/guise/platform.py
@@ -36,8 +36,8 @@
     def _note(self, now):
         for name, server in self.servers.items():
             spans = self.leavings.setdefault(name, [])
-            isOpen = bool(spans) and spans[-1][1] is None
-            if server.get("leaving") and not isOpen:
+            is_open = bool(spans) and spans[-1][1] is None
+            if server.get("leaving") and not is_open:
                 spans.append([now, None])
-            elif not server.get("leaving") and isOpen:
+            elif not server.get("leaving") and is_open:
                 spans[-1][1] = now
--- a/sumachook/guise/probe.py
+++ b/sumachook/guise/probe.py
@@ -14,11 +14,11 @@
     `present` and `absent` {key: since}: what an ack has promised; `notes` (edge, askedAt, key, status, life of the edge).
     """
 
-    __slots__ = ("town", "present", "absent", "notes", "nextAt", "number", "waiting")
+    __slots__ = ("town", "present", "absent", "notes", "next_at", "number", "waiting")
 
     def __init__(self, town):
         self.town, self.present, self.absent, self.notes = town, {}, {}, []
-        self.nextAt, self.number, self.waiting = town.now, 0, {}
+        self.next_at, self.number, self.waiting = town.now, 0, {}
 
     def promise(self, present=(), absent=(), now=timedelta(0)):
         """From an ack on, these keys are known and those are not."""
@@ -35,12 +35,12 @@
     def take(self, message: tuple, now) -> list:
         if message[0] == "fetched":
             if message[2] == "done" and message[1] in self.waiting:
-                edge, askedAt, key, life, wanted, since = self.waiting.pop(message[1])
-                self.notes.append((edge, askedAt, key, message[3], life, wanted, since))
+                edge, asked_at, key, life, wanted, since = self.waiting.pop(message[1])
+                self.notes.append((edge, asked_at, key, message[3], life, wanted, since))
             return []
-        if message[0] != "pulse" or now < self.nextAt:
+        if message[0] != "pulse" or now < self.next_at:
             return []
-        self.nextAt, out = now + EVERY, []
+        self.next_at, out = now + EVERY, []
         wanted = [(key, KNOWN, at) for key, at in self.present.items()] + [(key, UNKNOWN, at) for key, at in self.absent.items()]
         for box in self.town.boxes.values():
             for key, status, since in wanted if box.role == "edge" else ():
--- a/sumachook/guise/reach.py
+++ b/sumachook/guise/reach.py
@@ -24,7 +24,7 @@
     def look(self):
         town = self.town
         cores = [box for box in town.boxes.values() if box.role == "core" and _runs(box)]
-        steady = [core for core in cores if town.now >= core.disk.stalledUntil]
+        steady = [core for core in cores if town.now >= core.disk.stalled_until]
         seated = {core.name for core in steady
                   if any(other is not core and self._meet(core, other) for other in steady)}
         platform = town.boxes.get("platform")
@@ -32,15 +32,15 @@
         edges = [box for box in town.boxes.values() if box.role == "edge"]
         handing = [edge for edge in edges if _runs(edge) and sum(self._meet(core, edge) for core in steady) > 1]
         for edge in edges:
-            isNew = self.lives.get(edge.name) != edge.life
+            is_new = self.lives.get(edge.name) != edge.life
             self.lives[edge.name] = edge.life
-            isUp = edge.machine is not None and not edge.isGone and not isNew
-            isOrdered = isUp and any(core.name in seated and self._meet(core, edge) for core in steady)
-            found = {"order": isOrdered, "obey": isOrdered and not edge.isFrozen,
-                     "word": isUp and any(self._meet(core, edge) for core in readers), "hand": isUp and edge in handing,
-                     "carry": isUp and _runs(edge) and any(edge is other or self._meet(edge, other) for other in handing)}
-            for what, isGood in found.items():
-                if not isGood:
+            is_up = edge.machine is not None and not edge.is_gone and not is_new
+            is_ordered = is_up and any(core.name in seated and self._meet(core, edge) for core in steady)
+            found = {"order": is_ordered, "obey": is_ordered and not edge.is_frozen,
+                     "word": is_up and any(self._meet(core, edge) for core in readers), "hand": is_up and edge in handing,
+                     "carry": is_up and _runs(edge) and any(edge is other or self._meet(edge, other) for other in handing)}
+            for what, is_good in found.items():
+                if not is_good:
                     self.breaks.setdefault((what, edge.name), []).append(town.now)
 
     def _meet(self, one, other):
@@ -60,7 +60,7 @@
 
 
 def _runs(box):
-    return box.machine is not None and not box.isFrozen and not box.isGone
+    return box.machine is not None and not box.is_frozen and not box.is_gone
 
 
 def test_a_cut_and_a_start_anew_are_breaks():
--- a/sumachook/guise/records.py
+++ b/sumachook/guise/records.py
@@ -8,18 +8,18 @@
 class RecordsServer:
     """Takes (message, now); answers small lookups at once (§12.2)."""
 
-    __slots__ = ("name", "isDark", "isBusy")
+    __slots__ = ("name", "is_dark", "is_busy")
 
     def __init__(self, name: str):
-        self.name, self.isDark, self.isBusy = name, False, False
+        self.name, self.is_dark, self.is_busy = name, False, False
 
     def take(self, message: tuple, now) -> list:
         if message[0] == "stop":
             return [("leave", 0)]
-        if message[0] != "http" or self.isDark:
+        if message[0] != "http" or self.is_dark:
             return []
         _, cid, method, path, _, _ = message
-        if self.isBusy:
+        if self.is_busy:
             return [("reply", cid, 503, JSON, b'{"error":"busy"}')]
         record = path.rpartition("/")[2]
         if method != "GET" or not path.startswith("/records/") or record.startswith("none"):
--- a/sumachook/guise/report.py
+++ b/sumachook/guise/report.py
@@ -14,18 +14,18 @@
     """
     if file:
         lines = [msgspec.json.encode({
-            "number": call.number, "group": call.group, "outcome": call.outcome, "status": call.status, "class": call.faultClass,
-            "run": call.run, "request": call.request, "edge": call.edge, "moves": call.moves, "hasMoved": call.hasMoved, "safe": call.safe, "tag": call.tag,
-            "at": call.sentAt.total_seconds(), "seconds": (call.endedAt - call.sentAt).total_seconds() if call.endedAt else None}) for call in calls]
+            "number": call.number, "group": call.group, "outcome": call.outcome, "status": call.status, "class": call.fault_class,
+            "run": call.run, "request": call.request, "edge": call.edge, "moves": call.moves, "hasMoved": call.has_moved, "safe": call.safe, "tag": call.tag,
+            "at": call.sent_at.total_seconds(), "seconds": (call.ended_at - call.sent_at).total_seconds() if call.ended_at else None}) for call in calls]
         Path(file).write_bytes(b"\n".join(lines) + b"\n")
     if not calls:
         return "no calls"
-    calls = [call for call in calls if not call.hasMoved]  # those are judged by what came of going on to another edge
-    rows = Counter((call.group, call.outcome, call.faultClass or "") for call in calls)
+    calls = [call for call in calls if not call.has_moved]  # those are judged by what came of going on to another edge
+    rows = Counter((call.group, call.outcome, call.fault_class or "") for call in calls)
     times = {}
     for call in calls:
         if call.outcome == "ok":
-            times.setdefault(call.group, []).append(((call.firstAt or call.endedAt) - call.sentAt).total_seconds())
+            times.setdefault(call.group, []).append(((call.first_at or call.ended_at) - call.sent_at).total_seconds())
     lines = [f"{'class':<12}{'outcome':<10}{'fault':<22}{'calls':>7}"]
     lines += [f"{group:<12}{outcome:<10}{fault:<22}{count:>7}" for (group, outcome, fault), count in sorted(rows.items())]
     for group, seconds in sorted(times.items()):
--- a/sumachook/guise/share_witness.py
+++ b/sumachook/guise/share_witness.py
@@ -23,7 +23,7 @@
     """A request as its caller saw it; `isRefused`: turned away for the tenant's allowance."""
 
     at: timedelta
-    isRefused: bool
+    is_refused: bool
 
 
 class Bounds(NamedTuple):
@@ -32,7 +32,7 @@
     ceiling: tuple
     floor: tuple
     burst: tuple
-    floorBurst: tuple
+    floor_burst: tuple
 
 
 class ShareWitness:
@@ -43,27 +43,27 @@
     def __init__(self, bounds: Bounds):
         self.bounds = bounds
 
-    def bound(self, window: float, place: int, changes: int = 0, isDisturbed: bool = False, sides: int = 1) -> float:
+    def bound(self, window: float, place: int, changes: int = 0, is_disturbed: bool = False, sides: int = 1) -> float:
         """§15.5: requests (0) or tokens (1) in so many seconds. `changes`: of the lending holder; `isDisturbed`: some router had nobody who
         lends; `sides`: parts of the network that have forgotten each other."""
         bounds = self.bounds
         if bounds.ceiling[place] == float("inf"):
             return bounds.ceiling[place]
-        most = bounds.ceiling[place] * (window + 2 * LEASE) + bounds.burst[place] + changes * bounds.floorBurst[place]
-        return most + (sides * (bounds.floor[place] * window + bounds.floorBurst[place]) if isDisturbed else 0.0)
+        most = bounds.ceiling[place] * (window + 2 * LEASE) + bounds.burst[place] + changes * bounds.floor_burst[place]
+        return most + (sides * (bounds.floor[place] * window + bounds.floor_burst[place]) if is_disturbed else 0.0)
 
     def over(self, runs, span=None, **state):
         """Windows in which it ran more than the bound; `span`: (from, until) that is judged."""
         runs = sorted(run for run in runs if span is None or span[0] <= run.at < span[1])
         times = [run.at for run in runs]
-        sums, inHand = [0.0], max((run.estimate for run in runs), default=0.0)
+        sums, in_hand = [0.0], max((run.estimate for run in runs), default=0.0)
         for run in runs:
             sums.append(sums[-1] + run.tokens)
         for window in WINDOWS:
             for first, start in enumerate(times):
                 after = bisect_left(times, start + SECOND * window)
                 counts = (after - first, sums[after] - sums[first])
-                for place, (what, slack) in enumerate((("requests", 1.0), ("tokens", inHand))):
+                for place, (what, slack) in enumerate((("requests", 1.0), ("tokens", in_hand))):
                     most = self.bound(window, place, **state) + slack
                     if counts[place] > most + 1e-6:
                         yield f"{counts[place]:.0f} {what} in {window} s from {start}, at most {most:.1f}"
@@ -73,7 +73,7 @@
         """Calls that were refused though all that was asked for was inside the floor. `stranded`: requests that may lie in parts too small
         to be spent, one a router, while nobody lends; what is lent ahead to busy routers is not there for others either (§15.5)."""
         for ask, level in self._levels(asks, stranded):
-            if level >= 1.0 and ask.isRefused and (span is None or span[0] <= ask.at < span[1]):
+            if level >= 1.0 and ask.is_refused and (span is None or span[0] <= ask.at < span[1]):
                 yield f"a call at {ask.at} was refused with {level:.1f} requests of the floor left"
 
     def inside(self, asks, stranded: float = 0.0) -> int:
@@ -82,7 +82,7 @@
 
     def _levels(self, asks, stranded):
         """Each call with what the floor's bucket held just before."""
-        rate, depth = self.bounds.floor[0], self.bounds.floorBurst[0]
+        rate, depth = self.bounds.floor[0], self.bounds.floor_burst[0]
         depth -= stranded + (2 * LEASE * rate if rate > LEAST_BUSY else 0.0)
         least = -max(MEMORY * rate, self.bounds.burst[0])
         level, last = depth, None
--- a/sumachook/guise/storm.py
+++ b/sumachook/guise/storm.py
@@ -15,12 +15,12 @@
 class Storm:
     """`run(seconds)` brings faults about and then calm, or with `closing` one last fault; gives what broke a rule (§12.5)."""
 
-    __slots__ = ("town", "callers", "witness", "draw", "told", "undo", "ackedGeneration", "number", "lostAt", "retired", "key", "isChanging")
+    __slots__ = ("town", "callers", "witness", "draw", "told", "undo", "acked_generation", "number", "lost_at", "retired", "key", "is_changing")
 
     def __init__(self, town, callers, seed: int):
         self.town, self.callers, self.draw = town, callers, Random(seed)
         self.witness, self.told, self.undo, self.number = Witness(town, callers), [], [], 0
-        self.ackedGeneration, self.lostAt, self.retired, self.key, self.isChanging = 0, -LOSS_EVERY, set(), "", False
+        self.acked_generation, self.lost_at, self.retired, self.key, self.is_changing = 0, -LOSS_EVERY, set(), "", False
         town.probe or town.probe_in()
 
     def run(self, seconds: float, calm: float = 40.0, closing: bool = False) -> list:
@@ -60,10 +60,10 @@
     def _hush(self):
         for box in self.town.boxes.values():
             if box.role == "callers":
-                box.machine.isOn = False
+                box.machine.is_on = False
 
     def _lost(self):
-        return [f"accounted: {call.tag} of {call.group} at {call.edge}, {call.outcome} {call.faultClass}, is not in that day's log"
+        return [f"accounted: {call.tag} of {call.group} at {call.edge}, {call.outcome} {call.fault_class}, is not in that day's log"
                 for call in self.witness.unaccounted()]
 
     def _end_faults(self):
@@ -72,7 +72,7 @@
             undo()
         self.town.heal()
         for box in self.town.boxes.values():
-            if box.isFrozen:
+            if box.is_frozen:
                 self.town.wake(box.name)
             self._revive(box.name)
         self._go_on(12.0)  # what could not be undone at once is tried again until now
@@ -108,22 +108,22 @@
         images = {str(core.state.image()) for core in town.machines("core")}
         if len(images) > 1:
             found.append("cores hold different states")
-        if leaders and leaders[0].state.generation < self.ackedGeneration:
-            found.append(f"acked generation {self.ackedGeneration}, now {leaders[0].state.generation}")
+        if leaders and leaders[0].state.generation < self.acked_generation:
+            found.append(f"acked generation {self.acked_generation}, now {leaders[0].state.generation}")
         if leaders and any(not holder for holder, _ in leaders[0].state.duties.values()):
             found.append(f"duties {leaders[0].state.duties}")
-        answered = [call for call in self.callers.calls if call.sentAt > town.now - timedelta(seconds=19) and call.outcome != "pending"
+        answered = [call for call in self.callers.calls if call.sent_at > town.now - timedelta(seconds=19) and call.outcome != "pending"
                     and not call.key]
-        bad = [call for call in answered if call.outcome != "ok" and not call.hasMoved]
+        bad = [call for call in answered if call.outcome != "ok" and not call.has_moved]
         if not answered or len(bad) > 0.02 * len(answered):
             found.append(f"{len(bad)} of {len(answered)} calls fail after the calm: "
-                         + str(sorted({(call.group, call.outcome, call.faultClass) for call in bad}, key=str)))
+                         + str(sorted({(call.group, call.outcome, call.fault_class) for call in bad}, key=str)))
         return found
 
     # faults: each gives a line that tells what it did, or None ------------------------------
 
     def _one(self, *roles):
-        boxes = [box for box in self.town.boxes.values() if box.role in roles and box.machine is not None and not box.isFrozen]
+        boxes = [box for box in self.town.boxes.values() if box.role in roles and box.machine is not None and not box.is_frozen]
         return self.draw.choice(boxes) if boxes else None
 
     def _revive(self, name):
@@ -160,10 +160,10 @@
         if box is None:
             return None
         machine = box.machine
-        machine.isDark = True
+        machine.is_dark = True
 
         def light():
-            machine.isDark = False
+            machine.is_dark = False
 
         self._later(lasts, light)
         return f"{box.name} dark for {lasts:.1f}"
@@ -175,15 +175,15 @@
         self.town.freeze(box.name)
 
         def wake():
-            if box.isFrozen:
+            if box.is_frozen:
                 self.town.wake(box.name)
 
         self._later(lasts, wake)
         return f"{box.name} frozen for {lasts:.1f}"
 
-    def _cut(self, first, second, oneWay, lasts):
+    def _cut(self, first, second, one_way, lasts):
         town, before = self.town, set(self.town.cuts)
-        town.cut(first, second, oneWay)
+        town.cut(first, second, one_way)
         added = town.cuts - before
         self._later(lasts, lambda: town.cuts.difference_update(added))
 
@@ -217,7 +217,7 @@
         box = self._one("core")
         if box is None:
             return None
-        box.disk.stalledUntil = self.town.now + timedelta(seconds=lasts)
+        box.disk.stalled_until = self.town.now + timedelta(seconds=lasts)
         return f"disk of {box.name} stalls for {lasts:.1f}"
 
     def _fault_jump(self, lasts):
@@ -251,7 +251,7 @@
         self.number += 1
         answer = self.town.ask(core.name, "POST", path, {"request": f"storm-{self.number}", **doc}, 7.0, self._step)
         if answer and answer[0] == 200:
-            self.ackedGeneration = max(self.ackedGeneration, answer[1]["generation"])
+            self.acked_generation = max(self.acked_generation, answer[1]["generation"])
             return answer[1]
         return None
 
@@ -266,16 +266,16 @@
 
     def _change(self, part):
         """A partial configuration that the probe will look for; gives its answer if it was acknowledged. One at a time."""
-        if self.isChanging:
+        if self.is_changing:
             return None
-        self.isChanging = True
+        self.is_changing = True
         more, key = self._probing()
         before = [self.key] if self.key else []
         self.town.probe.forget(before)
         self.key = key  # whether it was taken or not, the next one takes it out
         doc = {**part, "callers": [*part.get("callers", ()), *more["callers"]]}
         answer = self._order("/operator/apply", {"doc": doc, "part": True})
-        self.isChanging = False
+        self.is_changing = False
         if answer is not None:
             self.town.probe.promise([key], before, self.town.now)
         return answer
@@ -314,30 +314,30 @@
 
     def _fault_race(self, lasts):
         """A whole configuration and a partial one at two cores at once; their order decides what is left of the part."""
-        cores = [box for box in self.town.boxes.values() if box.role == "core" and box.machine is not None and not box.isFrozen]
-        if len(cores) < 2 or self.isChanging:
+        cores = [box for box in self.town.boxes.values() if box.role == "core" and box.machine is not None and not box.is_frozen]
+        if len(cores) < 2 or self.is_changing:
             return None
         one, other = self.draw.sample(cores, 2)
-        wholePart, wholeKey = self._probing()
-        partPart, partKey = self._probing()
-        partPart["callers"] = partPart["callers"][:1]
+        whole_part, whole_key = self._probing()
+        part_part, part_key = self._probing()
+        part_part["callers"] = part_part["callers"][:1]
         before = [self.key] if self.key else []
         self.town.probe.forget([*before, *self.town.probe.present, *self.town.probe.absent])
         whole = self.town.city.catalogue
-        whole = {**whole, "callers": [*whole["callers"], *wholePart["callers"][:1]]}
+        whole = {**whole, "callers": [*whole["callers"], *whole_part["callers"][:1]]}
         operator = self.town.operator()
         asked = [operator.ask(f"http://{one.door}/operator/apply", "POST", {"request": f"whole-{self.number}", "doc": whole}),
-                 operator.ask(f"http://{other.door}/operator/apply", "POST", {"request": f"part-{self.number}", "doc": partPart, "part": True})]
+                 operator.ask(f"http://{other.door}/operator/apply", "POST", {"request": f"part-{self.number}", "doc": part_part, "part": True})]
         self.town.run_until(lambda: all(number in operator.answers for number in asked), 9.0)
         answers = [operator.answers.get(number) for number in asked]
         self.number += 1
-        isGood = [bool(answer) and answer[0] == 200 for answer in answers]
-        if all(isGood):
-            self.ackedGeneration = max(self.ackedGeneration, *(answer[1]["generation"] for answer in answers))
-            isPartLast = answers[1][1]["number"] > answers[0][1]["number"]
-            self.town.probe.promise([wholeKey] + [partKey] * isPartLast, before + [partKey] * (not isPartLast), self.town.now)
-        self.key = wholeKey  # the part's goes with the next whole one, and is forgotten there
-        return f"a whole and a partial configuration raced: {isGood}"
+        is_good = [bool(answer) and answer[0] == 200 for answer in answers]
+        if all(is_good):
+            self.acked_generation = max(self.acked_generation, *(answer[1]["generation"] for answer in answers))
+            is_part_last = answers[1][1]["number"] > answers[0][1]["number"]
+            self.town.probe.promise([whole_key] + [part_key] * is_part_last, before + [part_key] * (not is_part_last), self.town.now)
+        self.key = whole_key  # the part's goes with the next whole one, and is forgotten there
+        return f"a whole and a partial configuration raced: {is_good}"
 
     def _fault_evacuate(self, lasts):
         if len(self.witness.evacuations()) and self.witness.evacuations()[-1][2] >= self.town.now:
@@ -360,7 +360,7 @@
         crowd = self.town.call_in(pace, traffic, f"{what}-{self.number}", [box.name for box in self.town.boxes.values() if box.role == "edge"])
 
         def end():
-            crowd.isOn = False
+            crowd.is_on = False
 
         self._later(lasts, end)
         return f"{what} for {lasts:.1f}"
@@ -387,10 +387,10 @@
     def _may_lose(self):
         """One core at a time may be lost for good, and only while the others hold everything."""
         cores = [box for box in self.town.boxes.values() if box.role == "core" and box.name not in self.retired]
-        isWhole = all(box.machine is not None and not box.isFrozen and len(box.machine.accord.members) == 3 for box in cores)
-        if not isWhole or self.town.now - self.lostAt < LOSS_EVERY:
+        is_whole = all(box.machine is not None and not box.is_frozen and len(box.machine.accord.members) == 3 for box in cores)
+        if not is_whole or self.town.now - self.lost_at < LOSS_EVERY:
             return None
-        self.lostAt = self.town.now
+        self.lost_at = self.town.now
         return self.draw.choice(cores)
 
     def _fault_blank(self, lasts):
@@ -487,11 +487,11 @@
                 self.town.kill(name)
                 self._later(lasts, lambda name=name: self._revive(name))
             else:
-                setattr(machine, "isDark" if how == "dark" else "isBusy", True)
+                setattr(machine, "is_dark" if how == "dark" else "is_busy", True)
 
         def well():
             for machine in machines:
-                machine.isDark = machine.isBusy = False
+                machine.is_dark = machine.is_busy = False
 
         self._later(lasts, well)
         return f"half of the servers {how} for {lasts:.1f}"
--- a/sumachook/guise/town_shares.py
+++ b/sumachook/guise/town_shares.py
@@ -26,19 +26,19 @@
     def calls(self, name, since=timedelta(0), until=timedelta(days=9)):
         callers = self.tenants[name].callers
         return [call for box in self.town.boxes.values() if box.role == "callers" and box.machine for call in box.machine.calls
-                if call.caller in callers and since <= call.sentAt < until]
+                if call.caller in callers and since <= call.sent_at < until]
 
     def has_run(self, call) -> bool:
         return call.outcome == "ok" or any(record.runs.get(call.tag) for record in self.town.records.values())
 
     def runs(self, name, **span):
-        return [Run(call.sentAt) for call in self.calls(name, **span) if self.has_run(call)]
+        return [Run(call.sent_at) for call in self.calls(name, **span) if self.has_run(call)]
 
     def asks(self, name, **span):
-        return [Ask(call.sentAt, call.faultClass == "allowance") for call in self.calls(name, **span)]
+        return [Ask(call.sent_at, call.fault_class == "allowance") for call in self.calls(name, **span)]
 
     def witness(self, name) -> ShareWitness:
         terms = Terms.of(self.tenants[name])
         slack = OF_WINDOW.total_seconds()
         burst = tuple(most + figure * slack for most, figure in zip(terms.burst, terms.ceiling))
-        return ShareWitness(Bounds(terms.ceiling, terms.floor, burst, terms.floorBurst))
+        return ShareWitness(Bounds(terms.ceiling, terms.floor, burst, terms.floor_burst))
--- a/sumachook/guise/witness.py
+++ b/sumachook/guise/witness.py
@@ -37,16 +37,16 @@
 
     def _runs(self):
         """Rule 1: an unsafe prompt runs once at most, whoever repeats its key, and "no" means no."""
-        byKey = {}
+        by_key = {}
         for call in self.calls:
             runs = self.runs_of(call) if call.kind == "prompt" else 0
             if call.key:
-                byKey[(call.caller, call.key)] = byKey.get((call.caller, call.key), 0) + runs
+                by_key[(call.caller, call.key)] = by_key.get((call.caller, call.key), 0) + runs
             if runs > 1 and not call.safe:
                 yield f"{call.tag} of {call.group} ran {runs} times"
             if runs and call.run == "no":
                 yield f"{call.tag} was told that it did not run, and ran {runs} times"
-        yield from (f"key {key} ran {runs} times" for key, runs in byKey.items() if runs > 1)
+        yield from (f"key {key} ran {runs} times" for key, runs in by_key.items() if runs > 1)
 
     def _texts(self):
         """Rules 2 and 3: one server, in order, one's own, whole when it looks whole."""
@@ -95,11 +95,11 @@
     def evacuations(self) -> list:
         """(area, from when nothing may enter, until) by the operators' own notes: five seconds after the order, three after its ack."""
         found = []
-        for path, doc, sentAt, ackedAt, status in self.town.orders:
+        for path, doc, sent_at, acked_at, status in self.town.orders:
             if path == "/operator/evacuate" and status == 200:
                 again = [other[2] for other in self.town.orders if other[0] == "/operator/restore" and other[1]["area"] == doc["area"]
-                         and other[2] >= ackedAt]
-                found.append((doc["area"], max(sentAt + SECOND * 5, ackedAt + SECOND * 3), min(again, default=self.town.now)))
+                         and other[2] >= acked_at]
+                found.append((doc["area"], max(sent_at + SECOND * 5, acked_at + SECOND * 3), min(again, default=self.town.now)))
         return found
 
     def _evacuated(self):
@@ -112,8 +112,8 @@
                         if start < at < end and not self._is_inside_alone(edge, area, at)]
                 if late:
                     yield f"{server['name']} in {area}, evacuated from {start}, was given {len(late)}, the last at {late[-1]}"
-            entered = [call for call in self.calls if start < call.sentAt < end and self.town.boxes[call.edge].area == area
-                       and _was_admitted(call) and not self._is_inside_alone(call.edge, area, call.sentAt)]
+            entered = [call for call in self.calls if start < call.sent_at < end and self.town.boxes[call.edge].area == area
+                       and _was_admitted(call) and not self._is_inside_alone(call.edge, area, call.sent_at)]
             if entered:
                 yield f"{area}, evacuated from {start}, let in {len(entered)} calls, the last {entered[-1].tag} at {entered[-1].edge}"
 
@@ -124,7 +124,7 @@
 
     def resends(self):
         """(first tries, resends) as the wire saw them, over all edges together."""
-        again = sum(isAgain for _, isAgain in self.town.tries)
+        again = sum(is_again for _, is_again in self.town.tries)
         return len(self.town.tries) - again, again
 
     def _resends(self):
@@ -133,8 +133,8 @@
         A call counts when its caller made it: that is the real traffic. What was lined up before the window is in the stock.
         """
         edges = sum(box.role == "edge" for box in self.town.boxes.values())
-        again = [at for at, isAgain in self.town.tries if isAgain]
-        made = sorted(call.sentAt for call in self.calls)
+        again = [at for at, is_again in self.town.tries if is_again]
+        made = sorted(call.sent_at for call in self.calls)
         for window in WINDOWS:
             for place, start in enumerate(again):
                 end = start + SECOND * window
@@ -157,28 +157,28 @@
 
     def _days(self, call):
         """The day by the world's own clock; a call that came in within a second of midnight may be in either."""
-        return {f"day-{(self.town.dawn + call.sentAt + SECOND * slack).date().isoformat()}.jsonl" for slack in (0, 1)}
+        return {f"day-{(self.town.dawn + call.sent_at + SECOND * slack).date().isoformat()}.jsonl" for slack in (0, 1)}
 
     def _should_be_logged(self, call):
-        if call.outcome == "pending" or call.faultClass in ("refused", "connect-timeout", "unknown-caller"):
+        if call.outcome == "pending" or call.fault_class in ("refused", "connect-timeout", "unknown-caller"):
             return False
         if call.outcome == "ok":
-            return call.endedAt - call.sentAt > call.patience
+            return call.ended_at - call.sent_at > call.patience
         return not self.was_last_moment(call)
 
     def was_last_moment(self, call) -> bool:
         """Whether its edge died before any disk had a record of it and with no chance to have one written."""
-        diedAt = [at for name, at in self.town.deaths if name == call.edge and at >= call.sentAt]
-        if not diedAt or any(call.tag in box.disk.opened for box in self.town.boxes.values()):
+        died_at = [at for name, at in self.town.deaths if name == call.edge and at >= call.sent_at]
+        if not died_at or any(call.tag in box.disk.opened for box in self.town.boxes.values()):
             return False
-        knewAt = call.sentAt if call.faultClass != "not-ready" else self._ready_after(call)
-        reach, span = self.town.reach, (call.edge, min(knewAt, *diedAt), min(diedAt))
-        wasAble = reach.had("hand", *span, LAST_MOMENT) or reach.had("carry", *span, CARRIED_WITHIN)
-        return not wasAble
+        knew_at = call.sent_at if call.fault_class != "not-ready" else self._ready_after(call)
+        reach, span = self.town.reach, (call.edge, min(knew_at, *died_at), min(died_at))
+        was_able = reach.had("hand", *span, LAST_MOMENT) or reach.had("carry", *span, CARRIED_WITHIN)
+        return not was_able
 
     def _ready_after(self, call):
         """When its edge, not ready then, served somebody: only from then on did it know any keeper."""
-        return min((other.sentAt for other in self.calls if other.edge == call.edge and other.sentAt > call.sentAt
+        return min((other.sent_at for other in self.calls if other.edge == call.edge and other.sent_at > call.sent_at
                     and other.status not in (None, 503)), default=self.town.now)
 
     def _warm(self):
@@ -212,4 +212,4 @@
     """Whether a node let it in: anything but a refusal at the door."""
     if call.outcome == "pending" or call.status is None:
         return False
-    return not (call.run == "no" and call.faultClass in ("evacuated", "draining", "not-ready"))
+    return not (call.run == "no" and call.fault_class in ("evacuated", "draining", "not-ready"))
--- a/sumachook/loom/account.py
+++ b/sumachook/loom/account.py
@@ -11,7 +11,7 @@
             "service": server.service, "area": server.area, "condition": _condition(server),
             "ready": {model: sorted(adapters) for model, adapters in sorted(server.ready.items())}, "order": _order(server.order),
             "makesRoomFor": server.intent}
-        for model in server.ready if server.isOpen else ():
+        for model in server.ready if server.is_open else ():
             models.setdefault((server.service, model), []).append(server.name)
     for service, desired in provisioner.desired.items():
         for model in desired:
@@ -27,20 +27,20 @@
 
 
 def _condition(server) -> str:
-    if server.isStrange:
+    if server.is_strange:
         return "another server answers at its address"
-    if server.isClosed:
+    if server.is_closed:
         return "leaving or in an evacuated area"
-    if server.isDark:
+    if server.is_dark:
         return "does not answer"
-    return "open" if server.isRead else "being read"
+    return "open" if server.is_read else "being read"
 
 
 def _order(order):
     if order is None:
         return ""
     name = f"{order.model}/{order.adapter}" if order.adapter else order.model
-    return f"{order.verb} {name}, {'under way' if order.isTaken else 'not answered yet'}"
+    return f"{order.verb} {name}, {'under way' if order.is_taken else 'not answered yet'}"
 
 
 def _reason(rate, running, desired, places) -> str:
--- a/sumachook/loom/demand.py
+++ b/sumachook/loom/demand.py
@@ -18,29 +18,29 @@
     1
     """
 
-    __slots__ = ("rates", "running", "edges", "lastBegun", "isByServer", "firstAt")
+    __slots__ = ("rates", "running", "edges", "last_begun", "is_by_server", "first_at")
 
     AHEAD = 1.5  # of what the fast mean is over the slow one
     EDGE_SILENT = timedelta(seconds=2)
 
     def __init__(self):
-        self.rates, self.running, self.edges, self.lastBegun, self.isByServer, self.firstAt = {}, {}, {}, {}, False, None
+        self.rates, self.running, self.edges, self.last_begun, self.is_by_server, self.first_at = {}, {}, {}, {}, False, None
 
     def take(self, edge: str, usage: dict, now):
         self._drop(edge)
-        self.firstAt = now if self.firstAt is None and usage else self.firstAt
+        self.first_at = now if self.first_at is None and usage else self.first_at
         runs = {}
         for service, names in usage.items():
             for name, (begun, running, *where) in names.items():
                 model = name.partition("/")[0]
-                self.isByServer = self.isByServer or bool(where)
+                self.is_by_server = self.is_by_server or bool(where)
                 for server, count in (where[0] if where else {}).items():
                     runs[(service, model, server)] = runs.get((service, model, server), 0) + count
                 for key in {(service, name), (service, model)}:
                     if running:
                         runs[key] = runs.get(key, 0) + running
                     if begun:
-                        self.lastBegun[key] = now
+                        self.last_begun[key] = now
                         self.rates[key] = self._decayed(key, now, begun)
         for key, running in runs.items():
             self.running[key] = self.running.get(key, 0) + running
@@ -57,14 +57,14 @@
         """How many requests of a model run at one server, or None where the edges don't say it by server."""
         if (service, model) not in self.running:
             return 0
-        return self.running.get((service, model, server), 0) if self.isByServer else None
+        return self.running.get((service, model, server), 0) if self.is_by_server else None
 
     def sweep(self, now):
         """Forgets silent edges and what nobody asks for any more."""
         for edge in [edge for edge, (at, _) in self.edges.items() if now - at > self.EDGE_SILENT]:
             self._drop(edge)
         self.rates = {key: item for key, item in self.rates.items() if now - item[2] < SLOW * 12}
-        self.lastBegun = {key: at for key, at in self.lastBegun.items() if now - at < SLOW * 12}
+        self.last_begun = {key: at for key, at in self.last_begun.items() if now - at < SLOW * 12}
 
     def _decayed(self, key, now, begun=0):
         fast, slow, at = self.rates.get(key, (0.0, 0.0, now))
@@ -81,7 +81,7 @@
 
     def since(self, now):
         """When anything was first asked for."""
-        return now if self.firstAt is None else self.firstAt
+        return now if self.first_at is None else self.first_at
 
     def ahead(self, service: str, name: str, now) -> float:
         """The rate as it will be by the time a load is done, where it rises: on the way from the slow mean over the fast one."""
--- a/sumachook/loom/engine_server.py
+++ b/sumachook/loom/engine_server.py
@@ -6,11 +6,11 @@
 class Order:
     """One order under way: `isTaken` once the server said so; it is asked again, by repeating it, until the server holds it."""
 
-    __slots__ = ("verb", "model", "adapter", "isTaken", "isStored", "sentAt", "takenAt", "dueAt", "asks")
+    __slots__ = ("verb", "model", "adapter", "is_taken", "is_stored", "sent_at", "taken_at", "due_at", "asks")
 
-    def __init__(self, verb, model, adapter, isStored, sentAt):
-        self.verb, self.model, self.adapter, self.isStored = verb, model, adapter, isStored
-        self.isTaken, self.sentAt, self.takenAt, self.dueAt, self.asks = False, sentAt, sentAt, sentAt, 0
+    def __init__(self, verb, model, adapter, is_stored, sent_at):
+        self.verb, self.model, self.adapter, self.is_stored = verb, model, adapter, is_stored
+        self.is_taken, self.sent_at, self.taken_at, self.due_at, self.asks = False, sent_at, sent_at, sent_at, 0
 
 
 class EngineServer:
@@ -21,34 +21,34 @@
     buffer, or one sent on an outdated picture, is not taken.
     """
 
-    __slots__ = ("name", "service", "address", "area", "isClosed", "isRead", "isDark", "sequence", "models", "ready", "had",
-                 "order", "asked", "askAt", "intent", "unused", "loadedAt", "fails", "readAt", "lastRead",
-                 "settledAt", "isStrange")
+    __slots__ = ("name", "service", "address", "area", "is_closed", "is_read", "is_dark", "sequence", "models", "ready", "had",
+                 "order", "asked", "ask_at", "intent", "unused", "loaded_at", "fails", "read_at", "last_read",
+                 "settled_at", "is_strange")
 
     def __init__(self, name, service, now):
-        self.name, self.service, self.address, self.area, self.isClosed = name, service, "", "", False
-        self.isRead = self.isDark = self.isStrange = False
-        self.settledAt = now
+        self.name, self.service, self.address, self.area, self.is_closed = name, service, "", "", False
+        self.is_read = self.is_dark = self.is_strange = False
+        self.settled_at = now
         self.sequence, self.models, self.ready, self.had = None, {}, {}, set()
-        self.order, self.asked, self.askAt, self.intent = None, 0, None, ""
-        self.unused, self.loadedAt, self.fails, self.readAt, self.lastRead = {}, {}, 0, now, None
+        self.order, self.asked, self.ask_at, self.intent = None, 0, None, ""
+        self.unused, self.loaded_at, self.fails, self.read_at, self.last_read = {}, {}, 0, now, None
 
     @property
-    def isOpen(self) -> bool:
+    def is_open(self) -> bool:
         """Counts as a place."""
-        return not self.isClosed and not self.isDark and not self.isStrange
+        return not self.is_closed and not self.is_dark and not self.is_strange
 
     @property
-    def isIdle(self) -> bool:
+    def is_idle(self) -> bool:
         """May be ordered now."""
-        return self.isOpen and self.isRead and self.order is None and not self.asked
+        return self.is_open and self.is_read and self.order is None and not self.asked
 
     def adopt(self, report, now):
         """A report replaces what was believed."""
         self.models = {model: set(adapters) for model, adapters in report["models"].items()}
         self.ready = {model: set(adapters) for model, adapters in self.models.items()}
         self.had |= set(self.models)
-        self.sequence, self.isRead, self.order, self.askAt, self.readAt = report["sequence"], True, None, None, None
+        self.sequence, self.is_read, self.order, self.ask_at, self.read_at = report["sequence"], True, None, None, None
         self.unused = {model: at for model, at in self.unused.items() if model in self.ready}
 
     def begin(self, order):
@@ -64,7 +64,7 @@
 
     def finish(self, now):
         """The order under way is done."""
-        order, self.order, self.askAt, self.settledAt = self.order, None, None, now
+        order, self.order, self.ask_at, self.settled_at = self.order, None, None, now
         name = f"{order.model}/{order.adapter}" if order.adapter else order.model
         if order.verb == LOAD:
             if order.adapter:
@@ -74,7 +74,7 @@
                 self.models.setdefault(order.model, set())
                 self.ready[order.model] = set(self.models[order.model])
                 self.had.add(order.model)
-            self.unused[name] = self.loadedAt[name] = now
+            self.unused[name] = self.loaded_at[name] = now
         elif order.adapter:
             self.models.get(order.model, set()).discard(order.adapter)
         else:
@@ -82,5 +82,5 @@
 
     def doubt(self, at):
         """What was believed may be wrong: it is read again before the next order."""
-        self.isRead, self.order, self.askAt, self.intent = False, None, None, ""
-        self.readAt = at
+        self.is_read, self.order, self.ask_at, self.intent = False, None, None, ""
+        self.read_at = at
--- a/sumachook/loom/herald.py
+++ b/sumachook/loom/herald.py
@@ -6,25 +6,25 @@
 class Herald:
     """Deltas, numbered, to all edges; the whole to who asks or is new; the current number each second, so that a gap shows."""
 
-    __slots__ = ("fence", "life", "number", "told", "edges", "isOpen", "beatAt")
+    __slots__ = ("fence", "life", "number", "told", "edges", "is_open", "beat_at")
 
     BEAT = timedelta(seconds=1)
 
     def __init__(self, fence, life, now):
         self.life = life  # which run of the holder's process numbers them: the fence stays where a holder is back before its duty is vacant
-        self.fence, self.number, self.told, self.edges, self.isOpen, self.beatAt = fence, 0, {}, (), False, now
+        self.fence, self.number, self.told, self.edges, self.is_open, self.beat_at = fence, 0, {}, (), False, now
 
     def open(self, edges, now) -> list:
         """Before a new holder knows its servers it tells nothing: the edges' old picture is better."""
-        self.isOpen, self.edges, self.beatAt = True, edges, now
+        self.is_open, self.edges, self.beat_at = True, edges, now
         return [("tell", address, self._whole()) for address in edges]
 
     def meet(self, edges) -> list:
         known, self.edges = set(self.edges), edges
-        return [("tell", address, self._whole()) for address in edges if address not in known] if self.isOpen else []
+        return [("tell", address, self._whole()) for address in edges if address not in known] if self.is_open else []
 
     def answer(self, address) -> list:
-        return [("tell", address, self._whole())] if self.isOpen else []
+        return [("tell", address, self._whole())] if self.is_open else []
 
     def begin(self, address) -> list:
         """What is known so far, for an edge that has no older picture."""
@@ -41,9 +41,9 @@
                     del self.told[name]
                 else:
                     self.told[name] = models
-        if not self.isOpen or not (news or now - self.beatAt >= self.BEAT):
+        if not self.is_open or not (news or now - self.beat_at >= self.BEAT):
             return []
-        self.beatAt = now
+        self.beat_at = now
         self.number += 1 if news else 0
         return [("tell", address, ("places", self.fence, self.life, self.number, False, news)) for address in self.edges]
 
--- a/sumachook/loom/orders.py
+++ b/sumachook/loom/orders.py
@@ -8,7 +8,7 @@
 LOAD, UNLOAD = "load", "unload"
 
 
-def draw_orders(catalogue, servers, pairs, demand, actual, inFlight, budget, notNow=frozenset()):
+def draw_orders(catalogue, servers, pairs, demand, actual, in_flight, budget, not_now=frozenset()):
     """(orders, gigabytes of loads begun). Orders are (server, verb, kind, name, gigabytes) (§9.4).
 
     `actual` {server: {name: condition}} as last read from the servers themselves,
@@ -18,7 +18,7 @@
     sizes = {model.name: model.memory for model in catalogue.models}
     adapters = {adapter.name: adapter for adapter in catalogue.adapters}
     evict = compile_policy("evict", catalogue.policies.evict)
-    wantedAdapters = plan_adapters(catalogue, servers, pairs, demand)
+    wanted_adapters = plan_adapters(catalogue, servers, pairs, demand)
     wanted = {server: set() for server in actual}
     for model, pair in pairs.items():
         for server in pair:
@@ -27,23 +27,23 @@
     ready = {}
     for server, items in actual.items():
         for name, condition in items.items():
-            if condition == "ready" and inFlight.get((server, name)) != UNLOAD:
+            if condition == "ready" and in_flight.get((server, name)) != UNLOAD:
                 ready[name] = ready.get(name, 0) + 1
     orders, begun = [], 0.0
-    held = {server: {name for name in items if inFlight.get((server, name)) != UNLOAD} for server, items in actual.items()}
-    for server, name in inFlight:
-        if server in held and inFlight[(server, name)] == LOAD:
+    held = {server: {name for name in items if in_flight.get((server, name)) != UNLOAD} for server, items in actual.items()}
+    for server, name in in_flight:
+        if server in held and in_flight[(server, name)] == LOAD:
             held[server].add(name)
     for server, items in actual.items():
         strangers = [name for name in items if name not in sizes and name not in adapters]
         if strangers:  # nothing is loaded beside what nobody here knows the size of
-            orders += [(server, UNLOAD, "model", name, 0.0) for name in strangers if (server, name) not in inFlight]
+            orders += [(server, UNLOAD, "model", name, 0.0) for name in strangers if (server, name) not in in_flight]
             del held[server]
     missing = [(position, -demand.get(model, 0.0), model, server) for model, pair in pairs.items()
-               for position, server in enumerate(pair) if server in held and model not in held[server] and (server, model) not in notNow]
+               for position, server in enumerate(pair) if server in held and model not in held[server] and (server, model) not in not_now]
     for _, _, model, server in sorted(missing):
         size = sizes[model]
-        room = servers[server]["memory"] - _used(held[server] | _leaving(actual, inFlight, server), sizes, adapters)
+        room = servers[server]["memory"] - _used(held[server] | _leaving(actual, in_flight, server), sizes, adapters)
         if room >= size:
             if size > budget - begun:
                 break  # the store's pace: the first in turn waits, nothing slips past it
@@ -59,36 +59,36 @@
                 spare = [name for name in held[server] if name in sizes and name not in wanted[server]
                          and actual[server].get(name) == "ready" and demand.get(name, 0.0) < demand.get(model, 0.0)]
                 score = {name: 0.0 for name in spare}
-            if spare and not any(verb == UNLOAD and other == server for (other, _), verb in inFlight.items()):
+            if spare and not any(verb == UNLOAD and other == server for (other, _), verb in in_flight.items()):
                 victim = min(spare, key=lambda name: (-score[name], demand.get(name, 0.0), -sizes[name], name))
                 orders.append((server, UNLOAD, "model", victim, sizes[victim]))
-                inFlight = {**inFlight, (server, victim): UNLOAD}
+                in_flight = {**in_flight, (server, victim): UNLOAD}
                 held[server].discard(victim)
                 ready[victim] = ready.get(victim, 1) - 1
-    for server, names in wantedAdapters.items():
+    for server, names in wanted_adapters.items():
         if server not in held:
             continue
-        holdsNow = [name for name in held[server] if name in adapters]
+        holds_now = [name for name in held[server] if name in adapters]
         for name in names:
             base = adapters[name].model
-            if name in held[server] or (server, name) in notNow or actual[server].get(base) != "ready" or inFlight.get((server, base)) == UNLOAD:
+            if name in held[server] or (server, name) in not_now or actual[server].get(base) != "ready" or in_flight.get((server, base)) == UNLOAD:
                 continue
-            leaving = [other for other in _leaving(actual, inFlight, server) if other in adapters]
-            if len(holdsNow) + len(leaving) < servers[server]["places"]:
-                room = servers[server]["memory"] - _used(held[server] | _leaving(actual, inFlight, server), sizes, adapters)
+            leaving = [other for other in _leaving(actual, in_flight, server) if other in adapters]
+            if len(holds_now) + len(leaving) < servers[server]["places"]:
+                room = servers[server]["memory"] - _used(held[server] | _leaving(actual, in_flight, server), sizes, adapters)
                 if adapters[name].memory <= min(budget - begun, room):
                     orders.append((server, LOAD, "adapter", name, adapters[name].memory))
                     held[server].add(name)
-                    holdsNow.append(name)
+                    holds_now.append(name)
                     begun += adapters[name].memory
             elif not leaving:
-                spare = [other for other in holdsNow if other not in names and actual[server].get(other) == "ready"]
+                spare = [other for other in holds_now if other not in names and actual[server].get(other) == "ready"]
                 if spare:
                     victim = min(spare, key=lambda other: (demand.get(other, 0.0), other))
                     orders.append((server, UNLOAD, "adapter", victim, 0.0))
-                    inFlight = {**inFlight, (server, victim): UNLOAD}
+                    in_flight = {**in_flight, (server, victim): UNLOAD}
                     held[server].discard(victim)
-                    holdsNow.remove(victim)
+                    holds_now.remove(victim)
     return orders, begun
 
 
@@ -96,8 +96,8 @@
     return fsum(sizes.get(name, adapters[name].memory if name in adapters else 0.0) for name in names)
 
 
-def _leaving(actual, inFlight, server):
-    return {name for name in actual[server] if inFlight.get((server, name)) == UNLOAD}
+def _leaving(actual, in_flight, server):
+    return {name for name in actual[server] if in_flight.get((server, name)) == UNLOAD}
 
 
 def _world(memory=12.0):
--- a/sumachook/loom/placer.py
+++ b/sumachook/loom/placer.py
@@ -21,8 +21,8 @@
     Out: ("fetch", ...), ("propose", change), ("log", ...).
     """
 
-    __slots__ = ("state", "port", "fence", "actual", "fails", "inFlight", "budget", "budgetAt", "demand", "demandAt",
-                 "nextPoll", "nextPlan", "dirty", "news", "warmSince", "sentHeld", "sentPairs", "number", "models", "dark", "unanswered", "unsure", "refused")
+    __slots__ = ("state", "port", "fence", "actual", "fails", "in_flight", "budget", "budget_at", "demand", "demand_at",
+                 "next_poll", "next_plan", "dirty", "news", "warm_since", "sent_held", "sent_pairs", "number", "models", "dark", "unanswered", "unsure", "refused")
 
     POLL = timedelta(seconds=0.8)
     PLAN = timedelta(seconds=4)
@@ -35,7 +35,7 @@
 
     def __init__(self, state, now):
         self.state, self.port, self.fence = state, OpenPort(), 0
-        self.demand, self.demandAt, self.number, self.budgetAt, self.budget = {}, now, 0, now, 0.0
+        self.demand, self.demand_at, self.number, self.budget_at, self.budget = {}, now, 0, now, 0.0
         self.news = Subject()
         self.dirty = True
         wanted = ops.map(lambda state: (state.generation, state.evacuated, _outline(state.servers)))
@@ -47,9 +47,9 @@
 
     def _start(self, now):
         """§9.4: a new holder knows nothing until it has read it from the servers."""
-        self.actual, self.fails, self.inFlight, self.models, self.dark = {}, {}, {}, {}, set()
-        self.budget, self.budgetAt, self.nextPoll, self.nextPlan = 0.0, now, now, now + self.POLL * 2
-        self.warmSince, self.sentHeld, self.sentPairs = {}, now - self.RESEND, now - self.RESEND
+        self.actual, self.fails, self.in_flight, self.models, self.dark = {}, {}, {}, {}, set()
+        self.budget, self.budget_at, self.next_poll, self.next_plan = 0.0, now, now, now + self.POLL * 2
+        self.warm_since, self.sent_held, self.sent_pairs = {}, now - self.RESEND, now - self.RESEND
         self.unanswered, self.unsure, self.refused = {}, {}, {}
 
     def take(self, message: tuple, now) -> list:
@@ -70,10 +70,10 @@
         return []
 
     def _decay(self, now):
-        if now - self.demandAt > timedelta(seconds=1):
-            factor = 0.5 ** ((now - self.demandAt) / HALF_LIFE)
+        if now - self.demand_at > timedelta(seconds=1):
+            factor = 0.5 ** ((now - self.demand_at) / HALF_LIFE)
             self.demand = {name: count * factor for name, count in self.demand.items() if count * factor > 0.05}
-            self.demandAt = now
+            self.demand_at = now
 
     def _pulse(self, fence, now):
         if fence != self.fence:
@@ -85,11 +85,11 @@
         store = self.state.catalogue.store
         self.unsure = {name: item for name, item in self.unsure.items() if now - item[1] < self.UNSURE and name in self.state.servers}
         maybe = sum(self.unanswered.values()) + sum(size for size, _ in self.unsure.values())
-        self.budget = min(max(0.0, store.burst - maybe), self.budget + store.pace * (now - self.budgetAt).total_seconds())
-        self.budgetAt = now
+        self.budget = min(max(0.0, store.burst - maybe), self.budget + store.pace * (now - self.budget_at).total_seconds())
+        self.budget_at = now
         out = []
-        if now >= self.nextPoll:
-            self.nextPoll = now + self.POLL
+        if now >= self.next_poll:
+            self.next_poll = now + self.POLL
             out += self._poll()
         return out + self._tell_held(now) + self._plan(now) + self._order(now)
 
@@ -110,16 +110,16 @@
         server = self.state.servers.get(name)
         if fence != self.fence or server is None:
             return []
-        isGood = outcome == "done" and answer[0] == 200
+        is_good = outcome == "done" and answer[0] == 200
         if what == "order":
             verb, item = rest[:2]
             size = self.unanswered.pop(name, 0.0)
-            mayBegin = outcome == "fault" and answer[0] != "refused"
-            if mayBegin and verb == LOAD:
+            may_begin = outcome == "fault" and answer[0] != "refused"
+            if may_begin and verb == LOAD:
                 self.unsure[name] = (size, now)  # its share of the store's pace stays taken
-            if not isGood:
-                if not mayBegin:
-                    self.inFlight.pop((name, item), None)
+            if not is_good:
+                if not may_begin:
+                    self.in_flight.pop((name, item), None)
                 pause = min(self.LONGEST_REST, self.refused.get((name, item), (now, self.RESEND))[1] * 2)
                 self.refused[(name, item)] = (now + pause, pause)
                 note = {"server": name, "verb": verb, "item": item, "answer": str(answer[:1])}
@@ -127,7 +127,7 @@
             self.refused.pop((name, item), None)
             return []
         read = None
-        if isGood:
+        if is_good:
             read = self.port.read_models(answer[2]) if what == "models" else self.port.read_adapters(answer[2])
         if read is None:
             return self._on_fail(name, now)
@@ -158,18 +158,18 @@
         before = self.actual.get(name)
         self.actual[name] = items
         self.unsure.pop(name, None)
-        for (server, item), (verb, reads) in list(self.inFlight.items()):
+        for (server, item), (verb, reads) in list(self.in_flight.items()):
             if server == name and ((verb == LOAD) == (item in items) or reads >= self.MOST_READS):
-                del self.inFlight[(server, item)]
+                del self.in_flight[(server, item)]
             elif server == name:
-                self.inFlight[(server, item)] = (verb, reads + 1)
+                self.in_flight[(server, item)] = (verb, reads + 1)
         for item, condition in items.items():
-            isNew = before is not None and before.get(item) != "ready"
-            if condition == "ready" and isNew:
-                self.warmSince[(name, item)] = now
+            is_new = before is not None and before.get(item) != "ready"
+            if condition == "ready" and is_new:
+                self.warm_since[(name, item)] = now
 
     def _tell_held(self, now):
-        if now - self.sentHeld < self.RESEND / 4:
+        if now - self.sent_held < self.RESEND / 4:
             return []
         changed = {}
         for name in self._servers():
@@ -178,25 +178,25 @@
             elif name not in self.actual:
                 continue
             else:
-                told = {item: "warm" if condition == "ready" and now - self.warmSince.get((name, item), -self.WARM) < self.WARM else condition
+                told = {item: "warm" if condition == "ready" and now - self.warm_since.get((name, item), -self.WARM) < self.WARM else condition
                         for item, condition in self.actual[name].items()}
             if told != self.state.held.get(name):
                 changed[name] = told
-        if not changed or now - self.sentHeld < self.RESEND / 2:
+        if not changed or now - self.sent_held < self.RESEND / 2:
             return []
-        self.sentHeld = now
+        self.sent_held = now
         return [("propose", ("held", self.fence, changed))]
 
     def _plan(self, now):
-        isDue = now >= self.nextPlan or (self.dirty and now >= self.sentPairs + self.RESEND / 2)
+        is_due = now >= self.next_plan or (self.dirty and now >= self.sent_pairs + self.RESEND / 2)
         servers = self._servers()
-        if not isDue or not servers or any(name not in self.actual and name not in self.dark for name in servers):
+        if not is_due or not servers or any(name not in self.actual and name not in self.dark for name in servers):
             return []
-        self.nextPlan, self.dirty = now + self.PLAN, False
+        self.next_plan, self.dirty = now + self.PLAN, False
         pairs = self.wanted_pairs()
         if pairs == self.state.pairs:
             return []
-        self.sentPairs, self.dirty = now, True
+        self.sent_pairs, self.dirty = now, True
         return [("propose", ("pairs", self.fence, pairs))]
 
     def wanted_pairs(self):
@@ -211,9 +211,9 @@
         if not servers or not self.state.pairs:
             return []
         actual = {name: self.actual[name] for name in servers}
-        flying = {key: verb for key, (verb, _) in self.inFlight.items()}
-        notNow = {key for key, (until, _) in self.refused.items() if now < until}
-        orders, begun = draw_orders(self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget, notNow)
+        flying = {key: verb for key, (verb, _) in self.in_flight.items()}
+        not_now = {key for key, (until, _) in self.refused.items() if now < until}
+        orders, begun = draw_orders(self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget, not_now)
         self.budget -= begun
         out = []
         for name, verb, kind, item, size in orders:
@@ -221,7 +221,7 @@
                 self.budget += size if verb == LOAD else 0.0
                 continue
             self.unanswered[name] = size
-            self.inFlight[(name, item)] = (verb, 0)
+            self.in_flight[(name, item)] = (verb, 0)
             call = self.port.order(verb, kind, item, self.fence)
             out.append(self._fetch(("order", name, verb, item), servers[name], call, ORDER_TIMEOUT))
             out.append(("log", "info", "loom", "Order goes out.", {"server": name, "verb": verb, "item": item, "fence": self.fence}))
--- a/sumachook/loom/places.py
+++ b/sumachook/loom/places.py
@@ -19,31 +19,31 @@
     [('tell', '127.0.0.1:1', ('places_ask', 0))]
     """
 
-    __slots__ = ("fence", "number", "isKnown", "servers", "index", "source")
+    __slots__ = ("fence", "number", "is_known", "servers", "index", "source")
 
     def __init__(self):
-        self.fence, self.number, self.isKnown, self.source = 0, 0, False, None
+        self.fence, self.number, self.is_known, self.source = 0, 0, False, None
         self.servers, self.index = {}, {}
 
     def take(self, message: tuple, now) -> list:
-        _, _, address, (_, fence, life, number, isWhole, servers) = message
+        _, _, address, (_, fence, life, number, is_whole, servers) = message
         source = (fence, life)
         if fence < self.fence or (source == self.source and number < self.number):
             return []
         self.fence = fence
-        if isWhole:
+        if is_whole:
             changed = {**{name: None for name in self.servers if name not in servers}, **servers}
-            self.number, self.isKnown, self.source = number, True, source
+            self.number, self.is_known, self.source = number, True, source
         elif self.source == source and number == self.number + (1 if servers else 0):
             changed, self.number = servers, number
         elif self.source == source and number == self.number:
             return []  # it came already
         else:
             return [("tell", address, ("places_ask", self.number if self.source == source else 0))]
-        isNew = False
+        is_new = False
         for name, models in changed.items():
-            isNew = self._put(name, models) or isNew
-        return [("changed",)] if isNew else []
+            is_new = self._put(name, models) or is_new
+        return [("changed",)] if is_new else []
 
     def _put(self, name, models):
         before = self.servers.pop(name, {})
--- a/sumachook/loom/plan.py
+++ b/sumachook/loom/plan.py
@@ -42,15 +42,15 @@
         for name, server in open_.items():
             if name in taken or free[name] < model.memory:
                 continue
-            isHeld = model.name in held.get(name, {})
+            is_held = model.name in held.get(name, {})
             score = _affinity(model.name, name) - CROWDED * (1 - free[name] / max(1.0, server["memory"])) * 2
-            score += STAY * (pairs.get(model.name, ("", ""))[position] == name) + STAY * isHeld
+            score += STAY * (pairs.get(model.name, ("", ""))[position] == name) + STAY * is_held
             score += place({"area": server["area"], "server": name, "model": model.name, "memory": model.memory,
-                            "free": free[name], "demand": demand.get(model.name, 0.0), "held": isHeld,
+                            "free": free[name], "demand": demand.get(model.name, 0.0), "held": is_held,
                             "places": server["places"]})
-            isApart = not taken or server["area"] != open_[taken[0]]["area"]
-            if best is None or (isApart, score, name) > best:
-                best = (isApart, score, name)
+            is_apart = not taken or server["area"] != open_[taken[0]]["area"]
+            if best is None or (is_apart, score, name) > best:
+                best = (is_apart, score, name)
         if best is None:
             return ""
         free[best[2]] -= model.memory
--- a/sumachook/loom/provisioner.py
+++ b/sumachook/loom/provisioner.py
@@ -27,8 +27,8 @@
     that goes with what is believed of it. A picture that is in doubt is read again before the next order.
     """
 
-    __slots__ = ("state", "port", "node", "life", "fence", "lastPulse", "startedAt", "servers", "rooms", "pace", "loadsPerS", "wants", "demand",
-                 "herald", "heirs", "successions", "number", "asks", "stale", "spareAt", "sweptAt", "desired", "isOutdone", "spans", "hot", "edges", "wakeAt")
+    __slots__ = ("state", "port", "node", "life", "fence", "last_pulse", "started_at", "servers", "rooms", "pace", "loads_per_s", "wants", "demand",
+                 "herald", "heirs", "successions", "number", "asks", "stale", "spare_at", "swept_at", "desired", "is_outdone", "spans", "hot", "edges", "wake_at")
 
     LEASE = MS * 150
     CONNECT, TOTAL = MS * 250, MS * 600
@@ -42,16 +42,16 @@
 
     def __init__(self, state, port, node, now, life=0):
         self.state, self.port, self.node, self.life = state, port, node, life
-        self.fence, self.number, self.lastPulse = 0, 0, now
+        self.fence, self.number, self.last_pulse = 0, 0, now
         self.wants, self.demand = Wants(), Demand()  # kept without the duty as well: a new holder knows what is asked for
         self._start(0, (), now)
 
     def _start(self, fence, edges, now):
         """§14.5: a new holder knows nothing; it reads each server before it orders it, and its bucket is empty."""
-        self.fence, self.startedAt, self.servers, self.rooms, self.asks, self.stale = fence, now, {}, {}, {}, set()
-        self.pace, self.loadsPerS = StorePace(now), 0.0
-        self.herald, self.edges, self.wakeAt = Herald(fence, self.life, now), edges, now
-        self.spareAt, self.sweptAt, self.desired, self.isOutdone, self.spans = now + self.SPARE * 4, now, {}, False, Spans()
+        self.fence, self.started_at, self.servers, self.rooms, self.asks, self.stale = fence, now, {}, {}, {}, set()
+        self.pace, self.loads_per_s = StorePace(now), 0.0
+        self.herald, self.edges, self.wake_at = Herald(fence, self.life, now), edges, now
+        self.spare_at, self.swept_at, self.desired, self.is_outdone, self.spans = now + self.SPARE * 4, now, {}, False, Spans()
         self.hot, self.heirs, self.successions = {}, {}, {}
         if fence:
             self._learn_servers(now)
@@ -76,25 +76,25 @@
         return out + self._tell(now) + self._wake(now)
 
     def _is_holder(self, now):
-        return self.fence and not self.isOutdone and now - self.lastPulse <= self.LEASE
+        return self.fence and not self.is_outdone and now - self.last_pulse <= self.LEASE
 
     # what is heard --------------------------------------------------------------------
 
     def _on_pulse(self, fence, edges, now):
-        self.lastPulse = now
+        self.last_pulse = now
         edges = tuple(edges)
         if fence != self.fence:
             self._start(fence, edges, now)
         self.edges = edges
-        if now - self.sweptAt >= self.SWEEP:
-            self.sweptAt = now
+        if now - self.swept_at >= self.SWEEP:
+            self.swept_at = now
             self.demand.sweep(now)
             self.wants.due(now)  # forgets what waits no more
         if not fence:
             return []
-        if not self.herald.isOpen:
-            isKnown = bool(self.servers) and all(server.isRead or not server.isOpen for server in self.servers.values())
-            if isKnown or now - self.startedAt >= self.FIRST_WHOLE:
+        if not self.herald.is_open:
+            is_known = bool(self.servers) and all(server.is_read or not server.is_open for server in self.servers.values())
+            if is_known or now - self.started_at >= self.FIRST_WHOLE:
                 self._note_all()
                 self.herald.tell(self._news(), now)
                 return self.herald.open(edges, now)
@@ -113,12 +113,12 @@
                     if server.service == service and server.unused:
                         server.unused = {name: at for name, at in server.unused.items() if name not in used}
         elif self.fence:
-            return self._answer(address, isBlank=body[1] < 0, now=now)
+            return self._answer(address, is_blank=body[1] < 0, now=now)
         return []
 
-    def _answer(self, address, isBlank, now):
+    def _answer(self, address, is_blank, now):
         """Who knows nothing at all is told what is known, also before all servers were read (§14.5)."""
-        if isBlank and not self.herald.isOpen and any(server.isRead for server in self.servers.values()):
+        if is_blank and not self.herald.is_open and any(server.is_read for server in self.servers.values()):
             self._note_all()
             self.herald.tell(self._news(), now)
             return self.herald.begin(address)
@@ -129,7 +129,7 @@
         services = getattr(catalogue, "services", ()) if catalogue is not None else ()
         engines = {service.name: service.engine for service in services if service.engine is not None}
         self.rooms = {name: Room(engine) for name, engine in engines.items()}
-        self.loadsPerS = sum(engine.loadsPerS for engine in engines.values())
+        self.loads_per_s = sum(engine.loads_per_s for engine in engines.values())
         listed = {name: item for name, item in self.state.servers.items() if item.get("service") in engines}
         for name in [name for name in self.servers if name not in listed]:
             del self.servers[name]
@@ -139,13 +139,13 @@
             if server is None:
                 for other in self.servers.values():
                     if other.address == item["address"]:  # a new life at the address of one that is still listed
-                        other.isStrange = True
+                        other.is_strange = True
                         self.stale.add(other.name)
                 server = self.servers[name] = EngineServer(name, item["service"], now)
                 self.stale.add(name)
             server.address, server.area = item["address"], item["area"]
-            server.isClosed = bool(item["leaving"]) or item["area"] in self.state.evacuated
-            if server.isClosed:
+            server.is_closed = bool(item["leaving"]) or item["area"] in self.state.evacuated
+            if server.is_closed:
                 server.intent = ""
                 if server.order is not None:  # it is not repeated there; what came of it is read
                     server.doubt(now + self.LAG * 3)
@@ -153,19 +153,19 @@
     # one step -------------------------------------------------------------------------
 
     def _step(self, now):
-        self.pace.fill(self.loadsPerS or 1000.0, now)
+        self.pace.fill(self.loads_per_s or 1000.0, now)
         out = []
         for server in self.servers.values():
-            if server.asked or server.isStrange:
+            if server.asked or server.is_strange:
                 continue
-            if not server.isRead:
-                if server.readAt <= now:
+            if not server.is_read:
+                if server.read_at <= now:
                     out.append(self._read(server, now))
-            elif server.order is not None and server.askAt <= now:
+            elif server.order is not None and server.ask_at <= now:
                 out.append(self._ask(server))
         out += self._serve(now)
-        if now >= self.spareAt:
-            self.spareAt = now + self.SPARE
+        if now >= self.spare_at:
+            self.spare_at = now + self.SPARE
             out += self._spread(now)
         return out
 
@@ -173,10 +173,10 @@
         wanted = {}
         for service, name in due:
             wanted.setdefault(service, set()).update((name, name.partition("/")[0]))
-        byService = {}
+        by_service = {}
         for server in self.servers.values():
-            byService.setdefault(server.service, []).append(server)
-        return {service: Siting(service, room, byService.get(service, ()), self.demand, wanted.get(service, set()),
+            by_service.setdefault(server.service, []).append(server)
+        return {service: Siting(service, room, by_service.get(service, ()), self.demand, wanted.get(service, set()),
                                 self.desired.get(service, {}), now, self.heirs.get(service, ()), now - self.demand.since(now)) for service, room in self.rooms.items()}
 
     def _serve(self, now):
@@ -203,14 +203,14 @@
         return out
 
     def _serve_one(self, siting, service, model, adapter, now):
-        standing = [server for server in siting.servers if server.isOpen and model in server.ready]
+        standing = [server for server in siting.servers if server.is_open and model in server.ready]
         if standing and (not adapter or any(adapter in server.ready[model] for server in standing)):
             return self._doubt_standing(service, standing, model, adapter, now)
         if adapter and standing:
             if any(_is_loading(server, model, adapter) for server in siting.servers):
                 return []
             return self._load_adapter(siting, model, adapter, now)
-        if any(server.isOpen and (_is_loading(server, model, "") or (server.intent == model and not server.isIdle)) for server in siting.servers):
+        if any(server.is_open and (_is_loading(server, model, "") or (server.intent == model and not server.is_idle)) for server in siting.servers):
             return []
         key = (service, f"{model}/{adapter}" if adapter else model)
         return self._load_model(siting, model, False, now, siting.patience(model, self.wants.waiting(key), self.wants.age(key, now)))
@@ -219,23 +219,23 @@
         """One more place for what has too few, before what is rare is served."""
         if siting is None:
             return []
-        isHeir = model in siting.heirs
-        isPreparing = any(server.intent == model and server.isIdle for server in siting.servers)  # its room is there now
-        if siting.coming(model) - isPreparing >= max(siting.desired.get(model, 0), isHeir):
+        is_heir = model in siting.heirs
+        is_preparing = any(server.intent == model and server.is_idle for server in siting.servers)  # its room is there now
+        if siting.coming(model) - is_preparing >= max(siting.desired.get(model, 0), is_heir):
             return []
-        return self._load_model(siting, model, False, now, max(siting.rate(model) * self.HOT_HARM, self.HEIR_HARM if isHeir else 0.0))
+        return self._load_model(siting, model, False, now, max(siting.rate(model) * self.HOT_HARM, self.HEIR_HARM if is_heir else 0.0))
 
     def _doubt_standing(self, service, standing, model, adapter, now):
         """An edge knows no place of what stands: the news may be on its way, or the server isn't what is believed."""
         out = []
         for server in standing:
-            if server.isIdle and now - max(server.loadedAt.get(model, server.lastRead), server.lastRead) > self.SWEEP and (not adapter or adapter in server.ready[model]):
+            if server.is_idle and now - max(server.loaded_at.get(model, server.last_read), server.last_read) > self.SWEEP and (not adapter or adapter in server.ready[model]):
                 out.append(self._read(server, now))
         self.wants.forget(service, f"{model}/{adapter}" if adapter else model)  # who still waits says so again
         return out
 
-    def _load_model(self, siting, model, isSpare, now, mostHarm=float("inf")):
-        found = siting.place(model, self.pace.tokens >= 1.0, isSpare, mostHarm)
+    def _load_model(self, siting, model, is_spare, now, most_harm=float("inf")):
+        found = siting.place(model, self.pace.tokens >= 1.0, is_spare, most_harm)
         if found is None:
             return []
         server, victims = found
@@ -258,20 +258,20 @@
     def _spread(self, now):
         """More places for what is busy, from what is idle: one load a service and turn, and only while nobody waits."""
         due, out = self.wants.due(now), []
-        isPressed = any(not self._is_under_way(service, name) for service, name in due)
+        is_pressed = any(not self._is_under_way(service, name) for service, name in due)
         for service, siting in self._sitings(due, now).items():
             self.desired[service] = siting.desired = desired_places(siting, now)
             heirs = self.successions.setdefault(service, Succession()).take(tuple(siting.room.models), most_asked(siting), now)
             self.heirs[service] = siting.heirs = frozenset(heirs)
             self.hot[service] = hot_models(siting) + tuple(model for model in heirs if not siting.standing.get(model))
-            if isPressed:
+            if is_pressed:
                 continue
             busy = sum(1 for server in siting.servers if server.order is not None or server.intent)
             if busy > len(siting.servers) // 4:
                 continue
             orders = []
             for model, places in sorted(siting.desired.items(), key=lambda item: -siting.rate(item[0])):
-                has = sum(1 for server in siting.servers if server.isOpen and (model in server.models or server.intent == model))
+                has = sum(1 for server in siting.servers if server.is_open and (model in server.models or server.intent == model))
                 if has < places and (self.pace.tokens >= 2.0 or not has):
                     orders = self._load_model(siting, model, True, now)
                     if orders:
@@ -280,11 +280,11 @@
         return out
 
     def _spread_adapters(self, siting, now):
-        names = sorted((name for service, name in self.demand.lastBegun if service == siting.service and "/" in name),
+        names = sorted((name for service, name in self.demand.last_begun if service == siting.service and "/" in name),
                        key=lambda name: -siting.rate(name))
         for name in names[:12]:
             model, _, adapter = name.partition("/")
-            standing = [server for server in siting.servers if server.isOpen and model in server.ready]
+            standing = [server for server in siting.servers if server.is_open and model in server.ready]
             has = sum(1 for server in standing if adapter in server.models[model])
             wanted = min(len(standing), 1 + (siting.rate(name) >= 0.5) + self.demand.running.get((siting.service, name), 0) // 12)
             if not has or has >= wanted:
@@ -301,7 +301,7 @@
     def _is_under_way(self, service, name):
         model, _, adapter = name.partition("/")
         for server in self.servers.values():
-            if server.service == service and server.isOpen and (server.intent == model or _is_loading(server, model, "")
+            if server.service == service and server.is_open and (server.intent == model or _is_loading(server, model, "")
                     or (adapter and _is_loading(server, model, adapter)) or (model in server.ready and adapter in ("", *server.ready[model]))):
                 return True
         return False
@@ -309,11 +309,11 @@
     # orders ---------------------------------------------------------------------------
 
     def _begin(self, server, verb, model, adapter, now):
-        isStored = verb == LOAD and not adapter and model not in server.had
-        if isStored:
+        is_stored = verb == LOAD and not adapter and model not in server.had
+        if is_stored:
             self.pace.spend()
-        server.begin(Order(verb, model, adapter, isStored, now))
-        server.askAt = now
+        server.begin(Order(verb, model, adapter, is_stored, now))
+        server.ask_at = now
         self.stale.add(server.name)
         return self._ask(server)
 
@@ -324,7 +324,7 @@
         return self._fetch(server, "order", call)
 
     def _read(self, server, now):
-        server.lastRead = now
+        server.last_read = now
         return self._fetch(server, "report", self.port.report())
 
     def _fetch(self, server, what, call):
@@ -353,28 +353,28 @@
     def _on_fault(self, server, reason, now):
         server.fails += 1
         order = server.order
-        isUnsent = reason in ("refused", "connect-timeout")
-        if order is not None and order.isStored and not order.isTaken and order.asks == 1 and isUnsent:
+        is_unsent = reason in ("refused", "connect-timeout")
+        if order is not None and order.is_stored and not order.is_taken and order.asks == 1 and is_unsent:
             self.pace.give_back()
-        if server.fails < 2 and order is not None and order.isTaken:
-            server.askAt = now + self.PULSE
+        if server.fails < 2 and order is not None and order.is_taken:
+            server.ask_at = now + self.PULSE
             return []
-        server.doubt(now + (self.LAG if server.fails < 2 and not isUnsent else self.DARK_READ))
+        server.doubt(now + (self.LAG if server.fails < 2 and not is_unsent else self.DARK_READ))
         self.stale.add(server.name)
-        if server.isDark or (server.fails < 2 and not isUnsent):
+        if server.is_dark or (server.fails < 2 and not is_unsent):
             return []
-        server.isDark = True
+        server.is_dark = True
         return [("log", "warning", "loom", "An engine server is dark.", {"server": server.name, "reason": reason})]
 
     def _on_report(self, server, report, now):
         if report is None:
             return self._on_fault(server, "no report", now)
-        server.fails, server.isDark = 0, False
+        server.fails, server.is_dark = 0, False
         if report["busy"]:
-            if not server.isRead:
-                server.readAt = now + self.BUSY_READ
+            if not server.is_read:
+                server.read_at = now + self.BUSY_READ
             return []
-        if server.isRead and server.sequence is not None and report["sequence"] < server.sequence and now - server.settledAt < self.LAG * 2:
+        if server.is_read and server.sequence is not None and report["sequence"] < server.sequence and now - server.settled_at < self.LAG * 2:
             return []  # older than what is known
         server.adopt(report, now)
         self.stale.add(server.name)
@@ -382,53 +382,53 @@
 
     def _on_answer(self, server, verdict, now):
         order = server.order
-        server.fails, server.isDark = 0, False
+        server.fails, server.is_dark = 0, False
         if order is None:
             return []
         if verdict == "begun":
             return self._on_begun(server, order, now)
         if verdict == "holds":
             return self._on_holds(server, order, now)
-        if verdict == "busy" and order.isTaken and now - order.takenAt < self._span(server, order) * 5 + self.SWEEP * 2:
+        if verdict == "busy" and order.is_taken and now - order.taken_at < self._span(server, order) * 5 + self.SWEEP * 2:
             return self._ask_again(server, order, now)
-        if order.isStored and not order.isTaken:
+        if order.is_stored and not order.is_taken:
             self.pace.give_back()
         if verdict == "fenced":
-            self.isOutdone = True
+            self.is_outdone = True
             return [("log", "warning", "loom", "A server knows a higher fence; no more orders.", {"server": server.name, "fence": self.fence})]
         server.doubt(now + (self.BUSY_READ if verdict == "busy" else self.DARK_READ))
         self.stale.add(server.name)
-        server.isStrange = verdict == "strange"
+        server.is_strange = verdict == "strange"
         note = {"server": server.name, "verb": order.verb, "model": order.model, "adapter": order.adapter, "answer": verdict}
         return [("log", "warning", "loom", "An order was not taken.", note)]
 
     def _on_begun(self, server, order, now):
-        if order.isTaken:  # the same order while it is being done is not counted again
+        if order.is_taken:  # the same order while it is being done is not counted again
             return self._ask_again(server, order, now)
         if server.sequence is not None:
             server.sequence += 1
-        order.isTaken, order.takenAt = True, now
-        order.dueAt = now + self._span(server, order)
-        server.askAt = order.dueAt
+        order.is_taken, order.taken_at = True, now
+        order.due_at = now + self._span(server, order)
+        server.ask_at = order.due_at
         note = {"server": server.name, "verb": order.verb, "model": order.model, "adapter": order.adapter, "fence": self.fence}
         return [("log", "info", "loom", "An order was taken.", note)]
 
     def _ask_again(self, server, order, now):
-        late = now - order.dueAt
-        server.askAt = now + (self.REPEAT if late < MS * 100 else self.REPEAT * 2 if late < MS * 400 else self.REPEAT * 4)
+        late = now - order.due_at
+        server.ask_at = now + (self.REPEAT if late < MS * 100 else self.REPEAT * 2 if late < MS * 400 else self.REPEAT * 4)
         return []
 
     def _on_holds(self, server, order, now):
-        if not order.isTaken and order.verb == LOAD:  # it held what was not believed: what else is wrong?
-            if order.isStored:
+        if not order.is_taken and order.verb == LOAD:  # it held what was not believed: what else is wrong?
+            if order.is_stored:
                 self.pace.give_back()
             server.doubt(now)
         else:
-            if order.isTaken:
+            if order.is_taken:
                 self._time(server, order, now)
             server.finish(now)
             self.stale.add(server.name)
-            ms = round((now - order.takenAt) / MS)
+            ms = round((now - order.taken_at) / MS)
             note = {"server": server.name, "verb": order.verb, "model": order.model, "adapter": order.adapter, "ms": ms, "asks": order.asks}
             return [("log", "debug", "loom", "An order is done.", note)]
         self.stale.add(server.name)
@@ -437,7 +437,7 @@
     def _kind(self, server, order):
         room = self.rooms.get(server.service)
         item = room.models.get(order.model) if room and order.verb == LOAD and not order.adapter else None
-        return (server.service, order.verb, bool(order.adapter), order.isStored, item.loadMs if item else 0)
+        return (server.service, order.verb, bool(order.adapter), order.is_stored, item.load_ms if item else 0)
 
     def _span(self, server, order):
         """How long this order takes: as those of its kind did, or a first guess."""
@@ -445,11 +445,11 @@
             return self.spans.guess(self._kind(server, order), MS * 20)
         room = self.rooms.get(server.service)
         item = room.models.get(order.model) if room else None
-        alone = MS * (item.loadMs if item else 600)
-        return self.spans.guess(self._kind(server, order), alone + MS * 4 if order.isStored else alone * 0.5)
+        alone = MS * (item.load_ms if item else 600)
+        return self.spans.guess(self._kind(server, order), alone + MS * 4 if order.is_stored else alone * 0.5)
 
     def _time(self, server, order, now):
-        self.spans.learn(self._kind(server, order), now - order.takenAt, order.asks - 1)
+        self.spans.learn(self._kind(server, order), now - order.taken_at, order.asks - 1)
 
     # the edges ------------------------------------------------------------------------
 
@@ -460,8 +460,8 @@
         news = {}
         for name in self.stale:
             server = self.servers.get(name)
-            isKnown = server is not None and not server.isDark and not server.isStrange and (server.ready or server.isRead)
-            news[name] = server.ready if isKnown else None
+            is_known = server is not None and not server.is_dark and not server.is_strange and (server.ready or server.is_read)
+            news[name] = server.ready if is_known else None
         self.stale = set()
         return news
 
@@ -470,13 +470,13 @@
 
     def _wake(self, now):
         """Pulses are too coarse for what is due before the next."""
-        due = [server.askAt for server in self.servers.values() if server.order is not None and not server.asked]
-        due += [server.readAt for server in self.servers.values() if not server.isRead and not server.asked and not server.isStrange]
+        due = [server.ask_at for server in self.servers.values() if server.order is not None and not server.asked]
+        due += [server.read_at for server in self.servers.values() if not server.is_read and not server.asked and not server.is_strange]
         soonest = min(due, default=None)
-        if soonest is None or soonest >= self.lastPulse + self.PULSE or now < self.wakeAt <= soonest:
+        if soonest is None or soonest >= self.last_pulse + self.PULSE or now < self.wake_at <= soonest:
             return []
-        self.wakeAt = max(soonest, now + MS)
-        return [("wake", self.wakeAt - now)]
+        self.wake_at = max(soonest, now + MS)
+        return [("wake", self.wake_at - now)]
 
 
 def _is_loading(server, model, adapter):
--- a/sumachook/loom/room.py
+++ b/sumachook/loom/room.py
@@ -9,8 +9,8 @@
     `models` {model: adapters} is all that may take room: what stands, what is on its way, what is not surely gone.
 
     >>> from types import SimpleNamespace as Item
-    >>> models = (Item(name="m", sizeMb=60.0, adapterMb=5.0), Item(name="n", sizeMb=50.0, adapterMb=5.0))
-    >>> room = Room(Item(memoryMb=120.0, adapterPlaces=2, models=models))
+    >>> models = (Item(name="m", size_mb=60.0, adapter_mb=5.0), Item(name="n", size_mb=50.0, adapter_mb=5.0))
+    >>> room = Room(Item(memory_mb=120.0, adapter_places=2, models=models))
     >>> room.left({"m": {"a1"}}), room.fits_model({"m": {"a1"}}, "n"), room.fits_model({"m": {"a1", "a2", "a3"}}, "n")
     (55.0, True, False)
     >>> room.fits_adapter({"m": {"a1"}}, "m"), room.fits_adapter({"m": {"a1", "a2"}}, "m"), room.fits_model({"old": set()}, "n")
@@ -24,14 +24,14 @@
 
     def size(self, model: str, adapters=()) -> float:
         item = self.models.get(model)
-        return item.sizeMb + item.adapterMb * len(adapters) if item else float("inf")
+        return item.size_mb + item.adapter_mb * len(adapters) if item else float("inf")
 
     def left(self, models: dict) -> float:
-        return self.engine.memoryMb - fsum(self.size(model, adapters) for model, adapters in models.items())
+        return self.engine.memory_mb - fsum(self.size(model, adapters) for model, adapters in models.items())
 
     def fits_model(self, models: dict, model: str) -> bool:
-        return model in self.models and self.left(models) >= self.models[model].sizeMb
+        return model in self.models and self.left(models) >= self.models[model].size_mb
 
     def fits_adapter(self, models: dict, model: str) -> bool:
         taken = sum(len(adapters) for adapters in models.values())
-        return model in self.models and taken < self.engine.adapterPlaces and self.left(models) >= self.models[model].adapterMb
+        return model in self.models and taken < self.engine.adapter_places and self.left(models) >= self.models[model].adapter_mb
--- a/sumachook/loom/siting.py
+++ b/sumachook/loom/siting.py
@@ -28,7 +28,7 @@
         self.wanted, self.desired, self.now, self.memo = wanted, desired, now, {}
         self.standing = {}
         for server in servers:
-            if server.isOpen:
+            if server.is_open:
                 for model in server.ready:
                     self.standing[model] = self.standing.get(model, 0) + 1
 
@@ -39,7 +39,7 @@
 
     def coming(self, model) -> int:
         """Servers on which it stands, is being loaded, or room is being made for it."""
-        return sum(1 for server in self.servers if server.isOpen and (model in server.models or server.intent == model))
+        return sum(1 for server in self.servers if server.is_open and (model in server.models or server.intent == model))
 
     def prior(self, model) -> float:
         """What its place in the catalogue's list says of a model while little has been asked: operators list the most asked first."""
@@ -71,19 +71,19 @@
             harm += self.prior(model)
         if model in self.heirs and places == 1:
             harm += self.HEIR
-        last = self.demand.lastBegun.get((self.service, model))
+        last = self.demand.last_begun.get((self.service, model))
         if last is not None and self.now - last < timedelta(seconds=1):
             harm += 0.2
         return harm
 
     def victims(self, server, model):
         """(cost, models, or adapters "model/adapter", to unload) so that `model` fits, or None."""
-        left, size = self.room.left(server.models), self.room.models[model].sizeMb
+        left, size = self.room.left(server.models), self.room.models[model].size_mb
         if left >= size:
             return 0.0, ()
         spare = self.spare_adapters(server)
         for number in range(1, len(spare) + 1):
-            if left + sum(self.room.models[name.partition("/")[0]].adapterMb for name in spare[:number]) >= size:
+            if left + sum(self.room.models[name.partition("/")[0]].adapter_mb for name in spare[:number]) >= size:
                 return self.ADAPTER * number, tuple(spare[:number])
         choices = [(harm, held) for held in server.ready if (harm := self.harm(server, held)) is not None]
         choices.sort()
@@ -100,7 +100,7 @@
     def _without(self, server, names):
         return self.room.left({held: adapters for held, adapters in server.models.items() if held not in names})
 
-    def place(self, model, mayStore, isSpare=False, mostHarm=float("inf")):
+    def place(self, model, may_store, is_spare=False, most_harm=float("inf")):
         """(server, models to unload first) for one more place of `model`, or None for now.
 
         `isSpare`: nothing that is asked for gives way; `mostHarm`: only what costs others less than this. Who finds none is weighed
@@ -108,24 +108,24 @@
         """
         areas, rate = {}, self.rate(model)
         for server in self.servers:
-            if server.isOpen and (model in server.ready or model in server.models):
+            if server.is_open and (model in server.ready or model in server.models):
                 areas[server.area] = areas.get(server.area, 0) + 1
         best = None
         for server in self.servers:
-            if not server.isIdle or model in server.models or server.intent not in ("", model):
+            if not server.is_idle or model in server.models or server.intent not in ("", model):
                 continue
-            isOwn = model in server.had
-            if not isOwn and not mayStore:
+            is_own = model in server.had
+            if not is_own and not may_store:
                 continue
             found = self.victims(server, model)
             if found is None:
                 continue
             cost, names = found
-            if cost > mostHarm or (isSpare and any(self._is_needed(name, rate) for name in names)):
+            if cost > most_harm or (is_spare and any(self._is_needed(name, rate) for name in names)):
                 continue
-            if not isSpare:
+            if not is_spare:
                 cost += sum(self.WANTED for name in names if self.standing.get(name, 0) == 1 and self.rate(name) > rate)
-            cost += (self.OWN if isOwn else self.STORED) + 0.05 * len(names)
+            cost += (self.OWN if is_own else self.STORED) + 0.05 * len(names)
             cost += 0.3 * areas.get(server.area, 0) * min(1.0, rate)
             cost += 0.02 * self.crowd(server) + self.HELD_UP * min(20.0, self.adapter_crowd(server))
             if best is None or (cost, server.name) < (best[0], best[1].name):
@@ -156,7 +156,7 @@
         """(server, adapter to unload first or "") for one more place of `adapter`, or None for now."""
         best = None
         for server in self.servers:
-            if not server.isIdle or server.intent or model not in server.ready or adapter in server.ready[model]:
+            if not server.is_idle or server.intent or model not in server.ready or adapter in server.ready[model]:
                 continue
             victim = ""
             if not self.room.fits_adapter(server.models, model):
@@ -178,6 +178,6 @@
                 if name in self.wanted or self.now - server.unused.get(name, self.now - UNUSED_FOR) < UNUSED_FOR:
                     continue
                 runs = bool(self.demand.running.get((self.service, name)))
-                at = max(self.demand.lastBegun.get((self.service, name), timedelta(0)), server.loadedAt.get(name, timedelta(0)))
+                at = max(self.demand.last_begun.get((self.service, name), timedelta(0)), server.loaded_at.get(name, timedelta(0)))
                 found.append((runs, at, name))
         return [name for _, _, name in sorted(found)]
--- a/sumachook/loom/spread.py
+++ b/sumachook/loom/spread.py
@@ -13,11 +13,11 @@
     """
     rates = {model: rate for model in siting.room.models if (rate := siting.rate(model)) >= KEPT_RATE}
     total = sum(rates.values())
-    opened = [server for server in siting.servers if server.isOpen]
+    opened = [server for server in siting.servers if server.is_open]
     if not rates or not opened:
         return {}
-    mean = sum(model.sizeMb for model in siting.room.models.values()) / len(siting.room.models)
-    room = len(opened) * int(siting.room.engine.memoryMb // max(mean, 1.0))
+    mean = sum(model.size_mb for model in siting.room.models.values()) / len(siting.room.models)
+    room = len(opened) * int(siting.room.engine.memory_mb // max(mean, 1.0))
     busiest = sorted(rates, key=lambda model: (-rates[model], model))[:int(room * 0.3)]
     desired = {}
     for model in rates:
@@ -37,8 +37,8 @@
         stands, running = siting.standing.get(model, 0), siting.demand.running.get((siting.service, model), 0)
         rate, ahead = siting.rate(model), siting.ahead(model)
         share = BUSY_SHARE if ahead > RISING * rate else HOT_SHARE
-        isSingle = stands <= 1 and ahead >= max(BUSY_RATE, share * total)
-        if 0 < siting.coming(model) < places and (running > RUNNING_A_PLACE * stands or ahead > RATE_A_PLACE * stands or isSingle):
+        is_single = stands <= 1 and ahead >= max(BUSY_RATE, share * total)
+        if 0 < siting.coming(model) < places and (running > RUNNING_A_PLACE * stands or ahead > RATE_A_PLACE * stands or is_single):
             hot.append(model)
     return tuple(sorted(hot, key=lambda model: (-siting.rate(model), model)))
 
--- a/sumachook/loom/store_pace.py
+++ b/sumachook/loom/store_pace.py
@@ -20,8 +20,8 @@
     def __init__(self, now):
         self.tokens, self.at = 0.0, now
 
-    def fill(self, perSecond: float, now) -> float:
-        self.tokens = min(self.BURST, self.tokens + perSecond * (now - self.at).total_seconds())
+    def fill(self, per_second: float, now) -> float:
+        self.tokens = min(self.BURST, self.tokens + per_second * (now - self.at).total_seconds())
         self.at = now
         return self.tokens
 
@@ -35,6 +35,6 @@
         """For a load that surely did not begin."""
         self.tokens = min(self.BURST, self.tokens + 1.0)
 
-    def wait(self, perSecond: float) -> timedelta:
+    def wait(self, per_second: float) -> timedelta:
         """How long until a token is there."""
-        return timedelta(seconds=max(0.0, 1.0 - self.tokens) / max(perSecond, 0.001))
+        return timedelta(seconds=max(0.0, 1.0 - self.tokens) / max(per_second, 0.001))
--- a/sumachook/loom/succession.py
+++ b/sumachook/loom/succession.py
@@ -17,23 +17,23 @@
     ()
     """
 
-    __slots__ = ("lastHot", "right", "wrong")
+    __slots__ = ("last_hot", "right", "wrong")
 
     RECENT, REACH, PART = timedelta(seconds=20), 2, 4
 
     def __init__(self):
-        self.lastHot, self.right, self.wrong = {}, 1, 0
+        self.last_hot, self.right, self.wrong = {}, 1, 0
 
     def take(self, order: tuple, hot: set, now) -> tuple:
         places = {model: place for place, model in enumerate(order)}
-        recent = {model for model, at in self.lastHot.items() if now - at < self.RECENT}
-        for model in hot - set(self.lastHot) if self.lastHot else ():
+        recent = {model for model, at in self.last_hot.items() if now - at < self.RECENT}
+        for model in hot - set(self.last_hot) if self.last_hot else ():
             place = places.get(model, 0)
             if recent & set(order[max(0, place - self.REACH):place]):
                 self.right += 1
             else:
                 self.wrong += 1
-        self.lastHot = {model: at for model, at in self.lastHot.items() if now - at < self.RECENT * 2} | {model: now for model in hot}
+        self.last_hot = {model: at for model, at in self.last_hot.items() if now - at < self.RECENT * 2} | {model: now for model in hot}
         if self.wrong >= self.right or not hot:
             return ()
         last = max(places[model] for model in hot if model in places)
--- a/sumachook/loom/wants.py
+++ b/sumachook/loom/wants.py
@@ -15,39 +15,39 @@
     ([('llm', 'm')], [])
     """
 
-    __slots__ = ("byName", "since")
+    __slots__ = ("by_name", "since")
 
     SILENT = timedelta(seconds=0.8)
     SOONER = timedelta(seconds=0.3)  # for each that waits: one load serves them all
 
     def __init__(self):
-        self.byName, self.since = {}, {}
+        self.by_name, self.since = {}, {}
 
     def take(self, edge: str, wants: dict, now):
         for service, names in wants.items():
-            for name, (waiting, soonestMs) in names.items():
+            for name, (waiting, soonest_ms) in names.items():
                 self.since.setdefault((service, name), now)
-                self.byName.setdefault((service, name), {})[edge] = (waiting, now + timedelta(milliseconds=soonestMs), now)
+                self.by_name.setdefault((service, name), {})[edge] = (waiting, now + timedelta(milliseconds=soonest_ms), now)
 
     def due(self, now) -> list:
         """(service, name) of what still waits: soonest deadline first, sooner for each that waits."""
         found = []
-        for key, edges in list(self.byName.items()):
+        for key, edges in list(self.by_name.items()):
             edges = {edge: item for edge, item in edges.items() if item[0] > 0 and item[1] > now and now - item[2] < self.SILENT}
             if edges:
-                self.byName[key] = edges
+                self.by_name[key] = edges
                 found.append((min(item[1] for item in edges.values()) - self.SOONER * self.waiting(key), key))
             else:
                 self.forget(*key)
         return [key for _, key in sorted(found)]
 
     def waiting(self, key) -> int:
-        return sum(item[0] for item in self.byName.get(key, {}).values())
+        return sum(item[0] for item in self.by_name.get(key, {}).values())
 
     def age(self, key, now) -> timedelta:
         """How long somebody has waited for it."""
         return now - self.since.get(key, now)
 
     def forget(self, service: str, name: str):
-        self.byName.pop((service, name), None)
+        self.by_name.pop((service, name), None)
         self.since.pop((service, name), None)
--- a/sumachook/loom/watcher.py
+++ b/sumachook/loom/watcher.py
@@ -12,7 +12,7 @@
 from sumachook.loom.list_port import ListPort
 
 
-class Listed(msgspec.Struct, forbid_unknown_fields=False, frozen=True):
+class Listed(msgspec.Struct, rename="camel", forbid_unknown_fields=False, frozen=True):
     """One server as the platform lists it."""
 
     name: Name
@@ -25,7 +25,7 @@
     leaving: bool = False
     service: str = ""
     version: str = ""
-    coldMs: Annotated[float, Meta(ge=0)] = 0.0
+    cold_ms: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class Watcher:
@@ -34,8 +34,8 @@
     Out: ("fetch", ...), ("propose", change), ("word", names of servers that leave and are not yet ordered so), ("log", ...).
     """
 
-    __slots__ = ("state", "platform", "nextPoll", "number", "isFresh", "isLeading", "fails", "seen", "doubtAt", "oddities", "port",
-                 "readers", "freshAt", "pages", "colds")
+    __slots__ = ("state", "platform", "next_poll", "number", "is_fresh", "is_leading", "fails", "seen", "doubt_at", "oddities", "port",
+                 "readers", "fresh_at", "pages", "colds")
 
     POLL = timedelta(seconds=0.5)
     DOUBT = timedelta(seconds=10)
@@ -43,26 +43,26 @@
     MOST_PAGES, MOST_READINGS = 40, 8
 
     def __init__(self, state, platform, now, port=None, readers="all"):
-        self.port, self.readers, self.freshAt, self.pages, self.colds = port or ListPort(), readers, now, {}, {}
-        self.state, self.platform, self.nextPoll, self.number = state, platform, now, 0
-        self.isFresh = self.isLeading = False
-        self.fails, self.seen, self.doubtAt, self.oddities = 0, None, None, ()
+        self.port, self.readers, self.fresh_at, self.pages, self.colds = port or ListPort(), readers, now, {}, {}
+        self.state, self.platform, self.next_poll, self.number = state, platform, now, 0
+        self.is_fresh = self.is_leading = False
+        self.fails, self.seen, self.doubt_at, self.oddities = 0, None, None, ()
 
     def take(self, message: tuple, now) -> list:
         if message[0] == "pulse":
-            self.isFresh, self.isLeading = message[1], message[2]
-            self.freshAt = now if self.isFresh else self.freshAt
-            if not self.platform or now < self.nextPoll or not self._is_reader(now):
+            self.is_fresh, self.is_leading = message[1], message[2]
+            self.fresh_at = now if self.is_fresh else self.fresh_at
+            if not self.platform or now < self.next_poll or not self._is_reader(now):
                 return []
-            self.nextPoll = now + self.POLL
+            self.next_poll = now + self.POLL
             self.number += 1
             self.pages = {number: items for number, items in self.pages.items() if number > self.number - self.MOST_READINGS}
-            return [self._fetch(self.state.listedAt, self.number, None)]
+            return [self._fetch(self.state.listed_at, self.number, None)]
         return self._read(message, now)
 
     def _is_reader(self, now):
         """Where calls are dear the leader reads alone, and anybody where no view has worked for a while."""
-        return self.readers == "all" or self.isLeading or now - self.freshAt > self.ALONE
+        return self.readers == "all" or self.is_leading or now - self.fresh_at > self.ALONE
 
     def _fetch(self, basis, number, page):
         url = f"http://{self.platform}{self.port.path(page)}"
@@ -86,7 +86,7 @@
         out = [("log", "warning", "loom", "The platform's list has odd entries.", {"entries": oddities})] if oddities != self.oddities else []
         self.oddities = oddities
         servers, kept = self._believed(listed, now)
-        if kept and self.doubtAt == now:
+        if kept and self.doubt_at == now:
             out.append(("log", "warning", "loom", "The platform's list lacks more than half, not believed yet.", {"kept": sorted(kept)}))
         leaving = tuple(name for name, server in servers.items()
                         if server["leaving"] and not self.state.servers.get(name, {}).get("leaving", True))
@@ -94,10 +94,10 @@
             out.append(("word", leaving))
         if self.colds:
             out.append(("cold", self.colds))
-        wasSeen, self.seen = self.seen == servers, servers
-        if servers == self.state.servers or basis != self.state.listedAt or not self.isFresh:
+        was_seen, self.seen = self.seen == servers, servers
+        if servers == self.state.servers or basis != self.state.listed_at or not self.is_fresh:
             return out
-        if self.isLeading or wasSeen:  # the others leave it to the leader for one poll
+        if self.is_leading or was_seen:  # the others leave it to the leader for one poll
             out.append(("propose", ("servers", basis, servers)))
         return out
 
@@ -114,15 +114,15 @@
                 oddities.append(f"servers[{place}].name: duplicate name {entry.name!r}")
             else:
                 listed[entry.name] = {field: value for field in entry.__struct_fields__
-                                      if field not in ("name", "coldMs") and ((value := getattr(entry, field)) or field not in ("service", "version"))}
-                if entry.coldMs:
-                    self.colds[entry.name] = entry.coldMs  # it runs down with each reading, so it is no part of what is ordered
+                                      if field not in ("name", "cold_ms") and ((value := getattr(entry, field)) or field not in ("service", "version"))}
+                if entry.cold_ms:
+                    self.colds[entry.name] = entry.cold_ms  # it runs down with each reading, so it is no part of what is ordered
         for item in items:
             name = item.get("name") if isinstance(item, dict) else None
             stands = listed.get(name) or self.state.servers.get(name) if isinstance(name, str) else None
             if stands:
-                isLeaving = stands["leaving"] if name in listed else False
-                listed[name] = {**stands, "leaving": isLeaving or item.get("leaving") is True}
+                is_leaving = stands["leaving"] if name in listed else False
+                listed[name] = {**stands, "leaving": is_leaving or item.get("leaving") is True}
         return listed, tuple(oddities)
 
     def _believed(self, listed, now):
@@ -135,10 +135,10 @@
             if len(gone) * 2 > len(known):
                 kept |= gone
         if not kept:
-            self.doubtAt = None
+            self.doubt_at = None
             return listed, kept
-        self.doubtAt = self.doubtAt or now
-        return ({**kept, **listed}, kept) if now - self.doubtAt < self.DOUBT else (listed, {})
+        self.doubt_at = self.doubt_at or now
+        return ({**kept, **listed}, kept) if now - self.doubt_at < self.DOUBT else (listed, {})
 
 
 def _watcher():
--- a/sumachook/pulse/almanac.py
+++ b/sumachook/pulse/almanac.py
@@ -22,7 +22,7 @@
     datetime.timedelta(seconds=102)
     """
 
-    __slots__ = ("wall", "votes", "offset", "isAgreed", "lastPulse", "dueAt")
+    __slots__ = ("wall", "votes", "offset", "is_agreed", "last_pulse", "due_at")
 
     EVERY = timedelta(seconds=0.25)
     RECENT = timedelta(seconds=30)
@@ -30,8 +30,8 @@
     LATE_PULSE = timedelta(seconds=1)
 
     def __init__(self, wall, now):
-        self.wall, self.votes, self.isAgreed = wall, {}, False
-        self.offset, self.lastPulse, self.dueAt = wall() - ZERO - now, now, now
+        self.wall, self.votes, self.is_agreed = wall, {}, False
+        self.offset, self.last_pulse, self.due_at = wall() - ZERO - now, now, now
 
     def time(self, now) -> datetime:
         return ZERO + self.offset + now
@@ -43,12 +43,12 @@
 
     def take(self, message: tuple, now) -> list:
         if message[0] == "vote":
-            if now - self.lastPulse < self.LATE_PULSE:  # what lay in a buffer tells an old time
+            if now - self.last_pulse < self.LATE_PULSE:  # what lay in a buffer tells an old time
                 self.votes[message[1]] = (message[2] * MILLI - now, now)
             return []
-        self.lastPulse = now
-        if now >= self.dueAt:
-            self.dueAt = now + self.EVERY
+        self.last_pulse = now
+        if now >= self.due_at:
+            self.due_at = now + self.EVERY
             self._count(now)
         return []
 
@@ -59,7 +59,7 @@
         first, last = max(spans, key=lambda span: span[1] - span[0])
         largest = offsets[first:last]
         if len(offsets) > 1 and len(largest) * 2 > len(offsets):
-            self.offset, self.isAgreed = median_low(largest), True
+            self.offset, self.is_agreed = median_low(largest), True
 
 
 def test_one_is_outvoted_all_apart_move_nothing_and_a_majority_is_followed():
@@ -69,7 +69,7 @@
     for node in "abc":
         almanac.take(("vote", node, true), second)
     almanac.take(("pulse",), second)
-    assert almanac.isAgreed and almanac.time(second) == ZERO + timedelta(days=5)
+    assert almanac.is_agreed and almanac.time(second) == ZERO + timedelta(days=5)
     for place, node in enumerate("abc"):
         almanac.take(("vote", node, true + (place - 1) * 86_400_000 * 9), second * 1.5)
     almanac.take(("pulse",), second * 1.5)
--- a/sumachook/pulse/once.py
+++ b/sumachook/pulse/once.py
@@ -5,25 +5,25 @@
     """A slot that keeps the first value given to it (§7.1).
 
     >>> class Row:
-    ...     __slots__ = ("_tokenAt",)
-    ...     tokenAt = Once("_tokenAt")
+    ...     __slots__ = ("_token_at",)
+    ...     token_at = Once("_token_at")
     >>> row = Row()
-    >>> row.tokenAt is None
+    >>> row.token_at is None
     True
-    >>> row.tokenAt = 5; row.tokenAt = 9; row.tokenAt
+    >>> row.token_at = 5; row.token_at = 9; row.token_at
     5
     """
 
-    __slots__ = ("slotName",)
+    __slots__ = ("slot_name",)
 
-    def __init__(self, slotName: str):
-        self.slotName = slotName
+    def __init__(self, slot_name: str):
+        self.slot_name = slot_name
 
-    def __get__(self, owner, ownerType=None):
+    def __get__(self, owner, owner_type=None):
         if owner is None:
             return self
-        return getattr(owner, self.slotName, None)
+        return getattr(owner, self.slot_name, None)
 
     def __set__(self, owner, value):
         if self.__get__(owner) is None:
-            setattr(owner, self.slotName, value)
+            setattr(owner, self.slot_name, value)
--- a/sumachook/pulse/rising.py
+++ b/sumachook/pulse/rising.py
@@ -14,16 +14,16 @@
     7
     """
 
-    __slots__ = ("slotName", "floor")
+    __slots__ = ("slot_name", "floor")
 
-    def __init__(self, slotName: str, floor=0):
-        self.slotName, self.floor = slotName, floor
+    def __init__(self, slot_name: str, floor=0):
+        self.slot_name, self.floor = slot_name, floor
 
-    def __get__(self, owner, ownerType=None):
+    def __get__(self, owner, owner_type=None):
         if owner is None:
             return self
-        return getattr(owner, self.slotName, self.floor)
+        return getattr(owner, self.slot_name, self.floor)
 
     def __set__(self, owner, value):
         if value > self.__get__(owner):
-            setattr(owner, self.slotName, value)
+            setattr(owner, self.slot_name, value)
--- a/sumachook/pulse/supervisor.py
+++ b/sumachook/pulse/supervisor.py
@@ -9,11 +9,11 @@
 class Supervisor:
     """Runs named children; `run` ends when one ends well or falls too often (§1.5)."""
 
-    __slots__ = ("children", "note", "mostFalls", "pause")
+    __slots__ = ("children", "note", "most_falls", "pause")
 
-    def __init__(self, children, note, mostFalls: int = 5, pause: timedelta = timedelta(seconds=0.2)):
+    def __init__(self, children, note, most_falls: int = 5, pause: timedelta = timedelta(seconds=0.2)):
         self.children, self.note = dict(children), note
-        self.mostFalls, self.pause = mostFalls, pause
+        self.most_falls, self.pause = most_falls, pause
 
     async def run(self):
         tasks = [asyncio.create_task(self._keep(name, start)) for name, start in self.children.items()]
@@ -29,17 +29,17 @@
     async def _keep(self, name, start):
         falls, loop = 0, asyncio.get_running_loop()
         while True:
-            startedAt = loop.time()
+            started_at = loop.time()
             try:
                 return await start()
             except asyncio.CancelledError:
                 raise
             except Exception as error:
-                if loop.time() - startedAt > CALM.total_seconds():
+                if loop.time() - started_at > CALM.total_seconds():
                     falls = 0
                 falls += 1
                 self.note(name, falls, error)
-                if falls > self.mostFalls:
+                if falls > self.most_falls:
                     raise
                 await asyncio.sleep(self.pause.total_seconds() * falls)
 
--- a/sumachook/role/core.py
+++ b/sumachook/role/core.py
@@ -45,19 +45,19 @@
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
     __slots__ = ("params", "node", "boot", "state", "rumour", "accord", "rota", "source", "placer", "watcher", "keeper", "accountant",
-                 "desk", "isNew", "isReady", "stopAt", "ignored", "finds", "almanac",
+                 "desk", "is_new", "is_ready", "stop_at", "ignored", "finds", "almanac",
                  "provisioner", "grantor", "board")
 
-    def __init__(self, params, records: dict, boot: int, clock, draw: Random, listPort=None, serverPort=None):
+    def __init__(self, params, records: dict, boot: int, clock, draw: Random, list_port=None, server_port=None):
         now = clock.mono()
         self.params, self.boot = params, boot
         seat = seat_of(records)
-        self.isNew = not seat  # a blank folder is a new identity; what it promised and who it is go together (§4.6)
-        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.isNew else seat
-        self.isReady = not self.isNew
+        self.is_new = not seat  # a blank folder is a new identity; what it promised and who it is go together (§4.6)
+        self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.is_new else seat
+        self.is_ready = not self.is_new
         self.state = State()
         self.accord = Accord(self.node, params.address, params.founding, Random(draw.random()), self.state.image,
-                             records.get(ACCORD_FILE, ()), timedelta(seconds=params.seatAway), now, params.wantedSeats)
+                             records.get(ACCORD_FILE, ()), timedelta(seconds=params.seat_away), now, params.wanted_seats)
         number, image = self.accord.restore()
         if image is not None:
             self.state.restore(image)
@@ -67,20 +67,20 @@
         self.rumour = Rumour(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.rota = Rota(self.node, self.state, Random(draw.random()), now, params.fenced)
         self.source = Source(self.state, self._other_cores, now, self.almanac, self.accord.fresh)
-        self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now, listPort, params.listReaders)
-        self.provisioner = Provisioner(self.state, serverPort or ServerPort(), self.node, now, boot)
+        self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now, list_port, params.list_readers)
+        self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
         self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
         self.accountant, self.finds = Accountant(now), {}
         self.grantor, self.board = Grantor(self.state, now), Board(self.state)
-        self.desk = Desk(timedelta(seconds=params.confirmWithin), timedelta(seconds=params.orderWithin))
-        self.stopAt, self.ignored = None, 0
+        self.desk = Desk(timedelta(seconds=params.confirm_within), timedelta(seconds=params.order_within))
+        self.stop_at, self.ignored = None, 0
 
     def take(self, message: tuple, now) -> list:
-        if self.isNew:
-            self.isNew = False
+        if self.is_new:
+            self.is_new = False
             return [("disk", ACCORD_FILE, (("seat", self.node),), ("seat-ready",))]
-        if not self.isReady:
-            self.isReady = message[0] == "seat-ready"
+        if not self.is_ready:
+            self.is_ready = message[0] == "seat-ready"
             return []
         out, work, number = [], [message], self.state.number
         while work or number < self.state.number:
@@ -133,7 +133,7 @@
             self.ignored += 1
             return []
         if kind == "stop":
-            self.stopAt = now + timedelta(seconds=1)
+            self.stop_at = now + timedelta(seconds=1)
             note = ("log", "info", "core", "Leaving, duties are given back.", {})
             return [note, *self.rota.take(("quit",), now), *self.rumour.take(("leave",), now)]
         return []  # a refused proposal is made again by who made it
@@ -178,22 +178,22 @@
         return out
 
     def _pulse(self, now):
-        isFresh, isLeading = self.accord.fresh(now), self.accord.role == "leading"
-        out = self.rumour.take(("pulse", self.state.number if isFresh else 0), now)
+        is_fresh, is_leading = self.accord.fresh(now), self.accord.role == "leading"
+        out = self.rumour.take(("pulse", self.state.number if is_fresh else 0), now)
         out += self.accord.take(("pulse", self._core_addresses()), now)
         self.almanac.take(("pulse",), now)
-        out += self.rota.take(("pulse", isFresh, isLeading), now)
+        out += self.rota.take(("pulse", is_fresh, is_leading), now)
         out += self.source.take(("pulse",), now)
         out += self.placer.take(("pulse", self.rota.holds("placer", now)), now)
-        edgeAddresses = tuple(member.address for member in self.rumour.live if member.role == "edge")
-        out += self.provisioner.take(("pulse", self.rota.holds("placer", now), edgeAddresses), now)
-        out += self.watcher.take(("pulse", isFresh, isLeading), now)
+        edge_addresses = tuple(member.address for member in self.rumour.live if member.role == "edge")
+        out += self.provisioner.take(("pulse", self.rota.holds("placer", now), edge_addresses), now)
+        out += self.watcher.take(("pulse", is_fresh, is_leading), now)
         out += self.accountant.take(("pulse", self.rota.holds("accountant", now)), now)
         out += self.grantor.take(("pulse", self.rota.holds("accountant", now)), now)
         out += self.keeper.take(("pulse", self._live_boots(), self.state.roster), now)
         out += self.desk.take(("pulse", self._live_nodes(), self._confirmed()), now)
         out += self._find_pulse(now)
-        if self.stopAt is not None and now >= self.stopAt:
+        if self.stop_at is not None and now >= self.stop_at:
             out.append(("leave", 0))
         return out
 
@@ -224,7 +224,7 @@
             return [self._condition(cid, now)]
         if path == "/metrics":
             return [reply(cid, 200, self._metrics(now))]
-        if self.params.operatorKey and headers.get("authorization") != f"Bearer {self.params.operatorKey}":
+        if self.params.operator_key and headers.get("authorization") != f"Bearer {self.params.operator_key}":
             return [reply(cid, 401, {"fault": {"class": "unknown-operator", "reason": "Authorization: Bearer KEY"}})]
         if method == "POST" and path in [f"/operator/{kind}" for kind in OPERATOR]:
             change = read_order(path, body)
@@ -243,15 +243,15 @@
         return [reply(cid, 404, {"fault": {"class": "not-found", "reason": f"{method} {path}"}})]
 
     def _condition(self, cid, now):
-        isFresh = self.accord.fresh(now)
-        doc = {"node": self.node, "role": "core", "area": self.params.area, "inView": isFresh, "leader": self.accord.leader,
+        is_fresh = self.accord.fresh(now)
+        doc = {"node": self.node, "role": "core", "area": self.params.area, "inView": is_fresh, "leader": self.accord.leader,
                "view": self.accord.view[0], "number": self.state.number, "generation": self.state.generation,
-               "ready": isFresh and self.stopAt is None}
+               "ready": is_fresh and self.stop_at is None}
         return reply(cid, 200 if doc["ready"] else 503, doc)
 
     def _metrics(self, now):
         return {"node": self.node, "number": self.state.number, "view": self.accord.view[0], "logged": len(self.accord.chain.entries),
-                "members": len(self.rumour.members) + 1, "ledgerRows": len(self.keeper.rows), "ledgerOpen": len(self.keeper.openRows),
+                "members": len(self.rumour.members) + 1, "ledgerRows": len(self.keeper.rows), "ledgerOpen": len(self.keeper.open_rows),
                 "hints": len(self.keeper.hints), "followers": len(self.source.followers), "ignored": self.ignored,
                 "storeCredit": round(self.placer.budget, 2), "allowances": self.grantor.told(now)}
 
@@ -270,7 +270,7 @@
         return reply(cid, 200, foresee(catalogue, self.state, self.placer.demand))
 
     def _show(self, cid, what, now):
-        state, isStale = self.state, not self.accord.fresh(now)
+        state, is_stale = self.state, not self.accord.fresh(now)
         shown = {
             "cohort": lambda: {"members": [self._member(member) for member in [self.rumour.me, *self.rumour.members.values()]],
                                "roster": state.roster, "view": {"ballot": self.accord.view[0], "members": self.accord.members,
@@ -287,7 +287,7 @@
         }.get(what)
         if shown is None:
             return reply(cid, 404, {"fault": {"class": "not-found", "reason": "cohort, duties, pairs, servers, catalogue, lines, places or allowances"}})
-        return reply(cid, 200, {"stale": isStale, "number": state.number, **shown()})
+        return reply(cid, 200, {"stale": is_stale, "number": state.number, **shown()})
 
     def _member(self, member):
         return {"node": member.node, "role": member.role, "area": member.area, "address": member.address,
--- a/sumachook/role/daemon.py
+++ b/sumachook/role/daemon.py
@@ -20,12 +20,12 @@
     """Hands messages to one machine and does what it gives back (§1.3)."""
 
     __slots__ = ("machine", "clock", "folder", "log", "port", "door", "fetcher", "codec", "writes", "leaving", "code", "inbox",
-                 "isHanding", "front", "forwarder")
+                 "is_handing", "front", "forwarder")
 
-    def __init__(self, machine, clock, log, door: str, address=None, cluster="", folder=None, front=None, mostBody=None):
+    def __init__(self, machine, clock, log, door: str, address=None, cluster="", folder=None, front=None, most_body=None):
         self.machine, self.clock, self.log, self.folder = machine, clock, log, folder
-        self.inbox, self.isHanding, self.code = [], False, 0
-        self.door, self.fetcher = Door(door, self._hear, mostBody), Fetcher(self._hear)
+        self.inbox, self.is_handing, self.code = [], False, 0
+        self.door, self.fetcher = Door(door, self._hear, most_body), Fetcher(self._hear)
         self.front, self.forwarder = (Front(front, self._hear), Forwarder(self._hear)) if front else (None, None)
         self.port = NodePort(address, cluster, self._hear) if address else None
         self.codec = Codec(cluster, machine.node, address, machine.boot) if address else None
@@ -34,8 +34,8 @@
     async def run(self) -> int:
         self.writes, self.leaving = asyncio.Queue(), asyncio.Event()
         loop = asyncio.get_running_loop()
-        for signalNumber in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signalNumber, self._hear, ("stop",))
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._hear, ("stop",))
         loop.add_signal_handler(signal.SIGHUP, self._hear, ("reload",))
         children = {"fetcher": self.fetcher.run, "door": self.door.run, "pulse": self._pulse, "leaving": self._leave}
         if self.front:
@@ -79,15 +79,15 @@
     def _hear(self, message):
         """Messages are taken one after the other, also those that an effect gives rise to."""
         self.inbox.append(message)
-        if self.isHanding:
+        if self.is_handing:
             return
-        self.isHanding = True
+        self.is_handing = True
         try:
             while self.inbox:
                 for effect in self._take(self.inbox.pop(0)):
                     self._do(effect)
         finally:
-            self.isHanding = False
+            self.is_handing = False
 
     def _take(self, message):
         """A message that a machine cannot take is dropped and told of; the process goes on."""
--- a/sumachook/role/desk.py
+++ b/sumachook/role/desk.py
@@ -14,11 +14,11 @@
 class Order:
     """One operator's change and how far it has come."""
 
-    __slots__ = ("cid", "change", "startedAt", "sentAt", "number", "result", "version", "deliveredAt")
+    __slots__ = ("cid", "change", "started_at", "sent_at", "number", "result", "version", "delivered_at")
 
     def __init__(self, cid, change, now):
-        self.cid, self.change, self.startedAt, self.sentAt = cid, change, now, now
-        self.number, self.result, self.version, self.deliveredAt = 0, None, 0, now
+        self.cid, self.change, self.started_at, self.sent_at = cid, change, now, now
+        self.number, self.result, self.version, self.delivered_at = 0, None, 0, now
 
 
 class Desk:
@@ -29,13 +29,13 @@
     Out: ("propose", change), ("reply", cid, ...).
     """
 
-    __slots__ = ("orders", "confirmWithin", "orderWithin")
+    __slots__ = ("orders", "confirm_within", "order_within")
 
     RESEND = timedelta(seconds=0.4)
     MOST = 128
 
-    def __init__(self, confirmWithin=timedelta(seconds=2), orderWithin=timedelta(seconds=6)):
-        self.orders, self.confirmWithin, self.orderWithin = {}, confirmWithin, orderWithin
+    def __init__(self, confirm_within=timedelta(seconds=2), order_within=timedelta(seconds=6)):
+        self.orders, self.confirm_within, self.order_within = {}, confirm_within, order_within
 
     def take(self, message: tuple, now) -> list:
         return getattr(self, "_" + message[0])(message, now)
@@ -55,7 +55,7 @@
         _, number, change, result, version = message
         for order in self.orders.values():
             if order.result is None and _is_same(order.change, change):
-                order.number, order.result, order.version, order.deliveredAt = number, result, version, now
+                order.number, order.result, order.version, order.delivered_at = number, result, version, now
         return []
 
     def _confirmed(self, message, now):
@@ -65,8 +65,8 @@
         for cid, order in list(self.orders.items()):
             if order.result is None:
                 continue
-            isReached = reached is None or order.number <= reached
-            if isReached or order.result[0] != "ok" or now - order.deliveredAt > self.confirmWithin:
+            is_reached = reached is None or order.number <= reached
+            if is_reached or order.result[0] != "ok" or now - order.delivered_at > self.confirm_within:
                 del self.orders[cid]
                 out.append(self._answer(order, live, [node for node in live if confirmed.get(node, 0) < order.number]))
         return out
@@ -76,13 +76,13 @@
         for cid, order in list(self.orders.items()):
             if order.result is not None:
                 continue
-            if now - order.startedAt > self.orderWithin:
+            if now - order.started_at > self.order_within:
                 del self.orders[cid]
                 reason = "no working view acknowledged it; repeat it with the same request id to learn or finish it"
                 body = {"fault": {"class": "not-acknowledged", "reason": reason, "applied": "maybe", "request": order.change[1]}}
                 out.append(reply(cid, 503, body, 5))
-            elif now - order.sentAt > self.RESEND:
-                order.sentAt = now
+            elif now - order.sent_at > self.RESEND:
+                order.sent_at = now
                 out.append(("propose", order.change))
         return out
 
@@ -101,8 +101,8 @@
     return one[:2] == other[:2] and (one[0] != "configure" or pack_entry(one) == pack_entry(other))
 
 
-def reply(cid, status, body, retryAfter=None):
-    headers = {**JSON, "Retry-After": str(retryAfter)} if retryAfter else JSON
+def reply(cid, status, body, retry_after=None):
+    headers = {**JSON, "Retry-After": str(retry_after)} if retry_after else JSON
     return ("reply", cid, status, headers, msgspec.json.encode(body))
 
 
@@ -115,21 +115,21 @@
     if not isinstance(doc, dict) or not isinstance(doc.get("request"), str) or not 0 < len(doc["request"]) <= 100:
         return faults.REFUSED.because("request: an id of 1 to 100 characters is needed")
     if path == "/operator/apply":
-        ifGeneration = doc.get("ifGeneration")
+        if_generation = doc.get("ifGeneration")
         if not isinstance(doc.get("doc"), dict):
             return faults.REFUSED.because("doc: an object is needed")
-        if ifGeneration is not None and (not isinstance(ifGeneration, int) or isinstance(ifGeneration, bool)):
+        if if_generation is not None and (not isinstance(if_generation, int) or isinstance(if_generation, bool)):
             return faults.REFUSED.because("ifGeneration: a whole number is needed")
-        return ("apply", doc["request"], doc["doc"], bool(doc.get("part", False)), ifGeneration)
+        return ("apply", doc["request"], doc["doc"], bool(doc.get("part", False)), if_generation)
     if path == "/operator/configure":
-        ifVersion, removals = doc.get("ifVersion"), doc.get("removals", {})
+        if_version, removals = doc.get("ifVersion"), doc.get("removals", {})
         if not isinstance(doc.get("doc"), dict):
             return faults.REFUSED.because("doc: an object is needed")
         if not isinstance(removals, dict):
             return faults.REFUSED.because("removals: an object is needed")
-        if not isinstance(ifVersion, int) or isinstance(ifVersion, bool) or ifVersion < 0:
+        if not isinstance(if_version, int) or isinstance(if_version, bool) or if_version < 0:
             return faults.REFUSED.because("ifVersion: a whole number is needed, 0 for the first")
-        return ("configure", doc["request"], doc["doc"], removals, bool(doc.get("part", False)), ifVersion)
+        return ("configure", doc["request"], doc["doc"], removals, bool(doc.get("part", False)), if_version)
     if not isinstance(doc.get("area"), str):
         return faults.REFUSED.because("area: a text is needed")
     return (path.rpartition("/")[2], doc["request"], doc["area"])
--- a/sumachook/role/edge.py
+++ b/sumachook/role/edge.py
@@ -35,14 +35,14 @@
 class Edge:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
-    __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "nextDemand", "stopBy",
-                 "ignored", "savedAt", "savedNumber", "savedGeneration", "hasDisk", "wasAlone", "startedAt", "almanac",
-                 "transit", "places", "nextUsage", "quietSince", "stoppedAt", "isShut", "askedPlacesAt",
+    __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "next_demand", "stop_by",
+                 "ignored", "saved_at", "saved_number", "saved_generation", "has_disk", "was_alone", "started_at", "almanac",
+                 "transit", "places", "next_usage", "quiet_since", "stopped_at", "is_shut", "asked_places_at",
                  "limiter")
 
-    def __init__(self, params, records: dict, boot: int, clock, draw: Random, requestPort=None):
+    def __init__(self, params, records: dict, boot: int, clock, draw: Random, request_port=None):
         now = clock.mono()
-        self.params, self.node, self.boot, self.startedAt = params, params.node, boot, now
+        self.params, self.node, self.boot, self.started_at = params, params.node, boot, now
         self.state = State()
         for record in records.get("image", ()):
             self.state.restore(record[1])
@@ -50,17 +50,17 @@
         self.almanac = Almanac(clock.wall, now)
         self.rumour = Rumour(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.follower = Follower(self.state, Random(draw.random()), now)
-        self.purse, self.quill = Purse(params.resendRatio), Quill(params.data is not None, records.get("spool", ()), now)
+        self.purse, self.quill = Purse(params.resend_ratio), Quill(params.data is not None, records.get("spool", ()), now)
         self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()),
                            self.almanac)
         self.limiter, self.places = Limiter(self.state, boot, now), Places()
         self.transit = Transit(Table(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()),
-                                     requestPort or RequestPort(), self.places, self.almanac)) if params.front else None
-        self.nextUsage = self.quietSince = self.stoppedAt = self.askedPlacesAt = now
-        self.isShut = False
-        self.nextDemand, self.stopBy, self.ignored, self.wasAlone = now, None, 0, False
-        self.savedAt, self.savedNumber, self.hasDisk = now, self.state.number, params.data is not None
-        self.savedGeneration = self.state.generation
+                                     request_port or RequestPort(), self.places, self.almanac)) if params.front else None
+        self.next_usage = self.quiet_since = self.stopped_at = self.asked_places_at = now
+        self.is_shut = False
+        self.next_demand, self.stop_by, self.ignored, self.was_alone = now, None, 0, False
+        self.saved_at, self.saved_number, self.has_disk = now, self.state.number, params.data is not None
+        self.saved_generation = self.state.generation
 
     def take(self, message: tuple, now) -> list:
         out, work = [], [message]
@@ -101,14 +101,14 @@
             self.ignored += 1
             return []
         if kind == "request":
-            self.quietSince = now
+            self.quiet_since = now
             return self.transit.take(("http", *message[1:]), now)
         if kind in ("gone", "fetched"):
-            isTransit = isinstance(message[1], tuple) and message[1][0] in ("front", "transit")
-            return (self.transit if isTransit else self.ferry).take(message, now)
+            is_transit = isinstance(message[1], tuple) and message[1][0] in ("front", "transit")
+            return (self.transit if is_transit else self.ferry).take(message, now)
         if kind == "stop":
-            self.stopBy, self.stoppedAt = now + timedelta(seconds=self.params.grace) - CLOSING, now
-            self.quietSince = now
+            self.stop_by, self.stopped_at = now + timedelta(seconds=self.params.grace) - CLOSING, now
+            self.quiet_since = now
             for path in self._paths():
                 path.take(("drain",), now)
             note = ("log", "info", "edge", "Leaving, no new requests.", {"inHand": len(self.ferry.table.rows)})
@@ -147,8 +147,8 @@
         self.ferry.table.kin = tuple(sorted({self.node, *live, *late}))
         if self.transit:
             self.transit.table.edges = len(self.ferry.table.kin)
-            if self.params.resendSlack is not None:  # what all edges together may have saved up stays under the slack (§7.7)
-                self.purse.cap = max(1.0, SLACK_PART * self.params.resendSlack / len(self.ferry.table.kin))
+            if self.params.resend_slack is not None:  # what all edges together may have saved up stays under the slack (§7.7)
+                self.purse.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
@@ -171,43 +171,43 @@
     def _pulse(self, now):
         out = self.rumour.take(("pulse", self.follower.number), now)
         cores = self._cores()
-        out += self.follower.take(("pulse", cores, self.rumour.feedHeard), now)
+        out += self.follower.take(("pulse", cores, self.rumour.feed_heard), now)
         self.almanac.take(("pulse",), now)
         live = {member.node for member in self.rumour.live}
         out += self.quill.take(("pulse", self.state.roster, live, self._carriers()), now)
         out += self.purse.take(("pulse", cores), now)
         out += self._limit(cores, now)
-        isOld = now - self.startedAt > KNOWN_AFTER
-        self.ferry.table.knowsEdges |= isOld
-        self.ferry.table.knowsTime |= self.almanac.isAgreed or (isOld and not self.almanac.votes) or now - self.startedAt > KNOWN_AFTER * 10
-        isAlone = now - self.follower.beatAt > ALONE_AFTER
-        if self.wasAlone and not isAlone:
+        is_old = now - self.started_at > KNOWN_AFTER
+        self.ferry.table.knows_edges |= is_old
+        self.ferry.table.knows_time |= self.almanac.is_agreed or (is_old and not self.almanac.votes) or now - self.started_at > KNOWN_AFTER * 10
+        is_alone = now - self.follower.beat_at > ALONE_AFTER
+        if self.was_alone and not is_alone:
             out += self.ferry.take(("rejoined",), now)
-        self.wasAlone = isAlone
+        self.was_alone = is_alone
         out += self.ferry.take(("pulse",), now)
         if self.transit:
             out += self.transit.take(("pulse",), now)
             out += self._usage(now)
-            if not self.places.isKnown and now - self.askedPlacesAt > ASK_PLACES:
-                self.askedPlacesAt = now
+            if not self.places.is_known and now - self.asked_places_at > ASK_PLACES:
+                self.asked_places_at = now
                 out += [("tell", address, ("places_ask", -1)) for address in self._placers()]
-        if now >= self.nextDemand:
-            self.nextDemand = now + timedelta(seconds=1)
+        if now >= self.next_demand:
+            self.next_demand = now + timedelta(seconds=1)
             self._learn_edges(now)
             if self.ferry.table.demand:
                 out += [("tell", core, ("demand", self.ferry.table.demand)) for core in cores]
                 self.ferry.table.demand = {}
         out += self._save(now)
-        if self.stopBy is not None:
+        if self.stop_by is not None:
             out += self._stopping(now)
         return out
 
     def _usage(self, now):
         """What began since the last report and what runs, by service and name, for the placer (§14.5)."""
         table = self.transit.table
-        if now < self.nextUsage or not (table.begun or table.running):
+        if now < self.next_usage or not (table.begun or table.running):
             return []
-        self.nextUsage = now + USAGE_EVERY * max(1, table.edges / USAGE_EDGES)
+        self.next_usage = now + USAGE_EVERY * max(1, table.edges / USAGE_EDGES)
         names = {service: set(table.begun.get(service, ())) | set(table.running.get(service, ())) for service in {*table.begun, *table.running}}
         usage = {service: {name: self._use(table, service, name) for name in of} for service, of in names.items()}
         table.begun = {}
@@ -218,7 +218,7 @@
         if not (self.limiter.quotas or (self.state.catalogue is not None and self.state.catalogue.tenants)):
             return []
         table = self.ferry.table
-        edges = len(table.kin) if table.knowsEdges else 0
+        edges = len(table.kin) if table.knows_edges else 0
         return self.limiter.take(("pulse", self.state.roster.get(self.state.duties["accountant"][0]), cores, self._carriers(), edges), now)
 
     def _use(self, table, service, name):
@@ -228,54 +228,54 @@
 
     def _save(self, now):
         """An image on the own disk, so that a start needs no core to be up (§8.4)."""
-        isNew = self.savedGeneration != self.state.generation  # a configuration that was obeyed is kept at once
-        isDue = self.savedNumber != self.state.number and now - self.savedAt > timedelta(seconds=2)
-        if not self.hasDisk or not (isNew or isDue):
+        is_new = self.saved_generation != self.state.generation  # a configuration that was obeyed is kept at once
+        is_due = self.saved_number != self.state.number and now - self.saved_at > timedelta(seconds=2)
+        if not self.has_disk or not (is_new or is_due):
             return []
-        self.savedAt, self.savedNumber, self.savedGeneration = now, self.state.number, self.state.generation
+        self.saved_at, self.saved_number, self.saved_generation = now, self.state.number, self.state.generation
         return [("rewrite", "image", (("image", self.state.image()),), None)]
 
     def _stopping(self, now):
-        isDone = not self.ferry.table.rows and not self.quill.entries and not self.ferry.table.early
+        is_done = not self.ferry.table.rows and not self.quill.entries and not self.ferry.table.early
         if self.transit:
-            return self._stop_forwarding(isDone, now)
-        if not isDone and now < self.stopBy:
+            return self._stop_forwarding(is_done, now)
+        if not is_done and now < self.stop_by:
             return []
-        if now >= self.stopBy and self.ferry.table.rows:
-            self.stopBy = now + timedelta(seconds=1)
+        if now >= self.stop_by and self.ferry.table.rows:
+            self.stop_by = now + timedelta(seconds=1)
             return self.ferry.take(("cut-short",), now)
         return [("leave", 0)]
 
-    def _stop_forwarding(self, isDone, now):
+    def _stop_forwarding(self, is_done, now):
         """§14.7: clients go on coming until the readiness answer has reached whoever sends them; then the front is shut, what is in hand is
         finished, and shortly before the end of the grace it gets its final answer."""
-        out, since = [], now - self.stoppedAt
-        isQuiet = now - self.quietSince > QUIET_FOR
-        if not self.isShut and since >= LEAST_OPEN and (isQuiet or since >= MOST_OPEN * timedelta(seconds=self.params.grace)):
-            self.isShut = True
+        out, since = [], now - self.stopped_at
+        is_quiet = now - self.quiet_since > QUIET_FOR
+        if not self.is_shut and since >= LEAST_OPEN and (is_quiet or since >= MOST_OPEN * timedelta(seconds=self.params.grace)):
+            self.is_shut = True
             out += [("shut",), *self.transit.take(("shut",), now)]
-        if now >= self.stopBy:
+        if now >= self.stop_by:
             for path in self._paths():
                 out += path.take(("cut-short",), now)
-            isDone = isDone or now >= self.stopBy + CLOSING / 3
-        return [*out, ("leave", 0)] if isDone and self.isShut and not self.transit.table.rows else out
+            is_done = is_done or now >= self.stop_by + CLOSING / 3
+        return [*out, ("leave", 0)] if is_done and self.is_shut and not self.transit.table.rows else out
 
     def _http(self, message, now):
         _, cid, method, path, headers, body = message
         if path == "/condition":
             trust = self.follower.trust(now)
-            isOpen = self.params.front is not None or self.state.is_open(self.params.area)  # evacuating a forwarding area closes its servers
-            isReady = trust in ("fresh", "cut") and self.stopBy is None and isOpen
+            is_open = self.params.front is not None or self.state.is_open(self.params.area)  # evacuating a forwarding area closes its servers
+            is_ready = trust in ("fresh", "cut") and self.stop_by is None and is_open
             doc = {"node": self.node, "role": "edge", "area": self.params.area, "trust": trust, "number": self.follower.number,
-                   "generation": self.state.generation, "ready": isReady, "leaving": self.stopBy is not None}
-            return [reply(cid, 200 if isReady else 503, doc)]
+                   "generation": self.state.generation, "ready": is_ready, "leaving": self.stop_by is not None}
+            return [reply(cid, 200 if is_ready else 503, doc)]
         if path == "/metrics":
             return [reply(cid, 200, self._metrics(now))]
         return self.ferry.take(message, now)
 
     def _metrics(self, now):
         counts = {"_".join(what): count for what, count in self.ferry.table.counts.items()}
-        lanes = {name: {"inUse": lane.inUse, "shut": lane.is_shut(now)} for name, lane in self.ferry.table.lanes.items()}
+        lanes = {name: {"inUse": lane.in_use, "shut": lane.is_shut(now)} for name, lane in self.ferry.table.lanes.items()}
         return {"node": self.node, "counts": counts, "lanes": lanes, "rows": len(self.ferry.table.rows),
                 "lines": {line: len(rows) for line, rows in self.ferry.table.lines.rows.items()},
                 "ledgerWaiting": len(self.quill.entries), "ledgerDropped": self.quill.lost,
@@ -309,11 +309,11 @@
     state.pairs, state.held = {"m": ("s", "")}, {"s": {"m": "warm"}}
     params = Params(node="e1", address="127.0.0.1:1", door="127.0.0.1:2", area="a", seeds=("127.0.0.1:3",))
     edge, now = Edge(params, {"image": (("image", state.image()),)}, 1, Clock(), Random(1)), Clock().mono()
-    edge.follower.beatAt = edge.follower.lastPulse = now
+    edge.follower.beat_at = edge.follower.last_pulse = now
     body = b'{"model":"m","messages":[{"role":"user","content":"x"}]}'
-    edge.ferry.table.knowsTime = True
+    edge.ferry.table.knows_time = True
     edge.ferry.take(("http", 1, "POST", "/v1/chat/completions", {"authorization": "Bearer clerk-key"}, body), now)
     (request,) = edge.ferry.table.rows
     assert edge.ferry.take(("recorded", request), now) == []
-    edge.ferry.table.knowsEdges = True
+    edge.ferry.table.knows_edges = True
     assert [effect[0] for effect in edge.ferry.take(("pulse",), now)] == ["fetch"]
--- a/sumachook/role/serve.py
+++ b/sumachook/role/serve.py
@@ -34,7 +34,7 @@
 
 def serve(params, role: str, make):
     """Loads the data folder, makes the machine with `make(params, records, boot, clock, draw)` and serves until it leaves (§1.3)."""
-    logs = Logs(params.node, params.logLevel)
+    logs = Logs(params.node, params.log_level)
     folder = Folder(Path(params.data)) if params.data else None
     records = {}
     for name in FILES if folder else ():
