--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from sumachook.accord import Accord
-from sumachook.wire.codec import read_entry
+from sumachook.transport.codec import read_entry
 
 ADDRESSES = ("a:1", "b:1", "c:1")
 STEP = timedelta(seconds=0.05)
--- a/harness/allowance_trial.py
+++ b/harness/allowance_trial.py
@@ -7,10 +7,10 @@
 from datetime import timedelta
 
 from harness.processes import PROGRAM
-from sumachook.allowance.terms import Terms
-from sumachook.atlas.catalogue import merge, read_catalogue
-from sumachook.guise.share_witness import Ask, Bounds, Run, ShareWitness
-from sumachook.pulse.clock import Clock
+from sumachook.allowances.terms import Terms
+from sumachook.catalog.catalogue import merge, read_catalogue
+from sumachook.simulation.share_witness import Ask, Bounds, Run, ShareWitness
+from sumachook.runtime.clock import Clock
 
 ALLOWED, SENT = 20.0, 200.0  # requests a second: an office's allowance, and what it sends
 INSIDE = 8.0  # what another office sends, inside its floor
--- a/harness/allowances.py
+++ b/harness/allowances.py
@@ -11,10 +11,10 @@
 from random import Random
 
 from harness.twins import LOOKUP_SLACK, PROMPT_SLACK
-from sumachook.atlas.tenant import Tenant
-from sumachook.guise.share_witness import WINDOWS
-from sumachook.guise.storm import Storm
-from sumachook.guise.town_shares import TownShares
+from sumachook.catalog.tenant import Tenant
+from sumachook.simulation.share_witness import WINDOWS
+from sumachook.simulation.storm import Storm
+from sumachook.simulation.town_shares import TownShares
 from tests.allowance_scene import SECOND, Offices
 from tests.scene import group, leader, settled
 
--- a/harness/chaos.py
+++ b/harness/chaos.py
@@ -8,8 +8,8 @@
 from random import Random
 
 from sumachook.accord.seat import Seat
-from sumachook.guise.city import City, Town
-from sumachook.role.core import Core
+from sumachook.simulation.city import City, Town
+from sumachook.nodes.core import Core
 from tests.scene import EXAMPLES, leader
 
 
--- a/harness/costs.py
+++ b/harness/costs.py
@@ -11,8 +11,8 @@
 from statistics import median, quantiles
 
 from harness.processes import Processes
-from sumachook.guise.city import City
-from sumachook.guise.fleet import Fleet
+from sumachook.simulation.city import City
+from sumachook.simulation.fleet import Fleet
 from tests.scene import EXAMPLES, quiet, settled
 
 SIZES = (None, 12, 50, 200)
--- a/harness/digest.py
+++ b/harness/digest.py
@@ -4,7 +4,7 @@
 from hashlib import sha256
 
 from harness.storms import play
-from sumachook.guise.fleet import Fleet
+from sumachook.simulation.fleet import Fleet
 
 SEEDS = (41, 42, 43, 44)
 
--- a/harness/holdings.py
+++ b/harness/holdings.py
@@ -1,7 +1,7 @@
 """What the servers of a city that has been up for long hold: what the product's own plan puts there."""
 
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.loom.plan import plan_adapters, plan_pairs
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.placement.plan import plan_adapters, plan_pairs
 
 
 def holdings(city) -> dict:
--- a/harness/policy_ratio.py
+++ b/harness/policy_ratio.py
@@ -5,7 +5,7 @@
 from operator import add, eq, ge, gt, le, lt, mod, mul, ne, sub, truediv
 from statistics import median
 
-from sumachook.creed.policy import compile_policy
+from sumachook.policies.policy import compile_policy
 
 OPERATIONS = {ast.Add: add, ast.Sub: sub, ast.Mult: mul, ast.Div: truediv, ast.Mod: mod,
               ast.Lt: lt, ast.LtE: le, ast.Gt: gt, ast.GtE: ge, ast.Eq: eq, ast.NotEq: ne}
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from harness.holdings import holdings
-from sumachook.guise.city import City
+from sumachook.simulation.city import City
 
 PROGRAM = [sys.executable, "-m", "sumachook"]
 
--- a/harness/scale/failures.py
+++ b/harness/scale/failures.py
@@ -8,7 +8,7 @@
 from harness.scale.hollow_fleet import HollowFleet
 from harness.scale.site import Site
 from harness.scale.size import REGIONS, Size
-from sumachook.rumour.rumour import Rumour
+from sumachook.membership.membership import Membership
 
 SETTLE, REST, LEAST, MOST = 20.0, 6, 5.0, 40.0
 
@@ -111,7 +111,7 @@
         """An hour compressed: those gone are forgotten after six seconds in place of ten minutes, and the regions meet again after that;
         eleven changes, an hour's, are ordered meanwhile."""
         fleet = self.fleet
-        Rumour.FORGET_AFTER = timedelta(seconds=6)
+        Membership.FORGET_AFTER = timedelta(seconds=6)
         north, south = (fleet.nodes_in(areas) for areas in REGIONS.values())
         self._second()
         apart = {name: [box.name for box in fleet.boxes.values() if box.area in areas] for name, areas in REGIONS.items()}
@@ -122,7 +122,7 @@
         for _ in range(11):
             self._change()
             fleet.run(1.0)
-        self.found["forgotten"] = not any(member.condition == "gone" for box in fleet.running() for member in box.machine.rumour.members.values())
+        self.found["forgotten"] = not any(member.condition == "gone" for box in fleet.running() for member in box.machine.membership.members.values())
         self.found["behind"] = fleet.behind(self.version)
         self._second()
         fleet.heal()
@@ -138,11 +138,11 @@
         pairs = len(fleet.running()) * (len(fleet.running()) - 1)
 
         def knows(share):
-            return lambda: sum(len(box.machine.rumour.live) for box in fleet.running()) >= share * pairs
+            return lambda: sum(len(box.machine.membership.live) for box in fleet.running()) >= share * pairs
 
         self._span("beginning", {"every edge is fresh": lambda: not fleet.untrusting(), "9 in 10 of all pairs know each other": knows(0.9),
                                  "99 in 100": knows(0.99), "999 in 1000": knows(0.999), "all": lambda: not fleet.unaware()})
-        self.found["beginning"]["news waiting"] = max(len(box.machine.rumour.spread) for box in fleet.running())
+        self.found["beginning"]["news waiting"] = max(len(box.machine.membership.spread) for box in fleet.running())
 
     def restarts(self):
         """A day's 150 restarts in 50 seconds: three edges at a time, each away for a second."""
--- a/harness/scale/hollow_edge.py
+++ b/harness/scale/hollow_edge.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from sumachook.wire.codec import Codec
-from sumachook.wire.ports import NodePort
+from sumachook.transport.codec import Codec
+from sumachook.transport.ports import NodePort
 
 FIRST_AFTER, RUNS_FOR = 0.3, 2.0
 ANSWER = (("Content-Type", "text/event-stream"), ("X-Server-Seal", "1"))
--- a/harness/scale/hollow_fleet.py
+++ b/harness/scale/hollow_fleet.py
@@ -7,15 +7,15 @@
 from harness.scale.hollow_server import HollowServer
 from harness.scale.mechanism import mechanism_of
 from harness.scale.site import CLUSTER, PLATFORM, SERVICE, Site
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.atlas.params import read_params
-from sumachook.guise.engine_stand import EngineStandIn
-from sumachook.guise.fleet import Fleet
-from sumachook.guise.platform import Platform
-from sumachook.role.core import Core
-from sumachook.role.edge import Edge
-from sumachook.rumour.member import Member
-from sumachook.rumour.rumour import ALIVE, SUSPECT
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.catalog.params import read_params
+from sumachook.simulation.engine_stand import EngineStandIn
+from sumachook.simulation.fleet import Fleet
+from sumachook.simulation.platform import Platform
+from sumachook.nodes.core import Core
+from sumachook.nodes.edge import Edge
+from sumachook.membership.member import Member
+from sumachook.membership.membership import ALIVE, SUSPECT
 
 MOST_DATAGRAM = 60_000
 TURN = timedelta(seconds=0.25)
@@ -81,13 +81,13 @@
         return next((box.machine for box in self.boxes_of("core") if box.machine and box.machine.accord.role == "leading" and box.machine.accord.fresh(self.now)), None)
 
     def placer(self):
-        return next((box.machine for box in self.boxes_of("core") if box.machine and box.machine.rota.holds("placer", self.now)), None)
+        return next((box.machine for box in self.boxes_of("core") if box.machine and box.machine.leases.holds("placer", self.now)), None)
 
     def acquaint(self):
         """Everybody knows everybody, and has no news to tell: as in a fleet that has been up for some minutes."""
-        news = {box.machine.node: box.machine.rumour.me.news() for box in self.running()}
+        news = {box.machine.node: box.machine.membership.me.news() for box in self.running()}
         for box in self.running():
-            rumour = box.machine.rumour
+            rumour = box.machine.membership
             rumour.members = {node: Member(each, self.now) for node, each in news.items() if node != box.machine.node}
             rumour.spread.clear()
 
@@ -98,7 +98,7 @@
             boxes = [self.boxes[name] for name in group if self.boxes[name].machine is not None]
             truth = {box.machine.node: box.machine.boot for box in boxes}
             for box in boxes:
-                known = {node: member.boot for node, member in box.machine.rumour.members.items() if member.condition in (ALIVE, SUSPECT)}
+                known = {node: member.boot for node, member in box.machine.membership.members.items() if member.condition in (ALIVE, SUSPECT)}
                 known[box.machine.node] = box.machine.boot
                 count += known != truth
         return count
--- a/harness/scale/hollow_server.py
+++ b/harness/scale/hollow_server.py
@@ -1,6 +1,6 @@
 """A hollow engine server in the in-memory fleet."""
 
-from sumachook.guise.engine_stand import EngineStandIn
+from sumachook.simulation.engine_stand import EngineStandIn
 
 
 class HollowServer:
--- a/harness/scale/host.py
+++ b/harness/scale/host.py
@@ -16,18 +16,18 @@
 from harness.scale.meter import Meter
 from harness.scale.site import CLUSTER, HOST, ROUTES, Site
 from harness.scale.size import Size
-from sumachook.atlas.params import read_params
-from sumachook.pulse.clock import Clock
-from sumachook.role.core import Core
-from sumachook.role.daemon import Daemon
-from sumachook.role.edge import Edge
-from sumachook.role.logs import Logs
-from sumachook.rumour.member import Member
-from sumachook.vault.folder import Folder
+from sumachook.catalog.params import read_params
+from sumachook.runtime.clock import Clock
+from sumachook.nodes.core import Core
+from sumachook.nodes.daemon import Daemon
+from sumachook.nodes.edge import Edge
+from sumachook.nodes.logs import Logs
+from sumachook.membership.member import Member
+from sumachook.storage.folder import Folder
 
 TURN, STARTS_A_SECOND = 0.02, 20
-PARTS = {"core": ("state", "rumour", "almanac", "accord", "rota", "source", "keeper", "accountant", "provisioner", "watcher", "placer", "desk", "grantor", "board"),
-         "edge": ("state", "rumour", "almanac", "follower", "purse", "quill", "places", "transit", "ferry", "limiter")}
+PARTS = {"core": ("state", "membership", "almanac", "accord", "leases", "source", "keeper", "accountant", "provisioner", "watcher", "placer", "desk", "grantor", "board"),
+         "edge": ("state", "membership", "almanac", "follower", "purse", "quill", "places", "transit", "ferry", "limiter")}
 
 
 class Host:
@@ -55,7 +55,7 @@
             machine = Core(params, {file: folder.load(file) for file in ("accord", "ledger")}, boot, clock, draw)
             self.core = Daemon(machine, clock, logs.log, params.door, params.address, CLUSTER, folder)
         for machine in self._machines():
-            machine.rumour.members = {name: Member(news, clock.mono()) for name, news in site.known(boot).items() if name != machine.node}
+            machine.membership.members = {name: Member(news, clock.mono()) for name, news in site.known(boot).items() if name != machine.node}
 
     def _machines(self):
         return [edge.machine for edge in self.edges] or [self.core.machine]
@@ -85,9 +85,9 @@
     def _calm(self):
         """As after the news of the start has gone round: that takes minutes, and is a cost of its own."""
         machines = self._machines()
-        found = max(len(machine.rumour.spread) for machine in machines)
+        found = max(len(machine.membership.spread) for machine in machines)
         for machine in machines:
-            machine.rumour.spread.clear()
+            machine.membership.spread.clear()
         return {"news": found}
 
     def _cold(self, name):
@@ -97,7 +97,7 @@
 
     def _ready(self):
         machines = self._machines()
-        return {"members": min(len(machine.rumour.live) + 1 for machine in machines), "number": min(machine.state.number for machine in machines),
+        return {"members": min(len(machine.membership.live) + 1 for machine in machines), "number": min(machine.state.number for machine in machines),
                 "servers": min(len(machine.state.servers) for machine in machines),
                 "places": min((len(machine.places.servers) for machine in machines if self.edges), default=None),
                 "fence": self.core.machine.provisioner.fence if self.core else 0,
--- a/harness/scale/meter.py
+++ b/harness/scale/meter.py
@@ -4,36 +4,36 @@
 import time
 from collections import Counter
 
-import sumachook.wire.ports as ports
+import sumachook.transport.ports as ports
 from harness.scale.mechanism import (ALLOWANCES, CREDIT, DUTIES, FEED, LEDGER, LIST, MEMBERSHIP, NODE, ORDERED, PAIRS, PLACES, REPORTS, REQUESTS, USAGE,
                                      mechanism_of)
 from sumachook.accord.accord import Accord
-from sumachook.allowance.board import Board
-from sumachook.allowance.grantor import Grantor
-from sumachook.allowance.limiter import Limiter
-from sumachook.atlas.state import State
-from sumachook.feed import Follower, Source
-from sumachook.ferry.ferry import Ferry
-from sumachook.loom.herald import Herald
-from sumachook.loom.placer import Placer
-from sumachook.loom.places import Places
-from sumachook.loom.provisioner import Provisioner
-from sumachook.loom.watcher import Watcher
-from sumachook.pulse.almanac import Almanac
-from sumachook.role.core import Core
-from sumachook.role.desk import Desk
-from sumachook.role.edge import Edge
-from sumachook.rota.rota import Rota
-from sumachook.rumour import Rumour
-from sumachook.tally.keeper import Keeper
-from sumachook.tally.purse import Accountant, Purse
-from sumachook.tally.quill import Quill
-from sumachook.transit.transit import Transit
-from sumachook.wire.codec import Codec
-from sumachook.wire.fetcher import Fetcher
-
-PARTS = ((Rumour, "take", MEMBERSHIP), (Almanac, "take", MEMBERSHIP), (Follower, "take", FEED), (Source, "take", FEED), (Accord, "take", ORDERED),
-         (State, "apply", ORDERED), (State, "restore", ORDERED), (Desk, "take", ORDERED), (Rota, "take", DUTIES), (Keeper, "take", LEDGER),
+from sumachook.allowances.board import Board
+from sumachook.allowances.grantor import Grantor
+from sumachook.allowances.limiter import Limiter
+from sumachook.catalog.state import State
+from sumachook.changefeed import Follower, Source
+from sumachook.inference.ferry import Ferry
+from sumachook.placement.herald import Herald
+from sumachook.placement.placer import Placer
+from sumachook.placement.places import Places
+from sumachook.placement.provisioner import Provisioner
+from sumachook.placement.watcher import Watcher
+from sumachook.runtime.almanac import Almanac
+from sumachook.nodes.core import Core
+from sumachook.nodes.desk import Desk
+from sumachook.nodes.edge import Edge
+from sumachook.leases.leases import Leases
+from sumachook.membership import Membership
+from sumachook.ledger.keeper import Keeper
+from sumachook.ledger.purse import Accountant, Purse
+from sumachook.ledger.quill import Quill
+from sumachook.forwarding.transit import Transit
+from sumachook.transport.codec import Codec
+from sumachook.transport.fetcher import Fetcher
+
+PARTS = ((Membership, "take", MEMBERSHIP), (Almanac, "take", MEMBERSHIP), (Follower, "take", FEED), (Source, "take", FEED), (Accord, "take", ORDERED),
+         (State, "apply", ORDERED), (State, "restore", ORDERED), (Desk, "take", ORDERED), (Leases, "take", DUTIES), (Keeper, "take", LEDGER),
          (Quill, "take", LEDGER), (Purse, "take", CREDIT), (Accountant, "take", CREDIT), (Limiter, "take", ALLOWANCES),
          (Grantor, "take", ALLOWANCES), (Board, "take", ALLOWANCES), (Placer, "take", PAIRS), (Watcher, "take", LIST),
          (Herald, "tell", PLACES), (Herald, "open", PLACES), (Herald, "meet", PLACES), (Places, "take", PLACES), (Transit, "take", REQUESTS),
--- a/harness/scale/stand.py
+++ b/harness/scale/stand.py
@@ -8,10 +8,10 @@
 
 from harness.scale.site import PLATFORM, SERVICE, Site
 from harness.scale.size import Size
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.guise.engine_stand import EngineStandIn
-from sumachook.pulse.clock import Clock
-from sumachook.wire.ports import split_address
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.simulation.engine_stand import EngineStandIn
+from sumachook.runtime.clock import Clock
+from sumachook.transport.ports import split_address
 
 
 class Stand:
--- a/harness/scale/tables.py
+++ b/harness/scale/tables.py
@@ -9,7 +9,7 @@
 CAUSED = {"request": (LEDGER, USAGE, REQUESTS, NODE, HOST), "load": (LEDGER, USAGE, PLACES, REPORTS, REQUESTS),
           "change": (FEED, ORDERED), "whole": (FEED, ORDERED)}
 BUDGET = {"core share": 0.018, "memory": 32e6, "bytes": 3000.0}
-PART_NAMES = {"rumour": "membership", "almanac": "membership: agreed time", "state": "ordered state", "accord": "ordered changes: log", "rota": "duties",
+PART_NAMES = {"membership": "membership", "almanac": "membership: agreed time", "state": "ordered state", "accord": "ordered changes: log", "leases": "duties",
               "source": "feed", "follower": "feed", "keeper": "ledger", "quill": "ledger", "accountant": "credit", "purse": "credit",
               "provisioner": "usage, orders, what servers hold", "watcher": "list", "placer": "pairs", "desk": "operators' orders",
               "places": "places", "transit": "requests", "ferry": "requests, own door", "limiter": "allowances", "grantor": "allowances", "board": "allowances: figures"}
--- a/harness/storms.py
+++ b/harness/storms.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 
-from sumachook.guise.storm import Storm
+from sumachook.simulation.storm import Storm
 from tests.scene import settled
 
 CITIES = ("kosice", "central-java")
--- a/harness/trials.py
+++ b/harness/trials.py
@@ -12,7 +12,7 @@
 
 from harness.allowance_trial import Shift
 from harness.processes import Processes
-from sumachook.pulse.clock import Clock
+from sumachook.runtime.clock import Clock
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
--- a/harness/twins.py
+++ b/harness/twins.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from harness.storms import CITIES
-from sumachook.guise.storm import Storm
+from sumachook.simulation.storm import Storm
 from tests.scene import settled
 
 SECOND = timedelta(seconds=1)
--- a/sumachook/accord/accord.py
+++ b/sumachook/accord/accord.py
@@ -10,7 +10,7 @@
 from sumachook.accord.newcomers import Newcomers
 from sumachook.accord.seat import FILE, Seat
 from sumachook.accord.timing import GATHER, ROUND, SILENCE
-from sumachook.wire.codec import pack_entry
+from sumachook.transport.codec import pack_entry
 
 
 class Accord:
--- a/sumachook/accord/chain.py
+++ b/sumachook/accord/chain.py
@@ -1,12 +1,12 @@
 """The log of one seat: an image and the entries after it."""
 
-from sumachook.wire.codec import read_entry
+from sumachook.transport.codec import read_entry
 
 
 class Chain:
     """Entries numbered from `base + 1`; the roster is read off it (§4.4).
 
-    >>> from sumachook.wire.codec import pack_entry
+    >>> from sumachook.transport.codec import pack_entry
     >>> chain = Chain(0, {}, {})
     >>> chain.extend(1, [pack_entry(("found", {"a": "x:1", "b": "y:2"})), pack_entry(("seat-out", "b"))])
     >>> chain.end, chain.roster()
--- a/sumachook/accord/founding.py
+++ b/sumachook/accord/founding.py
@@ -2,7 +2,7 @@
 
 from sumachook.accord.seat import FILE, Seat
 from sumachook.accord.timing import ASK_AGAIN, GAP
-from sumachook.wire.codec import pack_entry
+from sumachook.transport.codec import pack_entry
 
 
 class Founding:
--- a/sumachook/accord/leading.py
+++ b/sumachook/accord/leading.py
@@ -5,7 +5,7 @@
 from sumachook.accord.newcomers import find_gone
 from sumachook.accord.seat import FILE, Seat, most_of
 from sumachook.accord.timing import BEAT, REJOIN, RESEND, SILENCE
-from sumachook.wire.codec import pack_entry
+from sumachook.transport.codec import pack_entry
 
 
 class Leading:
--- a/sumachook/accord/seat.py
+++ b/sumachook/accord/seat.py
@@ -5,7 +5,7 @@
 
 from sumachook.accord.chain import Chain
 from sumachook.accord.timing import FRESH, SEAT_AWAY, SILENCE
-from sumachook.pulse.rising import Rising
+from sumachook.runtime.rising import Rising
 
 NO_BALLOT = (0, "")
 FILE = "accord"
--- a/sumachook/allowance/board.py
+++ b/sumachook/allowances/board.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sumachook.allowance.terms import Terms
+from sumachook.allowances.terms import Terms
 
 RECENT = timedelta(seconds=5)
 
@@ -11,7 +11,7 @@
     """Takes ("heard", edge, address, ("allow_report", report)); every core keeps the edges' last ones (§15.7).
 
     >>> from types import SimpleNamespace as Item
-    >>> from sumachook.atlas.tenant import Tenant
+    >>> from sumachook.catalog.tenant import Tenant
     >>> board, now = Board(Item(catalogue=Item(tenants=[Tenant("shops", requests_per_s=20.0)]))), RECENT
     >>> report = {"shops": {"lent": (2.0, 0.0), "admitted": 40, "refused": 3, "yielded": 0, "requestsPerS": 8.0}}
     >>> board.take(("heard", "edge-1", "127.0.0.1:1", ("allow_report", report)), now)
--- a/sumachook/allowance/grantor.py
+++ b/sumachook/allowances/grantor.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from sumachook.allowance.bucket import SECOND, UNBOUND, Bucket
-from sumachook.allowance.budget import Budget
-from sumachook.allowance.terms import Terms
+from sumachook.allowances.bucket import SECOND, UNBOUND, Bucket
+from sumachook.allowances.budget import Budget
+from sumachook.allowances.terms import Terms
 
 QUIET = timedelta(seconds=2)
 LONG = timedelta(seconds=30)
--- a/sumachook/allowance/limiter.py
+++ b/sumachook/allowances/limiter.py
@@ -2,10 +2,10 @@
 
 from datetime import timedelta
 
-from sumachook.allowance.held import Held
-from sumachook.allowance.quota import Quota
-from sumachook.allowance.terms import Terms
-from sumachook.ferry import faults
+from sumachook.allowances.held import Held
+from sumachook.allowances.quota import Quota
+from sumachook.allowances.terms import Terms
+from sumachook.inference import faults
 
 MS = timedelta(milliseconds=1)
 LEASE = MS * 400  # from when it was asked for
--- a/sumachook/atlas/capacity.py
+++ b/sumachook/catalog/capacity.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sumachook.atlas.tenant import PerSecond
+from sumachook.catalog.tenant import PerSecond
 
 
 class Capacity(msgspec.Struct, rename="camel", forbid_unknown_fields=True, frozen=True):
--- a/sumachook/atlas/catalogue.py
+++ b/sumachook/catalog/catalogue.py
@@ -6,16 +6,16 @@
 import msgspec
 from msgspec import Meta
 
-from sumachook.atlas.bounds import Count
-from sumachook.atlas.capacity import Capacity
-from sumachook.atlas.check import check
-from sumachook.atlas.http_route import HttpRoute
-from sumachook.atlas.limits import Limits
-from sumachook.atlas.service import Service
-from sumachook.atlas.tenant import Tenant
-from sumachook.atlas.tenancy import tenancy_faults
-from sumachook.creed.faults import REFUSED as POLICY_REFUSED
-from sumachook.creed.policy import ROLES, compile_policy
+from sumachook.catalog.bounds import Count
+from sumachook.catalog.capacity import Capacity
+from sumachook.catalog.check import check
+from sumachook.catalog.http_route import HttpRoute
+from sumachook.catalog.limits import Limits
+from sumachook.catalog.service import Service
+from sumachook.catalog.tenant import Tenant
+from sumachook.catalog.tenancy import tenancy_faults
+from sumachook.policies.faults import REFUSED as POLICY_REFUSED
+from sumachook.policies.policy import ROLES, compile_policy
 
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 Seconds = Annotated[float, Meta(gt=0, le=3600)]
--- a/sumachook/atlas/params.py
+++ b/sumachook/catalog/params.py
@@ -6,8 +6,8 @@
 import msgspec
 from msgspec import Meta
 
-from sumachook.atlas.catalogue import Name
-from sumachook.atlas.check import check
+from sumachook.catalog.catalogue import Name
+from sumachook.catalog.check import check
 
 
 class Params(msgspec.Struct, rename="camel", forbid_unknown_fields=True, frozen=True):
--- a/sumachook/atlas/service.py
+++ b/sumachook/catalog/service.py
@@ -5,8 +5,8 @@
 import msgspec
 from msgspec import Meta
 
-from sumachook.atlas.bounds import ItemName, Milliseconds, Rate
-from sumachook.atlas.engine import Engine
+from sumachook.catalog.bounds import ItemName, Milliseconds, Rate
+from sumachook.catalog.engine import Engine
 
 
 class Service(msgspec.Struct, rename="camel", forbid_unknown_fields=True, frozen=True):
--- a/sumachook/atlas/state.py
+++ b/sumachook/catalog/state.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from sumachook.atlas import faults
-from sumachook.atlas.catalogue import merge, read_catalogue
-from sumachook.atlas.part import removal_faults, replace_named
+from sumachook.catalog import faults
+from sumachook.catalog.catalogue import merge, read_catalogue
+from sumachook.catalog.part import removal_faults, replace_named
 
 MOST_REQUESTS = 1000
 MOST_TAKEN = 1000
--- a/sumachook/atlas/tenancy.py
+++ b/sumachook/catalog/tenancy.py
@@ -1,6 +1,6 @@
 """What tenants refer to, and whether their floors find room."""
 
-from sumachook.atlas.tenant import CEILING, FLOOR
+from sumachook.catalog.tenant import CEILING, FLOOR
 
 FIGURES = ("requestsPerS", "tokensPerS")
 
@@ -48,7 +48,7 @@
 
 
 def test_each_fault_between_tenants_and_the_rest_is_named():
-    from sumachook.atlas.catalogue import read_catalogue
+    from sumachook.catalog.catalogue import read_catalogue
 
     doc = {"name": "c", "areas": ["a"], "lines": [{"name": "l"}], "services": [{"name": "s"}],
            "callers": [{"name": name, "key": f"{name}-key-key", "line": "l", "patience": 9.0} for name in ("shop", "audit")],
--- a/sumachook/feed/follower.py
+++ b/sumachook/changefeed/follower.py
@@ -3,8 +3,8 @@
 from datetime import timedelta
 from random import Random
 
-from sumachook.pulse.rising import Rising
-from sumachook.wire.codec import read_entry
+from sumachook.runtime.rising import Rising
+from sumachook.transport.codec import read_entry
 
 EMPTY, WAITING, FRESH, CUT = "empty", "waiting", "fresh", "cut"
 
@@ -106,7 +106,7 @@
 
 
 def _follower():
-    from sumachook.atlas.state import State
+    from sumachook.catalog.state import State
 
     follower = Follower(State(), Random(1), timedelta(0))
     follower.state.catalogue = object()
--- a/sumachook/transit/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -2,10 +2,10 @@
 
 from datetime import timedelta
 
-from sumachook.feed.follower import EMPTY, FRESH, WAITING as NOT_SURE
-from sumachook.ferry import faults
-from sumachook.transit.row import Row
-from sumachook.transit.table import MOST_ROWS
+from sumachook.changefeed.follower import EMPTY, FRESH, WAITING as NOT_SURE
+from sumachook.inference import faults
+from sumachook.forwarding.row import Row
+from sumachook.forwarding.table import MOST_ROWS
 
 PARK_PART, PARK_MOST, PATIENCE = 0.25, timedelta(seconds=1.5), timedelta(seconds=4)
 
--- a/sumachook/transit/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from sumachook.feed.follower import EMPTY, WAITING as NOT_SURE
-from sumachook.ferry import faults
+from sumachook.changefeed.follower import EMPTY, WAITING as NOT_SURE
+from sumachook.inference import faults
 
 READ_PER_MS = 38.0  # prompt tokens that a server reads in a millisecond, where nothing better is known
 RUN_COST, FAR_COST, FULL_COST, SHUT_COST = 0.5, 3.0, 500.0, 2000.0  # ms that a choice is worse by
--- a/sumachook/transit/finish.py
+++ b/sumachook/forwarding/finish.py
@@ -1,8 +1,8 @@
 """The pass that ends a try and a row."""
 
-from sumachook.ferry import faults
-from sumachook.pulse.almanac import MILLI
-from sumachook.transit.charge import Charge
+from sumachook.inference import faults
+from sumachook.runtime.almanac import MILLI
+from sumachook.forwarding.charge import Charge
 
 BLAMELESS = {None, faults.OVERLOAD, faults.NO_MODEL, faults.REFUSED, faults.CUTOFF, faults.HUNG_UP, faults.DRAINING}
 
--- a/sumachook/transit/port.py
+++ b/sumachook/forwarding/port.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from sumachook.transit.answer import Answer
-from sumachook.transit.request import Request
+from sumachook.forwarding.answer import Answer
+from sumachook.forwarding.request import Request
 
 HOP = frozenset(("connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
                  "transfer-encoding", "upgrade", "host", "content-length", "expect"))
--- a/sumachook/transit/relay.py
+++ b/sumachook/forwarding/relay.py
@@ -1,8 +1,8 @@
 """The pass over what servers answer."""
 
-from sumachook.ferry import faults
-from sumachook.pulse.almanac import MILLI
-from sumachook.transit.row import STREAMING, TRYING
+from sumachook.inference import faults
+from sumachook.runtime.almanac import MILLI
+from sumachook.forwarding.row import STREAMING, TRYING
 
 PROMISES = (408, 429, 503)  # statuses that say to a client: not run
 EVENT_END = (b"\n\n", b"\r\n\r\n")
--- a/sumachook/transit/resend.py
+++ b/sumachook/forwarding/resend.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from sumachook.ferry import faults
-from sumachook.transit.row import STREAMING, TRYING, WAITING
+from sumachook.inference import faults
+from sumachook.forwarding.row import STREAMING, TRYING, WAITING
 
 MOST_RESUMES = 3
 MOST_TRIES = 4  # or as many as the route's own
--- a/sumachook/transit/send.py
+++ b/sumachook/forwarding/send.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sumachook.transit.row import TRYING
+from sumachook.forwarding.row import TRYING
 
 CONNECT = timedelta(seconds=0.4)
 LAST = 9  # of the urgencies (§15.2)
--- a/sumachook/transit/settle.py
+++ b/sumachook/forwarding/settle.py
@@ -1,7 +1,7 @@
 """The pass that gives a row its final answer, at once."""
 
-from sumachook.ferry import faults
-from sumachook.transit.row import STREAMING, TRYING
+from sumachook.inference import faults
+from sumachook.forwarding.row import STREAMING, TRYING
 
 COME_BACK = 0.3  # seconds, where nothing better is known
 LATE = {faults.CUTOFF, faults.TOTAL_TIMEOUT, faults.FIRST_TOKEN_TIMEOUT, faults.WAKE_TIMEOUT}
--- a/sumachook/transit/table.py
+++ b/sumachook/forwarding/table.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from sumachook.feed.follower import CUT
-from sumachook.transit.lane import Lane
-from sumachook.transit.routes import Routes
+from sumachook.changefeed.follower import CUT
+from sumachook.forwarding.lane import Lane
+from sumachook.forwarding.routes import Routes
 
 MOST_ROWS = 4000
 FIRST_PAUSE, LONGEST_PAUSE = timedelta(seconds=1), timedelta(seconds=30)
--- a/sumachook/transit/transit.py
+++ b/sumachook/forwarding/transit.py
@@ -2,19 +2,19 @@
 
 from datetime import timedelta
 
-from sumachook.ferry import faults
-from sumachook.ferry.leave import Leave
-from sumachook.pulse.almanac import MILLI
-from sumachook.transit.admit import Admit
-from sumachook.transit.choose import Choose
-from sumachook.transit.enter import Enter
-from sumachook.transit.finish import Finish
-from sumachook.transit.relay import Relay
-from sumachook.transit.resend import Resend
-from sumachook.transit.send import Send
-from sumachook.transit.settle import Settle
-from sumachook.transit.table import Table
-from sumachook.transit.timeouts import Timeouts
+from sumachook.inference import faults
+from sumachook.inference.leave import Leave
+from sumachook.runtime.almanac import MILLI
+from sumachook.forwarding.admit import Admit
+from sumachook.forwarding.choose import Choose
+from sumachook.forwarding.enter import Enter
+from sumachook.forwarding.finish import Finish
+from sumachook.forwarding.relay import Relay
+from sumachook.forwarding.resend import Resend
+from sumachook.forwarding.send import Send
+from sumachook.forwarding.settle import Settle
+from sumachook.forwarding.table import Table
+from sumachook.forwarding.timeouts import Timeouts
 
 SHUN = timedelta(seconds=2)
 FORGET_KEPT = timedelta(seconds=30)
--- a/sumachook/ferry/admit.py
+++ b/sumachook/inference/admit.py
@@ -4,10 +4,10 @@
 
 import msgspec
 
-from sumachook.feed.follower import EMPTY, WAITING
-from sumachook.ferry import faults
-from sumachook.ferry.row import LOOKUP, PROMPT, Row
-from sumachook.ferry.table import MOST_ROWS
+from sumachook.changefeed.follower import EMPTY, WAITING
+from sumachook.inference import faults
+from sumachook.inference.row import LOOKUP, PROMPT, Row
+from sumachook.inference.table import MOST_ROWS
 
 JSON = {"Content-Type": "application/json"}
 EARLY = timedelta(seconds=30)
--- a/sumachook/ferry/close.py
+++ b/sumachook/inference/close.py
@@ -1,6 +1,6 @@
 """The end of a row: out of the table, into the ledger."""
 
-from sumachook.ferry.row import SETTLED
+from sumachook.inference.row import SETTLED
 
 
 class Close:
--- a/sumachook/ferry/cutoffs.py
+++ b/sumachook/inference/cutoffs.py
@@ -1,7 +1,7 @@
 """The pass over rows whose time is up."""
 
-from sumachook.ferry import faults
-from sumachook.ferry.row import STREAMING, TRYING
+from sumachook.inference import faults
+from sumachook.inference.row import STREAMING, TRYING
 
 
 class Cutoffs:
--- a/sumachook/ferry/deliver.py
+++ b/sumachook/inference/deliver.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sumachook.ferry.row import LOOKUP, TRYING
+from sumachook.inference.row import LOOKUP, TRYING
 
 CONNECT = timedelta(seconds=2)
 LOOKUP_CONNECT = timedelta(seconds=0.7)
--- a/sumachook/ferry/drawing.py
+++ b/sumachook/inference/drawing.py
@@ -2,10 +2,10 @@
 
 from datetime import timedelta
 
-from sumachook.feed.follower import EMPTY, WAITING
-from sumachook.ferry import faults
-from sumachook.ferry.lane import WHOLE
-from sumachook.ferry.row import LINED
+from sumachook.changefeed.follower import EMPTY, WAITING
+from sumachook.inference import faults
+from sumachook.inference.lane import WHOLE
+from sumachook.inference.row import LINED
 
 
 class Drawing:
--- a/sumachook/ferry/ending.py
+++ b/sumachook/inference/ending.py
@@ -1,8 +1,8 @@
 """The end of one try: its place is given back, its class noted."""
 
-from sumachook.ferry import faults
-from sumachook.ferry.lane import FULL_REST, LONGEST_REST, LOOKUP_REST, PROBES_APART
-from sumachook.ferry.row import LOOKUP, PROMPT
+from sumachook.inference import faults
+from sumachook.inference.lane import FULL_REST, LONGEST_REST, LOOKUP_REST, PROBES_APART
+from sumachook.inference.row import LOOKUP, PROMPT
 
 
 class Ending:
--- a/sumachook/ferry/enline.py
+++ b/sumachook/inference/enline.py
@@ -1,8 +1,8 @@
 """The pass over rows whose record is kept, or is not: into their line."""
 
-from sumachook.creed.policy import compile_policy
-from sumachook.ferry import faults
-from sumachook.ferry.row import LINED, LOOKUP, RECORDING
+from sumachook.policies.policy import compile_policy
+from sumachook.inference import faults
+from sumachook.inference.row import LINED, LOOKUP, RECORDING
 
 
 class Enline:
--- a/sumachook/ferry/enter.py
+++ b/sumachook/inference/enter.py
@@ -1,6 +1,6 @@
 """The pass that hands a row to the ledger, on its way to its line."""
 
-from sumachook.ferry.row import PROMPT
+from sumachook.inference.row import PROMPT
 
 
 class Enter:
--- a/sumachook/ferry/ferry.py
+++ b/sumachook/inference/ferry.py
@@ -3,24 +3,24 @@
 from datetime import timedelta
 from random import Random
 
-from sumachook.ferry import faults
-from sumachook.ferry.admit import Admit
-from sumachook.ferry.charge import Charge
-from sumachook.ferry.close import Close
-from sumachook.ferry.cutoffs import Cutoffs
-from sumachook.ferry.deliver import Deliver
-from sumachook.ferry.drawing import Drawing
-from sumachook.ferry.ending import Ending
-from sumachook.ferry.enline import Enline
-from sumachook.ferry.enter import Enter
-from sumachook.ferry.halt import Halt
-from sumachook.ferry.leave import Leave
-from sumachook.ferry.refuse import Refuse
-from sumachook.ferry.resend import Resend
-from sumachook.ferry.row import STREAMING, TRYING
-from sumachook.ferry.settle import Settle
-from sumachook.ferry.stream import Stream
-from sumachook.ferry.table import Table
+from sumachook.inference import faults
+from sumachook.inference.admit import Admit
+from sumachook.inference.charge import Charge
+from sumachook.inference.close import Close
+from sumachook.inference.cutoffs import Cutoffs
+from sumachook.inference.deliver import Deliver
+from sumachook.inference.drawing import Drawing
+from sumachook.inference.ending import Ending
+from sumachook.inference.enline import Enline
+from sumachook.inference.enter import Enter
+from sumachook.inference.halt import Halt
+from sumachook.inference.leave import Leave
+from sumachook.inference.refuse import Refuse
+from sumachook.inference.resend import Resend
+from sumachook.inference.row import STREAMING, TRYING
+from sumachook.inference.settle import Settle
+from sumachook.inference.stream import Stream
+from sumachook.inference.table import Table
 
 SHUN = timedelta(seconds=2)
 
--- a/sumachook/ferry/refuse.py
+++ b/sumachook/inference/refuse.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sumachook.ferry import faults
+from sumachook.inference import faults
 
 JSON = {"Content-Type": "application/json"}
 
--- a/sumachook/ferry/resend.py
+++ b/sumachook/inference/resend.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from sumachook.creed.policy import compile_policy
-from sumachook.ferry import faults
-from sumachook.ferry.row import LINED, LOOKUP
+from sumachook.policies.policy import compile_policy
+from sumachook.inference import faults
+from sumachook.inference.row import LINED, LOOKUP
 
 MOST_TRIES = 4
 MOST_RESUMES = 2
--- a/sumachook/ferry/row.py
+++ b/sumachook/inference/row.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sumachook.pulse.once import Once
+from sumachook.runtime.once import Once
 
 RECORDING, LINED, TRYING, STREAMING, SETTLED = "recording", "lined", "trying", "streaming", "settled"
 LOOKUP, PROMPT = "lookup", "prompt"
--- a/sumachook/ferry/settle.py
+++ b/sumachook/inference/settle.py
@@ -3,7 +3,7 @@
 import msgspec
 from assel import Event, send
 
-from sumachook.ferry import faults
+from sumachook.inference import faults
 
 
 class Settle:
--- a/sumachook/ferry/stream.py
+++ b/sumachook/inference/stream.py
@@ -3,8 +3,8 @@
 import msgspec
 from assel import Event, send
 
-from sumachook.ferry import faults
-from sumachook.ferry.row import PROMPT, STREAMING, TRYING
+from sumachook.inference import faults
+from sumachook.inference.row import PROMPT, STREAMING, TRYING
 
 JSON = {"Content-Type": "application/json"}
 SSE = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
--- a/sumachook/ferry/table.py
+++ b/sumachook/inference/table.py
@@ -3,11 +3,11 @@
 from datetime import timedelta
 from zlib import crc32
 
-from sumachook.feed.follower import CUT
-from sumachook.ferry.lane import Lane
-from sumachook.ferry.lines import Lines
-from sumachook.ferry.port import OpenPort
-from sumachook.ferry.row import PROMPT
+from sumachook.changefeed.follower import CUT
+from sumachook.inference.lane import Lane
+from sumachook.inference.lines import Lines
+from sumachook.inference.port import OpenPort
+from sumachook.inference.row import PROMPT
 
 LONGEST_PAUSE = timedelta(seconds=30)
 FIRST_PAUSE = timedelta(seconds=1)
--- a/sumachook/rota/rota.py
+++ b/sumachook/leases/leases.py
@@ -14,7 +14,7 @@
 GIVEN_BACK = -1.0  # as the time at which a renewal was sent: there will be no more
 
 
-class Rota:
+class Leases:
     """Takes (message, now); reads the ordered duties of the state it is given (§6).
 
     In: ("pulse", isFresh, isLeading), ("heard", seat, address, message), ("quit",).
@@ -119,7 +119,7 @@
         """§6.3: the leader declares a vacancy only when no order of the old holder can be under way."""
         silent_since = max(self.renewed_at.get(duty, now), self.watched_since)
         if now - silent_since > self.vacant_after and self._may_send(("vacate", duty), now):
-            note = ("log", "warning", "rota", "A duty falls vacant.", {"duty": duty, "holder": holder, "fence": fence})
+            note = ("log", "warning", "leases", "A duty falls vacant.", {"duty": duty, "holder": holder, "fence": fence})
             return [note, ("propose", ("duty-vacate", duty, fence))]
         return []
 
--- a/sumachook/tally/keeper.py
+++ b/sumachook/ledger/keeper.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sumachook.tally.ranges import keepers_of, range_key
+from sumachook.ledger.ranges import keepers_of, range_key
 
 FILE = "ledger"
 LOST, OPEN = "lost", "open"
@@ -197,7 +197,7 @@
 
 
 def _keeper(records=()):
-    from sumachook.pulse.almanac import ZERO, Almanac
+    from sumachook.runtime.almanac import ZERO, Almanac
 
     return Keeper("a", Almanac(lambda: ZERO, timedelta(0)), 3, records, timedelta(0))
 
--- a/sumachook/tally/quill.py
+++ b/sumachook/ledger/quill.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from sumachook.tally import faults
-from sumachook.tally.ranges import keepers_of, range_key
+from sumachook.ledger import faults
+from sumachook.ledger.ranges import keepers_of, range_key
 
 MOST_WAITING = 20000
 RESEND = timedelta(seconds=0.3)
--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -12,15 +12,15 @@
 import msgspec
 
 from sumachook import VERSION
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.atlas.params import read_params
-from sumachook.creed.policy import ROLES, compile_policy
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.catalog.params import read_params
+from sumachook.policies.policy import ROLES, compile_policy
 from sumachook.fault import Fault
-from sumachook.pulse.clock import Clock
-from sumachook.role.client import Client, new_request
-from sumachook.role.daemon import Daemon
-from sumachook.role.logs import Logs
-from sumachook.role.serve import REFUSED, UNREACHED, USAGE, fail, run_daemon, serve
+from sumachook.runtime.clock import Clock
+from sumachook.nodes.client import Client, new_request
+from sumachook.nodes.daemon import Daemon
+from sumachook.nodes.logs import Logs
+from sumachook.nodes.serve import REFUSED, UNREACHED, USAGE, fail, run_daemon, serve
 
 Text = Annotated[str | None, cappa.Arg(long=True)]
 
@@ -72,13 +72,13 @@
 
 
 def serve_core(command: "Core"):
-    from sumachook.role.core import Core as Machine
+    from sumachook.nodes.core import Core as Machine
 
     _serve_node(command.flags, "core", Machine)
 
 
 def serve_edge(command: "Edge"):
-    from sumachook.role.edge import Edge as Machine
+    from sumachook.nodes.edge import Edge as Machine
 
     _serve_node(command.flags, "edge", Machine)
 
@@ -267,7 +267,7 @@
 
 
 def serve_model(command: "StandInModel"):
-    from sumachook.guise.model import ModelServer
+    from sumachook.simulation.model import ModelServer
 
     listed = _listed(command.servers, command.name)
     machine = ModelServer(listed, _read_json(command.catalogue), (), command.load_rate)
@@ -275,20 +275,20 @@
 
 
 def serve_records(command: "StandInRecords"):
-    from sumachook.guise.records import RecordsServer
+    from sumachook.simulation.records import RecordsServer
 
     _serve_stand_in(RecordsServer(command.name), command.name, _listed(command.servers, command.name)["address"])
 
 
 def serve_platform(command: "StandInPlatform"):
-    from sumachook.guise.platform import Platform
+    from sumachook.simulation.platform import Platform
 
     _serve_stand_in(Platform(_read_json(command.servers)["servers"]), "platform", command.door)
 
 
 def serve_callers(command: "StandInCallers"):
-    from sumachook.guise.callers import Callers
-    from sumachook.guise.report import report_calls
+    from sumachook.simulation.callers import Callers
+    from sumachook.simulation.report import report_calls
 
     given = {f"edge-{place}": door.rpartition("/") for place, door in enumerate(command.edge, 1)}
     edges = {edge: door for edge, (_, _, door) in given.items()}
@@ -355,7 +355,7 @@
 
 
 def test_a_data_folder_of_another_node_is_refused(tmp_path, capsys):
-    from sumachook.vault.folder import Folder
+    from sumachook.storage.folder import Folder
 
     Folder(tmp_path).take([("disk", "accord", [["seat", "core-2-0badcafe"]])])
     flags = NodeFlags(node="core-1", address="127.0.0.1:1", door="127.0.0.1:2", area="a", seed=["127.0.0.1:3"], data=str(tmp_path))
--- a/sumachook/rumour/rumour.py
+++ b/sumachook/membership/membership.py
@@ -4,14 +4,14 @@
 from math import ceil, log2
 from random import Random
 
-from sumachook.pulse.rising import Rising
-from sumachook.rumour.member import Member
+from sumachook.runtime.rising import Rising
+from sumachook.membership.member import Member
 
 ALIVE, SUSPECT, GONE, LEFT = "alive", "suspect", "gone", "left"
 _WEIGHT = {ALIVE: 0, SUSPECT: 1, GONE: 2, LEFT: 3}
 
 
-class Rumour:
+class Membership:
     """Takes (message, now), gives messages; membership only advises (§3).
 
     Gives: ("cast", address, message) and ("member", node, condition, news).
@@ -201,13 +201,13 @@
 
 
 def _pair():
-    from sumachook.pulse.almanac import ZERO, Almanac
+    from sumachook.runtime.almanac import ZERO, Almanac
 
     zero = timedelta(0)
     machines = {}
     for name in ("a", "b", "c"):
         me = (name, name, "edge", "hall", 1, ALIVE, name, 1)
-        machines[name] = Rumour(me, ("a",), Random(name), zero, Almanac(lambda: ZERO, zero))
+        machines[name] = Membership(me, ("a",), Random(name), zero, Almanac(lambda: ZERO, zero))
     return machines
 
 
--- a/sumachook/role/client.py
+++ b/sumachook/nodes/client.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from sumachook.atlas import faults
+from sumachook.catalog import faults
 
 WAIT = timedelta(seconds=10)
 ROUNDS = 3
--- a/sumachook/role/core.py
+++ b/sumachook/nodes/core.py
@@ -7,29 +7,29 @@
 import msgspec
 
 from sumachook.accord.accord import FILE as ACCORD_FILE, Accord
-from sumachook.allowance.board import Board
-from sumachook.allowance.grantor import Grantor
-from sumachook.atlas.catalogue import merge, read_catalogue
-from sumachook.atlas.state import State
+from sumachook.allowances.board import Board
+from sumachook.allowances.grantor import Grantor
+from sumachook.catalog.catalogue import merge, read_catalogue
+from sumachook.catalog.state import State
 from sumachook.fault import Fault
-from sumachook.feed.source import Source
-from sumachook.loom.account import account_for_places
-from sumachook.loom.outlook import foresee
-from sumachook.loom.placer import Placer
-from sumachook.loom.port import ServerPort
-from sumachook.loom.provisioner import Provisioner
-from sumachook.loom.watcher import Watcher
-from sumachook.pulse.almanac import Almanac
-from sumachook.role.desk import Desk, read_order, reply
-from sumachook.role.edge import RUMOUR
-from sumachook.rota.rota import Rota
-from sumachook.rumour.rumour import ALIVE, Rumour
-from sumachook.tally.keeper import Keeper
-from sumachook.tally.purse import Accountant
-from sumachook.wire.codec import read_entry
+from sumachook.changefeed.source import Source
+from sumachook.placement.account import account_for_places
+from sumachook.placement.outlook import foresee
+from sumachook.placement.placer import Placer
+from sumachook.placement.port import ServerPort
+from sumachook.placement.provisioner import Provisioner
+from sumachook.placement.watcher import Watcher
+from sumachook.runtime.almanac import Almanac
+from sumachook.nodes.desk import Desk, read_order, reply
+from sumachook.nodes.edge import MEMBERSHIP
+from sumachook.leases.leases import Leases
+from sumachook.membership.membership import ALIVE, Membership
+from sumachook.ledger.keeper import Keeper
+from sumachook.ledger.purse import Accountant
+from sumachook.transport.codec import read_entry
 
 ACCORD = {"blank", "ask", "ask_yes", "stop", "stopped", "install", "installed", "grow", "grew", "beat", "beat_ack", "propose", "stand", "yield"}
-ROTA = {"bid", "vote", "renew", "renewed"}
+LEASES = {"bid", "vote", "renew", "renewed"}
 FEED = {"follow", "confirm", "confirmed"}
 TALLY = {"open", "close", "hand", "handed"}
 OPERATOR = ("apply", "configure", "evacuate", "restore")
@@ -44,7 +44,7 @@
 class Core:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
-    __slots__ = ("params", "node", "boot", "state", "rumour", "accord", "rota", "source", "placer", "watcher", "keeper", "accountant",
+    __slots__ = ("params", "node", "boot", "state", "membership", "accord", "leases", "source", "placer", "watcher", "keeper", "accountant",
                  "desk", "is_new", "is_ready", "stop_at", "ignored", "finds", "almanac",
                  "provisioner", "grantor", "board")
 
@@ -64,8 +64,8 @@
         self.state.number = number
         me = (self.node, params.address, "core", params.area, boot, ALIVE, params.door, boot)
         self.almanac = Almanac(clock.wall, now)
-        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now, self.almanac)
-        self.rota = Rota(self.node, self.state, Random(draw.random()), now, params.fenced)
+        self.membership = Membership(me, params.seeds, Random(draw.random()), now, self.almanac)
+        self.leases = Leases(self.node, self.state, Random(draw.random()), now, params.fenced)
         self.source = Source(self.state, self._other_cores, now, self.almanac, self.accord.fresh)
         self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now, list_port, params.list_readers)
         self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
@@ -91,9 +91,9 @@
                 if effect[0] in ("propose", "deliver", "restored", "compact", "refused"):
                     work.append(effect)
                 elif effect[0] == "word":
-                    out += [("tell", member.address, ("leaving", effect[1])) for member in self.rumour.live if member.role == "edge"]
+                    out += [("tell", member.address, ("leaving", effect[1])) for member in self.membership.live if member.role == "edge"]
                 elif effect[0] == "cold":
-                    out += [("tell", member.address, effect) for member in self.rumour.live if member.role == "edge"]
+                    out += [("tell", member.address, effect) for member in self.membership.live if member.role == "edge"]
                 elif effect[0] not in ("view", "member", "objected"):
                     out.append(effect)
         return out
@@ -127,7 +127,7 @@
         if kind == "gone":
             return self.desk.take(message, now)
         if kind == "seeds":
-            self.rumour.seeds = message[1]
+            self.membership.seeds = message[1]
             return []
         if kind == "garbage":
             self.ignored += 1
@@ -135,17 +135,17 @@
         if kind == "stop":
             self.stop_at = now + timedelta(seconds=1)
             note = ("log", "info", "core", "Leaving, duties are given back.", {})
-            return [note, *self.rota.take(("quit",), now), *self.rumour.take(("leave",), now)]
+            return [note, *self.leases.take(("quit",), now), *self.membership.take(("leave",), now)]
         return []  # a refused proposal is made again by who made it
 
     def _heard(self, message, now):
         kind = message[3][0]
-        if kind in RUMOUR:
-            return self.rumour.take(message, now)
+        if kind in MEMBERSHIP:
+            return self.membership.take(message, now)
         if kind in ACCORD:
             return self.accord.take(message, now)
-        if kind in ROTA:
-            return self.rota.take(message, now)
+        if kind in LEASES:
+            return self.leases.take(message, now)
         if kind in FEED:
             return self.source.take(message, now) + (self._settle_orders(now) if kind != "follow" else [])
         if kind in TALLY:
@@ -153,7 +153,7 @@
         if kind == "credit":
             return self.accountant.take(message, now)
         if kind == "allow_ask":  # the lease is looked at now, not at the last pulse: this may have lain in a buffer (§15.4)
-            return self.grantor.take(("asked", *message[1:], self.rota.holds("accountant", now)), now)
+            return self.grantor.take(("asked", *message[1:], self.leases.holds("accountant", now)), now)
         if kind == "allow_report":
             return self.board.take(message, now)
         if kind == "demand":
@@ -179,17 +179,17 @@
 
     def _pulse(self, now):
         is_fresh, is_leading = self.accord.fresh(now), self.accord.role == "leading"
-        out = self.rumour.take(("pulse", self.state.number if is_fresh else 0), now)
+        out = self.membership.take(("pulse", self.state.number if is_fresh else 0), now)
         out += self.accord.take(("pulse", self._core_addresses()), now)
         self.almanac.take(("pulse",), now)
-        out += self.rota.take(("pulse", is_fresh, is_leading), now)
+        out += self.leases.take(("pulse", is_fresh, is_leading), now)
         out += self.source.take(("pulse",), now)
-        out += self.placer.take(("pulse", self.rota.holds("placer", now)), now)
-        edge_addresses = tuple(member.address for member in self.rumour.live if member.role == "edge")
-        out += self.provisioner.take(("pulse", self.rota.holds("placer", now), edge_addresses), now)
+        out += self.placer.take(("pulse", self.leases.holds("placer", now)), now)
+        edge_addresses = tuple(member.address for member in self.membership.live if member.role == "edge")
+        out += self.provisioner.take(("pulse", self.leases.holds("placer", now), edge_addresses), now)
         out += self.watcher.take(("pulse", is_fresh, is_leading), now)
-        out += self.accountant.take(("pulse", self.rota.holds("accountant", now)), now)
-        out += self.grantor.take(("pulse", self.rota.holds("accountant", now)), now)
+        out += self.accountant.take(("pulse", self.leases.holds("accountant", now)), now)
+        out += self.grantor.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.keeper.take(("pulse", self._live_boots(), self.state.roster), now)
         out += self.desk.take(("pulse", self._live_nodes(), self._confirmed()), now)
         out += self._find_pulse(now)
@@ -201,14 +201,14 @@
         return self.desk.take(("confirmed", self._live_nodes(), self._confirmed()), now) if self.desk.orders else []
 
     def _core_addresses(self):
-        return (*self.params.seeds, *(member.address for member in self.rumour.live if member.role == "core"))
+        return (*self.params.seeds, *(member.address for member in self.membership.live if member.role == "core"))
 
     def _live_boots(self):
-        boots = {member.node: member.boot for member in self.rumour.live}
+        boots = {member.node: member.boot for member in self.membership.live}
         return boots | {self.node: self.boot}
 
     def _live_nodes(self):
-        return sorted([member.node for member in self.rumour.live if member.condition == ALIVE and member.role == "edge"])
+        return sorted([member.node for member in self.membership.live if member.condition == ALIVE and member.role == "edge"])
 
     def _confirmed(self):
         return self.source.confirmed
@@ -251,7 +251,7 @@
 
     def _metrics(self, now):
         return {"node": self.node, "number": self.state.number, "view": self.accord.view[0], "logged": len(self.accord.chain.entries),
-                "members": len(self.rumour.members) + 1, "ledgerRows": len(self.keeper.rows), "ledgerOpen": len(self.keeper.open_rows),
+                "members": len(self.membership.members) + 1, "ledgerRows": len(self.keeper.rows), "ledgerOpen": len(self.keeper.open_rows),
                 "hints": len(self.keeper.hints), "followers": len(self.source.followers), "ignored": self.ignored,
                 "storeCredit": round(self.placer.budget, 2), "allowances": self.grantor.told(now)}
 
@@ -272,7 +272,7 @@
     def _show(self, cid, what, now):
         state, is_stale = self.state, not self.accord.fresh(now)
         shown = {
-            "cohort": lambda: {"members": [self._member(member) for member in [self.rumour.me, *self.rumour.members.values()]],
+            "cohort": lambda: {"members": [self._member(member) for member in [self.membership.me, *self.membership.members.values()]],
                                "roster": state.roster, "view": {"ballot": self.accord.view[0], "members": self.accord.members,
                                                                 "leader": self.accord.leader},
                                "confirmed": self._confirmed()},
--- a/sumachook/role/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -4,14 +4,14 @@
 import signal
 from datetime import timedelta
 
-from sumachook.pulse.supervisor import Supervisor
-from sumachook.role.desk import reply
-from sumachook.wire.codec import Codec
-from sumachook.wire.door import Door
-from sumachook.wire.fetcher import Fetcher
-from sumachook.wire.forwarder import Forwarder
-from sumachook.wire.front import Front
-from sumachook.wire.ports import NodePort
+from sumachook.runtime.supervisor import Supervisor
+from sumachook.nodes.desk import reply
+from sumachook.transport.codec import Codec
+from sumachook.transport.door import Door
+from sumachook.transport.fetcher import Fetcher
+from sumachook.transport.forwarder import Forwarder
+from sumachook.transport.front import Front
+from sumachook.transport.ports import NodePort
 
 PULSE, LAST_WORDS = timedelta(seconds=0.05), timedelta(seconds=0.2)
 
--- a/sumachook/role/desk.py
+++ b/sumachook/nodes/desk.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from sumachook.atlas import faults
-from sumachook.wire.codec import pack_entry
+from sumachook.catalog import faults
+from sumachook.transport.codec import pack_entry
 
 JSON = {"Content-Type": "application/json"}
 STATUS = {"ok": 200, "refused": 422, "stale": 409}
--- a/sumachook/role/edge.py
+++ b/sumachook/nodes/edge.py
@@ -5,21 +5,21 @@
 
 import msgspec
 
-from sumachook.allowance.limiter import Limiter
-from sumachook.atlas.state import State
-from sumachook.feed.follower import Follower
-from sumachook.ferry.ferry import Ferry
-from sumachook.loom.places import Places
-from sumachook.role.desk import reply
-from sumachook.pulse.almanac import Almanac
-from sumachook.rumour.rumour import ALIVE, GONE, SUSPECT, Rumour
-from sumachook.tally.purse import Purse
-from sumachook.tally.quill import Quill
-from sumachook.transit.port import RequestPort
-from sumachook.transit.table import Table
-from sumachook.transit.transit import Transit
-
-RUMOUR = {"probe", "probe_ack", "probe_via", "probe_for", "via_ack", "join", "roll"}
+from sumachook.allowances.limiter import Limiter
+from sumachook.catalog.state import State
+from sumachook.changefeed.follower import Follower
+from sumachook.inference.ferry import Ferry
+from sumachook.placement.places import Places
+from sumachook.nodes.desk import reply
+from sumachook.runtime.almanac import Almanac
+from sumachook.membership.membership import ALIVE, GONE, SUSPECT, Membership
+from sumachook.ledger.purse import Purse
+from sumachook.ledger.quill import Quill
+from sumachook.forwarding.port import RequestPort
+from sumachook.forwarding.table import Table
+from sumachook.forwarding.transit import Transit
+
+MEMBERSHIP = {"probe", "probe_ack", "probe_via", "probe_for", "via_ack", "join", "roll"}
 FEED = {"image", "news", "feed_beat"}
 GRACE = timedelta(seconds=8)
 CLOSING, LEAST_OPEN, MOST_OPEN = timedelta(seconds=0.8), timedelta(seconds=2.5), 0.5  # before the end; after the signal; of the grace
@@ -35,7 +35,7 @@
 class Edge:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
-    __slots__ = ("params", "node", "boot", "state", "rumour", "follower", "purse", "quill", "ferry", "next_demand", "stop_by",
+    __slots__ = ("params", "node", "boot", "state", "membership", "follower", "purse", "quill", "ferry", "next_demand", "stop_by",
                  "ignored", "saved_at", "saved_number", "saved_generation", "has_disk", "was_alone", "started_at", "almanac",
                  "transit", "places", "next_usage", "quiet_since", "stopped_at", "is_shut", "asked_places_at",
                  "limiter")
@@ -48,7 +48,7 @@
             self.state.restore(record[1])
         me = (self.node, params.address, "edge", params.area, boot, ALIVE, params.door, boot)
         self.almanac = Almanac(clock.wall, now)
-        self.rumour = Rumour(me, params.seeds, Random(draw.random()), now, self.almanac)
+        self.membership = Membership(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.follower = Follower(self.state, Random(draw.random()), now)
         self.purse, self.quill = Purse(params.resend_ratio), Quill(params.data is not None, records.get("spool", ()), now)
         self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()),
@@ -95,7 +95,7 @@
         if kind == "http":
             return self._http(message, now)
         if kind == "seeds":
-            self.rumour.seeds = message[1]
+            self.membership.seeds = message[1]
             return []
         if kind == "garbage":
             self.ignored += 1
@@ -112,13 +112,13 @@
             for path in self._paths():
                 path.take(("drain",), now)
             note = ("log", "info", "edge", "Leaving, no new requests.", {"inHand": len(self.ferry.table.rows)})
-            return [note, *self.rumour.take(("leave",), now)]
+            return [note, *self.membership.take(("leave",), now)]
         return []
 
     def _heard(self, message, now):
         kind = message[3][0]
-        if kind in RUMOUR:
-            return self.rumour.take(message, now)
+        if kind in MEMBERSHIP:
+            return self.membership.take(message, now)
         if kind == "feed_beat":
             self.almanac.take(("vote", message[1], message[3][3]), now)
         if kind in FEED:
@@ -140,7 +140,7 @@
 
     def _learn_edges(self, now):
         """Live ones, for even shares; for the slow start also those gone of late: each side of a split counts the other (§7.5)."""
-        edges = [member for member in self.rumour.members.values() if member.role == "edge"]
+        edges = [member for member in self.membership.members.values() if member.role == "edge"]
         live = [member.node for member in edges if member.condition in (ALIVE, SUSPECT)]
         late = [member.node for member in edges if member.condition == GONE and now - member.since < KIN_FOR]
         self.ferry.table.edges = tuple(sorted({self.node, *live}))
@@ -152,12 +152,12 @@
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
-        edges = [member for member in self.rumour.live if member.role == "edge"]
+        edges = [member for member in self.membership.live if member.role == "edge"]
         return tuple(member.address for member in sorted(edges, key=lambda member: (member.area == self.params.area, member.node)))
 
     def _cores(self):
         """Addresses of live cores: rumoured ones first, else the roster's, else the seeds."""
-        live = [member.address for member in self.rumour.live if member.role == "core"]
+        live = [member.address for member in self.membership.live if member.role == "core"]
         return tuple(sorted(live) or sorted(self.state.roster.values()) or self.params.seeds)
 
     def _paths(self):
@@ -169,11 +169,11 @@
         return (address,) if address else self._cores()
 
     def _pulse(self, now):
-        out = self.rumour.take(("pulse", self.follower.number), now)
+        out = self.membership.take(("pulse", self.follower.number), now)
         cores = self._cores()
-        out += self.follower.take(("pulse", cores, self.rumour.feed_heard), now)
+        out += self.follower.take(("pulse", cores, self.membership.feed_heard), now)
         self.almanac.take(("pulse",), now)
-        live = {member.node for member in self.rumour.live}
+        live = {member.node for member in self.membership.live}
         out += self.quill.take(("pulse", self.state.roster, live, self._carriers()), now)
         out += self.purse.take(("pulse", cores), now)
         out += self._limit(cores, now)
@@ -280,12 +280,12 @@
                 "lines": {line: len(rows) for line, rows in self.ferry.table.lines.rows.items()},
                 "ledgerWaiting": len(self.quill.entries), "ledgerDropped": self.quill.lost,
                 "credit": round(self.purse.balance, 2), "number": self.follower.number, "ignored": self.ignored,
-                "members": len(self.rumour.members) + 1, "allowances": self.limiter.told()}
+                "members": len(self.membership.members) + 1, "allowances": self.limiter.told()}
 
 
 def test_edge_without_a_catalogue_says_so():
-    from sumachook.atlas.params import Params
-    from sumachook.pulse.clock import Clock
+    from sumachook.catalog.params import Params
+    from sumachook.runtime.clock import Clock
 
     params = Params(node="e1", address="127.0.0.1:1", door="127.0.0.1:2", area="hall", seeds=("127.0.0.1:3",))
     edge, now = Edge(params, {}, 1, Clock(), Random(1)), Clock().mono()
@@ -298,8 +298,8 @@
 
 
 def test_edge_that_knows_no_other_sends_a_warming_server_nothing():
-    from sumachook.atlas.params import Params
-    from sumachook.pulse.clock import Clock
+    from sumachook.catalog.params import Params
+    from sumachook.runtime.clock import Clock
 
     doc = {"name": "c", "areas": ["a"], "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}], "lines": [{"name": "l"}],
            "callers": [{"name": "clerk", "key": "clerk-key", "line": "l", "patience": 9.0, "safe": True}]}
--- a/sumachook/role/serve.py
+++ b/sumachook/nodes/serve.py
@@ -8,10 +8,10 @@
 from random import Random
 
 from sumachook.fault import Fault
-from sumachook.pulse.clock import Clock
-from sumachook.role.daemon import Daemon
-from sumachook.role.logs import Logs
-from sumachook.vault.folder import Folder
+from sumachook.runtime.clock import Clock
+from sumachook.nodes.daemon import Daemon
+from sumachook.nodes.logs import Logs
+from sumachook.storage.folder import Folder
 
 REFUSED, USAGE, DAMAGED, UNREACHED = 1, 2, 3, 4
 MOST_OPERATOR_BODY = 8 << 20
--- a/sumachook/loom/orders.py
+++ b/sumachook/placement/orders.py
@@ -2,8 +2,8 @@
 
 from math import fsum
 
-from sumachook.creed.policy import compile_policy
-from sumachook.loom.plan import plan_adapters
+from sumachook.policies.policy import compile_policy
+from sumachook.placement.plan import plan_adapters
 
 LOAD, UNLOAD = "load", "unload"
 
@@ -101,7 +101,7 @@
 
 
 def _world(memory=12.0):
-    from sumachook.loom.plan import _world as world
+    from sumachook.placement.plan import _world as world
 
     return world(3, memory)
 
--- a/sumachook/loom/outlook.py
+++ b/sumachook/placement/outlook.py
@@ -1,6 +1,6 @@
 """The planner: what a change of catalogue would move. It changes nothing."""
 
-from sumachook.loom.plan import plan_pairs
+from sumachook.placement.plan import plan_pairs
 
 
 def foresee(catalogue, state, demand: dict) -> dict:
--- a/sumachook/loom/placer.py
+++ b/sumachook/placement/placer.py
@@ -5,10 +5,10 @@
 from reactivex import operators as ops
 from reactivex.subject import Subject
 
-from sumachook.ferry.port import OpenPort
-from sumachook.loom.orders import LOAD, draw_orders
-from sumachook.loom.plan import plan_pairs
-from sumachook.rota.rota import ORDER_TIMEOUT
+from sumachook.inference.port import OpenPort
+from sumachook.placement.orders import LOAD, draw_orders
+from sumachook.placement.plan import plan_pairs
+from sumachook.leases.leases import ORDER_TIMEOUT
 
 POLL_TIMEOUT = timedelta(seconds=1.5)
 HALF_LIFE = timedelta(seconds=60)
--- a/sumachook/loom/plan.py
+++ b/sumachook/placement/plan.py
@@ -2,7 +2,7 @@
 
 from zlib import crc32
 
-from sumachook.creed.policy import compile_policy
+from sumachook.policies.policy import compile_policy
 
 STAY = 1.0
 CROWDED = 0.6
@@ -87,7 +87,7 @@
 def _world(count=6, memory=40.0):
     import msgspec
 
-    from sumachook.atlas.catalogue import read_catalogue
+    from sumachook.catalog.catalogue import read_catalogue
 
     areas = ["a", "b", "c"]
     doc = {"name": "c", "areas": areas, "lines": [{"name": "l"}], "callers": [], "busy": 6,
--- a/sumachook/loom/provisioner.py
+++ b/sumachook/placement/provisioner.py
@@ -2,16 +2,16 @@
 
 from datetime import timedelta
 
-from sumachook.loom.demand import Demand
-from sumachook.loom.engine_server import LOAD, UNLOAD, EngineServer, Order
-from sumachook.loom.herald import Herald
-from sumachook.loom.room import Room
-from sumachook.loom.siting import Siting
-from sumachook.loom.spans import Spans
-from sumachook.loom.spread import desired_places, hot_models, most_asked
-from sumachook.loom.store_pace import StorePace
-from sumachook.loom.succession import Succession
-from sumachook.loom.wants import Wants
+from sumachook.placement.demand import Demand
+from sumachook.placement.engine_server import LOAD, UNLOAD, EngineServer, Order
+from sumachook.placement.herald import Herald
+from sumachook.placement.room import Room
+from sumachook.placement.siting import Siting
+from sumachook.placement.spans import Spans
+from sumachook.placement.spread import desired_places, hot_models, most_asked
+from sumachook.placement.store_pace import StorePace
+from sumachook.placement.succession import Succession
+from sumachook.placement.wants import Wants
 
 MS = timedelta(milliseconds=1)
 
--- a/sumachook/loom/watcher.py
+++ b/sumachook/placement/watcher.py
@@ -6,10 +6,10 @@
 import msgspec
 from msgspec import Meta
 
-from sumachook.atlas.catalogue import Name
-from sumachook.atlas.check import check
-from sumachook.atlas.params import address_fault
-from sumachook.loom.list_port import ListPort
+from sumachook.catalog.catalogue import Name
+from sumachook.catalog.check import check
+from sumachook.catalog.params import address_fault
+from sumachook.placement.list_port import ListPort
 
 
 class Listed(msgspec.Struct, rename="camel", forbid_unknown_fields=False, frozen=True):
@@ -142,7 +142,7 @@
 
 
 def _watcher():
-    from sumachook.atlas.state import State
+    from sumachook.catalog.state import State
 
     state = State()
     server = {"kind": "model", "address": "127.0.0.1:9", "area": "a", "memory": 8.0, "places": 1, "slots": 2, "leaving": False}
--- a/sumachook/creed/policy.py
+++ b/sumachook/policies/policy.py
@@ -5,7 +5,7 @@
 
 from cachetools import LRUCache, cached
 
-from sumachook.creed import faults
+from sumachook.policies import faults
 from sumachook.fault import Fault
 
 ROLES = {
--- a/sumachook/rumour/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""Membership: probes in turn, second opinions, suspicion before removal."""
-
-from sumachook.rumour.rumour import Rumour
-
-__all__ = ["Rumour"]
--- a/sumachook/guise/city.py
+++ b/sumachook/simulation/city.py
@@ -5,15 +5,15 @@
 from pathlib import Path
 from random import Random
 
-from sumachook.atlas.params import Params
-from sumachook.guise.callers import Callers
-from sumachook.guise.fleet import Fleet
-from sumachook.guise.model import ModelServer, Record
-from sumachook.guise.platform import Platform
-from sumachook.guise.probe import Probe
-from sumachook.guise.records import RecordsServer
-from sumachook.role.core import Core
-from sumachook.role.edge import Edge
+from sumachook.catalog.params import Params
+from sumachook.simulation.callers import Callers
+from sumachook.simulation.fleet import Fleet
+from sumachook.simulation.model import ModelServer, Record
+from sumachook.simulation.platform import Platform
+from sumachook.simulation.probe import Probe
+from sumachook.simulation.records import RecordsServer
+from sumachook.nodes.core import Core
+from sumachook.nodes.edge import Edge
 
 
 class City:
--- a/sumachook/guise/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -7,9 +7,9 @@
 import msgspec
 from assel import Parser
 
-from sumachook.guise.disk import Disk
-from sumachook.guise.reach import EVERY as LOOK_EVERY, Reach
-from sumachook.wire.codec import Codec, as_tuples, read_parcel
+from sumachook.simulation.disk import Disk
+from sumachook.simulation.reach import EVERY as LOOK_EVERY, Reach
+from sumachook.transport.codec import Codec, as_tuples, read_parcel
 
 PULSE = timedelta(seconds=0.05)
 START = datetime(2026, 3, 2, 6, 0, tzinfo=timezone.utc)
--- a/sumachook/guise/reach.py
+++ b/sumachook/simulation/reach.py
@@ -64,7 +64,7 @@
 
 
 def test_a_cut_and_a_start_anew_are_breaks():
-    from sumachook.guise.fleet import Fleet
+    from sumachook.simulation.fleet import Fleet
 
     town, second = Fleet(1), timedelta(seconds=1)
 
--- a/sumachook/guise/storm.py
+++ b/sumachook/simulation/storm.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from random import Random
 
-from sumachook.guise.witness import Witness
+from sumachook.simulation.witness import Witness
 
 FOREVER = timedelta(days=9)
 LOSS_EVERY = timedelta(seconds=45)
--- a/sumachook/guise/town_shares.py
+++ b/sumachook/simulation/town_shares.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from sumachook.allowance.terms import Terms
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.guise.share_witness import Ask, Bounds, Run, ShareWitness
+from sumachook.allowances.terms import Terms
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.simulation.share_witness import Ask, Bounds, Run, ShareWitness
 
 OF_WINDOW = timedelta(seconds=0.4)  # between a call's sending and its being let in
 
--- a/sumachook/guise/witness.py
+++ b/sumachook/simulation/witness.py
@@ -3,8 +3,8 @@
 from bisect import bisect_left
 from datetime import timedelta
 
-from sumachook.guise.model import EVENTS
-from sumachook.guise.probe import KNOWN, UNKNOWN
+from sumachook.simulation.model import EVENTS
+from sumachook.simulation.probe import KNOWN, UNKNOWN
 
 SECOND = timedelta(seconds=1)
 LEAVING_WITHIN = SECOND * 3.6  # three seconds, and the half in which the list may lie unread
--- a/sumachook/vault/__init__.py
+++ b/sumachook/storage/__init__.py
@@ -1,5 +1,5 @@
 """The append-only file of checksummed records."""
 
-from sumachook.vault.folder import Folder
+from sumachook.storage.folder import Folder
 
 __all__ = ["Folder"]
--- a/sumachook/vault/folder.py
+++ b/sumachook/storage/folder.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from sumachook.fault import Fault
-from sumachook.vault.records import pack_record, read_records
+from sumachook.storage.records import pack_record, read_records
 
 
 class Folder:
--- a/sumachook/vault/records.py
+++ b/sumachook/storage/records.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from sumachook.vault import faults
-from sumachook.wire.codec import as_tuples
+from sumachook.storage import faults
+from sumachook.transport.codec import as_tuples
 
 HEAD = struct.Struct(">4sIII")
 MARK = b"smk1"
--- a/sumachook/wire/codec.py
+++ b/sumachook/transport/codec.py
@@ -8,8 +8,8 @@
 from thrift.Thrift import TType
 from thrift.transport.TTransport import TMemoryBuffer
 
-from sumachook.wire import faults
-from sumachook.wire.shapes import FIELDS
+from sumachook.transport import faults
+from sumachook.transport.shapes import FIELDS
 
 MOST_BYTES = 4 << 20
 SQUEEZED, SQUEEZE_FROM = b"z", 600
--- a/sumachook/wire/door.py
+++ b/sumachook/transport/door.py
@@ -9,7 +9,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
-from sumachook.wire.ports import split_address
+from sumachook.transport.ports import split_address
 
 MOST_BODY = 1 << 20
 MOST_UNSENT = 1 << 20
--- a/sumachook/wire/forwarder.py
+++ b/sumachook/transport/forwarder.py
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from sumachook.wire.watched import watch
+from sumachook.transport.watched import watch
 
 KEPT = timedelta(seconds=8)
 MOST_BODY = 16 << 20
--- a/sumachook/wire/front.py
+++ b/sumachook/transport/front.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from sumachook.wire.door import Door, _fault
+from sumachook.transport.door import Door, _fault
 
 LONGEST_FIELD = 32 << 10
 
--- a/sumachook/wire/ports.py
+++ b/sumachook/transport/ports.py
@@ -4,8 +4,8 @@
 from collections import deque
 from datetime import timedelta
 
-from sumachook.wire.codec import MOST_BYTES, read_parcel
-from sumachook.wire.watched import watch
+from sumachook.transport.codec import MOST_BYTES, read_parcel
+from sumachook.transport.watched import watch
 
 HEAD = 4
 MOST_IN_LINE = 4000
@@ -134,8 +134,8 @@
 
 
 def test_parcels_arrive_and_garbage_is_counted():
-    from sumachook.wire.codec import Codec
-    from sumachook.wire.door import _free_address
+    from sumachook.transport.codec import Codec
+    from sumachook.transport.door import _free_address
 
     async def story():
         heard, done = [], asyncio.Event()
--- a/tests/accord_stories.py
+++ b/tests/accord_stories.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sumachook.guise.city import Town
+from sumachook.simulation.city import Town
 from tests.scene import box_of, city, leader
 
 CORES = ("core-1", "core-2", "core-3")
--- a/tests/allowance_city_stories.py
+++ b/tests/allowance_city_stories.py
@@ -9,9 +9,9 @@
 import pytest
 
 from harness.twins import LOOKUP_SLACK, PROMPT_SLACK
-from sumachook.atlas.catalogue import merge, read_catalogue
-from sumachook.guise.city import Town
-from sumachook.guise.town_shares import TownShares
+from sumachook.catalog.catalogue import merge, read_catalogue
+from sumachook.simulation.city import Town
+from sumachook.simulation.town_shares import TownShares
 from sumachook.main import Show
 from tests.scene import ask, box_of, city, group, is_held, leader, quiet, settled, witness
 
@@ -39,7 +39,7 @@
 
 def accountant(town):
     """The core that lends, or None."""
-    return next((core for core in town.machines("core") if core.rota.holds("accountant", town.now)), None)
+    return next((core for core in town.machines("core") if core.leases.holds("accountant", town.now)), None)
 
 
 def test_a_flood_of_lookups_is_refused_everywhere_with_all_that_is_promised():
--- a/tests/allowance_scene.py
+++ b/tests/allowance_scene.py
@@ -5,14 +5,14 @@
 from random import Random
 from types import SimpleNamespace
 
-from sumachook.allowance.board import Board
-from sumachook.allowance.grantor import Grantor
-from sumachook.allowance.limiter import Limiter
-from sumachook.allowance.terms import Terms
-from sumachook.atlas.capacity import Capacity
-from sumachook.atlas.tenant import Tenant
-from sumachook.guise.share_witness import Ask, Bounds, Run, ShareWitness
-from sumachook.wire.codec import Codec, read_parcel
+from sumachook.allowances.board import Board
+from sumachook.allowances.grantor import Grantor
+from sumachook.allowances.limiter import Limiter
+from sumachook.allowances.terms import Terms
+from sumachook.catalog.capacity import Capacity
+from sumachook.catalog.tenant import Tenant
+from sumachook.simulation.share_witness import Ask, Bounds, Run, ShareWitness
+from sumachook.transport.codec import Codec, read_parcel
 
 SECOND = timedelta(seconds=1)
 PULSE = SECOND / 20
--- a/tests/allowance_stories.py
+++ b/tests/allowance_stories.py
@@ -5,10 +5,10 @@
 import pytest
 
 from harness.allowances import play_turn
-from sumachook.allowance.limiter import Limiter
-from sumachook.atlas.capacity import Capacity
-from sumachook.feed.follower import FRESH, WAITING
-from sumachook.ferry import faults
+from sumachook.allowances.limiter import Limiter
+from sumachook.catalog.capacity import Capacity
+from sumachook.changefeed.follower import FRESH, WAITING
+from sumachook.inference import faults
 from tests.allowance_scene import SECOND, Offices, tenant
 from tests.transit_stories import CHAT, NOT_RUN, ONCE, Scene, catalogue
 
--- a/tests/capacity_stories.py
+++ b/tests/capacity_stories.py
@@ -13,9 +13,9 @@
 from harness.scale.site import Site
 from harness.scale.size import Size
 from harness.scale.tables import Tables
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.atlas.params import read_params
-from sumachook.wire.shapes import FIELDS
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.catalog.params import read_params
+from sumachook.transport.shapes import FIELDS
 
 ROOT = Path(__file__).parent.parent
 DOCS = ROOT / "docs"
--- a/tests/configure_stories.py
+++ b/tests/configure_stories.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from sumachook.accord.seat import Seat
-from sumachook.atlas.state import MOST_TAKEN, State
+from sumachook.catalog.state import MOST_TAKEN, State
 from tests.scene import found, leader
 from tests.service_catalogue_stories import route, services, whole
 
@@ -164,7 +164,7 @@
     """A town whose cores know all edges, with version 5 in force."""
     town = found(seed, **more)
     edges = {edge.node for edge in town.machines("edge")}
-    assert town.run_until(lambda: all(edges <= {member.node for member in core.rumour.live} for core in town.machines("core")), 5)
+    assert town.run_until(lambda: all(edges <= {member.node for member in core.membership.live} for core in town.machines("core")), 5)
     answer = _configure(town, "core-1", "first", whole(5), 0)
     assert answer and answer[0] == 200 and answer[1]["version"] == 5, answer
     return town
--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -30,7 +30,7 @@
 
 def test_founding_needs_all_three_blank_cores():
     """Given two of three cores, when they start, no view is founded; when the third comes, one is, with all in it."""
-    from sumachook.guise.city import Town
+    from sumachook.simulation.city import Town
     from tests.scene import city
 
     town = Town(city(), 3, edges=1)
@@ -245,7 +245,7 @@
 
 def test_founding_that_was_interrupted_is_finished():
     """Given a founder that is killed at each moment of its first second and comes back, a view of all three is founded."""
-    from sumachook.guise.city import Town
+    from sumachook.simulation.city import Town
     from tests.scene import city
 
     for step in range(8):
@@ -304,7 +304,7 @@
 def test_probe_sees_that_all_obey_though_the_leader_is_lost_right_after_the_ack():
     """Rules 5 and 6. Given changes and an evacuation each followed at once by the leader being killed, frozen or cut off, a probe
     from outside sees every edge that can be reached obey within two seconds, and none go back; nothing enters the area."""
-    from sumachook.guise.storm import Storm
+    from sumachook.simulation.storm import Storm
     from tests.scene import witness
 
     for how in ("kill", "freeze", "cut"):
--- a/tests/door_stories.py
+++ b/tests/door_stories.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sumachook.wire.door import IDLE, Door, _free_address
-from sumachook.wire.ports import split_address
+from sumachook.transport.door import IDLE, Door, _free_address
+from sumachook.transport.ports import split_address
 
 BOUND, START = 8.0, 1000.0  # seconds for one story; where its clock begins
 LONG = IDLE.total_seconds()
--- a/tests/duty_stories.py
+++ b/tests/duty_stories.py
@@ -5,8 +5,8 @@
 from itertools import count
 from random import Random
 
-from sumachook.atlas.state import State
-from sumachook.rota.rota import Rota
+from sumachook.catalog.state import State
+from sumachook.leases.leases import Leases
 
 MS = timedelta(milliseconds=1)
 SEATS = ("s0", "s1", "s2")
@@ -31,7 +31,7 @@
         state = State()
         for number, change in enumerate(self.changes, 1):
             state.apply(number, change)
-        self.states[seat], self.rotas[seat] = state, Rota(seat, state, Random(self.draw.random()), self.now, self.is_fenced)
+        self.states[seat], self.rotas[seat] = state, Leases(seat, state, Random(self.draw.random()), self.now, self.is_fenced)
 
     def _push(self, span, *event):
         heappush(self.queue, (self.now + span, next(self.order), *event))
--- a/tests/feed_stories.py
+++ b/tests/feed_stories.py
@@ -3,12 +3,12 @@
 from datetime import timedelta
 from random import Random
 
-from sumachook.atlas.state import State
-from sumachook.feed.follower import Follower
-from sumachook.feed.source import MOST_KEPT_BYTES, Source
-from sumachook.pulse.almanac import Almanac
-from sumachook.pulse.clock import Clock
-from sumachook.wire.codec import MOST_BYTES, Codec, pack_entry
+from sumachook.catalog.state import State
+from sumachook.changefeed.follower import Follower
+from sumachook.changefeed.source import MOST_KEPT_BYTES, Source
+from sumachook.runtime.almanac import Almanac
+from sumachook.runtime.clock import Clock
+from sumachook.transport.codec import MOST_BYTES, Codec, pack_entry
 from tests.service_catalogue_stories import route, whole
 
 NOW = timedelta(seconds=100)
--- a/tests/forward_stories.py
+++ b/tests/forward_stories.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from sumachook.wire.door import _free_address
-from sumachook.wire.forwarder import Forwarder
-from sumachook.wire.front import Front
-from sumachook.wire.ports import split_address
+from sumachook.transport.door import _free_address
+from sumachook.transport.forwarder import Forwarder
+from sumachook.transport.front import Front
+from sumachook.transport.ports import split_address
 from tests.transit_stories import START, Scene, catalogue, event, route, server
 
 BOUND = 8.0  # seconds for one story, far more than it takes
--- a/tests/leaving_stories.py
+++ b/tests/leaving_stories.py
@@ -7,12 +7,12 @@
 import msgspec
 import pytest
 
-from sumachook.atlas.params import Params
-from sumachook.pulse.clock import Clock
-from sumachook.role.daemon import Daemon
-from sumachook.role.edge import CLOSING, LEAST_OPEN, MOST_OPEN, QUIET_FOR, Edge
-from sumachook.wire.door import TURNS, _free_address
-from sumachook.wire.ports import NodePort, split_address
+from sumachook.catalog.params import Params
+from sumachook.runtime.clock import Clock
+from sumachook.nodes.daemon import Daemon
+from sumachook.nodes.edge import CLOSING, LEAST_OPEN, MOST_OPEN, QUIET_FOR, Edge
+from sumachook.transport.door import TURNS, _free_address
+from sumachook.transport.ports import NodePort, split_address
 from tests.forward_stories import BOUND, SOON, head, play, sealed, well
 from tests.transit_stories import catalogue, server
 
--- a/tests/ledger_stories.py
+++ b/tests/ledger_stories.py
@@ -80,7 +80,7 @@
 
 def test_ledger_file_is_rewritten_under_load_and_survives_a_crash_at_any_step():
     """Given small bounds, rewriting under load with power lost at each of many moments loses no acknowledged row."""
-    import sumachook.tally.keeper as keeper
+    import sumachook.ledger.keeper as keeper
 
     bound, keeper.MOST_STORED = keeper.MOST_STORED, 200
     try:
--- a/tests/page_stories.py
+++ b/tests/page_stories.py
@@ -5,7 +5,7 @@
 
 from harness.scenarios import SCENARIOS
 from harness.trials import TRIALS
-from sumachook.guise.storm import Storm
+from sumachook.simulation.storm import Storm
 
 ROOT = Path(__file__).parent.parent
 
--- a/tests/placement_stories.py
+++ b/tests/placement_stories.py
@@ -122,7 +122,7 @@
         server.sizes |= {"refund-01": 20.0, "brand-new": 3.0}
         server.rates["brand-new"] = 80.0
     before = leader(town).state.image()
-    holder = next(core for core in town.machines("core") if core.rota.holds("placer", town.now))
+    holder = next(core for core in town.machines("core") if core.leases.holds("placer", town.now))
     name = next(box.name for box in town.boxes.values() if box.machine is holder)
     status, plan = town.ask(name, "POST", "/plan", {"doc": doc, "part": True})
     assert status == 200 and plan["loads"] and leader(town).state.image() == before
--- a/tests/platform_stories.py
+++ b/tests/platform_stories.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from sumachook.atlas.params import read_params
-from sumachook.guise.city import Town
+from sumachook.catalog.params import read_params
+from sumachook.simulation.city import Town
 from tests.scene import city, leader
 
 ROOT = Path(__file__).parent.parent
@@ -264,7 +264,7 @@
 def test_documents_come_back_as_they_were_written(doc):
     """Given samples of the protocol page, with unknown fields on every level and fields named as the product's own, what goes in
     comes out, to the letter of each number; and the product takes it if it is valid."""
-    from sumachook.atlas.catalogue import read_catalogue
+    from sumachook.catalog.catalogue import read_catalogue
 
     ours = from_platform(doc, tuple(ZONES))
     back = to_platform(json.loads(json.dumps(ours)))
@@ -275,7 +275,7 @@
 
 def test_what_the_documents_say_is_what_the_product_reads():
     """Given the sample, kinds, times and sizes are the product's, in its units."""
-    from sumachook.atlas.catalogue import read_catalogue
+    from sumachook.catalog.catalogue import read_catalogue
 
     catalogue, _ = read_catalogue(from_platform(whole(routes=[ROUTE, SINGLE, {**ROUTE, "name": "r-3", "path-prefix": "/z/", "route-kind": "non_idempotent"}]), tuple(ZONES)))
     stream, single, once = catalogue.http_routes
@@ -341,7 +341,7 @@
         self.town = FacedTown(city(), seed, 2)
         cores, edges = self.town.machines("core"), {edge.node for edge in self.town.machines("edge")}
         assert self.town.run_until(lambda: leader(self.town) is not None, 10)
-        assert self.town.run_until(lambda: all(edges <= {member.node for member in core.rumour.live} for core in cores), 5)
+        assert self.town.run_until(lambda: all(edges <= {member.node for member in core.membership.live} for core in cores), 5)
         self.town.add("operator", "operator", lambda box: Operator(), "", "", "operator")
         self.operator = self.town.boxes["operator"].machine
         if version:
@@ -467,8 +467,8 @@
 
 
 def _blank_edge():
-    from sumachook.pulse.clock import Clock
-    from sumachook.role.edge import Edge
+    from sumachook.runtime.clock import Clock
+    from sumachook.nodes.edge import Edge
 
     return Edge(_params(SETTINGS, "edge")[0], {}, 1, Clock(), Random(1), PlatformRequestPort())
 
--- a/tests/provision_stories.py
+++ b/tests/provision_stories.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
-from sumachook.guise.engine_stand import EngineStandIn
-from sumachook.loom.account import account_for_places
-from sumachook.loom.places import Places
-from sumachook.loom.port import ServerPort
-from sumachook.loom.provisioner import Provisioner
-from sumachook.wire.codec import Codec, read_parcel
+from sumachook.simulation.engine_stand import EngineStandIn
+from sumachook.placement.account import account_for_places
+from sumachook.placement.places import Places
+from sumachook.placement.port import ServerPort
+from sumachook.placement.provisioner import Provisioner
+from sumachook.transport.codec import Codec, read_parcel
 
 MS = timedelta(milliseconds=1)
 EDGES = ("10.0.1.1:7", "10.0.1.2:7")
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -4,8 +4,8 @@
 from datetime import timedelta
 from pathlib import Path
 
-from sumachook.guise.city import City, Town
-from sumachook.guise.witness import Witness
+from sumachook.simulation.city import City, Town
+from sumachook.simulation.witness import Witness
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
--- a/tests/service_catalogue_stories.py
+++ b/tests/service_catalogue_stories.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from sumachook.atlas.catalogue import read_catalogue
-from sumachook.atlas.http_route import HttpRoute
-from sumachook.atlas.limits import Limits
-from sumachook.atlas.state import State
+from sumachook.catalog.catalogue import read_catalogue
+from sumachook.catalog.http_route import HttpRoute
+from sumachook.catalog.limits import Limits
+from sumachook.catalog.state import State
 from tests.scene import json_fields
 
 
--- a/tests/transit_stories.py
+++ b/tests/transit_stories.py
@@ -8,18 +8,18 @@
 import msgspec
 import pytest
 
-from sumachook.atlas.params import Params
-from sumachook.atlas.state import State
-from sumachook.feed.follower import CUT, EMPTY, FRESH, WAITING
-from sumachook.loom.places import Places
-from sumachook.pulse.almanac import ZERO, Almanac
-from sumachook.pulse.clock import Clock
-from sumachook.role.edge import Edge
-from sumachook.tally.purse import Purse
-from sumachook.transit.choose import HOLD_PART
-from sumachook.transit.port import RequestPort
-from sumachook.transit.table import MOST_ROWS, Table
-from sumachook.transit.transit import Transit
+from sumachook.catalog.params import Params
+from sumachook.catalog.state import State
+from sumachook.changefeed.follower import CUT, EMPTY, FRESH, WAITING
+from sumachook.placement.places import Places
+from sumachook.runtime.almanac import ZERO, Almanac
+from sumachook.runtime.clock import Clock
+from sumachook.nodes.edge import Edge
+from sumachook.ledger.purse import Purse
+from sumachook.forwarding.choose import HOLD_PART
+from sumachook.forwarding.port import RequestPort
+from sumachook.forwarding.table import MOST_ROWS, Table
+from sumachook.forwarding.transit import Transit
 from tests.scene import json_fields
 
 SECOND = timedelta(seconds=1)
@@ -1007,7 +1007,7 @@
     for number in range(others):
         name, address = f"x{number}", f"10.0.2.{number}:7"
         news = (name, address, "edge", "east", 1, "alive", f"10.0.2.{number}:8", 1)
-        edge.rumour.take(("heard", name, address, ("roll", (news,))), now)
+        edge.membership.take(("heard", name, address, ("roll", (news,))), now)
     edge.take(("pulse",), now + SECOND * 2)
     assert len(edge.ferry.table.kin) == 1 + others
     for _ in range(1000):
