--- a/sumachook/catalog/part.py
+++ b/sumachook/catalog/part.py
@@ -41,7 +41,9 @@
     places = {item["name"]: place for place, item in enumerate(kept)}
     for item in items:
         name = item.get("name") if isinstance(item, dict) else None
-        place = places.pop(name, None) if isinstance(name, str) else None  # a second of one name stays, for the check to refuse
+        place = (
+            places.pop(name, None) if isinstance(name, str) else None
+        )  # a second of one name stays, for the check to refuse
         if place is None:
             kept.append(item)
         else:
--- a/sumachook/catalog/state.py
+++ b/sumachook/catalog/state.py
@@ -23,8 +23,21 @@
     (('ok',), ('refused', (('duty', 'not vacant'),)))
     """
 
-    __slots__ = ("number", "generation", "doc", "catalogue", "evacuated", "servers", "duties", "pairs", "held", "requests",
-                 "roster", "listed_at", "taken")
+    __slots__ = (
+        "number",
+        "generation",
+        "doc",
+        "catalogue",
+        "evacuated",
+        "servers",
+        "duties",
+        "pairs",
+        "held",
+        "requests",
+        "roster",
+        "listed_at",
+        "taken",
+    )
 
     def __init__(self):
         self.number, self.generation, self.doc, self.catalogue = 0, 0, None, None
@@ -34,9 +47,17 @@
 
     def image(self) -> dict:
         return {
-            "number": self.number, "generation": self.generation, "doc": self.doc, "evacuated": self.evacuated,
-            "servers": self.servers, "duties": self.duties, "pairs": self.pairs, "held": self.held, "roster": self.roster,
-            "requests": tuple(self.requests.items()), "listedAt": self.listed_at,
+            "number": self.number,
+            "generation": self.generation,
+            "doc": self.doc,
+            "evacuated": self.evacuated,
+            "servers": self.servers,
+            "duties": self.duties,
+            "pairs": self.pairs,
+            "held": self.held,
+            "roster": self.roster,
+            "requests": tuple(self.requests.items()),
+            "listedAt": self.listed_at,
             "taken": tuple(self.taken.items()),
         }
 
@@ -206,9 +227,13 @@
 
 
 def _doc():
-    return {"name": "c", "areas": ["a", "b"], "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}],
-            "lines": [{"name": "counter"}],
-            "callers": [{"name": "clerk", "key": "clerk-key", "line": "counter", "patience": 9.0}]}
+    return {
+        "name": "c",
+        "areas": ["a", "b"],
+        "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}],
+        "lines": [{"name": "counter"}],
+        "callers": [{"name": "clerk", "key": "clerk-key", "line": "counter", "patience": 9.0}],
+    }
 
 
 def test_repeats_races_and_stale_changes():
--- a/sumachook/catalog/tenancy.py
+++ b/sumachook/catalog/tenancy.py
@@ -33,14 +33,21 @@
             yield f"tenants[{place}].floor", f"{floor} is above the ceiling, {ceiling}"
     capacity = doc.get("capacity")
     for figure in FIGURES if isinstance(capacity, dict) else ():
-        floors = [tenant[figure] * tenant.get("floor", FLOOR) for _, tenant in tenants
-                  if _is_number(tenant.get(figure)) and _is_number(tenant.get("floor", FLOOR))]
+        floors = [
+            tenant[figure] * tenant.get("floor", FLOOR)
+            for _, tenant in tenants
+            if _is_number(tenant.get(figure)) and _is_number(tenant.get("floor", FLOOR))
+        ]
         if _is_number(capacity.get(figure)) and sum(floors) > capacity[figure]:
             yield f"capacity.{figure}", f"the tenants' floors sum to {sum(floors):g}, it is {capacity[figure]:g}"
 
 
 def _items(items):
-    return [(place, item) for place, item in enumerate(items) if isinstance(item, dict)] if isinstance(items, (list, tuple)) else []
+    return (
+        [(place, item) for place, item in enumerate(items) if isinstance(item, dict)]
+        if isinstance(items, (list, tuple))
+        else []
+    )
 
 
 def _is_number(value):
@@ -50,19 +57,67 @@
 def test_each_fault_between_tenants_and_the_rest_is_named():
     from sumachook.catalog.catalogue import read_catalogue
 
-    doc = {"name": "c", "areas": ["a"], "lines": [{"name": "l"}], "services": [{"name": "s"}],
-           "callers": [{"name": name, "key": f"{name}-key-key", "line": "l", "patience": 9.0} for name in ("shop", "audit")],
-           "httpRoutes": [{"name": "status", "host": "h", "prefix": "/", "kind": "once", "timeoutMs": 900, "split": [{"service": "s", "weight": 1}]}],
-           "tenants": [{"name": "shops", "callers": ["shop"], "httpRoutes": ["status"], "requestsPerS": 20.0},
-                       {"name": "auditors", "callers": ["audit"], "requestsPerS": 2.0, "tokensPerS": 900.0, "floor": 1.0, "overCeiling": "yield"}],
-           "capacity": {"requestsPerS": 30.0}}
+    doc = {
+        "name": "c",
+        "areas": ["a"],
+        "lines": [{"name": "l"}],
+        "services": [{"name": "s"}],
+        "callers": [
+            {"name": name, "key": f"{name}-key-key", "line": "l", "patience": 9.0} for name in ("shop", "audit")
+        ],
+        "httpRoutes": [
+            {
+                "name": "status",
+                "host": "h",
+                "prefix": "/",
+                "kind": "once",
+                "timeoutMs": 900,
+                "split": [{"service": "s", "weight": 1}],
+            }
+        ],
+        "tenants": [
+            {"name": "shops", "callers": ["shop"], "httpRoutes": ["status"], "requestsPerS": 20.0},
+            {
+                "name": "auditors",
+                "callers": ["audit"],
+                "requestsPerS": 2.0,
+                "tokensPerS": 900.0,
+                "floor": 1.0,
+                "overCeiling": "yield",
+            },
+        ],
+        "capacity": {"requestsPerS": 30.0},
+    }
     assert read_catalogue(doc)[1] == ()
-    bad = {**doc, "tenants": [{**doc["tenants"][0], "callers": ["shop", "gone"], "floor": 1.5, "requestsPerS": 0, "colour": 1},
-                              {**doc["tenants"][1], "callers": ["audit", "shop"], "httpRoutes": ["status"], "tokensPerS": -4.0, "overCeiling": "sink"},
-                              {"name": "shops", "burstS": 0}]}
+    bad = {
+        **doc,
+        "tenants": [
+            {**doc["tenants"][0], "callers": ["shop", "gone"], "floor": 1.5, "requestsPerS": 0, "colour": 1},
+            {
+                **doc["tenants"][1],
+                "callers": ["audit", "shop"],
+                "httpRoutes": ["status"],
+                "tokensPerS": -4.0,
+                "overCeiling": "sink",
+            },
+            {"name": "shops", "burstS": 0},
+        ],
+    }
     assert sorted(path for path, _ in read_catalogue(bad)[1]) == [
-        "tenants[0].callers[1]", "tenants[0].colour", "tenants[0].floor", "tenants[0].requestsPerS", "tenants[1].callers[1]",
-        "tenants[1].httpRoutes[0]", "tenants[1].overCeiling", "tenants[1].tokensPerS", "tenants[2]", "tenants[2].burstS", "tenants[2].name"]
+        "tenants[0].callers[1]",
+        "tenants[0].colour",
+        "tenants[0].floor",
+        "tenants[0].requestsPerS",
+        "tenants[1].callers[1]",
+        "tenants[1].httpRoutes[0]",
+        "tenants[1].overCeiling",
+        "tenants[1].tokensPerS",
+        "tenants[2]",
+        "tenants[2].burstS",
+        "tenants[2].name",
+    ]
     low = {**doc, "capacity": {"requestsPerS": 11.9, "tokensPerS": 899.0}}
-    assert read_catalogue(low)[1] == (("capacity.requestsPerS", "the tenants' floors sum to 12, it is 11.9"),
-                                      ("capacity.tokensPerS", "the tenants' floors sum to 900, it is 899"))
+    assert read_catalogue(low)[1] == (
+        ("capacity.requestsPerS", "the tenants' floors sum to 12, it is 11.9"),
+        ("capacity.tokensPerS", "the tenants' floors sum to 900, it is 899"),
+    )
--- a/sumachook/changefeed/follower.py
+++ b/sumachook/changefeed/follower.py
@@ -16,7 +16,19 @@
     Out: ("tell", address, message), ("changed",). `trust(now)` is one of empty, waiting, fresh, cut.
     """
 
-    __slots__ = ("state", "draw", "core", "_number", "nonce", "beat_at", "asked_at", "last_pulse", "woke", "behind_since", "_heard")
+    __slots__ = (
+        "state",
+        "draw",
+        "core",
+        "_number",
+        "nonce",
+        "beat_at",
+        "asked_at",
+        "last_pulse",
+        "woke",
+        "behind_since",
+        "_heard",
+    )
 
     number = Rising("_number")
     heard = Rising("_heard")
@@ -136,5 +148,7 @@
 
 def test_follower_leaves_a_silent_core():
     follower, step, cores = _follower(), timedelta(seconds=0.05), ("core:1", "core:2")
-    asked = [effect for at in range(80) for effect in follower.take(("pulse", cores, 0), at * step) if effect[0] == "tell"]
+    asked = [
+        effect for at in range(80) for effect in follower.take(("pulse", cores, 0), at * step) if effect[0] == "tell"
+    ]
     assert {effect[1] for effect in asked} == set(cores) and 2 <= len(asked) <= 4
--- a/sumachook/changefeed/source.py
+++ b/sumachook/changefeed/source.py
@@ -18,8 +18,18 @@
     Out: ("tell", address, message). Only a core in a working view serves: one that just came back may hold an older state.
     """
 
-    __slots__ = ("state", "entries", "first", "followers", "confirmed", "next_beat", "core_addresses", "almanac", "is_fresh",
-                 "size")
+    __slots__ = (
+        "state",
+        "entries",
+        "first",
+        "followers",
+        "confirmed",
+        "next_beat",
+        "core_addresses",
+        "almanac",
+        "is_fresh",
+        "size",
+    )
 
     def __init__(self, state, core_addresses, now, almanac, is_fresh):
         self.state, self.core_addresses, self.almanac, self.is_fresh = state, core_addresses, almanac, is_fresh
@@ -55,7 +65,10 @@
         if now >= self.next_beat:
             self.next_beat = now + BEAT
             if self.is_fresh(now):
-                out += [("tell", item[0], ("feed_beat", self.state.number, item[3], self.almanac.vote)) for item in self.followers.values()]
+                out += [
+                    ("tell", item[0], ("feed_beat", self.state.number, item[3], self.almanac.vote))
+                    for item in self.followers.values()
+                ]
         return out
 
     def _serve(self, node, now):
--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -2,10 +2,11 @@
 
 from datetime import timedelta
 
-from sumachook.changefeed.follower import EMPTY, FRESH, WAITING as NOT_SURE
-from sumachook.inference import faults
+from sumachook.changefeed.follower import EMPTY, FRESH
+from sumachook.changefeed.follower import WAITING as NOT_SURE
 from sumachook.forwarding.row import Row
 from sumachook.forwarding.table import MOST_ROWS
+from sumachook.inference import faults
 
 PARK_PART, PARK_MOST, PATIENCE = 0.25, timedelta(seconds=1.5), timedelta(seconds=4)
 
@@ -38,7 +39,9 @@
             return self._turn_away(cid, request, 503, faults.OVERLOAD.because(f"{MOST_ROWS} requests in hand"), 1.0)
         patience = route.timeout_ms if request.deadline_ms is None else min(request.deadline_ms, route.timeout_ms)
         table.number += 1
-        row = Row(table.number, cid, method, path, headers, body, request, route, arrived_at, timedelta(milliseconds=patience))
+        row = Row(
+            table.number, cid, method, path, headers, body, request, route, arrived_at, timedelta(milliseconds=patience)
+        )
         row.service, row.generation, row.is_unsure = self._service(route), table.generation, trust == NOT_SURE
         table.rows[row.number] = row
         table.by_cid[cid] = row.number
--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -2,7 +2,8 @@
 
 from datetime import timedelta
 
-from sumachook.changefeed.follower import EMPTY, WAITING as NOT_SURE
+from sumachook.changefeed.follower import EMPTY
+from sumachook.changefeed.follower import WAITING as NOT_SURE
 from sumachook.inference import faults
 
 READ_PER_MS = 38.0  # prompt tokens that a server reads in a millisecond, where nothing better is known
@@ -33,7 +34,9 @@
             if row.not_before > now:
                 continue
             if row.is_unsure and not self._still_leads_there(row):
-                out += self.settle.take(row, faults.NOT_READY.because("its route changed while this node was away"), now)
+                out += self.settle.take(
+                    row, faults.NOT_READY.because("its route changed while this node was away"), now
+                )
                 continue
             if row.service not in servers:
                 servers[row.service] = table.usable(row.service, trust, now)
@@ -53,7 +56,9 @@
             holders = table.places.holders(row.request.model, row.request.adapter)
             usable = [(name, server) for name, server in usable if name in holders]
         if len(row.sent_to) >= row.route.tries:
-            usable = [(name, server) for name, server in usable if name in row.sent_to]  # as many servers as the route allows
+            usable = [
+                (name, server) for name, server in usable if name in row.sent_to
+            ]  # as many servers as the route allows
         if not usable:
             return self._wait(row, now, needs_place)
         chosen, cost = None, None
--- a/sumachook/forwarding/finish.py
+++ b/sumachook/forwarding/finish.py
@@ -1,8 +1,8 @@
 """The pass that ends a try and a row."""
 
+from sumachook.forwarding.charge import Charge
 from sumachook.inference import faults
 from sumachook.runtime.almanac import MILLI
-from sumachook.forwarding.charge import Charge
 
 BLAMELESS = {None, faults.OVERLOAD, faults.NO_MODEL, faults.REFUSED, faults.CUTOFF, faults.HUNG_UP, faults.DRAINING}
 
@@ -28,7 +28,9 @@
                 lane.note(True, now)
         else:
             lane.note(False, now)
-        row.tries.append((row.server, fault.name if fault is not None else "", round((now - row.try_at).total_seconds(), 3)))
+        row.tries.append(
+            (row.server, fault.name if fault is not None else "", round((now - row.try_at).total_seconds(), 3))
+        )
         row.tid = None
         self.table.begin(row, -1)
 
@@ -41,14 +43,35 @@
         table.count("ended", ending, fault.name if fault is not None else "")
         took = now - row.arrived_at
         is_late = (row.begun_at or now) - row.arrived_at > row.route.target_ms * MILLI
-        record = {**table.record(row), "state": "done" if ending == "done" else "fault", "class": fault.name if fault is not None else "",
-                  "status": row.status, "run": "yes" if ending == "done" else row.ran, "tries": tuple(row.tries), "late": is_late,
-                  "firstToken": round((row.begun_at - row.arrived_at).total_seconds(), 4) if row.begun_at else None,
-                  "duration": round(took.total_seconds(), 4), "tokens": [row.request.prompt_tokens, row.request.most_tokens],
-                  "endedAt": table.almanac.time(now).isoformat(timespec="milliseconds"), **row.note}
+        record = {
+            **table.record(row),
+            "state": "done" if ending == "done" else "fault",
+            "class": fault.name if fault is not None else "",
+            "status": row.status,
+            "run": "yes" if ending == "done" else row.ran,
+            "tries": tuple(row.tries),
+            "late": is_late,
+            "firstToken": round((row.begun_at - row.arrived_at).total_seconds(), 4) if row.begun_at else None,
+            "duration": round(took.total_seconds(), 4),
+            "tokens": [row.request.prompt_tokens, row.request.most_tokens],
+            "endedAt": table.almanac.time(now).isoformat(timespec="milliseconds"),
+            **row.note,
+        }
         effects = [*effects, ("behind", record, True), *self.charge.take(row, ending)]
         if ending == "done" and not is_late and len(row.tries) < 2:
             return effects
-        note = {field: record[field] for field in ("tag", "line", "asked", "state", "class", "run", "tries", "late", "firstToken", "duration")}
+        note = {
+            field: record[field]
+            for field in ("tag", "line", "asked", "state", "class", "run", "tries", "late", "firstToken", "duration")
+        }
         note["reason"] = fault.reason if fault is not None else ""
-        return [*effects, ("log", "info", "transit", "Request late or dropped." if is_late or ending != "done" else "Request sent again.", note)]
+        return [
+            *effects,
+            (
+                "log",
+                "info",
+                "transit",
+                "Request late or dropped." if is_late or ending != "done" else "Request sent again.",
+                note,
+            ),
+        ]
--- a/sumachook/forwarding/lane.py
+++ b/sumachook/forwarding/lane.py
@@ -16,8 +16,21 @@
     (True, False)
     """
 
-    __slots__ = ("in_use", "pending_tokens", "falls", "rest", "shut_until", "is_probing", "full_until", "full_rest", "kept", "tokens_at", "tokens",
-                 "down_until", "down_rest")
+    __slots__ = (
+        "in_use",
+        "pending_tokens",
+        "falls",
+        "rest",
+        "shut_until",
+        "is_probing",
+        "full_until",
+        "full_rest",
+        "kept",
+        "tokens_at",
+        "tokens",
+        "down_until",
+        "down_rest",
+    )
 
     def __init__(self):
         self.in_use, self.pending_tokens, self.falls, self.rest = 0, 0, 0, FIRST_REST
@@ -52,7 +65,13 @@
     def note(self, is_good: bool, now):
         self.is_probing = False
         if is_good:
-            self.falls, self.rest, self.shut_until, self.full_until, self.full_rest = 0, FIRST_REST, None, None, FULL_REST
+            self.falls, self.rest, self.shut_until, self.full_until, self.full_rest = (
+                0,
+                FIRST_REST,
+                None,
+                None,
+                FULL_REST,
+            )
             self.down_until, self.down_rest = None, FIRST_REST
             return
         self.falls += 1
--- a/sumachook/forwarding/port.py
+++ b/sumachook/forwarding/port.py
@@ -5,15 +5,35 @@
 from sumachook.forwarding.answer import Answer
 from sumachook.forwarding.request import Request
 
-HOP = frozenset(("connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
-                 "transfer-encoding", "upgrade", "host", "content-length", "expect"))
+HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    )
+)
 
 
 class RequestPort:
     """The product's own headers. Every call is static in effect; a port holds no state."""
 
     __slots__ = ()
-    REQUEST, DEADLINE, MODEL, TOKENS, PARTS = "x-request-id", "x-deadline-ms", "x-model", "x-token-counts", "x-prompt-parts"
+    REQUEST, DEADLINE, MODEL, TOKENS, PARTS = (
+        "x-request-id",
+        "x-deadline-ms",
+        "x-model",
+        "x-token-counts",
+        "x-prompt-parts",
+    )
     INSTANCE, URGENCY, NOT_RUN, SEAL, COLD = "x-expect-instance", "x-urgency", "x-not-run", "x-server-seal", "x-cold-ms"
     LAST_EVENT = "last-event-id"
 
@@ -25,10 +45,23 @@
         names = {name.lower(): value for name, value in headers}
         model, _, adapter = names.get(self.MODEL, "").partition("/")
         prompt, _, most = names.get(self.TOKENS, "").partition(",")
-        parts = tuple((part, _whole(tokens)) for part, _, tokens in (item.strip().partition(":") for item in names.get(self.PARTS, "").split(",")) if part)
+        parts = tuple(
+            (part, _whole(tokens))
+            for part, _, tokens in (item.strip().partition(":") for item in names.get(self.PARTS, "").split(","))
+            if part
+        )
         is_counted = prompt.strip().isdigit() and most.strip().isdigit()
-        return Request(names.get("host", "").partition(":")[0].lower(), names.get(self.REQUEST, ""), _number(names.get(self.DEADLINE)), model,
-                       adapter, int(prompt) if is_counted else 0, int(most) if is_counted else 0, parts, names.get(self.LAST_EVENT, ""))
+        return Request(
+            names.get("host", "").partition(":")[0].lower(),
+            names.get(self.REQUEST, ""),
+            _number(names.get(self.DEADLINE)),
+            model,
+            adapter,
+            int(prompt) if is_counted else 0,
+            int(most) if is_counted else 0,
+            parts,
+            names.get(self.LAST_EVENT, ""),
+        )
 
     def write_request(self, headers, host, instance, left_ms: int, urgency: int, last_event_id: str):
         """The client's headers but for what concerns one connection, what is left of its time, and whom the request is meant for."""
@@ -41,8 +74,13 @@
     def read_answer(self, status: int, headers) -> Answer:
         names = {name.lower(): value for name, value in headers}
         is_not_run = self.NOT_RUN in names or status == 421
-        return Answer(is_not_run, names.get(self.REQUEST, ""), self.SEAL in names, _number(names.get("retry-after")),
-                      _number(names.get(self.COLD)) or 0.0)
+        return Answer(
+            is_not_run,
+            names.get(self.REQUEST, ""),
+            self.SEAL in names,
+            _number(names.get("retry-after")),
+            _number(names.get(self.COLD)) or 0.0,
+        )
 
     def pass_headers(self, headers):
         """The server's headers for the client, but for what concerns one connection."""
@@ -61,7 +99,9 @@
 
 
 def _named_hops(headers):
-    return {word.strip().lower() for name, value in headers if name.lower() == "connection" for word in value.split(",")}
+    return {
+        word.strip().lower() for name, value in headers if name.lower() == "connection" for word in value.split(",")
+    }
 
 
 def _number(text):
--- a/sumachook/forwarding/relay.py
+++ b/sumachook/forwarding/relay.py
@@ -1,8 +1,8 @@
 """The pass over what servers answer."""
 
+from sumachook.forwarding.row import STREAMING, TRYING
 from sumachook.inference import faults
 from sumachook.runtime.almanac import MILLI
-from sumachook.forwarding.row import STREAMING, TRYING
 
 PROMISES = (408, 429, 503)  # statuses that say to a client: not run
 EVENT_END = (b"\n\n", b"\r\n\r\n")
@@ -40,7 +40,11 @@
             return self.resend.take(row, faults.RESET.because("an answer to another request"), now)
         if answer.is_not_run:
             row.ran = row.ran_before
-            return self.resend.take(row, faults.OVERLOAD if status in (429, 503) else faults.NO_MODEL if status == 421 else faults.REFUSED, now)
+            return self.resend.take(
+                row,
+                faults.OVERLOAD if status in (429, 503) else faults.NO_MODEL if status == 421 else faults.REFUSED,
+                now,
+            )
         if status in PROMISES:  # the client would take it for a promise that the server did not give
             return self.resend.take(row, faults.UPSTREAM.because(f"{status} without the mark"), now)
         names = {name.lower(): value for name, value in headers}
@@ -92,7 +96,9 @@
             return self.resend.take(row, faults.UPSTREAM.because(f"the server said {row.status}"), now)
         reply = ("reply", row.cid, row.status, self._headers(row.headers_to_pass), row.buffer)
         if row.status >= 500:
-            return self.finish.take(row, [reply], "fault", now, faults.UPSTREAM.because(f"the server said {row.status}"))
+            return self.finish.take(
+                row, [reply], "fault", now, faults.UPSTREAM.because(f"the server said {row.status}")
+            )
         return self.finish.take(row, [reply], "done", now)
 
     def _on_fault(self, row, rest, now):
--- a/sumachook/forwarding/resend.py
+++ b/sumachook/forwarding/resend.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from sumachook.inference import faults
 from sumachook.forwarding.row import STREAMING, TRYING, WAITING
+from sumachook.inference import faults
 
 MOST_RESUMES = 3
 MOST_TRIES = 4  # or as many as the route's own
@@ -21,7 +21,10 @@
         table, server = self.table, row.server
         out = [("unfetch", row.tid)] if row.state in (TRYING, STREAMING) else []
         stated = row.answer.retry_after if row.answer is not None else None
-        was_not_run = row.ran == "no" or fault in (faults.OVERLOAD, faults.NO_MODEL)  # of this try; an earlier one may have run
+        was_not_run = row.ran == "no" or fault in (
+            faults.OVERLOAD,
+            faults.NO_MODEL,
+        )  # of this try; an earlier one may have run
         if fault == faults.OVERLOAD:
             table.lane(server).note_full(now, stated)
         elif fault == faults.NO_MODEL:
--- a/sumachook/forwarding/row.py
+++ b/sumachook/forwarding/row.py
@@ -8,23 +8,101 @@
 class Row:
     """What is known of a request between its admission and its settling (§14.4)."""
 
-    __slots__ = ("number", "cid", "method", "path", "headers", "body", "request", "route", "service", "arrived_at", "cutoff", "state", "attempt",
-                 "not_before", "tid", "server", "try_at", "was_sent", "ran", "avoid", "first_by", "first_at", "last_event_id", "buffer", "answer",
-                 "headers_to_pass", "status", "reached_client", "needs_credit", "tries", "retry_after", "wanted_at", "is_stream", "may_repeat",
-                 "pending_tokens", "resumes", "is_unsure", "last_fault", "generation", "hold_by", "is_event_stream", "sent_to", "is_recorded",
-                 "ran_before", "begun_at", "tenant", "charged", "is_yielding", "events", "note")
+    __slots__ = (
+        "number",
+        "cid",
+        "method",
+        "path",
+        "headers",
+        "body",
+        "request",
+        "route",
+        "service",
+        "arrived_at",
+        "cutoff",
+        "state",
+        "attempt",
+        "not_before",
+        "tid",
+        "server",
+        "try_at",
+        "was_sent",
+        "ran",
+        "avoid",
+        "first_by",
+        "first_at",
+        "last_event_id",
+        "buffer",
+        "answer",
+        "headers_to_pass",
+        "status",
+        "reached_client",
+        "needs_credit",
+        "tries",
+        "retry_after",
+        "wanted_at",
+        "is_stream",
+        "may_repeat",
+        "pending_tokens",
+        "resumes",
+        "is_unsure",
+        "last_fault",
+        "generation",
+        "hold_by",
+        "is_event_stream",
+        "sent_to",
+        "is_recorded",
+        "ran_before",
+        "begun_at",
+        "tenant",
+        "charged",
+        "is_yielding",
+        "events",
+        "note",
+    )
 
     def __init__(self, number, cid, method, path, headers, body, request, route, arrived_at, patience: timedelta):
-        self.number, self.cid, self.method, self.path, self.headers, self.body = number, cid, method, path, headers, body
+        self.number, self.cid, self.method, self.path, self.headers, self.body = (
+            number,
+            cid,
+            method,
+            path,
+            headers,
+            body,
+        )
         self.request, self.route, self.arrived_at, self.cutoff = request, route, arrived_at, arrived_at + patience
-        self.service, self.state, self.attempt, self.not_before, self.tid, self.server = None, WAITING, 0, arrived_at, None, None
-        self.try_at = self.first_by = self.first_at = self.answer = self.retry_after = self.wanted_at = self.last_fault = None
-        self.was_sent = self.reached_client = self.needs_credit = self.is_unsure = self.is_event_stream = self.is_recorded = False
+        self.service, self.state, self.attempt, self.not_before, self.tid, self.server = (
+            None,
+            WAITING,
+            0,
+            arrived_at,
+            None,
+            None,
+        )
+        self.try_at = self.first_by = self.first_at = self.answer = self.retry_after = self.wanted_at = (
+            self.last_fault
+        ) = None
+        self.was_sent = self.reached_client = self.needs_credit = self.is_unsure = self.is_event_stream = (
+            self.is_recorded
+        ) = False
         self.ran = self.ran_before = "no"  # as known now, and before the try that is under way
-        self.tenant, self.charged, self.is_yielding, self.events, self.note = None, 0, False, 0, {}  # of its tenant's allowance (§15.4)
+        self.tenant, self.charged, self.is_yielding, self.events, self.note = (
+            None,
+            0,
+            False,
+            0,
+            {},
+        )  # of its tenant's allowance (§15.4)
         self.begun_at = None  # when the client was first given something
         self.avoid, self.last_event_id, self.buffer = (), request.last_event_id, b""
-        self.headers_to_pass, self.status, self.tries, self.pending_tokens, self.resumes, self.generation = (), 0, [], 0, 0, 0
+        self.headers_to_pass, self.status, self.tries, self.pending_tokens, self.resumes, self.generation = (
+            (),
+            0,
+            [],
+            0,
+            0,
+            0,
+        )
         self.is_stream = route.kind == "stream"
         self.may_repeat = route.kind == "repeatable" or (self.is_stream and route.resumable)
         self.hold_by, self.sent_to = self.cutoff, ()  # the servers that it went to
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -39,7 +39,14 @@
         has_other = row.may_repeat and row.attempt < row.route.tries
         row.first_by = now + (min(left / 2, max(FIRST_LEAST, target * 2)) if has_other else left)
         left_ms = max(1, int(left.total_seconds() * 1000))
-        headers = table.port.write_request(row.headers, self._host(row), name, left_ms, LAST if row.is_yielding else row.route.priority, row.last_event_id)
+        headers = table.port.write_request(
+            row.headers,
+            self._host(row),
+            name,
+            left_ms,
+            LAST if row.is_yielding else row.route.priority,
+            row.last_event_id,
+        )
         url = f"http://{server['address']}{row.path}"
         is_kept = row.may_repeat and row.method != "GET"
         return [("forward", row.tid, row.method, url, headers, row.body, min(CONNECT, left), left, is_kept)]
--- a/sumachook/forwarding/settle.py
+++ b/sumachook/forwarding/settle.py
@@ -1,7 +1,7 @@
 """The pass that gives a row its final answer, at once."""
 
-from sumachook.inference import faults
 from sumachook.forwarding.row import STREAMING, TRYING
+from sumachook.inference import faults
 
 COME_BACK = 0.3  # seconds, where nothing better is known
 LATE = {faults.CUTOFF, faults.TOTAL_TIMEOUT, faults.FIRST_TOKEN_TIMEOUT, faults.WAKE_TIMEOUT}
@@ -26,4 +26,6 @@
             status = row.status
         retry_after = COME_BACK if row.retry_after is None else row.retry_after
         status, headers, body = self.table.port.refusal(status, fault, row.request.request_id, row.ran, retry_after)
-        return self.finish.take(row, [*out, ("reply", row.cid, status, self.table.closing(headers), body)], "fault", now, fault)
+        return self.finish.take(
+            row, [*out, ("reply", row.cid, status, self.table.closing(headers), body)], "fault", now, fault
+        )
--- a/sumachook/forwarding/table.py
+++ b/sumachook/forwarding/table.py
@@ -13,12 +13,48 @@
 class Table:
     """Rows, lanes, places and what is known of the rest of the fleet; the passes hold the logic (§14.4)."""
 
-    __slots__ = ("node", "area", "state", "follower", "purse", "draw", "port", "places", "rows", "by_cid", "waiting", "lanes", "counts", "begun",
-                 "running", "is_draining", "number", "edges", "shunned", "routes", "services", "generation", "wants", "models", "cold",
-                 "almanac", "boot", "is_shut", "parked", "tenants")
+    __slots__ = (
+        "node",
+        "area",
+        "state",
+        "follower",
+        "purse",
+        "draw",
+        "port",
+        "places",
+        "rows",
+        "by_cid",
+        "waiting",
+        "lanes",
+        "counts",
+        "begun",
+        "running",
+        "is_draining",
+        "number",
+        "edges",
+        "shunned",
+        "routes",
+        "services",
+        "generation",
+        "wants",
+        "models",
+        "cold",
+        "almanac",
+        "boot",
+        "is_shut",
+        "parked",
+        "tenants",
+    )
 
     def __init__(self, node, boot, area, state, follower, purse, draw, port, places, almanac):
-        self.node, self.area, self.state, self.follower, self.purse, self.draw = node, area, state, follower, purse, draw
+        self.node, self.area, self.state, self.follower, self.purse, self.draw = (
+            node,
+            area,
+            state,
+            follower,
+            purse,
+            draw,
+        )
         self.port, self.places, self.boot, self.almanac = port, places, boot, almanac
         self.rows, self.by_cid, self.waiting, self.lanes, self.counts = {}, {}, {}, {}, {}
         self.parked = {}  # cid: (message, when it came); no row yet, since no route is known
@@ -35,14 +71,29 @@
         self.routes = Routes(catalogue.http_routes)
         self.services = {service.name: service for service in catalogue.services}
         self.tenants = {route: tenant.name for tenant in catalogue.tenants for route in tenant.http_routes}
-        self.models = {service.name: {model.name: model for model in service.engine.models} for service in catalogue.services if service.engine}
+        self.models = {
+            service.name: {model.name: model for model in service.engine.models}
+            for service in catalogue.services
+            if service.engine
+        }
 
     def record(self, row) -> dict:
         """The row as the ledger opens it; `tag` is the client's own id (§14.6)."""
         opened_at = self.almanac.time(row.arrived_at).isoformat(timespec="milliseconds")
-        return {"request": f"{self.node}.{self.boot}.{row.number}", "caller": "", "line": row.route.name, "kind": "forward", "asked": row.name,
-                "key": "", "edge": self.node, "incarnation": self.boot, "state": "open", "openedAt": opened_at, "generation": row.generation,
-                "tag": row.request.request_id[:100]}
+        return {
+            "request": f"{self.node}.{self.boot}.{row.number}",
+            "caller": "",
+            "line": row.route.name,
+            "kind": "forward",
+            "asked": row.name,
+            "key": "",
+            "edge": self.node,
+            "incarnation": self.boot,
+            "state": "open",
+            "openedAt": opened_at,
+            "generation": row.generation,
+            "tag": row.request.request_id[:100],
+        }
 
     def closing(self, headers):
         """What a leaving node says is the last on its connection."""
@@ -59,11 +110,19 @@
     def is_usable(self, name, server, trust, now):
         """§8.3: who is cut off from the cores stays in its own area, since an evacuation may have passed it by."""
         is_near = trust != CUT or server["area"] == self.area
-        return not server["leaving"] and self.shunned.get(name, now) <= now and self.state.is_open(server["area"]) and is_near
+        return (
+            not server["leaving"]
+            and self.shunned.get(name, now) <= now
+            and self.state.is_open(server["area"])
+            and is_near
+        )
 
     def usable(self, service, trust, now):
-        return [(name, server) for name, server in self.state.servers.items()
-                if server.get("service") == service and self.is_usable(name, server, trust, now)]
+        return [
+            (name, server)
+            for name, server in self.state.servers.items()
+            if server.get("service") == service and self.is_usable(name, server, trust, now)
+        ]
 
     def begin(self, row, delta):
         """Counts what runs, by service, name and server, for the placer."""
--- a/sumachook/forwarding/timeouts.py
+++ b/sumachook/forwarding/timeouts.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from sumachook.inference import faults
 from sumachook.forwarding.row import STREAMING, TRYING
+from sumachook.inference import faults
 
 OPEN_AFTER = timedelta(seconds=0.2)  # in hand for longer: the ledger is told that it is open (§14.6)
 
--- a/sumachook/forwarding/transit.py
+++ b/sumachook/forwarding/transit.py
@@ -2,9 +2,6 @@
 
 from datetime import timedelta
 
-from sumachook.inference import faults
-from sumachook.inference.leave import Leave
-from sumachook.runtime.almanac import MILLI
 from sumachook.forwarding.admit import Admit
 from sumachook.forwarding.choose import Choose
 from sumachook.forwarding.enter import Enter
@@ -15,6 +12,9 @@
 from sumachook.forwarding.settle import Settle
 from sumachook.forwarding.table import Table
 from sumachook.forwarding.timeouts import Timeouts
+from sumachook.inference import faults
+from sumachook.inference.leave import Leave
+from sumachook.runtime.almanac import MILLI
 
 SHUN = timedelta(seconds=2)
 FORGET_KEPT = timedelta(seconds=30)
@@ -85,7 +85,9 @@
     def _unpark(self, now):
         """What waited for this node to know its routes is let in, or refused in time."""
         parked, self.table.parked = self.table.parked, {}
-        return [effect for message, arrived_at in parked.values() for effect in self.admit.take(message, now, arrived_at)]
+        return [
+            effect for message, arrived_at in parked.values() for effect in self.admit.take(message, now, arrived_at)
+        ]
 
     def _cut_short(self, now):
         """The node leaves: what is still in hand gets its final answer."""
--- a/sumachook/inference/admit.py
+++ b/sumachook/inference/admit.py
@@ -114,11 +114,30 @@
             return self.refuse.take(cid, fault)
         self.table.number += 1
         at = self.table.stamp(now)
-        record = {"request": f"{self.table.node}.{self.table.incarnation}.{self.table.number}", "caller": "", "line": "", "asked": "", "key": "",
-                  "kind": LOOKUP if path.startswith("/records/") else PROMPT, "edge": self.table.node, "incarnation": self.table.incarnation,
-                  "state": "fault", "openedAt": at, "endedAt": at, "generation": self.table.state.generation, "tag": tag,
-                  "class": fault.name, "status": faults.STATUS[fault], "run": "no", "tries": (), "attempt": 0, "firstToken": None,
-                  "duration": 0.0, "tokens": 0, "late": False}
+        record = {
+            "request": f"{self.table.node}.{self.table.incarnation}.{self.table.number}",
+            "caller": "",
+            "line": "",
+            "asked": "",
+            "key": "",
+            "kind": LOOKUP if path.startswith("/records/") else PROMPT,
+            "edge": self.table.node,
+            "incarnation": self.table.incarnation,
+            "state": "fault",
+            "openedAt": at,
+            "endedAt": at,
+            "generation": self.table.state.generation,
+            "tag": tag,
+            "class": fault.name,
+            "status": faults.STATUS[fault],
+            "run": "no",
+            "tries": (),
+            "attempt": 0,
+            "firstToken": None,
+            "duration": 0.0,
+            "tokens": 0,
+            "late": False,
+        }
         out = self.refuse.take(cid, fault, record["request"])
         if self.table.almanac.is_agreed:
             return out + [("close", record)]
@@ -127,9 +146,14 @@
 
     def stamp_early(self, now):
         """Once the cohort agrees on the time, or after a while without it."""
-        is_due = self.table.early and (self.table.almanac.is_agreed or now - self.table.early[0][0] > EARLY or len(self.table.early) > MOST_ROWS)
+        is_due = self.table.early and (
+            self.table.almanac.is_agreed or now - self.table.early[0][0] > EARLY or len(self.table.early) > MOST_ROWS
+        )
         early, self.table.early = (self.table.early, []) if is_due else ([], self.table.early)
-        return [("close", {**record, "openedAt": self.table.stamp(at), "endedAt": self.table.stamp(at)}) for at, record in early]
+        return [
+            ("close", {**record, "openedAt": self.table.stamp(at), "endedAt": self.table.stamp(at)})
+            for at, record in early
+        ]
 
     def _alert(self, fault, now):
         """A model that is not configured is one mistake: one alert a minute, not a flood (§7.3)."""
--- a/sumachook/inference/close.py
+++ b/sumachook/inference/close.py
@@ -18,9 +18,24 @@
         self.table.count(state, row.kind)
         duration = (now - row.arrived_at).total_seconds()
         first = (row.first_at - row.arrived_at).total_seconds() if row.first_at else None
-        record = {**self.table.record(row), "state": state, "class": name, "status": status, "run": row.ran, "tries": tuple(row.tries),
-                  "attempt": row.attempt, "firstToken": first, "duration": round(duration, 4), "tokens": row.tokens,
-                  "late": now > row.cutoff, "endedAt": self.table.stamp(now), **row.note}
+        record = {
+            **self.table.record(row),
+            "state": state,
+            "class": name,
+            "status": status,
+            "run": row.ran,
+            "tries": tuple(row.tries),
+            "attempt": row.attempt,
+            "firstToken": first,
+            "duration": round(duration, 4),
+            "tokens": row.tokens,
+            "late": now > row.cutoff,
+            "endedAt": self.table.stamp(now),
+            **row.note,
+        }
         level = "info" if state == "done" else "warning"
-        note = {field: record[field] for field in ("request", "status", "class", "attempt", "firstToken", "duration", "tokens", "run")}
+        note = {
+            field: record[field]
+            for field in ("request", "status", "class", "attempt", "firstToken", "duration", "tokens", "run")
+        }
         return [("close", record), *self.charge.take(row, state), ("log", level, "ferry", "Request settled.", note)]
--- a/sumachook/inference/cutoffs.py
+++ b/sumachook/inference/cutoffs.py
@@ -24,6 +24,8 @@
             elif row.needs_credit and now >= row.credit_by:
                 out += self.settle.take(row, row.last_fault.because("no credit for a resend"), now)
             elif now >= row.cutoff:
-                fault = faults.CUTOFF.because(f"nothing within {row.cutoff - row.arrived_at}, last: {row.last_fault or 'waiting'}")
+                fault = faults.CUTOFF.because(
+                    f"nothing within {row.cutoff - row.arrived_at}, last: {row.last_fault or 'waiting'}"
+                )
                 out += self.settle.take(row, fault, now)
         return out
--- a/sumachook/inference/deliver.py
+++ b/sumachook/inference/deliver.py
@@ -29,11 +29,37 @@
         if row.kind == LOOKUP:
             row.first_by = row.total_by = now + min(LOOKUP_TOTAL, left)
             url, connect = f"http://{server['address']}{row.path}", min(LOOKUP_CONNECT, left)
-            return [("fetch", row.tid, "GET", url, {"X-Request-Id": row.request}, b"", connect, min(LOOKUP_TOTAL, left), "whole")]
+            return [
+                (
+                    "fetch",
+                    row.tid,
+                    "GET",
+                    url,
+                    {"X-Request-Id": row.request},
+                    b"",
+                    connect,
+                    min(LOOKUP_TOTAL, left),
+                    "whole",
+                )
+            ]
         first = timedelta(seconds=row.model.first_token)
-        has_other = row.is_safe and any(other != name for other in self.table.state.pairs.get(row.model.name, ()) if other)
+        has_other = row.is_safe and any(
+            other != name for other in self.table.state.pairs.get(row.model.name, ()) if other
+        )
         row.first_by = now + min(first, left / 2 if has_other and row.attempt == 1 else left)
         decode = timedelta(seconds=row.body["max_tokens"] / row.model.decode_rate * HEADROOM)
         row.total_by = min(row.cutoff, row.first_by + decode)
         method, path, headers, body = self.table.port.chat(row.request, row.body)
-        return [("fetch", row.tid, method, f"http://{server['address']}{path}", headers, body, min(CONNECT, left), left, "events")]
+        return [
+            (
+                "fetch",
+                row.tid,
+                method,
+                f"http://{server['address']}{path}",
+                headers,
+                body,
+                min(CONNECT, left),
+                left,
+                "events",
+            )
+        ]
--- a/sumachook/inference/drawing.py
+++ b/sumachook/inference/drawing.py
@@ -54,7 +54,11 @@
             if row.is_unsure:
                 row.is_unsure = False
                 if not is_open:
-                    out += self.settle.take(row, faults.EVACUATED.because(f"area {self.table.area} is evacuated, use another area's node"), now)
+                    out += self.settle.take(
+                        row,
+                        faults.EVACUATED.because(f"area {self.table.area} is evacuated, use another area's node"),
+                        now,
+                    )
         return out
 
     def _may_go(self, row):
@@ -67,12 +71,25 @@
     def _open_records(self, trust, now):
         if trust in (EMPTY, WAITING):
             return []
-        return [name for name, server in self.table.state.servers.items()
-                if server["kind"] == "records" and self.table.is_usable(name, server, trust, now) and not self.table.lane(name).is_shut(now)]
+        return [
+            name
+            for name, server in self.table.state.servers.items()
+            if server["kind"] == "records"
+            and self.table.is_usable(name, server, trust, now)
+            and not self.table.lane(name).is_shut(now)
+        ]
 
     def _draw_records(self, row, open_, now):
-        return min(open_, key=lambda name: (
-            _failed_at(row, name), self.table.lane(name).is_full(now), self.table.state.servers[name]["area"] != self.table.area, self.table.lane(name).in_use, name))
+        return min(
+            open_,
+            key=lambda name: (
+                _failed_at(row, name),
+                self.table.lane(name).is_full(now),
+                self.table.state.servers[name]["area"] != self.table.area,
+                self.table.lane(name).in_use,
+                name,
+            ),
+        )
 
     def _draw_server(self, row, now):
         """A server's name, None to wait on, or a fault (§7.4)."""
--- a/sumachook/inference/ending.py
+++ b/sumachook/inference/ending.py
@@ -25,12 +25,23 @@
             elif fault is None:
                 lane.full_until, lane.full_rest = None, FULL_REST
         else:
-            lane.note(False, now, rank / count, LOOKUP_REST if row.kind == LOOKUP else max(LONGEST_REST, PROBES_APART * count))
+            lane.note(
+                False, now, rank / count, LOOKUP_REST if row.kind == LOOKUP else max(LONGEST_REST, PROBES_APART * count)
+            )
             lane.fell_while_warm(item, now)
         duration = (now - row.try_at).total_seconds()
         if fault is None and row.kind == PROMPT:
             self.table.service_time[row.line] = 0.9 * self.table.service_time.get(row.line, duration) + 0.1 * duration
         first = (row.first_at - row.try_at).total_seconds() if row.first_at and row.first_at >= row.try_at else None
-        row.tries.append({"server": row.server, "class": fault.name if fault is not None else "ok", "sent": row.was_sent,
-                          "firstToken": first, "duration": round(duration, 4), "tokens": row.tokens, "attempt": row.attempt})
+        row.tries.append(
+            {
+                "server": row.server,
+                "class": fault.name if fault is not None else "ok",
+                "sent": row.was_sent,
+                "firstToken": first,
+                "duration": round(duration, 4),
+                "tokens": row.tokens,
+                "attempt": row.attempt,
+            }
+        )
         row.tid = None
--- a/sumachook/inference/enline.py
+++ b/sumachook/inference/enline.py
@@ -1,8 +1,8 @@
 """The pass over rows whose record is kept, or is not: into their line."""
 
-from sumachook.policies.policy import compile_policy
 from sumachook.inference import faults
 from sumachook.inference.row import LINED, LOOKUP, RECORDING
+from sumachook.policies.policy import compile_policy
 
 
 class Enline:
@@ -27,8 +27,16 @@
         line = self.table.line(row)
         bound, waiting = line.bound if line else 1, self.table.lines.length(row.line)
         is_held = compile_policy("hold", row.policies.hold)(
-            {"line": row.line, "caller": row.caller.name, "model": row.model.name, "patience": row.caller.patience,
-             "waiting": waiting, "bound": bound, "busy": sum(lane.in_use for lane in self.table.lanes.values())})
+            {
+                "line": row.line,
+                "caller": row.caller.name,
+                "model": row.model.name,
+                "patience": row.caller.patience,
+                "waiting": waiting,
+                "bound": bound,
+                "busy": sum(lane.in_use for lane in self.table.lanes.values()),
+            }
+        )
         if waiting >= bound or (waiting and not is_held):
             return self.settle.take(row, faults.OVERLOAD.because(f"{waiting} wait in line {row.line}"), now)
         if self._expected_wait(row) > (row.cutoff - now).total_seconds():
--- a/sumachook/inference/ferry.py
+++ b/sumachook/inference/ferry.py
@@ -35,7 +35,19 @@
     ("log", ...), ("claim" | "over", ("ferry", request), tenant, ...) for the tenant's allowance (§15.4).
     """
 
-    __slots__ = ("table", "admit", "leave", "close", "cutoffs", "drawing", "ending", "enline", "halt", "settle", "stream")
+    __slots__ = (
+        "table",
+        "admit",
+        "leave",
+        "close",
+        "cutoffs",
+        "drawing",
+        "ending",
+        "enline",
+        "halt",
+        "settle",
+        "stream",
+    )
 
     def __init__(self, node, incarnation, area, state, follower, purse, draw: Random, almanac):
         table = self.table = Table(node, incarnation, area, state, follower, purse, draw, almanac)
--- a/sumachook/inference/lane.py
+++ b/sumachook/inference/lane.py
@@ -22,7 +22,18 @@
     True
     """
 
-    __slots__ = ("in_use", "by_item", "by_line", "falls", "rest", "shut_until", "is_probing", "warm_since", "full_until", "full_rest")
+    __slots__ = (
+        "in_use",
+        "by_item",
+        "by_line",
+        "falls",
+        "rest",
+        "shut_until",
+        "is_probing",
+        "warm_since",
+        "full_until",
+        "full_rest",
+    )
 
     def __init__(self):
         self.in_use, self.by_item, self.by_line, self.falls = 0, {}, {}, 0
--- a/sumachook/inference/port.py
+++ b/sumachook/inference/port.py
@@ -46,7 +46,9 @@
         True
         """
         try:
-            items = {item["id"]: cls._CONDITIONS.get(item["status"]["value"]) for item in msgspec.json.decode(body)["data"]}
+            items = {
+                item["id"]: cls._CONDITIONS.get(item["status"]["value"]) for item in msgspec.json.decode(body)["data"]
+            }
         except (msgspec.DecodeError, KeyError, TypeError):
             return None
         return {name: condition for name, condition in items.items() if condition}
--- a/sumachook/inference/refuse.py
+++ b/sumachook/inference/refuse.py
@@ -17,7 +17,10 @@
 
     def take(self, cid, fault, request="", tries=0, run="no", retry_after=None):
         self.table.count("refused", fault.name)
-        headers, body = dict(JSON), {"class": fault.name, "reason": fault.reason, "tries": tries, "run": run, "request": request}
+        headers, body = (
+            dict(JSON),
+            {"class": fault.name, "reason": fault.reason, "tries": tries, "run": run, "request": request},
+        )
         if fault in faults.COME_BACK:
             pause = retry_after if retry_after is not None else 1 + self.table.draw.random() * 2
             body["retryAfterSeconds"] = round(pause, 2)
--- a/sumachook/inference/resend.py
+++ b/sumachook/inference/resend.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from sumachook.policies.policy import compile_policy
 from sumachook.inference import faults
 from sumachook.inference.row import LINED, LOOKUP
+from sumachook.policies.policy import compile_policy
 
 MOST_TRIES = 4
 MOST_RESUMES = 2
@@ -39,8 +39,17 @@
         if not may_repeat or not is_resendable or row.attempt >= MOST_TRIES:
             return out + self.settle.take(row, fault, now)
         allowed = compile_policy("retry", row.policies.retry)(
-            {"fault": fault.name, "attempt": row.attempt, "line": row.line, "caller": row.caller.name, "model": row.name,
-             "left": (row.cutoff - now).total_seconds(), "tokens": row.body.get("max_tokens", 0), "credit": self.table.purse.balance})
+            {
+                "fault": fault.name,
+                "attempt": row.attempt,
+                "line": row.line,
+                "caller": row.caller.name,
+                "model": row.name,
+                "left": (row.cutoff - now).total_seconds(),
+                "tokens": row.body.get("max_tokens", 0),
+                "credit": self.table.purse.balance,
+            }
+        )
         pause = self.table.pause(row)
         if row.retry_after is not None:
             pause, row.retry_after = max(pause, timedelta(seconds=row.retry_after)), None
@@ -57,7 +66,9 @@
     def _resume(self, row, fault, now):
         """After the first token: the same server, by event id, through a GET; or the end (§7.9)."""
         server = self.table.state.servers.get(row.server)
-        can_resume = fault in (faults.CUT, faults.RESET, faults.UNREACHABLE) and row.last_event_id and row.resumes < MOST_RESUMES
+        can_resume = (
+            fault in (faults.CUT, faults.RESET, faults.UNREACHABLE) and row.last_event_id and row.resumes < MOST_RESUMES
+        )
         may_enter = server is not None and self.table.is_usable(row.server, server, self.table.follower.trust(now), now)
         if not can_resume or not may_enter or now >= row.total_by:
             return self.settle.take(row, fault, now)
@@ -68,4 +79,16 @@
         self.table.lane(row.server).begin(row.model.name, row.line, now)
         method, path, headers, body = self.table.port.resume(row.request, row.last_event_id)
         left = row.total_by - now
-        return [("fetch", row.tid, method, f"http://{server['address']}{path}", headers, body, min(CONNECT, left), left, "events")]
+        return [
+            (
+                "fetch",
+                row.tid,
+                method,
+                f"http://{server['address']}{path}",
+                headers,
+                body,
+                min(CONNECT, left),
+                left,
+                "events",
+            )
+        ]
--- a/sumachook/inference/row.py
+++ b/sumachook/inference/row.py
@@ -12,11 +12,56 @@
     """What is known of a request between its admission and its settling (§7.1)."""
 
     __slots__ = (
-        "request", "cid", "kind", "caller", "line", "is_safe", "is_stream", "key", "model", "adapter", "body", "path", "generation",
-        "policies", "arrived_at", "cutoff", "opened_at", "state", "attempt", "not_before", "tid", "server", "try_at", "was_sent",
-        "was_heard", "first_by", "total_by", "_first_at", "tokens", "reached_caller", "last_event_id", "texts", "finish", "tries",
-        "last_fault", "ran", "avoid", "needs_credit", "credit_by", "wake_by", "wakes", "resumes", "resume_from", "retry_after", "tag", "is_unsure", "tenant",
-        "charged", "is_yielding", "note",
+        "request",
+        "cid",
+        "kind",
+        "caller",
+        "line",
+        "is_safe",
+        "is_stream",
+        "key",
+        "model",
+        "adapter",
+        "body",
+        "path",
+        "generation",
+        "policies",
+        "arrived_at",
+        "cutoff",
+        "opened_at",
+        "state",
+        "attempt",
+        "not_before",
+        "tid",
+        "server",
+        "try_at",
+        "was_sent",
+        "was_heard",
+        "first_by",
+        "total_by",
+        "_first_at",
+        "tokens",
+        "reached_caller",
+        "last_event_id",
+        "texts",
+        "finish",
+        "tries",
+        "last_fault",
+        "ran",
+        "avoid",
+        "needs_credit",
+        "credit_by",
+        "wake_by",
+        "wakes",
+        "resumes",
+        "resume_from",
+        "retry_after",
+        "tag",
+        "is_unsure",
+        "tenant",
+        "charged",
+        "is_yielding",
+        "note",
     )
 
     first_at = Once("_first_at")
@@ -32,7 +77,14 @@
         self.tokens, self.last_event_id, self.texts, self.tries, self.ran = 0, None, [], [], "no"
         self.credit_by, self.is_unsure = None, False
         self.tenant, self.charged, self.is_yielding, self.note = None, 0, False, {}  # of its tenant's allowance (§15.4)
-        self.avoid, self.wake_by, self.wakes, self.resumes, self.resume_from, self.retry_after = (), None, 0, 0, None, None
+        self.avoid, self.wake_by, self.wakes, self.resumes, self.resume_from, self.retry_after = (
+            (),
+            None,
+            0,
+            0,
+            None,
+            None,
+        )
 
     @property
     def name(self) -> str:
--- a/sumachook/inference/stream.py
+++ b/sumachook/inference/stream.py
@@ -61,7 +61,13 @@
         if status in (200, 404):
             self.ending.take(row, None, now)
             row.ran = "yes"
-            reply = ("reply", row.cid, status, {"Content-Type": headers.get("content-type", "application/json"), "X-Request-Id": row.request}, body)
+            reply = (
+                "reply",
+                row.cid,
+                status,
+                {"Content-Type": headers.get("content-type", "application/json"), "X-Request-Id": row.request},
+                body,
+            )
             return [reply] + self.close.take(row, "done", status, "" if status == 200 else "unknown-record", now)
         return self.resend.take(row, _status_fault(status, headers, row), now)
 
@@ -105,9 +111,18 @@
             out = [] if row.reached_caller else self._open_stream(row)
             out += [("chunk", row.cid, send(Event(data="[DONE]"))), ("end", row.cid)]
         else:
-            choice = {"index": 0, "message": {"role": "assistant", "content": "".join(row.texts)}, "finish_reason": row.finish}
-            answer = {"id": row.request, "object": "chat.completion", "model": row.name, "choices": [choice],
-                      "usage": {"completion_tokens": row.tokens}}
+            choice = {
+                "index": 0,
+                "message": {"role": "assistant", "content": "".join(row.texts)},
+                "finish_reason": row.finish,
+            }
+            answer = {
+                "id": row.request,
+                "object": "chat.completion",
+                "model": row.name,
+                "choices": [choice],
+                "usage": {"completion_tokens": row.tokens},
+            }
             out = [("reply", row.cid, 200, {**JSON, "X-Request-Id": row.request}, msgspec.json.encode(answer))]
         return out + self.close.take(row, "done", 200, "", now)
 
--- a/sumachook/inference/table.py
+++ b/sumachook/inference/table.py
@@ -17,9 +17,38 @@
 class Table:
     """Rows by request, lines, lanes and what is known of the rest of the fleet; the passes hold the logic (§7.1)."""
 
-    __slots__ = ("node", "incarnation", "area", "state", "follower", "purse", "draw", "almanac", "port", "rows", "by_cid", "lines",
-                 "lanes", "lookups", "counts", "demand", "is_draining", "number", "edges", "kin", "knows_edges", "service_time", "callers",
-                 "generation", "targets", "alerts", "shunned", "knows_time", "early", "tenants")
+    __slots__ = (
+        "node",
+        "incarnation",
+        "area",
+        "state",
+        "follower",
+        "purse",
+        "draw",
+        "almanac",
+        "port",
+        "rows",
+        "by_cid",
+        "lines",
+        "lanes",
+        "lookups",
+        "counts",
+        "demand",
+        "is_draining",
+        "number",
+        "edges",
+        "kin",
+        "knows_edges",
+        "service_time",
+        "callers",
+        "generation",
+        "targets",
+        "alerts",
+        "shunned",
+        "knows_time",
+        "early",
+        "tenants",
+    )
 
     def __init__(self, node, incarnation, area, state, follower, purse, draw, almanac):
         self.node, self.incarnation, self.area, self.state = node, incarnation, area, state
@@ -49,7 +78,12 @@
 
     def is_usable(self, name, server, trust, now):
         is_near = trust != CUT or server["area"] == self.area
-        return not server["leaving"] and self.shunned.get(name, now) <= now and self.state.is_open(server["area"]) and is_near
+        return (
+            not server["leaving"]
+            and self.shunned.get(name, now) <= now
+            and self.state.is_open(server["area"])
+            and is_near
+        )
 
     def lane(self, name):
         if name not in self.lanes:
@@ -62,9 +96,20 @@
         return (order.index(self.node) if self.node in order else 0), max(1, len(order))
 
     def record(self, row):
-        return {"request": row.request, "caller": row.caller.name, "line": row.line, "kind": row.kind, "asked": row.name,
-                "key": row.key, "edge": self.node, "incarnation": self.incarnation, "state": "open", "openedAt": row.opened_at,
-                "generation": row.generation, "tag": row.tag}
+        return {
+            "request": row.request,
+            "caller": row.caller.name,
+            "line": row.line,
+            "kind": row.kind,
+            "asked": row.name,
+            "key": row.key,
+            "edge": self.node,
+            "incarnation": self.incarnation,
+            "state": "open",
+            "openedAt": row.opened_at,
+            "generation": row.generation,
+            "tag": row.tag,
+        }
 
     def unline(self, row):
         if row.kind == PROMPT:
--- a/sumachook/leases/leases.py
+++ b/sumachook/leases/leases.py
@@ -25,14 +25,37 @@
     and a successor a majority's votes, and any two majorities meet (§6.3).
     """
 
-    __slots__ = ("seat", "state", "draw", "leases", "answers", "renewed_at", "votes", "bids", "next_renew", "is_fresh",
-                 "watched_since", "quitting", "known", "last_sent", "lease", "vacant_after", "renew", "is_fenced", "started_at", "answered_at",
-                 "bid_pause")
+    __slots__ = (
+        "seat",
+        "state",
+        "draw",
+        "leases",
+        "answers",
+        "renewed_at",
+        "votes",
+        "bids",
+        "next_renew",
+        "is_fresh",
+        "watched_since",
+        "quitting",
+        "known",
+        "last_sent",
+        "lease",
+        "vacant_after",
+        "renew",
+        "is_fenced",
+        "started_at",
+        "answered_at",
+        "bid_pause",
+    )
 
     def __init__(self, seat: str, state, draw: Random, now, is_fenced: bool = False):
         self.seat, self.state, self.draw, self.is_fenced = seat, state, draw, is_fenced
         self.lease, self.vacant_after, self.renew, self.bid_pause = (
-            (FENCED_LEASE, FENCED_VACANT_AFTER, FENCED_RENEW, FENCED_BID_PAUSE) if is_fenced else (LEASE, VACANT_AFTER, RENEW, BID_PAUSE))
+            (FENCED_LEASE, FENCED_VACANT_AFTER, FENCED_RENEW, FENCED_BID_PAUSE)
+            if is_fenced
+            else (LEASE, VACANT_AFTER, RENEW, BID_PAUSE)
+        )
         self.started_at, self.answered_at = now, {}  # what was answered before the start is not known
         self.leases, self.answers, self.renewed_at, self.votes, self.bids = {}, {}, {}, {}, {}
         self.next_renew, self.is_fresh, self.watched_since, self.quitting = now, False, now, False
@@ -119,7 +142,13 @@
         """§6.3: the leader declares a vacancy only when no order of the old holder can be under way."""
         silent_since = max(self.renewed_at.get(duty, now), self.watched_since)
         if now - silent_since > self.vacant_after and self._may_send(("vacate", duty), now):
-            note = ("log", "warning", "leases", "A duty falls vacant.", {"duty": duty, "holder": holder, "fence": fence})
+            note = (
+                "log",
+                "warning",
+                "leases",
+                "A duty falls vacant.",
+                {"duty": duty, "holder": holder, "fence": fence},
+            )
             return [note, ("propose", ("duty-vacate", duty, fence))]
         return []
 
@@ -128,7 +157,12 @@
         self.quitting = True
         self.leases.clear()
         mine = [(duty, fence) for duty, (holder, fence) in self.state.duties.items() if holder == self.seat]
-        told = [("tell", address, ("renew", duty, fence, GIVEN_BACK)) for duty, fence in mine for address in self._others() if self.is_fenced]
+        told = [
+            ("tell", address, ("renew", duty, fence, GIVEN_BACK))
+            for duty, fence in mine
+            for address in self._others()
+            if self.is_fenced
+        ]
         return told + [("propose", ("duty-vacate", duty, fence)) for duty, fence in mine]
 
     def _may_vote(self, duty, now):
@@ -164,7 +198,13 @@
     def _on_bid(self, seat, address, body, now):
         _, duty, fence, round_ = body
         holder, last = self.state.duties.get(duty, ("?", 0))
-        if holder or fence != last + 1 or not self.is_fresh or seat not in self.state.roster or not self._may_vote(duty, now):
+        if (
+            holder
+            or fence != last + 1
+            or not self.is_fresh
+            or seat not in self.state.roster
+            or not self._may_vote(duty, now)
+        ):
             return []
         voted = self.votes.get((duty, fence))
         if voted is None or round_ > voted[1] or (voted == (seat, round_)):
@@ -176,7 +216,12 @@
     def _on_vote(self, seat, address, body, now):
         _, duty, fence, round_ = body
         current = self.bids.get(duty)
-        if current is None or current[:2] != (fence, round_) or self.state.duties[duty][0] or seat not in self.state.roster:
+        if (
+            current is None
+            or current[:2] != (fence, round_)
+            or self.state.duties[duty][0]
+            or seat not in self.state.roster
+        ):
             return []
         current[3].add(seat)
         if len(current[3]) == self._most():
--- a/sumachook/ledger/keeper.py
+++ b/sumachook/ledger/keeper.py
@@ -17,8 +17,21 @@
     Out: ("tell", address, message), ("disk" | "rewrite", FILE, records, followup), ("journal", day, lines).
     """
 
-    __slots__ = ("seat", "almanac", "rows", "keys", "hints", "away_since", "next_hand", "stored", "retention", "roster",
-                 "next_sweep", "open_rows", "rewriting")
+    __slots__ = (
+        "seat",
+        "almanac",
+        "rows",
+        "keys",
+        "hints",
+        "away_since",
+        "next_hand",
+        "stored",
+        "retention",
+        "roster",
+        "next_sweep",
+        "open_rows",
+        "rewriting",
+    )
 
     def __init__(self, seat, almanac, retention, records, now):
         self.seat, self.almanac, self.retention = seat, almanac, retention
@@ -167,12 +180,16 @@
             if live.get(writer[0]) == writer[1]:
                 self.away_since.pop(writer, None)
             elif now - self.away_since.setdefault(writer, now) > LOST_AFTER:
-                gone.append({**row, "state": LOST, "class": LOST, "run": "maybe", "endedAt": self.almanac.time(now).isoformat()})
+                gone.append(
+                    {**row, "state": LOST, "class": LOST, "run": "maybe", "endedAt": self.almanac.time(now).isoformat()}
+                )
         if not gone:
             return []
         for row in gone:
             self._keep(row, ())
-        return self._write([(row, ()) for row in gone], ("log", "warning", "tally", "Open rows closed as lost.", {"rows": len(gone)}))
+        return self._write(
+            [(row, ()) for row in gone], ("log", "warning", "tally", "Open rows closed as lost.", {"rows": len(gone)})
+        )
 
     def _hand_over(self, live):
         batches = {}
@@ -203,8 +220,16 @@
 
 
 def _row(request, state=OPEN, **more):
-    return {"request": request, "caller": "c", "key": "", "edge": "e", "incarnation": 1, "state": state, "openedAt": "2026-01-02T00:00:00",
-            **more}
+    return {
+        "request": request,
+        "caller": "c",
+        "key": "",
+        "edge": "e",
+        "incarnation": 1,
+        "state": state,
+        "openedAt": "2026-01-02T00:00:00",
+        **more,
+    }
 
 
 def test_key_is_kept_until_it_did_not_run():
--- a/sumachook/ledger/purse.py
+++ b/sumachook/ledger/purse.py
@@ -79,7 +79,9 @@
         recent = {node: report for node, report in self.reports.items() if now - report[3] < timedelta(seconds=2)}
         self.reports = recent
         needy = sorted((item for item in recent.items() if item[1][2] > 0 and item[1][1] < 1), key=lambda item: item[0])
-        donors = sorted((item for item in recent.items() if item[1][1] >= 2 and item[1][2] == 0), key=lambda item: -item[1][1])
+        donors = sorted(
+            (item for item in recent.items() if item[1][1] >= 2 and item[1][2] == 0), key=lambda item: -item[1][1]
+        )
         out = []
         for (_, (donor_address, balance, _, _)), (_, (address, _, wanted, _)) in zip(donors, needy):
             self.loan_number += 1
--- a/sumachook/ledger/quill.py
+++ b/sumachook/ledger/quill.py
@@ -20,7 +20,13 @@
 
     def __init__(self, record, is_close, is_safe, now):
         self.record, self.is_close, self.is_safe, self.started_at = record, is_close, is_safe, now
-        self.acks, self.sent, self.asked_at, self.settled, self.carry_at = set(), set(), now, is_close, now + CARRY_AFTER
+        self.acks, self.sent, self.asked_at, self.settled, self.carry_at = (
+            set(),
+            set(),
+            now,
+            is_close,
+            now + CARRY_AFTER,
+        )
 
 
 class Quill:
@@ -134,7 +140,11 @@
         """§11.1: records that no two keepers take go to the own disk, until they do."""
         if not self.has_disk:
             return []
-        late = [(key, entry) for key, entry in self.entries.items() if key not in self.spooled and now - entry.started_at > self.SPOOL_AFTER]
+        late = [
+            (key, entry)
+            for key, entry in self.entries.items()
+            if key not in self.spooled and now - entry.started_at > self.SPOOL_AFTER
+        ]
         if late:
             self.spooled.update(key for key, _ in late)
             return [("disk", "spool", tuple(("row", entry.record, entry.is_close) for _, entry in late), None)]
@@ -176,5 +186,8 @@
             parcels.setdefault((effect[1], effect[2][0]), []).extend(effect[2][1])
         else:
             rest.append(effect)
-    return rest + [("tell", address, (kind, tuple(records[place : place + MOST_A_PARCEL])))
-                   for (address, kind), records in parcels.items() for place in range(0, len(records), MOST_A_PARCEL)]
+    return rest + [
+        ("tell", address, (kind, tuple(records[place : place + MOST_A_PARCEL])))
+        for (address, kind), records in parcels.items()
+        for place in range(0, len(records), MOST_A_PARCEL)
+    ]
--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -14,13 +14,13 @@
 from sumachook import VERSION
 from sumachook.catalog.catalogue import read_catalogue
 from sumachook.catalog.params import read_params
-from sumachook.policies.policy import ROLES, compile_policy
 from sumachook.fault import Fault
-from sumachook.runtime.clock import Clock
 from sumachook.nodes.client import Client, new_request
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.logs import Logs
 from sumachook.nodes.serve import REFUSED, UNREACHED, USAGE, fail, run_daemon, serve
+from sumachook.policies.policy import ROLES, compile_policy
+from sumachook.runtime.clock import Clock
 
 Text = Annotated[str | None, cappa.Arg(long=True)]
 
@@ -47,8 +47,12 @@
     door: Annotated[str | None, cappa.Arg(long=True, help="IP:PORT for HTTP")] = None
     area: Annotated[str | None, cappa.Arg(long=True, help="area this machine stands in")] = None
     cluster: Annotated[str | None, cappa.Arg(long=True, help="name all nodes share")] = None
-    seed: Annotated[list[str], cappa.Arg(long=True, help="IP:PORT of another node, up to three")] = field(default_factory=list)
-    founding: Annotated[list[str], cappa.Arg(long=True, help="IP:PORT of the three founding cores")] = field(default_factory=list)
+    seed: Annotated[list[str], cappa.Arg(long=True, help="IP:PORT of another node, up to three")] = field(
+        default_factory=list
+    )
+    founding: Annotated[list[str], cappa.Arg(long=True, help="IP:PORT of the three founding cores")] = field(
+        default_factory=list
+    )
     data: Annotated[str | None, cappa.Arg(long=True, help="data folder")] = None
     platform: Annotated[str | None, cappa.Arg(long=True, help="IP:PORT of the platform's list")] = None
     log_level: Annotated[str | None, cappa.Arg(long=True, help="debug, info, warning or error")] = None
@@ -57,9 +61,18 @@
         doc = _read_json(self.params) if self.params else {}
         if not isinstance(doc, dict):
             fail(USAGE, f"{self.params}: an object is needed")
-        flags = {"node": self.node, "address": self.address, "door": self.door, "area": self.area, "cluster": self.cluster,
-                 "seeds": self.seed or None, "founding": self.founding or None, "data": self.data, "platform": self.platform,
-                 "logLevel": self.log_level}
+        flags = {
+            "node": self.node,
+            "address": self.address,
+            "door": self.door,
+            "area": self.area,
+            "cluster": self.cluster,
+            "seeds": self.seed or None,
+            "founding": self.founding or None,
+            "data": self.data,
+            "platform": self.platform,
+            "logLevel": self.log_level,
+        }
         doc |= {name: value for name, value in flags.items() if value is not None}
         params, found = read_params(doc, role)
         if params is None:
@@ -102,7 +115,9 @@
 class DeskFlags:
     """Where operators' commands go."""
 
-    core: Annotated[list[str], cappa.Arg(long=True, help="IP:PORT of a core's HTTP door; or SUMACHOOK_CORES")] = field(default_factory=list)
+    core: Annotated[list[str], cappa.Arg(long=True, help="IP:PORT of a core's HTTP door; or SUMACHOOK_CORES")] = field(
+        default_factory=list
+    )
     key: Annotated[str | None, cappa.Arg(long=True, help="operator key; or SUMACHOOK_KEY")] = None
 
     def ask(self, method: str, path: str, doc=None):
@@ -124,7 +139,12 @@
 
 def send_apply(command: "Apply"):
     doc = _read_json(command.file)
-    order = {"request": command.request or new_request(), "doc": doc, "part": command.part, "ifGeneration": command.if_generation}
+    order = {
+        "request": command.request or new_request(),
+        "doc": doc,
+        "part": command.part,
+        "ifGeneration": command.if_generation,
+    }
     _show(*command.desk.ask("POST", "/operator/apply", order), command.file)
 
 
@@ -134,8 +154,12 @@
     file: Annotated[str, cappa.Arg(help="catalogue file (JSON)")]
     desk: Annotated[DeskFlags, cappa.Arg(destructure=True)]
     part: Annotated[bool, cappa.Arg(long=True, help="merge by name into what stands")] = False
-    if_generation: Annotated[int | None, cappa.Arg(long=True, help="refuse unless the catalogue is at this generation")] = None
-    request: Annotated[str | None, cappa.Arg(long=True, help="id of the order, for repeating one whose answer was lost")] = None
+    if_generation: Annotated[
+        int | None, cappa.Arg(long=True, help="refuse unless the catalogue is at this generation")
+    ] = None
+    request: Annotated[
+        str | None, cappa.Arg(long=True, help="id of the order, for repeating one whose answer was lost")
+    ] = None
 
 
 def _send_turn(path: str, command):
@@ -173,10 +197,19 @@
     _show(*command.desk.ask("GET", path))
 
 
-@cappa.command(name="show", invoke=send_show, help="Show cohort, duties, pairs, lines, servers, places, catalogue, allowances, or the ledger of a request.")
+@cappa.command(
+    name="show",
+    invoke=send_show,
+    help="Show cohort, duties, pairs, lines, servers, places, catalogue, allowances, or the ledger of a request.",
+)
 @dataclass(slots=True)
 class Show:
-    what: Annotated[str, cappa.Arg(choices=["cohort", "duties", "pairs", "lines", "servers", "places", "catalogue", "allowances", "ledger"])]
+    what: Annotated[
+        str,
+        cappa.Arg(
+            choices=["cohort", "duties", "pairs", "lines", "servers", "places", "catalogue", "allowances", "ledger"]
+        ),
+    ]
     desk: Annotated[DeskFlags, cappa.Arg(destructure=True)]
     request: Annotated[str | None, cappa.Arg(help="request id, for ledger")] = None
 
@@ -197,7 +230,9 @@
     catalogue, found = read_catalogue(_read_json(command.file))
     if catalogue is None:
         fail(REFUSED, *(f"{command.file}: {path}: {reason}" for path, reason in found))
-    counts = ", ".join(f"{len(getattr(catalogue, part))} {part}" for part in ("models", "adapters", "callers", "routes"))
+    counts = ", ".join(
+        f"{len(getattr(catalogue, part))} {part}" for part in ("models", "adapters", "callers", "routes")
+    )
     print(f"{command.file}: good ({counts})")
 
 
@@ -293,9 +328,21 @@
     given = {f"edge-{place}": door.rpartition("/") for place, door in enumerate(command.edge, 1)}
     edges = {edge: door for edge, (_, _, door) in given.items()}
     areas = {edge: area for edge, (area, _, _) in given.items() if area}
-    clock, name = Clock(), "callers" if command.draw == 1 else f"callers-{command.draw}"  # tags of two at once must differ
-    machine = Callers(edges, _read_json(command.traffic)["groups"], _read_json(command.catalogue), Random(command.draw), clock.mono(),
-                      command.pace, timedelta(seconds=command.seconds), name, areas)
+    clock, name = (
+        Clock(),
+        "callers" if command.draw == 1 else f"callers-{command.draw}",
+    )  # tags of two at once must differ
+    machine = Callers(
+        edges,
+        _read_json(command.traffic)["groups"],
+        _read_json(command.catalogue),
+        Random(command.draw),
+        clock.mono(),
+        command.pace,
+        timedelta(seconds=command.seconds),
+        name,
+        areas,
+    )
     try:
         _serve_stand_in(machine, "callers", command.door)
     finally:
@@ -331,7 +378,9 @@
     catalogue: Annotated[str, cappa.Arg(long=True)]
     traffic: Annotated[str, cappa.Arg(long=True)]
     door: Annotated[str, cappa.Arg(long=True, help="IP:PORT of its own, for its condition")]
-    edge: Annotated[list[str], cappa.Arg(long=True, help="AREA/IP:PORT of an edge, or IP:PORT")] = field(default_factory=list)
+    edge: Annotated[list[str], cappa.Arg(long=True, help="AREA/IP:PORT of an edge, or IP:PORT")] = field(
+        default_factory=list
+    )
     seconds: Annotated[float, cappa.Arg(long=True)] = 30.0
     pace: Annotated[float, cappa.Arg(long=True, help="times the city's rates")] = 1.0
     draw: Annotated[int, cappa.Arg(long=True, help="seed of its random draw")] = 1
@@ -358,7 +407,9 @@
     from sumachook.storage.folder import Folder
 
     Folder(tmp_path).take([("disk", "accord", [["seat", "core-2-0badcafe"]])])
-    flags = NodeFlags(node="core-1", address="127.0.0.1:1", door="127.0.0.1:2", area="a", seed=["127.0.0.1:3"], data=str(tmp_path))
+    flags = NodeFlags(
+        node="core-1", address="127.0.0.1:1", door="127.0.0.1:2", area="a", seed=["127.0.0.1:3"], data=str(tmp_path)
+    )
     try:
         _serve_node(flags, "core", None)
     except SystemExit as end:
--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -4,8 +4,8 @@
 from math import ceil, log2
 from random import Random
 
-from sumachook.runtime.rising import Rising
 from sumachook.membership.member import Member
+from sumachook.runtime.rising import Rising
 
 ALIVE, SUSPECT, GONE, LEFT = "alive", "suspect", "gone", "left"
 _WEIGHT = {ALIVE: 0, SUSPECT: 1, GONE: 2, LEFT: 3}
@@ -17,8 +17,24 @@
     Gives: ("cast", address, message) and ("member", node, condition, news).
     """
 
-    __slots__ = ("me", "seeds", "draw", "members", "spread", "turn", "next_probe", "next_seed", "pending", "relays",
-                 "number", "last_pulse", "_feed_heard", "woke_at", "feed", "almanac")
+    __slots__ = (
+        "me",
+        "seeds",
+        "draw",
+        "members",
+        "spread",
+        "turn",
+        "next_probe",
+        "next_seed",
+        "pending",
+        "relays",
+        "number",
+        "last_pulse",
+        "_feed_heard",
+        "woke_at",
+        "feed",
+        "almanac",
+    )
 
     feed_heard = Rising("_feed_heard")
     PROBE_EVERY = timedelta(seconds=0.3)
@@ -86,7 +102,9 @@
             if target:
                 self.number += 1
                 self.pending[self.number] = (target.node, now, False)
-                out.append(("cast", target.address, ("probe", self.number, self._news(target), self.feed, self.almanac.vote)))
+                out.append(
+                    ("cast", target.address, ("probe", self.number, self._news(target), self.feed, self.almanac.vote))
+                )
         if now >= self.next_seed:
             self.next_seed = now + self.SEED_EVERY * self.draw.uniform(0.8, 1.2)
             out += self._knock()
@@ -116,7 +134,13 @@
         out = self._read(body[2], now)
         self.feed_heard = body[3]
         self.almanac.take(("vote", sender, body[4]), now)
-        return out + [("cast", address, ("probe_ack", body[1], self._news(self.members.get(sender)), self.feed, self.almanac.vote))]
+        return out + [
+            (
+                "cast",
+                address,
+                ("probe_ack", body[1], self._news(self.members.get(sender)), self.feed, self.almanac.vote),
+            )
+        ]
 
     def _on_probe_ack(self, sender, address, body, now):
         self.pending.pop(body[1], None)
@@ -215,7 +239,12 @@
     now, heard = start, []
     while now < end:
         now += timedelta(seconds=0.05)
-        waiting = [(name, effect) for name, machine in machines.items() if name not in cut for effect in machine.take(("pulse", 0), now)]
+        waiting = [
+            (name, effect)
+            for name, machine in machines.items()
+            if name not in cut
+            for effect in machine.take(("pulse", 0), now)
+        ]
         while waiting:
             name, effect = waiting.pop(0)
             if effect[0] != "cast":
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -6,13 +6,20 @@
 
 import msgspec
 
-from sumachook.accord.accord import FILE as ACCORD_FILE, Accord
+from sumachook.accord.accord import FILE as ACCORD_FILE
+from sumachook.accord.accord import Accord
 from sumachook.allowances.board import Board
 from sumachook.allowances.grantor import Grantor
 from sumachook.catalog.catalogue import merge, read_catalogue
 from sumachook.catalog.state import State
-from sumachook.fault import Fault
 from sumachook.changefeed.source import Source
+from sumachook.fault import Fault
+from sumachook.leases.leases import Leases
+from sumachook.ledger.keeper import Keeper
+from sumachook.ledger.purse import Accountant
+from sumachook.membership.membership import ALIVE, Membership
+from sumachook.nodes.desk import Desk, read_order, reply
+from sumachook.nodes.edge import MEMBERSHIP
 from sumachook.placement.account import account_for_places
 from sumachook.placement.outlook import foresee
 from sumachook.placement.placer import Placer
@@ -20,15 +27,24 @@
 from sumachook.placement.provisioner import Provisioner
 from sumachook.placement.watcher import Watcher
 from sumachook.runtime.almanac import Almanac
-from sumachook.nodes.desk import Desk, read_order, reply
-from sumachook.nodes.edge import MEMBERSHIP
-from sumachook.leases.leases import Leases
-from sumachook.membership.membership import ALIVE, Membership
-from sumachook.ledger.keeper import Keeper
-from sumachook.ledger.purse import Accountant
 from sumachook.transport.codec import read_entry
 
-ACCORD = {"blank", "ask", "ask_yes", "stop", "stopped", "install", "installed", "grow", "grew", "beat", "beat_ack", "propose", "stand", "yield"}
+ACCORD = {
+    "blank",
+    "ask",
+    "ask_yes",
+    "stop",
+    "stopped",
+    "install",
+    "installed",
+    "grow",
+    "grew",
+    "beat",
+    "beat_ack",
+    "propose",
+    "stand",
+    "yield",
+}
 LEASES = {"bid", "vote", "renew", "renewed"}
 FEED = {"follow", "confirm", "confirmed"}
 TALLY = {"open", "close", "hand", "handed"}
@@ -44,9 +60,30 @@
 class Core:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
-    __slots__ = ("params", "node", "boot", "state", "membership", "accord", "leases", "source", "placer", "watcher", "keeper", "accountant",
-                 "desk", "is_new", "is_ready", "stop_at", "ignored", "finds", "almanac",
-                 "provisioner", "grantor", "board")
+    __slots__ = (
+        "params",
+        "node",
+        "boot",
+        "state",
+        "membership",
+        "accord",
+        "leases",
+        "source",
+        "placer",
+        "watcher",
+        "keeper",
+        "accountant",
+        "desk",
+        "is_new",
+        "is_ready",
+        "stop_at",
+        "ignored",
+        "finds",
+        "almanac",
+        "provisioner",
+        "grantor",
+        "board",
+    )
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random, list_port=None, server_port=None):
         now = clock.mono()
@@ -56,8 +93,17 @@
         self.node = f"{params.node}-{draw.getrandbits(32):08x}" if self.is_new else seat
         self.is_ready = not self.is_new
         self.state = State()
-        self.accord = Accord(self.node, params.address, params.founding, Random(draw.random()), self.state.image,
-                             records.get(ACCORD_FILE, ()), timedelta(seconds=params.seat_away), now, params.wanted_seats)
+        self.accord = Accord(
+            self.node,
+            params.address,
+            params.founding,
+            Random(draw.random()),
+            self.state.image,
+            records.get(ACCORD_FILE, ()),
+            timedelta(seconds=params.seat_away),
+            now,
+            params.wanted_seats,
+        )
         number, image = self.accord.restore()
         if image is not None:
             self.state.restore(image)
@@ -67,7 +113,10 @@
         self.membership = Membership(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.leases = Leases(self.node, self.state, Random(draw.random()), now, params.fenced)
         self.source = Source(self.state, self._other_cores, now, self.almanac, self.accord.fresh)
-        self.placer, self.watcher = Placer(self.state, now), Watcher(self.state, params.platform, now, list_port, params.list_readers)
+        self.placer, self.watcher = (
+            Placer(self.state, now),
+            Watcher(self.state, params.platform, now, list_port, params.list_readers),
+        )
         self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
         self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
         self.accountant, self.finds = Accountant(now), {}
@@ -91,9 +140,15 @@
                 if effect[0] in ("propose", "deliver", "restored", "compact", "refused"):
                     work.append(effect)
                 elif effect[0] == "word":
-                    out += [("tell", member.address, ("leaving", effect[1])) for member in self.membership.live if member.role == "edge"]
+                    out += [
+                        ("tell", member.address, ("leaving", effect[1]))
+                        for member in self.membership.live
+                        if member.role == "edge"
+                    ]
                 elif effect[0] == "cold":
-                    out += [("tell", member.address, effect) for member in self.membership.live if member.role == "edge"]
+                    out += [
+                        ("tell", member.address, effect) for member in self.membership.live if member.role == "edge"
+                    ]
                 elif effect[0] not in ("view", "member", "objected"):
                     out.append(effect)
         return out
@@ -152,7 +207,9 @@
             return self.keeper.take(message, now)
         if kind == "credit":
             return self.accountant.take(message, now)
-        if kind == "allow_ask":  # the lease is looked at now, not at the last pulse: this may have lain in a buffer (§15.4)
+        if (
+            kind == "allow_ask"
+        ):  # the lease is looked at now, not at the last pulse: this may have lain in a buffer (§15.4)
             return self.grantor.take(("asked", *message[1:], self.leases.holds("accountant", now)), now)
         if kind == "allow_report":
             return self.board.take(message, now)
@@ -174,7 +231,9 @@
         out += self.provisioner.take(("changed",), now)
         if change[0] in OPERATOR:
             out += self.desk.take(("delivered", number, change, result, self.state.version), now)
-            out.append(("log", "info", "core", "Change delivered.", {"number": number, "kind": change[0], "result": result[0]}))
+            out.append(
+                ("log", "info", "core", "Change delivered.", {"number": number, "kind": change[0], "result": result[0]})
+            )
         return out
 
     def _pulse(self, now):
@@ -208,7 +267,9 @@
         return boots | {self.node: self.boot}
 
     def _live_nodes(self):
-        return sorted([member.node for member in self.membership.live if member.condition == ALIVE and member.role == "edge"])
+        return sorted(
+            [member.node for member in self.membership.live if member.condition == ALIVE and member.role == "edge"]
+        )
 
     def _confirmed(self):
         return self.source.confirmed
@@ -244,16 +305,34 @@
 
     def _condition(self, cid, now):
         is_fresh = self.accord.fresh(now)
-        doc = {"node": self.node, "role": "core", "area": self.params.area, "inView": is_fresh, "leader": self.accord.leader,
-               "view": self.accord.view[0], "number": self.state.number, "generation": self.state.generation,
-               "ready": is_fresh and self.stop_at is None}
+        doc = {
+            "node": self.node,
+            "role": "core",
+            "area": self.params.area,
+            "inView": is_fresh,
+            "leader": self.accord.leader,
+            "view": self.accord.view[0],
+            "number": self.state.number,
+            "generation": self.state.generation,
+            "ready": is_fresh and self.stop_at is None,
+        }
         return reply(cid, 200 if doc["ready"] else 503, doc)
 
     def _metrics(self, now):
-        return {"node": self.node, "number": self.state.number, "view": self.accord.view[0], "logged": len(self.accord.chain.entries),
-                "members": len(self.membership.members) + 1, "ledgerRows": len(self.keeper.rows), "ledgerOpen": len(self.keeper.open_rows),
-                "hints": len(self.keeper.hints), "followers": len(self.source.followers), "ignored": self.ignored,
-                "storeCredit": round(self.placer.budget, 2), "allowances": self.grantor.told(now)}
+        return {
+            "node": self.node,
+            "number": self.state.number,
+            "view": self.accord.view[0],
+            "logged": len(self.accord.chain.entries),
+            "members": len(self.membership.members) + 1,
+            "ledgerRows": len(self.keeper.rows),
+            "ledgerOpen": len(self.keeper.open_rows),
+            "hints": len(self.keeper.hints),
+            "followers": len(self.source.followers),
+            "ignored": self.ignored,
+            "storeCredit": round(self.placer.budget, 2),
+            "allowances": self.grantor.told(now),
+        }
 
     def _weigh(self, cid, path, body):
         """plan and check: say what would be, change nothing."""
@@ -264,7 +343,11 @@
             return reply(cid, 400, {"fault": {"class": "not JSON", "reason": str(error)}})
         catalogue, found = read_catalogue(wanted)
         if catalogue is None:
-            return reply(cid, 422, {"result": "refused", "faults": [{"path": path_, "reason": reason} for path_, reason in found]})
+            return reply(
+                cid,
+                422,
+                {"result": "refused", "faults": [{"path": path_, "reason": reason} for path_, reason in found]},
+            )
         if path == "/check":
             return reply(cid, 200, {"result": "ok"})
         return reply(cid, 200, foresee(catalogue, self.state, self.placer.demand))
@@ -272,26 +355,48 @@
     def _show(self, cid, what, now):
         state, is_stale = self.state, not self.accord.fresh(now)
         shown = {
-            "cohort": lambda: {"members": [self._member(member) for member in [self.membership.me, *self.membership.members.values()]],
-                               "roster": state.roster, "view": {"ballot": self.accord.view[0], "members": self.accord.members,
-                                                                "leader": self.accord.leader},
-                               "confirmed": self._confirmed()},
-            "duties": lambda: {"duties": {duty: {"holder": holder, "fence": fence} for duty, (holder, fence) in state.duties.items()}},
+            "cohort": lambda: {
+                "members": [self._member(member) for member in [self.membership.me, *self.membership.members.values()]],
+                "roster": state.roster,
+                "view": {"ballot": self.accord.view[0], "members": self.accord.members, "leader": self.accord.leader},
+                "confirmed": self._confirmed(),
+            },
+            "duties": lambda: {
+                "duties": {duty: {"holder": holder, "fence": fence} for duty, (holder, fence) in state.duties.items()}
+            },
             "pairs": lambda: {"pairs": state.pairs, "held": state.held},
             "servers": lambda: {"servers": state.servers, "evacuated": state.evacuated},
             "catalogue": lambda: {"generation": state.generation, "catalogue": state.doc},
-            "lines": lambda: {"lines": [msgspec.to_builtins(line) for line in state.catalogue.lines] if state.catalogue else [],
-                              "demand": self.placer.demand},
+            "lines": lambda: {
+                "lines": [msgspec.to_builtins(line) for line in state.catalogue.lines] if state.catalogue else [],
+                "demand": self.placer.demand,
+            },
             "places": lambda: {"holder": state.duties["placer"][0], **account_for_places(self.provisioner, now)},
             "allowances": lambda: {"holder": state.duties["accountant"][0], "tenants": self.board.told(now)},
         }.get(what)
         if shown is None:
-            return reply(cid, 404, {"fault": {"class": "not-found", "reason": "cohort, duties, pairs, servers, catalogue, lines, places or allowances"}})
+            return reply(
+                cid,
+                404,
+                {
+                    "fault": {
+                        "class": "not-found",
+                        "reason": "cohort, duties, pairs, servers, catalogue, lines, places or allowances",
+                    }
+                },
+            )
         return reply(cid, 200, {"stale": is_stale, "number": state.number, **shown()})
 
     def _member(self, member):
-        return {"node": member.node, "role": member.role, "area": member.area, "address": member.address,
-                "condition": member.condition, "incarnation": member.incarnation, "door": member.door}
+        return {
+            "node": member.node,
+            "role": member.role,
+            "area": member.area,
+            "address": member.address,
+            "condition": member.condition,
+            "incarnation": member.incarnation,
+            "door": member.door,
+        }
 
     # finding a request over all keepers ----------------------------------------------
 
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -4,8 +4,8 @@
 import signal
 from datetime import timedelta
 
-from sumachook.runtime.supervisor import Supervisor
 from sumachook.nodes.desk import reply
+from sumachook.runtime.supervisor import Supervisor
 from sumachook.transport.codec import Codec
 from sumachook.transport.door import Door
 from sumachook.transport.fetcher import Fetcher
@@ -19,10 +19,27 @@
 class Daemon:
     """Hands messages to one machine and does what it gives back (§1.3)."""
 
-    __slots__ = ("machine", "clock", "folder", "log", "port", "door", "fetcher", "codec", "writes", "leaving", "code", "inbox",
-                 "is_handing", "front", "forwarder")
+    __slots__ = (
+        "machine",
+        "clock",
+        "folder",
+        "log",
+        "port",
+        "door",
+        "fetcher",
+        "codec",
+        "writes",
+        "leaving",
+        "code",
+        "inbox",
+        "is_handing",
+        "front",
+        "forwarder",
+    )
 
-    def __init__(self, machine, clock, log, door: str, address=None, cluster="", folder=None, front=None, most_body=None):
+    def __init__(
+        self, machine, clock, log, door: str, address=None, cluster="", folder=None, front=None, most_body=None
+    ):
         self.machine, self.clock, self.log, self.folder = machine, clock, log, folder
         self.inbox, self.is_handing, self.code = [], False, 0
         self.door, self.fetcher = Door(door, self._hear, most_body), Fetcher(self._hear)
@@ -52,7 +69,9 @@
         await asyncio.sleep(LAST_WORDS.total_seconds())  # what was said last goes out while all still runs
 
     def _fell(self, name, falls, error):
-        self.log("error", "daemon", "A task fell and is started again.", {"task": name, "falls": falls, "error": repr(error)})
+        self.log(
+            "error", "daemon", "A task fell and is started again.", {"task": name, "falls": falls, "error": repr(error)}
+        )
 
     async def _pulse(self):
         while True:
@@ -96,7 +115,11 @@
         except Exception as error:
             what = message[3][0] if message[0] == "heard" else message[0]
             self.log("error", "daemon", "A message could not be taken.", {"kind": str(what), "error": repr(error)})
-            return [reply(message[1], 500, {"fault": {"class": "inner", "reason": "see the log"}})] if message[0] in ("http", "request") else []
+            return (
+                [reply(message[1], 500, {"fault": {"class": "inner", "reason": "see the log"}})]
+                if message[0] in ("http", "request")
+                else []
+            )
 
     def _do(self, effect):
         kind = effect[0]
--- a/sumachook/nodes/desk.py
+++ b/sumachook/nodes/desk.py
@@ -43,7 +43,11 @@
     def _order(self, message, now):
         _, cid, change = message
         if len(self.orders) >= self.MOST:
-            return [reply(cid, 503, {"fault": {"class": "too-many", "reason": f"{self.MOST} orders wait", "applied": "no"}}, 2)]
+            return [
+                reply(
+                    cid, 503, {"fault": {"class": "too-many", "reason": f"{self.MOST} orders wait", "applied": "no"}}, 2
+                )
+            ]
         self.orders[cid] = Order(cid, change, now)
         return [("propose", change)]
 
@@ -79,7 +83,14 @@
             if now - order.started_at > self.order_within:
                 del self.orders[cid]
                 reason = "no working view acknowledged it; repeat it with the same request id to learn or finish it"
-                body = {"fault": {"class": "not-acknowledged", "reason": reason, "applied": "maybe", "request": order.change[1]}}
+                body = {
+                    "fault": {
+                        "class": "not-acknowledged",
+                        "reason": reason,
+                        "applied": "maybe",
+                        "request": order.change[1],
+                    }
+                }
                 out.append(reply(cid, 503, body, 5))
             elif now - order.sent_at > self.RESEND:
                 order.sent_at = now
@@ -90,7 +101,11 @@
         result = order.result
         body = {"result": result[0], "request": order.change[1], "number": order.number, "version": order.version}
         if result[0] == "ok":
-            body |= {"generation": result[1], "confirmed": [node for node in live if node not in late], "unconfirmed": late}
+            body |= {
+                "generation": result[1],
+                "confirmed": [node for node in live if node not in late],
+                "unconfirmed": late,
+            }
         else:
             body["faults"] = [{"path": path, "reason": reason} for path, reason in result[1]]
         return reply(order.cid, STATUS[result[0]], body)
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -8,21 +8,25 @@
 from sumachook.allowances.limiter import Limiter
 from sumachook.catalog.state import State
 from sumachook.changefeed.follower import Follower
-from sumachook.inference.ferry import Ferry
-from sumachook.placement.places import Places
-from sumachook.nodes.desk import reply
-from sumachook.runtime.almanac import Almanac
-from sumachook.membership.membership import ALIVE, GONE, SUSPECT, Membership
-from sumachook.ledger.purse import Purse
-from sumachook.ledger.quill import Quill
 from sumachook.forwarding.port import RequestPort
 from sumachook.forwarding.table import Table
 from sumachook.forwarding.transit import Transit
+from sumachook.inference.ferry import Ferry
+from sumachook.ledger.purse import Purse
+from sumachook.ledger.quill import Quill
+from sumachook.membership.membership import ALIVE, GONE, SUSPECT, Membership
+from sumachook.nodes.desk import reply
+from sumachook.placement.places import Places
+from sumachook.runtime.almanac import Almanac
 
 MEMBERSHIP = {"probe", "probe_ack", "probe_via", "probe_for", "via_ack", "join", "roll"}
 FEED = {"image", "news", "feed_beat"}
 GRACE = timedelta(seconds=8)
-CLOSING, LEAST_OPEN, MOST_OPEN = timedelta(seconds=0.8), timedelta(seconds=2.5), 0.5  # before the end; after the signal; of the grace
+CLOSING, LEAST_OPEN, MOST_OPEN = (
+    timedelta(seconds=0.8),
+    timedelta(seconds=2.5),
+    0.5,
+)  # before the end; after the signal; of the grace
 ALONE_AFTER = timedelta(seconds=2)
 KNOWN_AFTER = timedelta(seconds=3)
 KIN_FOR = timedelta(seconds=60)
@@ -35,10 +39,35 @@
 class Edge:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
-    __slots__ = ("params", "node", "boot", "state", "membership", "follower", "purse", "quill", "ferry", "next_demand", "stop_by",
-                 "ignored", "saved_at", "saved_number", "saved_generation", "has_disk", "was_alone", "started_at", "almanac",
-                 "transit", "places", "next_usage", "quiet_since", "stopped_at", "is_shut", "asked_places_at",
-                 "limiter")
+    __slots__ = (
+        "params",
+        "node",
+        "boot",
+        "state",
+        "membership",
+        "follower",
+        "purse",
+        "quill",
+        "ferry",
+        "next_demand",
+        "stop_by",
+        "ignored",
+        "saved_at",
+        "saved_number",
+        "saved_generation",
+        "has_disk",
+        "was_alone",
+        "started_at",
+        "almanac",
+        "transit",
+        "places",
+        "next_usage",
+        "quiet_since",
+        "stopped_at",
+        "is_shut",
+        "asked_places_at",
+        "limiter",
+    )
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random, request_port=None):
         now = clock.mono()
@@ -50,12 +79,32 @@
         self.almanac = Almanac(clock.wall, now)
         self.membership = Membership(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.follower = Follower(self.state, Random(draw.random()), now)
-        self.purse, self.quill = Purse(params.resend_ratio), Quill(params.data is not None, records.get("spool", ()), now)
-        self.ferry = Ferry(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()),
-                           self.almanac)
+        self.purse, self.quill = (
+            Purse(params.resend_ratio),
+            Quill(params.data is not None, records.get("spool", ()), now),
+        )
+        self.ferry = Ferry(
+            self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()), self.almanac
+        )
         self.limiter, self.places = Limiter(self.state, boot, now), Places()
-        self.transit = Transit(Table(self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()),
-                                     request_port or RequestPort(), self.places, self.almanac)) if params.front else None
+        self.transit = (
+            Transit(
+                Table(
+                    self.node,
+                    boot,
+                    params.area,
+                    self.state,
+                    self.follower,
+                    self.purse,
+                    Random(draw.random()),
+                    request_port or RequestPort(),
+                    self.places,
+                    self.almanac,
+                )
+            )
+            if params.front
+            else None
+        )
         self.next_usage = self.quiet_since = self.stopped_at = self.asked_places_at = now
         self.is_shut = False
         self.next_demand, self.stop_by, self.ignored, self.was_alone = now, None, 0, False
@@ -147,13 +196,18 @@
         self.ferry.table.kin = tuple(sorted({self.node, *live, *late}))
         if self.transit:
             self.transit.table.edges = len(self.ferry.table.kin)
-            if self.params.resend_slack is not None:  # what all edges together may have saved up stays under the slack (§7.7)
+            if (
+                self.params.resend_slack is not None
+            ):  # what all edges together may have saved up stays under the slack (§7.7)
                 self.purse.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
         edges = [member for member in self.membership.live if member.role == "edge"]
-        return tuple(member.address for member in sorted(edges, key=lambda member: (member.area == self.params.area, member.node)))
+        return tuple(
+            member.address
+            for member in sorted(edges, key=lambda member: (member.area == self.params.area, member.node))
+        )
 
     def _cores(self):
         """Addresses of live cores: rumoured ones first, else the roster's, else the seeds."""
@@ -179,7 +233,9 @@
         out += self._limit(cores, now)
         is_old = now - self.started_at > KNOWN_AFTER
         self.ferry.table.knows_edges |= is_old
-        self.ferry.table.knows_time |= self.almanac.is_agreed or (is_old and not self.almanac.votes) or now - self.started_at > KNOWN_AFTER * 10
+        self.ferry.table.knows_time |= (
+            self.almanac.is_agreed or (is_old and not self.almanac.votes) or now - self.started_at > KNOWN_AFTER * 10
+        )
         is_alone = now - self.follower.beat_at > ALONE_AFTER
         if self.was_alone and not is_alone:
             out += self.ferry.take(("rejoined",), now)
@@ -208,7 +264,10 @@
         if now < self.next_usage or not (table.begun or table.running):
             return []
         self.next_usage = now + USAGE_EVERY * max(1, table.edges / USAGE_EDGES)
-        names = {service: set(table.begun.get(service, ())) | set(table.running.get(service, ())) for service in {*table.begun, *table.running}}
+        names = {
+            service: set(table.begun.get(service, ())) | set(table.running.get(service, ()))
+            for service in {*table.begun, *table.running}
+        }
         usage = {service: {name: self._use(table, service, name) for name in of} for service, of in names.items()}
         table.begun = {}
         return [("tell", address, ("usage", usage)) for address in self._placers()]
@@ -219,7 +278,9 @@
             return []
         table = self.ferry.table
         edges = len(table.kin) if table.knows_edges else 0
-        return self.limiter.take(("pulse", self.state.roster.get(self.state.duties["accountant"][0]), cores, self._carriers(), edges), now)
+        return self.limiter.take(
+            ("pulse", self.state.roster.get(self.state.duties["accountant"][0]), cores, self._carriers(), edges), now
+        )
 
     def _use(self, table, service, name):
         """(begun since the last report, running now, {server: running})."""
@@ -251,7 +312,11 @@
         finished, and shortly before the end of the grace it gets its final answer."""
         out, since = [], now - self.stopped_at
         is_quiet = now - self.quiet_since > QUIET_FOR
-        if not self.is_shut and since >= LEAST_OPEN and (is_quiet or since >= MOST_OPEN * timedelta(seconds=self.params.grace)):
+        if (
+            not self.is_shut
+            and since >= LEAST_OPEN
+            and (is_quiet or since >= MOST_OPEN * timedelta(seconds=self.params.grace))
+        ):
             self.is_shut = True
             out += [("shut",), *self.transit.take(("shut",), now)]
         if now >= self.stop_by:
@@ -264,10 +329,20 @@
         _, cid, method, path, headers, body = message
         if path == "/condition":
             trust = self.follower.trust(now)
-            is_open = self.params.front is not None or self.state.is_open(self.params.area)  # evacuating a forwarding area closes its servers
+            is_open = self.params.front is not None or self.state.is_open(
+                self.params.area
+            )  # evacuating a forwarding area closes its servers
             is_ready = trust in ("fresh", "cut") and self.stop_by is None and is_open
-            doc = {"node": self.node, "role": "edge", "area": self.params.area, "trust": trust, "number": self.follower.number,
-                   "generation": self.state.generation, "ready": is_ready, "leaving": self.stop_by is not None}
+            doc = {
+                "node": self.node,
+                "role": "edge",
+                "area": self.params.area,
+                "trust": trust,
+                "number": self.follower.number,
+                "generation": self.state.generation,
+                "ready": is_ready,
+                "leaving": self.stop_by is not None,
+            }
             return [reply(cid, 200 if is_ready else 503, doc)]
         if path == "/metrics":
             return [reply(cid, 200, self._metrics(now))]
@@ -275,12 +350,23 @@
 
     def _metrics(self, now):
         counts = {"_".join(what): count for what, count in self.ferry.table.counts.items()}
-        lanes = {name: {"inUse": lane.in_use, "shut": lane.is_shut(now)} for name, lane in self.ferry.table.lanes.items()}
-        return {"node": self.node, "counts": counts, "lanes": lanes, "rows": len(self.ferry.table.rows),
-                "lines": {line: len(rows) for line, rows in self.ferry.table.lines.rows.items()},
-                "ledgerWaiting": len(self.quill.entries), "ledgerDropped": self.quill.lost,
-                "credit": round(self.purse.balance, 2), "number": self.follower.number, "ignored": self.ignored,
-                "members": len(self.membership.members) + 1, "allowances": self.limiter.told()}
+        lanes = {
+            name: {"inUse": lane.in_use, "shut": lane.is_shut(now)} for name, lane in self.ferry.table.lanes.items()
+        }
+        return {
+            "node": self.node,
+            "counts": counts,
+            "lanes": lanes,
+            "rows": len(self.ferry.table.rows),
+            "lines": {line: len(rows) for line, rows in self.ferry.table.lines.rows.items()},
+            "ledgerWaiting": len(self.quill.entries),
+            "ledgerDropped": self.quill.lost,
+            "credit": round(self.purse.balance, 2),
+            "number": self.follower.number,
+            "ignored": self.ignored,
+            "members": len(self.membership.members) + 1,
+            "allowances": self.limiter.told(),
+        }
 
 
 def test_edge_without_a_catalogue_says_so():
@@ -295,14 +381,17 @@
     assert edge.take(("pulse",), now + GRACE)[-1] == ("leave", 0)
 
 
-
-
 def test_edge_that_knows_no_other_sends_a_warming_server_nothing():
     from sumachook.catalog.params import Params
     from sumachook.runtime.clock import Clock
 
-    doc = {"name": "c", "areas": ["a"], "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}], "lines": [{"name": "l"}],
-           "callers": [{"name": "clerk", "key": "clerk-key", "line": "l", "patience": 9.0, "safe": True}]}
+    doc = {
+        "name": "c",
+        "areas": ["a"],
+        "models": [{"name": "m", "memory": 4.0, "decodeRate": 50.0}],
+        "lines": [{"name": "l"}],
+        "callers": [{"name": "clerk", "key": "clerk-key", "line": "l", "patience": 9.0, "safe": True}],
+    }
     state = State()
     state.apply(1, ("apply", "r", doc, False, None))
     state.servers = {"s": {"kind": "model", "address": "127.0.0.1:9", "area": "a", "leaving": False, "slots": 8}}
--- a/sumachook/nodes/logs.py
+++ b/sumachook/nodes/logs.py
@@ -17,7 +17,11 @@
         self.logger.setLevel(level.upper())
         self.logger.propagate = False
         handler = logging.StreamHandler(stream or sys.stderr)
-        handler.setFormatter(JsonFormatter("{asctime}{levelname}{message}", style="{", rename_fields={"asctime": "time", "levelname": "level"}))
+        handler.setFormatter(
+            JsonFormatter(
+                "{asctime}{levelname}{message}", style="{", rename_fields={"asctime": "time", "levelname": "level"}
+            )
+        )
         self.logger.handlers = [handler]
 
     def log(self, level: str, part: str, text: str, fields: dict):
--- a/sumachook/nodes/serve.py
+++ b/sumachook/nodes/serve.py
@@ -8,9 +8,9 @@
 from random import Random
 
 from sumachook.fault import Fault
-from sumachook.runtime.clock import Clock
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.logs import Logs
+from sumachook.runtime.clock import Clock
 from sumachook.storage.folder import Folder
 
 REFUSED, USAGE, DAMAGED, UNREACHED = 1, 2, 3, 4
@@ -47,6 +47,18 @@
         fail(USAGE, f"{params.data}: accord: the folder is of seat {seat!r}, not of node {params.node!r}")
     clock, boot = Clock(), time.time_ns() // 1_000_000
     machine = make(params, records, boot, clock, Random(int.from_bytes(os.urandom(8), "big")))
-    daemon = Daemon(machine, clock, logs.log, params.door, params.address, params.cluster, folder, params.front, MOST_OPERATOR_BODY if role == "core" else None)
-    logs.log("info", role, "Starting.", {"address": params.address, "door": params.door, "area": params.area, "boot": boot})
+    daemon = Daemon(
+        machine,
+        clock,
+        logs.log,
+        params.door,
+        params.address,
+        params.cluster,
+        folder,
+        params.front,
+        MOST_OPERATOR_BODY if role == "core" else None,
+    )
+    logs.log(
+        "info", role, "Starting.", {"address": params.address, "door": params.door, "area": params.area, "boot": boot}
+    )
     run_daemon(daemon)
--- a/sumachook/placement/account.py
+++ b/sumachook/placement/account.py
@@ -8,22 +8,47 @@
     servers, models = {}, {}
     for server in provisioner.servers.values():
         servers[server.name] = {
-            "service": server.service, "area": server.area, "condition": _condition(server),
-            "ready": {model: sorted(adapters) for model, adapters in sorted(server.ready.items())}, "order": _order(server.order),
-            "makesRoomFor": server.intent}
+            "service": server.service,
+            "area": server.area,
+            "condition": _condition(server),
+            "ready": {model: sorted(adapters) for model, adapters in sorted(server.ready.items())},
+            "order": _order(server.order),
+            "makesRoomFor": server.intent,
+        }
         for model in server.ready if server.is_open else ():
             models.setdefault((server.service, model), []).append(server.name)
     for service, desired in provisioner.desired.items():
         for model in desired:
             models.setdefault((service, model), [])
     demand = provisioner.demand
-    return {"fence": provisioner.fence, "servers": servers, "storeTokens": round(provisioner.pace.tokens, 2),
-            "models": [{"service": service, "model": model, "servers": sorted(names), "reason": _reason(
-                demand.rate(service, model, now), demand.running.get((service, model), 0),
-                provisioner.desired.get(service, {}).get(model, 0), len(names))} for (service, model), names in sorted(models.items())],
-            "wanted": [{"service": service, "name": name, "waiting": provisioner.wants.waiting((service, name)),
-                        "ms": round(provisioner.wants.age((service, name), now) / timedelta(milliseconds=1))}
-                       for service, name in provisioner.wants.due(now)]}
+    return {
+        "fence": provisioner.fence,
+        "servers": servers,
+        "storeTokens": round(provisioner.pace.tokens, 2),
+        "models": [
+            {
+                "service": service,
+                "model": model,
+                "servers": sorted(names),
+                "reason": _reason(
+                    demand.rate(service, model, now),
+                    demand.running.get((service, model), 0),
+                    provisioner.desired.get(service, {}).get(model, 0),
+                    len(names),
+                ),
+            }
+            for (service, model), names in sorted(models.items())
+        ],
+        "wanted": [
+            {
+                "service": service,
+                "name": name,
+                "waiting": provisioner.wants.waiting((service, name)),
+                "ms": round(provisioner.wants.age((service, name), now) / timedelta(milliseconds=1)),
+            }
+            for service, name in provisioner.wants.due(now)
+        ],
+    }
 
 
 def _condition(server) -> str:
--- a/sumachook/placement/demand.py
+++ b/sumachook/placement/demand.py
@@ -24,7 +24,14 @@
     EDGE_SILENT = timedelta(seconds=2)
 
     def __init__(self):
-        self.rates, self.running, self.edges, self.last_begun, self.is_by_server, self.first_at = {}, {}, {}, {}, False, None
+        self.rates, self.running, self.edges, self.last_begun, self.is_by_server, self.first_at = (
+            {},
+            {},
+            {},
+            {},
+            False,
+            None,
+        )
 
     def take(self, edge: str, usage: dict, now):
         self._drop(edge)
@@ -69,8 +76,11 @@
     def _decayed(self, key, now, begun=0):
         fast, slow, at = self.rates.get(key, (0.0, 0.0, now))
         span = now - at
-        return (fast * 0.5 ** (span / FAST) + begun * log(2) / FAST.total_seconds(),
-                slow * 0.5 ** (span / SLOW) + begun * log(2) / SLOW.total_seconds(), now)
+        return (
+            fast * 0.5 ** (span / FAST) + begun * log(2) / FAST.total_seconds(),
+            slow * 0.5 ** (span / SLOW) + begun * log(2) / SLOW.total_seconds(),
+            now,
+        )
 
     def rate(self, service: str, name: str, now) -> float:
         """A second. Who is asked for far less than a while ago has fallen silent: what is left of the slow mean counts little."""
--- a/sumachook/placement/engine_server.py
+++ b/sumachook/placement/engine_server.py
@@ -21,9 +21,30 @@
     buffer, or one sent on an outdated picture, is not taken.
     """
 
-    __slots__ = ("name", "service", "address", "area", "is_closed", "is_read", "is_dark", "sequence", "models", "ready", "had",
-                 "order", "asked", "ask_at", "intent", "unused", "loaded_at", "fails", "read_at", "last_read",
-                 "settled_at", "is_strange")
+    __slots__ = (
+        "name",
+        "service",
+        "address",
+        "area",
+        "is_closed",
+        "is_read",
+        "is_dark",
+        "sequence",
+        "models",
+        "ready",
+        "had",
+        "order",
+        "asked",
+        "ask_at",
+        "intent",
+        "unused",
+        "loaded_at",
+        "fails",
+        "read_at",
+        "last_read",
+        "settled_at",
+        "is_strange",
+    )
 
     def __init__(self, name, service, now):
         self.name, self.service, self.address, self.area, self.is_closed = name, service, "", "", False
--- a/sumachook/placement/herald.py
+++ b/sumachook/placement/herald.py
@@ -45,7 +45,9 @@
             return []
         self.beat_at = now
         self.number += 1 if news else 0
-        return [("tell", address, ("places", self.fence, self.life, self.number, False, news)) for address in self.edges]
+        return [
+            ("tell", address, ("places", self.fence, self.life, self.number, False, news)) for address in self.edges
+        ]
 
     def _whole(self):
         return ("places", self.fence, self.life, self.number, True, dict(self.told))
--- a/sumachook/placement/orders.py
+++ b/sumachook/placement/orders.py
@@ -2,8 +2,8 @@
 
 from math import fsum
 
-from sumachook.policies.policy import compile_policy
 from sumachook.placement.plan import plan_adapters
+from sumachook.policies.policy import compile_policy
 
 LOAD, UNLOAD = "load", "unload"
 
@@ -30,7 +30,9 @@
             if condition == "ready" and in_flight.get((server, name)) != UNLOAD:
                 ready[name] = ready.get(name, 0) + 1
     orders, begun = [], 0.0
-    held = {server: {name for name in items if in_flight.get((server, name)) != UNLOAD} for server, items in actual.items()}
+    held = {
+        server: {name for name in items if in_flight.get((server, name)) != UNLOAD} for server, items in actual.items()
+    }
     for server, name in in_flight:
         if server in held and in_flight[(server, name)] == LOAD:
             held[server].add(name)
@@ -39,8 +41,12 @@
         if strangers:  # nothing is loaded beside what nobody here knows the size of
             orders += [(server, UNLOAD, "model", name, 0.0) for name in strangers if (server, name) not in in_flight]
             del held[server]
-    missing = [(position, -demand.get(model, 0.0), model, server) for model, pair in pairs.items()
-               for position, server in enumerate(pair) if server in held and model not in held[server] and (server, model) not in not_now]
+    missing = [
+        (position, -demand.get(model, 0.0), model, server)
+        for model, pair in pairs.items()
+        for position, server in enumerate(pair)
+        if server in held and model not in held[server] and (server, model) not in not_now
+    ]
     for _, _, model, server in sorted(missing):
         size = sizes[model]
         room = servers[server]["memory"] - _used(held[server] | _leaving(actual, in_flight, server), sizes, adapters)
@@ -51,13 +57,35 @@
             held[server].add(model)
             begun += size
         else:
-            spare = [name for name in held[server] if name in sizes and name not in wanted[server]
-                     and actual[server].get(name) == "ready" and (ready.get(name, 0) > 1 or not demand.get(name))]
-            score = {name: evict({"model": name, "server": server, "demand": demand.get(name, 0.0), "memory": sizes[name],
-                                  "paired": name in pairs}) for name in spare}
+            spare = [
+                name
+                for name in held[server]
+                if name in sizes
+                and name not in wanted[server]
+                and actual[server].get(name) == "ready"
+                and (ready.get(name, 0) > 1 or not demand.get(name))
+            ]
+            score = {
+                name: evict(
+                    {
+                        "model": name,
+                        "server": server,
+                        "demand": demand.get(name, 0.0),
+                        "memory": sizes[name],
+                        "paired": name in pairs,
+                    }
+                )
+                for name in spare
+            }
             if not spare:
-                spare = [name for name in held[server] if name in sizes and name not in wanted[server]
-                         and actual[server].get(name) == "ready" and demand.get(name, 0.0) < demand.get(model, 0.0)]
+                spare = [
+                    name
+                    for name in held[server]
+                    if name in sizes
+                    and name not in wanted[server]
+                    and actual[server].get(name) == "ready"
+                    and demand.get(name, 0.0) < demand.get(model, 0.0)
+                ]
                 score = {name: 0.0 for name in spare}
             if spare and not any(verb == UNLOAD and other == server for (other, _), verb in in_flight.items()):
                 victim = min(spare, key=lambda name: (-score[name], demand.get(name, 0.0), -sizes[name], name))
@@ -71,11 +99,18 @@
         holds_now = [name for name in held[server] if name in adapters]
         for name in names:
             base = adapters[name].model
-            if name in held[server] or (server, name) in not_now or actual[server].get(base) != "ready" or in_flight.get((server, base)) == UNLOAD:
+            if (
+                name in held[server]
+                or (server, name) in not_now
+                or actual[server].get(base) != "ready"
+                or in_flight.get((server, base)) == UNLOAD
+            ):
                 continue
             leaving = [other for other in _leaving(actual, in_flight, server) if other in adapters]
             if len(holds_now) + len(leaving) < servers[server]["places"]:
-                room = servers[server]["memory"] - _used(held[server] | _leaving(actual, in_flight, server), sizes, adapters)
+                room = servers[server]["memory"] - _used(
+                    held[server] | _leaving(actual, in_flight, server), sizes, adapters
+                )
                 if adapters[name].memory <= min(budget - begun, room):
                     orders.append((server, LOAD, "adapter", name, adapters[name].memory))
                     held[server].add(name)
--- a/sumachook/placement/placer.py
+++ b/sumachook/placement/placer.py
@@ -6,9 +6,9 @@
 from reactivex.subject import Subject
 
 from sumachook.inference.port import OpenPort
+from sumachook.leases.leases import ORDER_TIMEOUT
 from sumachook.placement.orders import LOAD, draw_orders
 from sumachook.placement.plan import plan_pairs
-from sumachook.leases.leases import ORDER_TIMEOUT
 
 POLL_TIMEOUT = timedelta(seconds=1.5)
 HALF_LIFE = timedelta(seconds=60)
@@ -21,8 +21,31 @@
     Out: ("fetch", ...), ("propose", change), ("log", ...).
     """
 
-    __slots__ = ("state", "port", "fence", "actual", "fails", "in_flight", "budget", "budget_at", "demand", "demand_at",
-                 "next_poll", "next_plan", "dirty", "news", "warm_since", "sent_held", "sent_pairs", "number", "models", "dark", "unanswered", "unsure", "refused")
+    __slots__ = (
+        "state",
+        "port",
+        "fence",
+        "actual",
+        "fails",
+        "in_flight",
+        "budget",
+        "budget_at",
+        "demand",
+        "demand_at",
+        "next_poll",
+        "next_plan",
+        "dirty",
+        "news",
+        "warm_since",
+        "sent_held",
+        "sent_pairs",
+        "number",
+        "models",
+        "dark",
+        "unanswered",
+        "unsure",
+        "refused",
+    )
 
     POLL = timedelta(seconds=0.8)
     PLAN = timedelta(seconds=4)
@@ -83,9 +106,15 @@
             return []
         self._decay(now)
         store = self.state.catalogue.store
-        self.unsure = {name: item for name, item in self.unsure.items() if now - item[1] < self.UNSURE and name in self.state.servers}
+        self.unsure = {
+            name: item
+            for name, item in self.unsure.items()
+            if now - item[1] < self.UNSURE and name in self.state.servers
+        }
         maybe = sum(self.unanswered.values()) + sum(size for size, _ in self.unsure.values())
-        self.budget = min(max(0.0, store.burst - maybe), self.budget + store.pace * (now - self.budget_at).total_seconds())
+        self.budget = min(
+            max(0.0, store.burst - maybe), self.budget + store.pace * (now - self.budget_at).total_seconds()
+        )
         self.budget_at = now
         out = []
         if now >= self.next_poll:
@@ -100,10 +129,23 @@
         self.number += 1
         method, path, headers, body = call
         url = f"http://{server['address']}{path}"
-        return ("fetch", ("placer", self.fence, *what, self.number), method, url, headers, body, timeout, timeout, "whole")
+        return (
+            "fetch",
+            ("placer", self.fence, *what, self.number),
+            method,
+            url,
+            headers,
+            body,
+            timeout,
+            timeout,
+            "whole",
+        )
 
     def _poll(self):
-        return [self._fetch(("models", name), server, self.port.MODELS, POLL_TIMEOUT) for name, server in self._servers().items()]
+        return [
+            self._fetch(("models", name), server, self.port.MODELS, POLL_TIMEOUT)
+            for name, server in self._servers().items()
+        ]
 
     def _on_fetched(self, message, now):
         _, (_, fence, what, name, *rest), outcome, *answer = message
@@ -178,8 +220,12 @@
             elif name not in self.actual:
                 continue
             else:
-                told = {item: "warm" if condition == "ready" and now - self.warm_since.get((name, item), -self.WARM) < self.WARM else condition
-                        for item, condition in self.actual[name].items()}
+                told = {
+                    item: "warm"
+                    if condition == "ready" and now - self.warm_since.get((name, item), -self.WARM) < self.WARM
+                    else condition
+                    for item, condition in self.actual[name].items()
+                }
             if told != self.state.held.get(name):
                 changed[name] = told
         if not changed or now - self.sent_held < self.RESEND / 2:
@@ -201,19 +247,29 @@
 
     def wanted_pairs(self):
         state = self.state
-        return plan_pairs(state.catalogue, state.servers, state.evacuated, self.dark, self.demand, state.pairs, self.actual)
+        return plan_pairs(
+            state.catalogue, state.servers, state.evacuated, self.dark, self.demand, state.pairs, self.actual
+        )
 
     def _order(self, now):
         """Only to servers that are read, staying and open, and owe no answer: one order at a time for each (§9.4)."""
-        servers = {name: server for name, server in self._servers().items()
-                   if name in self.actual and name not in self.unanswered and name not in self.unsure
-                   and not server["leaving"] and self.state.is_open(server["area"])}
+        servers = {
+            name: server
+            for name, server in self._servers().items()
+            if name in self.actual
+            and name not in self.unanswered
+            and name not in self.unsure
+            and not server["leaving"]
+            and self.state.is_open(server["area"])
+        }
         if not servers or not self.state.pairs:
             return []
         actual = {name: self.actual[name] for name in servers}
         flying = {key: verb for key, (verb, _) in self.in_flight.items()}
         not_now = {key for key, (until, _) in self.refused.items() if now < until}
-        orders, begun = draw_orders(self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget, not_now)
+        orders, begun = draw_orders(
+            self.state.catalogue, servers, self.state.pairs, self.demand, actual, flying, self.budget, not_now
+        )
         self.budget -= begun
         out = []
         for name, verb, kind, item, size in orders:
@@ -224,9 +280,19 @@
             self.in_flight[(name, item)] = (verb, 0)
             call = self.port.order(verb, kind, item, self.fence)
             out.append(self._fetch(("order", name, verb, item), servers[name], call, ORDER_TIMEOUT))
-            out.append(("log", "info", "loom", "Order goes out.", {"server": name, "verb": verb, "item": item, "fence": self.fence}))
+            out.append(
+                (
+                    "log",
+                    "info",
+                    "loom",
+                    "Order goes out.",
+                    {"server": name, "verb": verb, "item": item, "fence": self.fence},
+                )
+            )
         return out
 
 
 def _outline(servers):
-    return tuple(sorted((name, server["area"], server["leaving"], server["memory"]) for name, server in servers.items()))
+    return tuple(
+        sorted((name, server["area"], server["leaving"], server["memory"]) for name, server in servers.items())
+    )
--- a/sumachook/placement/plan.py
+++ b/sumachook/placement/plan.py
@@ -15,8 +15,11 @@
 
 def usable(servers: dict, evacuated, dark) -> dict:
     """Model servers that may be given anything at all."""
-    return {name: server for name, server in servers.items()
-            if server["kind"] == "model" and not server["leaving"] and server["area"] not in evacuated and name not in dark}
+    return {
+        name: server
+        for name, server in servers.items()
+        if server["kind"] == "model" and not server["leaving"] and server["area"] not in evacuated and name not in dark
+    }
 
 
 def plan_pairs(catalogue, servers: dict, evacuated, dark, demand: dict, pairs: dict, held: dict) -> dict:
@@ -28,7 +31,9 @@
     place = compile_policy("place", catalogue.policies.place)
     free = {name: float(server["memory"]) for name, server in open_.items()}
     settled = {model: KEEP if pair[1] else 1.0 for model, pair in pairs.items()}
-    models = sorted(catalogue.models, key=lambda model: (-demand.get(model.name, 0.0) * settled.get(model.name, 1.0), model.name))
+    models = sorted(
+        catalogue.models, key=lambda model: (-demand.get(model.name, 0.0) * settled.get(model.name, 1.0), model.name)
+    )
     busy = [model for model in models if demand.get(model.name, 0.0) > 0][: catalogue.busy]
     if len(busy) < catalogue.busy:
         paired = [model for model in models if model not in busy and pairs.get(model.name, ("", ""))[1]]
@@ -45,9 +50,18 @@
             is_held = model.name in held.get(name, {})
             score = _affinity(model.name, name) - CROWDED * (1 - free[name] / max(1.0, server["memory"])) * 2
             score += STAY * (pairs.get(model.name, ("", ""))[position] == name) + STAY * is_held
-            score += place({"area": server["area"], "server": name, "model": model.name, "memory": model.memory,
-                            "free": free[name], "demand": demand.get(model.name, 0.0), "held": is_held,
-                            "places": server["places"]})
+            score += place(
+                {
+                    "area": server["area"],
+                    "server": name,
+                    "model": model.name,
+                    "memory": model.memory,
+                    "free": free[name],
+                    "demand": demand.get(model.name, 0.0),
+                    "held": is_held,
+                    "places": server["places"],
+                }
+            )
             is_apart = not taken or server["area"] != open_[taken[0]]["area"]
             if best is None or (is_apart, score, name) > best:
                 best = (is_apart, score, name)
@@ -79,7 +93,11 @@
     for position in (0, 1):
         for adapter in adapters:
             server = pairs.get(adapter.model, ("", ""))[position]
-            if server in wanted and len(wanted[server]) < servers[server]["places"] and adapter.name not in wanted[server]:
+            if (
+                server in wanted
+                and len(wanted[server]) < servers[server]["places"]
+                and adapter.name not in wanted[server]
+            ):
                 wanted[server].append(adapter.name)
     return {server: tuple(names) for server, names in wanted.items()}
 
@@ -90,13 +108,28 @@
     from sumachook.catalog.catalogue import read_catalogue
 
     areas = ["a", "b", "c"]
-    doc = {"name": "c", "areas": areas, "lines": [{"name": "l"}], "callers": [], "busy": 6,
-           "models": [{"name": f"m{place:02}", "memory": 4.0, "decodeRate": 50.0} for place in range(20)],
-           "adapters": [{"name": f"x{place:02}", "model": f"m{place:02}"} for place in range(20)]}
+    doc = {
+        "name": "c",
+        "areas": areas,
+        "lines": [{"name": "l"}],
+        "callers": [],
+        "busy": 6,
+        "models": [{"name": f"m{place:02}", "memory": 4.0, "decodeRate": 50.0} for place in range(20)],
+        "adapters": [{"name": f"x{place:02}", "model": f"m{place:02}"} for place in range(20)],
+    }
     catalogue, faults = read_catalogue(msgspec.to_builtins(doc))
     assert faults == ()
-    servers = {f"s{place}": {"kind": "model", "area": areas[place % 3], "memory": memory, "places": 4, "slots": 4, "leaving": False}
-               for place in range(count)}
+    servers = {
+        f"s{place}": {
+            "kind": "model",
+            "area": areas[place % 3],
+            "memory": memory,
+            "places": 4,
+            "slots": 4,
+            "leaving": False,
+        }
+        for place in range(count)
+    }
     return catalogue, servers
 
 
--- a/sumachook/placement/provisioner.py
+++ b/sumachook/placement/provisioner.py
@@ -27,8 +27,35 @@
     that goes with what is believed of it. A picture that is in doubt is read again before the next order.
     """
 
-    __slots__ = ("state", "port", "node", "life", "fence", "last_pulse", "started_at", "servers", "rooms", "pace", "loads_per_s", "wants", "demand",
-                 "herald", "heirs", "successions", "number", "asks", "stale", "spare_at", "swept_at", "desired", "is_outdone", "spans", "hot", "edges", "wake_at")
+    __slots__ = (
+        "state",
+        "port",
+        "node",
+        "life",
+        "fence",
+        "last_pulse",
+        "started_at",
+        "servers",
+        "rooms",
+        "pace",
+        "loads_per_s",
+        "wants",
+        "demand",
+        "herald",
+        "heirs",
+        "successions",
+        "number",
+        "asks",
+        "stale",
+        "spare_at",
+        "swept_at",
+        "desired",
+        "is_outdone",
+        "spans",
+        "hot",
+        "edges",
+        "wake_at",
+    )
 
     LEASE = MS * 150
     CONNECT, TOTAL = MS * 250, MS * 600
@@ -43,7 +70,10 @@
     def __init__(self, state, port, node, now, life=0):
         self.state, self.port, self.node, self.life = state, port, node, life
         self.fence, self.number, self.last_pulse = 0, 0, now
-        self.wants, self.demand = Wants(), Demand()  # kept without the duty as well: a new holder knows what is asked for
+        self.wants, self.demand = (
+            Wants(),
+            Demand(),
+        )  # kept without the duty as well: a new holder knows what is asked for
         self._start(0, (), now)
 
     def _start(self, fence, edges, now):
@@ -51,7 +81,13 @@
         self.fence, self.started_at, self.servers, self.rooms, self.asks, self.stale = fence, now, {}, {}, {}, set()
         self.pace, self.loads_per_s = StorePace(now), 0.0
         self.herald, self.edges, self.wake_at = Herald(fence, self.life, now), edges, now
-        self.spare_at, self.swept_at, self.desired, self.is_outdone, self.spans = now + self.SPARE * 4, now, {}, False, Spans()
+        self.spare_at, self.swept_at, self.desired, self.is_outdone, self.spans = (
+            now + self.SPARE * 4,
+            now,
+            {},
+            False,
+            Spans(),
+        )
         self.hot, self.heirs, self.successions = {}, {}, {}
         if fence:
             self._learn_servers(now)
@@ -93,7 +129,9 @@
         if not fence:
             return []
         if not self.herald.is_open:
-            is_known = bool(self.servers) and all(server.is_read or not server.is_open for server in self.servers.values())
+            is_known = bool(self.servers) and all(
+                server.is_read or not server.is_open for server in self.servers.values()
+            )
             if is_known or now - self.started_at >= self.FIRST_WHOLE:
                 self._note_all()
                 self.herald.tell(self._news(), now)
@@ -176,16 +214,34 @@
         by_service = {}
         for server in self.servers.values():
             by_service.setdefault(server.service, []).append(server)
-        return {service: Siting(service, room, by_service.get(service, ()), self.demand, wanted.get(service, set()),
-                                self.desired.get(service, {}), now, self.heirs.get(service, ()), now - self.demand.since(now)) for service, room in self.rooms.items()}
+        return {
+            service: Siting(
+                service,
+                room,
+                by_service.get(service, ()),
+                self.demand,
+                wanted.get(service, set()),
+                self.desired.get(service, {}),
+                now,
+                self.heirs.get(service, ()),
+                now - self.demand.since(now),
+            )
+            for service, room in self.rooms.items()
+        }
 
     def _serve(self, now):
         """Everything wanted, the most pressing first; what finds no free server is weighed again when one is free."""
         due = self.wants.due(now)
         wanted = set(due)
         for server in self.servers.values():  # what was made room for and is wanted no more
-            if server.intent and server.intent not in self.hot.get(server.service, ()) and server.order is None and not server.asked and (server.service, server.intent) not in wanted \
-                    and not any(service == server.service and name.startswith(server.intent + "/") for service, name in due):
+            if (
+                server.intent
+                and server.intent not in self.hot.get(server.service, ())
+                and server.order is None
+                and not server.asked
+                and (server.service, server.intent) not in wanted
+                and not any(service == server.service and name.startswith(server.intent + "/") for service, name in due)
+            ):
                 server.intent = ""
         hot = [(service, model) for service, models in self.hot.items() for model in models]
         if not due and not hot:
@@ -210,26 +266,39 @@
             if any(_is_loading(server, model, adapter) for server in siting.servers):
                 return []
             return self._load_adapter(siting, model, adapter, now)
-        if any(server.is_open and (_is_loading(server, model, "") or (server.intent == model and not server.is_idle)) for server in siting.servers):
+        if any(
+            server.is_open and (_is_loading(server, model, "") or (server.intent == model and not server.is_idle))
+            for server in siting.servers
+        ):
             return []
         key = (service, f"{model}/{adapter}" if adapter else model)
-        return self._load_model(siting, model, False, now, siting.patience(model, self.wants.waiting(key), self.wants.age(key, now)))
+        return self._load_model(
+            siting, model, False, now, siting.patience(model, self.wants.waiting(key), self.wants.age(key, now))
+        )
 
     def _serve_hot(self, siting, model, now):
         """One more place for what has too few, before what is rare is served."""
         if siting is None:
             return []
         is_heir = model in siting.heirs
-        is_preparing = any(server.intent == model and server.is_idle for server in siting.servers)  # its room is there now
+        is_preparing = any(
+            server.intent == model and server.is_idle for server in siting.servers
+        )  # its room is there now
         if siting.coming(model) - is_preparing >= max(siting.desired.get(model, 0), is_heir):
             return []
-        return self._load_model(siting, model, False, now, max(siting.rate(model) * self.HOT_HARM, self.HEIR_HARM if is_heir else 0.0))
+        return self._load_model(
+            siting, model, False, now, max(siting.rate(model) * self.HOT_HARM, self.HEIR_HARM if is_heir else 0.0)
+        )
 
     def _doubt_standing(self, service, standing, model, adapter, now):
         """An edge knows no place of what stands: the news may be on its way, or the server isn't what is believed."""
         out = []
         for server in standing:
-            if server.is_idle and now - max(server.loaded_at.get(model, server.last_read), server.last_read) > self.SWEEP and (not adapter or adapter in server.ready[model]):
+            if (
+                server.is_idle
+                and now - max(server.loaded_at.get(model, server.last_read), server.last_read) > self.SWEEP
+                and (not adapter or adapter in server.ready[model])
+            ):
                 out.append(self._read(server, now))
         self.wants.forget(service, f"{model}/{adapter}" if adapter else model)  # who still waits says so again
         return out
@@ -261,7 +330,9 @@
         is_pressed = any(not self._is_under_way(service, name) for service, name in due)
         for service, siting in self._sitings(due, now).items():
             self.desired[service] = siting.desired = desired_places(siting, now)
-            heirs = self.successions.setdefault(service, Succession()).take(tuple(siting.room.models), most_asked(siting), now)
+            heirs = self.successions.setdefault(service, Succession()).take(
+                tuple(siting.room.models), most_asked(siting), now
+            )
             self.heirs[service] = siting.heirs = frozenset(heirs)
             self.hot[service] = hot_models(siting) + tuple(model for model in heirs if not siting.standing.get(model))
             if is_pressed:
@@ -271,7 +342,11 @@
                 continue
             orders = []
             for model, places in sorted(siting.desired.items(), key=lambda item: -siting.rate(item[0])):
-                has = sum(1 for server in siting.servers if server.is_open and (model in server.models or server.intent == model))
+                has = sum(
+                    1
+                    for server in siting.servers
+                    if server.is_open and (model in server.models or server.intent == model)
+                )
                 if has < places and (self.pace.tokens >= 2.0 or not has):
                     orders = self._load_model(siting, model, True, now)
                     if orders:
@@ -280,13 +355,17 @@
         return out
 
     def _spread_adapters(self, siting, now):
-        names = sorted((name for service, name in self.demand.last_begun if service == siting.service and "/" in name),
-                       key=lambda name: -siting.rate(name))
+        names = sorted(
+            (name for service, name in self.demand.last_begun if service == siting.service and "/" in name),
+            key=lambda name: -siting.rate(name),
+        )
         for name in names[:12]:
             model, _, adapter = name.partition("/")
             standing = [server for server in siting.servers if server.is_open and model in server.ready]
             has = sum(1 for server in standing if adapter in server.models[model])
-            wanted = min(len(standing), 1 + (siting.rate(name) >= 0.5) + self.demand.running.get((siting.service, name), 0) // 12)
+            wanted = min(
+                len(standing), 1 + (siting.rate(name) >= 0.5) + self.demand.running.get((siting.service, name), 0) // 12
+            )
             if not has or has >= wanted:
                 continue
             found = siting.adapter_place(model, adapter)
@@ -301,8 +380,16 @@
     def _is_under_way(self, service, name):
         model, _, adapter = name.partition("/")
         for server in self.servers.values():
-            if server.service == service and server.is_open and (server.intent == model or _is_loading(server, model, "")
-                    or (adapter and _is_loading(server, model, adapter)) or (model in server.ready and adapter in ("", *server.ready[model]))):
+            if (
+                server.service == service
+                and server.is_open
+                and (
+                    server.intent == model
+                    or _is_loading(server, model, "")
+                    or (adapter and _is_loading(server, model, adapter))
+                    or (model in server.ready and adapter in ("", *server.ready[model]))
+                )
+            ):
                 return True
         return False
 
@@ -333,7 +420,17 @@
         self.asks[self.number] = (server.name, what)
         method, path, headers, body = call
         url = f"http://{server.address}{path}"
-        return ("fetch", ("provision", self.fence, self.number), method, url, headers, body, self.CONNECT, self.TOTAL, "whole")
+        return (
+            "fetch",
+            ("provision", self.fence, self.number),
+            method,
+            url,
+            headers,
+            body,
+            self.CONNECT,
+            self.TOTAL,
+            "whole",
+        )
 
     def _on_fetched(self, message, now):
         _, (_, fence, number), outcome, *answer = message
@@ -374,7 +471,12 @@
             if not server.is_read:
                 server.read_at = now + self.BUSY_READ
             return []
-        if server.is_read and server.sequence is not None and report["sequence"] < server.sequence and now - server.settled_at < self.LAG * 2:
+        if (
+            server.is_read
+            and server.sequence is not None
+            and report["sequence"] < server.sequence
+            and now - server.settled_at < self.LAG * 2
+        ):
             return []  # older than what is known
         server.adopt(report, now)
         self.stale.add(server.name)
@@ -389,17 +491,35 @@
             return self._on_begun(server, order, now)
         if verdict == "holds":
             return self._on_holds(server, order, now)
-        if verdict == "busy" and order.is_taken and now - order.taken_at < self._span(server, order) * 5 + self.SWEEP * 2:
+        if (
+            verdict == "busy"
+            and order.is_taken
+            and now - order.taken_at < self._span(server, order) * 5 + self.SWEEP * 2
+        ):
             return self._ask_again(server, order, now)
         if order.is_stored and not order.is_taken:
             self.pace.give_back()
         if verdict == "fenced":
             self.is_outdone = True
-            return [("log", "warning", "loom", "A server knows a higher fence; no more orders.", {"server": server.name, "fence": self.fence})]
+            return [
+                (
+                    "log",
+                    "warning",
+                    "loom",
+                    "A server knows a higher fence; no more orders.",
+                    {"server": server.name, "fence": self.fence},
+                )
+            ]
         server.doubt(now + (self.BUSY_READ if verdict == "busy" else self.DARK_READ))
         self.stale.add(server.name)
         server.is_strange = verdict == "strange"
-        note = {"server": server.name, "verb": order.verb, "model": order.model, "adapter": order.adapter, "answer": verdict}
+        note = {
+            "server": server.name,
+            "verb": order.verb,
+            "model": order.model,
+            "adapter": order.adapter,
+            "answer": verdict,
+        }
         return [("log", "warning", "loom", "An order was not taken.", note)]
 
     def _on_begun(self, server, order, now):
@@ -410,12 +530,20 @@
         order.is_taken, order.taken_at = True, now
         order.due_at = now + self._span(server, order)
         server.ask_at = order.due_at
-        note = {"server": server.name, "verb": order.verb, "model": order.model, "adapter": order.adapter, "fence": self.fence}
+        note = {
+            "server": server.name,
+            "verb": order.verb,
+            "model": order.model,
+            "adapter": order.adapter,
+            "fence": self.fence,
+        }
         return [("log", "info", "loom", "An order was taken.", note)]
 
     def _ask_again(self, server, order, now):
         late = now - order.due_at
-        server.ask_at = now + (self.REPEAT if late < MS * 100 else self.REPEAT * 2 if late < MS * 400 else self.REPEAT * 4)
+        server.ask_at = now + (
+            self.REPEAT if late < MS * 100 else self.REPEAT * 2 if late < MS * 400 else self.REPEAT * 4
+        )
         return []
 
     def _on_holds(self, server, order, now):
@@ -429,7 +557,14 @@
             server.finish(now)
             self.stale.add(server.name)
             ms = round((now - order.taken_at) / MS)
-            note = {"server": server.name, "verb": order.verb, "model": order.model, "adapter": order.adapter, "ms": ms, "asks": order.asks}
+            note = {
+                "server": server.name,
+                "verb": order.verb,
+                "model": order.model,
+                "adapter": order.adapter,
+                "ms": ms,
+                "asks": order.asks,
+            }
             return [("log", "debug", "loom", "An order is done.", note)]
         self.stale.add(server.name)
         return []
@@ -460,7 +595,9 @@
         news = {}
         for name in self.stale:
             server = self.servers.get(name)
-            is_known = server is not None and not server.is_dark and not server.is_strange and (server.ready or server.is_read)
+            is_known = (
+                server is not None and not server.is_dark and not server.is_strange and (server.ready or server.is_read)
+            )
             news[name] = server.ready if is_known else None
         self.stale = set()
         return news
@@ -471,7 +608,11 @@
     def _wake(self, now):
         """Pulses are too coarse for what is due before the next."""
         due = [server.ask_at for server in self.servers.values() if server.order is not None and not server.asked]
-        due += [server.read_at for server in self.servers.values() if not server.is_read and not server.asked and not server.is_strange]
+        due += [
+            server.read_at
+            for server in self.servers.values()
+            if not server.is_read and not server.asked and not server.is_strange
+        ]
         soonest = min(due, default=None)
         if soonest is None or soonest >= self.last_pulse + self.PULSE or now < self.wake_at <= soonest:
             return []
--- a/sumachook/placement/room.py
+++ b/sumachook/placement/room.py
@@ -34,4 +34,8 @@
 
     def fits_adapter(self, models: dict, model: str) -> bool:
         taken = sum(len(adapters) for adapters in models.values())
-        return model in self.models and taken < self.engine.adapter_places and self.left(models) >= self.models[model].adapter_mb
+        return (
+            model in self.models
+            and taken < self.engine.adapter_places
+            and self.left(models) >= self.models[model].adapter_mb
+        )
--- a/sumachook/placement/siting.py
+++ b/sumachook/placement/siting.py
@@ -11,7 +11,20 @@
     `servers`: those of one service; `wanted`: names asked for and not standing; `desired` {model: places it should have}.
     """
 
-    __slots__ = ("service", "room", "servers", "demand", "wanted", "desired", "now", "standing", "memo", "heirs", "age", "order")
+    __slots__ = (
+        "service",
+        "room",
+        "servers",
+        "demand",
+        "wanted",
+        "desired",
+        "now",
+        "standing",
+        "memo",
+        "heirs",
+        "age",
+        "order",
+    )
 
     STORED, OWN = 0.6, 0.25
     SOLE, SHARED, RUNS, WANTED = 2.0, 0.4, 1.5, 5.0
@@ -39,7 +52,9 @@
 
     def coming(self, model) -> int:
         """Servers on which it stands, is being loaded, or room is being made for it."""
-        return sum(1 for server in self.servers if server.is_open and (model in server.models or server.intent == model))
+        return sum(
+            1 for server in self.servers if server.is_open and (model in server.models or server.intent == model)
+        )
 
     def prior(self, model) -> float:
         """What its place in the catalogue's list says of a model while little has been asked: operators list the most asked first."""
@@ -56,7 +71,9 @@
         """Seconds waited, a second, if `model` leaves this server; None if it must stay."""
         if model not in self.room.models:
             return 0.0
-        if model in self.wanted or any(name.partition("/")[0] == model and self.now - at < UNUSED_FOR for name, at in server.unused.items()):
+        if model in self.wanted or any(
+            name.partition("/")[0] == model and self.now - at < UNUSED_FOR for name, at in server.unused.items()
+        ):
             return None
         places = max(1, self.standing.get(model, 1))
         rate, runs = self.rate(model), self.demand.running.get((self.service, model), 0)
@@ -135,15 +152,23 @@
     def patience(self, model, waiting, age) -> float:
         """How much a wanted model may cost others: a place of what is much asked for is given up for a rare one only after a long wait."""
         waited = age.total_seconds()
-        return self.BEARABLE + self.GROWING * waited + self.URGENT * waited ** 2 + self.SOLE * (self.rate(model) + self.WAITING * waiting)
+        return (
+            self.BEARABLE
+            + self.GROWING * waited
+            + self.URGENT * waited**2
+            + self.SOLE * (self.rate(model) + self.WAITING * waiting)
+        )
 
     def crowd(self, server) -> float:
         """What this server is asked for, counting each model's places alike."""
         return sum(self.rate(model) / max(1, self.standing.get(model, 1)) for model in server.ready)
 
     def adapter_crowd(self, server) -> float:
-        return sum(self.rate(model) / max(1, self.standing.get(model, 1)) for model in server.ready
-                   if model in self.room.models and self.room.models[model].adapters)
+        return sum(
+            self.rate(model) / max(1, self.standing.get(model, 1))
+            for model in server.ready
+            if model in self.room.models and self.room.models[model].adapters
+        )
 
     def _is_needed(self, model, rate):
         if self.demand.running.get((self.service, model)):
@@ -170,7 +195,7 @@
         return best and (best[1], best[2])
 
     def spare_adapters(self, server) -> list:
-        """"model/adapter", least recently used first, those that run last; what is wanted or was just loaded stays."""
+        """ "model/adapter", least recently used first, those that run last; what is wanted or was just loaded stays."""
         found = []
         for model, adapters in server.ready.items():
             for adapter in adapters if model in self.room.models else ():
@@ -178,6 +203,9 @@
                 if name in self.wanted or self.now - server.unused.get(name, self.now - UNUSED_FOR) < UNUSED_FOR:
                     continue
                 runs = bool(self.demand.running.get((self.service, name)))
-                at = max(self.demand.last_begun.get((self.service, name), timedelta(0)), server.loaded_at.get(name, timedelta(0)))
+                at = max(
+                    self.demand.last_begun.get((self.service, name), timedelta(0)),
+                    server.loaded_at.get(name, timedelta(0)),
+                )
                 found.append((runs, at, name))
         return [name for _, _, name in sorted(found)]
--- a/sumachook/placement/spread.py
+++ b/sumachook/placement/spread.py
@@ -18,7 +18,7 @@
         return {}
     mean = sum(model.size_mb for model in siting.room.models.values()) / len(siting.room.models)
     room = len(opened) * int(siting.room.engine.memory_mb // max(mean, 1.0))
-    busiest = sorted(rates, key=lambda model: (-rates[model], model))[:int(room * 0.3)]
+    busiest = sorted(rates, key=lambda model: (-rates[model], model))[: int(room * 0.3)]
     desired = {}
     for model in rates:
         rate = siting.ahead(model)
@@ -38,7 +38,9 @@
         rate, ahead = siting.rate(model), siting.ahead(model)
         share = BUSY_SHARE if ahead > RISING * rate else HOT_SHARE
         is_single = stands <= 1 and ahead >= max(BUSY_RATE, share * total)
-        if 0 < siting.coming(model) < places and (running > RUNNING_A_PLACE * stands or ahead > RATE_A_PLACE * stands or is_single):
+        if 0 < siting.coming(model) < places and (
+            running > RUNNING_A_PLACE * stands or ahead > RATE_A_PLACE * stands or is_single
+        ):
             hot.append(model)
     return tuple(sorted(hot, key=lambda model: (-siting.rate(model), model)))
 
--- a/sumachook/placement/succession.py
+++ b/sumachook/placement/succession.py
@@ -29,13 +29,15 @@
         recent = {model for model, at in self.last_hot.items() if now - at < self.RECENT}
         for model in hot - set(self.last_hot) if self.last_hot else ():
             place = places.get(model, 0)
-            if recent & set(order[max(0, place - self.REACH):place]):
+            if recent & set(order[max(0, place - self.REACH) : place]):
                 self.right += 1
             else:
                 self.wrong += 1
-        self.last_hot = {model: at for model, at in self.last_hot.items() if now - at < self.RECENT * 2} | {model: now for model in hot}
+        self.last_hot = {model: at for model, at in self.last_hot.items() if now - at < self.RECENT * 2} | {
+            model: now for model in hot
+        }
         if self.wrong >= self.right or not hot:
             return ()
         last = max(places[model] for model in hot if model in places)
-        following = [model for model in order[last + 1:] if model not in hot]
-        return tuple(following[:ceil(len(hot) / self.PART)])
+        following = [model for model in order[last + 1 :] if model not in hot]
+        return tuple(following[: ceil(len(hot) / self.PART)])
--- a/sumachook/placement/wants.py
+++ b/sumachook/placement/wants.py
@@ -27,13 +27,21 @@
         for service, names in wants.items():
             for name, (waiting, soonest_ms) in names.items():
                 self.since.setdefault((service, name), now)
-                self.by_name.setdefault((service, name), {})[edge] = (waiting, now + timedelta(milliseconds=soonest_ms), now)
+                self.by_name.setdefault((service, name), {})[edge] = (
+                    waiting,
+                    now + timedelta(milliseconds=soonest_ms),
+                    now,
+                )
 
     def due(self, now) -> list:
         """(service, name) of what still waits: soonest deadline first, sooner for each that waits."""
         found = []
         for key, edges in list(self.by_name.items()):
-            edges = {edge: item for edge, item in edges.items() if item[0] > 0 and item[1] > now and now - item[2] < self.SILENT}
+            edges = {
+                edge: item
+                for edge, item in edges.items()
+                if item[0] > 0 and item[1] > now and now - item[2] < self.SILENT
+            }
             if edges:
                 self.by_name[key] = edges
                 found.append((min(item[1] for item in edges.values()) - self.SOONER * self.waiting(key), key))
--- a/sumachook/placement/watcher.py
+++ b/sumachook/placement/watcher.py
@@ -34,8 +34,23 @@
     Out: ("fetch", ...), ("propose", change), ("word", names of servers that leave and are not yet ordered so), ("log", ...).
     """
 
-    __slots__ = ("state", "platform", "next_poll", "number", "is_fresh", "is_leading", "fails", "seen", "doubt_at", "oddities", "port",
-                 "readers", "fresh_at", "pages", "colds")
+    __slots__ = (
+        "state",
+        "platform",
+        "next_poll",
+        "number",
+        "is_fresh",
+        "is_leading",
+        "fails",
+        "seen",
+        "doubt_at",
+        "oddities",
+        "port",
+        "readers",
+        "fresh_at",
+        "pages",
+        "colds",
+    )
 
     POLL = timedelta(seconds=0.5)
     DOUBT = timedelta(seconds=10)
@@ -56,7 +71,9 @@
                 return []
             self.next_poll = now + self.POLL
             self.number += 1
-            self.pages = {number: items for number, items in self.pages.items() if number > self.number - self.MOST_READINGS}
+            self.pages = {
+                number: items for number, items in self.pages.items() if number > self.number - self.MOST_READINGS
+            }
             return [self._fetch(self.state.listed_at, self.number, None)]
         return self._read(message, now)
 
@@ -70,7 +87,11 @@
 
     def _read(self, message, now):
         _, (_, basis, number), outcome, *answer = message
-        items, page, reason = self.port.read(answer[2]) if outcome == "done" and answer[0] == 200 else (None, None, f"{outcome} {answer[0]}")
+        items, page, reason = (
+            self.port.read(answer[2])
+            if outcome == "done" and answer[0] == 200
+            else (None, None, f"{outcome} {answer[0]}")
+        )
         if items is not None:
             pages = self.pages.setdefault(number, [])
             pages.append(items)
@@ -80,16 +101,35 @@
         if items is None:
             self.fails += 1
             note = {"reason": reason, "fails": self.fails}
-            return [("log", "warning", "loom", "The platform's list cannot be had.", note)] if self.fails in (3, 30, 300) else []
+            return (
+                [("log", "warning", "loom", "The platform's list cannot be had.", note)]
+                if self.fails in (3, 30, 300)
+                else []
+            )
         self.fails = 0
         listed, oddities = self._sound(items)
-        out = [("log", "warning", "loom", "The platform's list has odd entries.", {"entries": oddities})] if oddities != self.oddities else []
+        out = (
+            [("log", "warning", "loom", "The platform's list has odd entries.", {"entries": oddities})]
+            if oddities != self.oddities
+            else []
+        )
         self.oddities = oddities
         servers, kept = self._believed(listed, now)
         if kept and self.doubt_at == now:
-            out.append(("log", "warning", "loom", "The platform's list lacks more than half, not believed yet.", {"kept": sorted(kept)}))
-        leaving = tuple(name for name, server in servers.items()
-                        if server["leaving"] and not self.state.servers.get(name, {}).get("leaving", True))
+            out.append(
+                (
+                    "log",
+                    "warning",
+                    "loom",
+                    "The platform's list lacks more than half, not believed yet.",
+                    {"kept": sorted(kept)},
+                )
+            )
+        leaving = tuple(
+            name
+            for name, server in servers.items()
+            if server["leaving"] and not self.state.servers.get(name, {}).get("leaving", True)
+        )
         if leaving:
             out.append(("word", leaving))
         if self.colds:
@@ -113,10 +153,16 @@
             elif entry.name in listed:
                 oddities.append(f"servers[{place}].name: duplicate name {entry.name!r}")
             else:
-                listed[entry.name] = {field: value for field in entry.__struct_fields__
-                                      if field not in ("name", "cold_ms") and ((value := getattr(entry, field)) or field not in ("service", "version"))}
+                listed[entry.name] = {
+                    field: value
+                    for field in entry.__struct_fields__
+                    if field not in ("name", "cold_ms")
+                    and ((value := getattr(entry, field)) or field not in ("service", "version"))
+                }
                 if entry.cold_ms:
-                    self.colds[entry.name] = entry.cold_ms  # it runs down with each reading, so it is no part of what is ordered
+                    self.colds[entry.name] = (
+                        entry.cold_ms
+                    )  # it runs down with each reading, so it is no part of what is ordered
         for item in items:
             name = item.get("name") if isinstance(item, dict) else None
             stands = listed.get(name) or self.state.servers.get(name) if isinstance(name, str) else None
@@ -129,8 +175,11 @@
         """(servers, those kept against the list): a list that lacks more than half of a kind at once is believed after a while."""
         kept = {}
         for kind in {(server["kind"], server.get("service", "")) for server in self.state.servers.values()}:
-            known = {name: server for name, server in self.state.servers.items()
-                     if (server["kind"], server.get("service", "")) == kind and not server["leaving"]}
+            known = {
+                name: server
+                for name, server in self.state.servers.items()
+                if (server["kind"], server.get("service", "")) == kind and not server["leaving"]
+            }
             gone = {name: server for name, server in known.items() if name not in listed}
             if len(gone) * 2 > len(known):
                 kept |= gone
@@ -145,13 +194,23 @@
     from sumachook.catalog.state import State
 
     state = State()
-    server = {"kind": "model", "address": "127.0.0.1:9", "area": "a", "memory": 8.0, "places": 1, "slots": 2, "leaving": False}
+    server = {
+        "kind": "model",
+        "address": "127.0.0.1:9",
+        "area": "a",
+        "memory": 8.0,
+        "places": 1,
+        "slots": 2,
+        "leaving": False,
+    }
     state.apply(1, ("servers", 0, {f"s{place}": dict(server) for place in range(5)}))
     watcher = Watcher(state, "127.0.0.1:1", timedelta(0))
     watcher.take(("pulse", True, True), timedelta(0))
 
     def read(items, now, basis=1):
-        return watcher.take(("fetched", ("watcher", basis, 1), "done", 200, {}, msgspec.json.encode({"servers": items})), now)
+        return watcher.take(
+            ("fetched", ("watcher", basis, 1), "done", 200, {}, msgspec.json.encode({"servers": items})), now
+        )
 
     return watcher, [{"name": name, **server} for name in state.servers], read
 
@@ -169,11 +228,19 @@
 
 def test_junk_and_duplicates_change_nothing_but_may_say_leaving():
     watcher, items, read = _watcher()
-    junk = [None, 3, {"name": "s1", "kind": "cake", "leaving": True}, {**items[2], "address": "host"}, {**items[3], "memory": 1.0}]
+    junk = [
+        None,
+        3,
+        {"name": "s1", "kind": "cake", "leaving": True},
+        {**items[2], "address": "host"},
+        {**items[3], "memory": 1.0},
+    ]
     out = read([*items[:1], *items[3:], *junk], timedelta(seconds=1))
     (change,) = [effect[1] for effect in out if effect[0] == "propose"]
     servers = change[2]
-    assert set(servers) == {"s0", "s1", "s2", "s3", "s4"} and servers["s1"]["leaving"] and servers["s3"]["memory"] == 8.0
+    assert (
+        set(servers) == {"s0", "s1", "s2", "s3", "s4"} and servers["s1"]["leaving"] and servers["s3"]["memory"] == 8.0
+    )
     assert not servers["s2"]["leaving"] and any("odd entries" in effect[3] for effect in out if effect[0] == "log")
 
 
--- a/sumachook/policies/policy.py
+++ b/sumachook/policies/policy.py
@@ -5,22 +5,67 @@
 
 from cachetools import LRUCache, cached
 
-from sumachook.policies import faults
 from sumachook.fault import Fault
+from sumachook.policies import faults
 
 ROLES = {
     # role: (names a program may use with their types, type of its result, safe default)
-    "place": ({"area": "text", "server": "text", "model": "text", "memory": "number", "free": "number",
-               "demand": "number", "held": "truth", "places": "number"}, "number", 0.0),
-    "hold": ({"line": "text", "caller": "text", "model": "text", "patience": "number", "waiting": "number",
-              "bound": "number", "busy": "number"}, "truth", True),
-    "retry": ({"fault": "text", "attempt": "number", "line": "text", "caller": "text", "model": "text",
-               "left": "number", "tokens": "number", "credit": "number"}, "truth", True),
-    "evict": ({"model": "text", "server": "text", "demand": "number", "memory": "number", "paired": "truth"}, "number", 0.0),
+    "place": (
+        {
+            "area": "text",
+            "server": "text",
+            "model": "text",
+            "memory": "number",
+            "free": "number",
+            "demand": "number",
+            "held": "truth",
+            "places": "number",
+        },
+        "number",
+        0.0,
+    ),
+    "hold": (
+        {
+            "line": "text",
+            "caller": "text",
+            "model": "text",
+            "patience": "number",
+            "waiting": "number",
+            "bound": "number",
+            "busy": "number",
+        },
+        "truth",
+        True,
+    ),
+    "retry": (
+        {
+            "fault": "text",
+            "attempt": "number",
+            "line": "text",
+            "caller": "text",
+            "model": "text",
+            "left": "number",
+            "tokens": "number",
+            "credit": "number",
+        },
+        "truth",
+        True,
+    ),
+    "evict": (
+        {"model": "text", "server": "text", "demand": "number", "memory": "number", "paired": "truth"},
+        "number",
+        0.0,
+    ),
 }
 STEP_LIMIT = 200
 MOST_CHARACTERS = 2000
-_BINARY = {ast.Add: (add, "number"), ast.Sub: (sub, "number"), ast.Mult: (mul, "number"), ast.Div: (truediv, "number"), ast.Mod: (mod, "number")}
+_BINARY = {
+    ast.Add: (add, "number"),
+    ast.Sub: (sub, "number"),
+    ast.Mult: (mul, "number"),
+    ast.Div: (truediv, "number"),
+    ast.Mod: (mod, "number"),
+}
 _COMPARE = {ast.Lt: lt, ast.LtE: le, ast.Gt: gt, ast.GtE: ge, ast.Eq: eq, ast.NotEq: ne}
 _CALLS = {"min": (min, 2), "max": (max, 2), "abs": (abs, 1)}
 PUSH, NAME, BINARY, COMPARE, NOT, NEGATE, JUMP_FALSE, JUMP_TRUE, JUMP, POP, CALL, AMONG = range(12)
@@ -116,11 +161,15 @@
         if len(codes) > STEP_LIMIT:
             raise Refusal(tree, f"{len(codes)} steps, at most {STEP_LIMIT}")
     except SyntaxError as error:
-        return faults.REFUSED.because(f"line {max(1, (error.lineno or 2) - 1)}, column {max(1, error.offset or 1)}: {error.msg}")
+        return faults.REFUSED.because(
+            f"line {max(1, (error.lineno or 2) - 1)}, column {max(1, error.offset or 1)}: {error.msg}"
+        )
     except (ValueError, RecursionError, MemoryError) as error:
         return faults.REFUSED.because(f"line 1, column 1: {error}")
     except Refusal as refusal:
-        return faults.REFUSED.because(f"line {refusal.node.lineno - 1}, column {refusal.node.col_offset + 1}: {refusal.reason}")
+        return faults.REFUSED.because(
+            f"line {refusal.node.lineno - 1}, column {refusal.node.col_offset + 1}: {refusal.reason}"
+        )
     return Program(role, text, tuple(codes))
 
 
@@ -197,7 +246,9 @@
     operation, right = node.ops[0], node.comparators[0]
     left = _emit(node.left, names, codes)
     if isinstance(operation, (ast.In, ast.NotIn)):
-        is_list = isinstance(right, (ast.Tuple, ast.List)) and all(isinstance(item, ast.Constant) for item in right.elts)
+        is_list = isinstance(right, (ast.Tuple, ast.List)) and all(
+            isinstance(item, ast.Constant) for item in right.elts
+        )
         if not is_list:
             raise Refusal(right, "in needs a list of constants")
         codes.append((AMONG, frozenset(item.value for item in right.elts)))
@@ -226,17 +277,38 @@
 
 
 def test_programs_agree_with_python():
-    names = {"attempt": 2, "fault": "reset", "left": 4.5, "line": "audit", "credit": 1.0, "tokens": 7, "caller": "c", "model": "m"}
-    texts = ("not attempt > 2 and (left >= 2 or line == 'x')", "left > (3 if line in ('audit', 'shop') else 1)",
-             "min(left, -attempt) + abs(0 - 3) * 2 == 4", "line not in ['audit'] or credit % 2 == 1",
-             "attempt == 2 and left == 4.5 and tokens / 7 == 1 or credit == 9")
+    names = {
+        "attempt": 2,
+        "fault": "reset",
+        "left": 4.5,
+        "line": "audit",
+        "credit": 1.0,
+        "tokens": 7,
+        "caller": "c",
+        "model": "m",
+    }
+    texts = (
+        "not attempt > 2 and (left >= 2 or line == 'x')",
+        "left > (3 if line in ('audit', 'shop') else 1)",
+        "min(left, -attempt) + abs(0 - 3) * 2 == 4",
+        "line not in ['audit'] or credit % 2 == 1",
+        "attempt == 2 and left == 4.5 and tokens / 7 == 1 or credit == 9",
+    )
     for text in texts:
         assert compile_policy("retry", text).run(names) == eval(text, {}, names), text
 
 
 def test_bad_programs_are_refused_with_their_place():
-    for text, place in (("attempt <\n  'x'", "line 1, column 1"), ("lines == 'a'", "column 1"), ("attempt", "gives number"),
-                        ("(lambda: 1)()", "only min"), ("attempt ** 9 > 1", "BinOp"), ("1 < attempt < 3", "Compare"),
-                        ("()", "Tuple"), ("'a' * 9 == 'b'", "gives text"), ("(" * 300 + ")" * 300, "line 1")):
+    for text, place in (
+        ("attempt <\n  'x'", "line 1, column 1"),
+        ("lines == 'a'", "column 1"),
+        ("attempt", "gives number"),
+        ("(lambda: 1)()", "only min"),
+        ("attempt ** 9 > 1", "BinOp"),
+        ("1 < attempt < 3", "Compare"),
+        ("()", "Tuple"),
+        ("'a' * 9 == 'b'", "gives text"),
+        ("(" * 300 + ")" * 300, "line 1"),
+    ):
         answer = compile_policy("retry", text)
         assert answer == faults.REFUSED and place in answer.reason, (text, answer)
--- a/sumachook/simulation/callers.py
+++ b/sumachook/simulation/callers.py
@@ -12,15 +12,55 @@
 class Call:
     """One request as its caller saw it."""
 
-    __slots__ = ("number", "kind", "group", "edge", "sent_at", "ended_at", "outcome", "status", "run", "fault_class", "request", "text",
-                 "first_at", "finish", "is_stream", "patience", "moves", "model", "key", "safe", "tag", "has_moved", "is_done", "caller", "tried")
+    __slots__ = (
+        "number",
+        "kind",
+        "group",
+        "edge",
+        "sent_at",
+        "ended_at",
+        "outcome",
+        "status",
+        "run",
+        "fault_class",
+        "request",
+        "text",
+        "first_at",
+        "finish",
+        "is_stream",
+        "patience",
+        "moves",
+        "model",
+        "key",
+        "safe",
+        "tag",
+        "has_moved",
+        "is_done",
+        "caller",
+        "tried",
+    )
 
     def __init__(self, number, tag, group, edge, now, model, patience, safe, moves=0, tried=()):
         self.tag, self.caller, self.tried = tag, group["caller"], tried
         self.number, self.group, self.edge, self.sent_at, self.model = number, group["name"], edge, now, model
         self.kind, self.is_stream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
-        self.ended_at, self.outcome, self.status, self.run, self.fault_class, self.request = None, PENDING, None, None, None, ""
-        self.text, self.first_at, self.finish, self.moves, self.key, self.has_moved, self.is_done = "", None, None, moves, "", False, False
+        self.ended_at, self.outcome, self.status, self.run, self.fault_class, self.request = (
+            None,
+            PENDING,
+            None,
+            None,
+            None,
+            "",
+        )
+        self.text, self.first_at, self.finish, self.moves, self.key, self.has_moved, self.is_done = (
+            "",
+            None,
+            None,
+            moves,
+            "",
+            False,
+            False,
+        )
 
 
 class Callers:
@@ -31,14 +71,46 @@
     prompts that are `keyed`, and of those that are sent `again` under the same key at another edge, as after a double click.
     """
 
-    __slots__ = ("edges", "groups", "callers", "draw", "calls", "open", "due", "is_on", "pace", "start_at", "stop_after", "name", "areas")
+    __slots__ = (
+        "edges",
+        "groups",
+        "callers",
+        "draw",
+        "calls",
+        "open",
+        "due",
+        "is_on",
+        "pace",
+        "start_at",
+        "stop_after",
+        "name",
+        "areas",
+    )
 
-    def __init__(self, edges: dict, traffic: list, catalogue: dict, draw: Random, now, pace=1.0, stop_after=None, name="callers", areas=None):
+    def __init__(
+        self,
+        edges: dict,
+        traffic: list,
+        catalogue: dict,
+        draw: Random,
+        now,
+        pace=1.0,
+        stop_after=None,
+        name="callers",
+        areas=None,
+    ):
         self.name = name
         self.areas = {edge: (areas or {}).get(edge, edge) for edge in edges}  # areas unknown: each edge is its own
         self.edges, self.groups, self.draw = dict(edges), traffic, draw
         self.callers = {caller["name"]: caller for caller in catalogue["callers"]}
-        self.calls, self.open, self.is_on, self.pace, self.start_at, self.stop_after = [], {}, True, pace, now, stop_after
+        self.calls, self.open, self.is_on, self.pace, self.start_at, self.stop_after = (
+            [],
+            {},
+            True,
+            pace,
+            now,
+            stop_after,
+        )
         self.due = {group["name"]: now + timedelta(seconds=draw.expovariate(group["rate"] * pace)) for group in traffic}
 
     def take(self, message: tuple, now) -> list:
@@ -84,7 +156,18 @@
         patience = timedelta(seconds=caller.get("lookupPatience", 5.0) if is_lookup else caller["patience"])
         number = len(self.calls)
         tag = f"{self.name} {number}"
-        call = Call(number, tag, group, edge, now, model, patience, is_lookup or caller.get("safe", False), moves, (*tried, self.areas.get(edge, edge)))
+        call = Call(
+            number,
+            tag,
+            group,
+            edge,
+            now,
+            model,
+            patience,
+            is_lookup or caller.get("safe", False),
+            moves,
+            (*tried, self.areas.get(edge, edge)),
+        )
         call.key = key
         self.calls.append(call)
         self.open[number] = call
@@ -96,11 +179,19 @@
             if key:
                 headers["Idempotency-Key"] = key
             method, path = "POST", "/v1/chat/completions"
-            body = msgspec.json.encode({"model": model, "stream": call.is_stream, "max_tokens": group.get("maxTokens", 64),
-                                        "messages": [{"role": "user", "content": tag}]})
+            body = msgspec.json.encode(
+                {
+                    "model": model,
+                    "stream": call.is_stream,
+                    "max_tokens": group.get("maxTokens", 64),
+                    "messages": [{"role": "user", "content": tag}],
+                }
+            )
         mode = "events" if not is_lookup and call.is_stream else "whole"
         limit = patience * 1.5 + timedelta(seconds=5)
-        return [("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)]
+        return [
+            ("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)
+        ]
 
     def _model(self, group):
         """A few names are asked for much, each of the others now and then: as 1, 1/2, 1/3 and so on."""
@@ -156,7 +247,11 @@
         fault = doc.get("fault", {}) if isinstance(doc, dict) else {}
         call.fault_class, call.run, call.request = fault.get("class"), fault.get("run"), fault.get("request", "")
         out = self._end(call, FAULT, now)
-        return out + self._move(call, now) if call.fault_class in ("draining", "evacuated", "not-ready") and call.run == "no" else out
+        return (
+            out + self._move(call, now)
+            if call.fault_class in ("draining", "evacuated", "not-ready") and call.run == "no"
+            else out
+        )
 
     def _end(self, call, outcome, now):
         call.outcome, call.ended_at = outcome, now
--- a/sumachook/simulation/city.py
+++ b/sumachook/simulation/city.py
@@ -6,14 +6,14 @@
 from random import Random
 
 from sumachook.catalog.params import Params
+from sumachook.nodes.core import Core
+from sumachook.nodes.edge import Edge
 from sumachook.simulation.callers import Callers
 from sumachook.simulation.fleet import Fleet
 from sumachook.simulation.model import ModelServer, Record
 from sumachook.simulation.platform import Platform
 from sumachook.simulation.probe import Probe
 from sumachook.simulation.records import RecordsServer
-from sumachook.nodes.core import Core
-from sumachook.nodes.edge import Edge
 
 
 class City:
@@ -22,15 +22,33 @@
     __slots__ = ("catalogue", "servers", "traffic", "nodes", "cluster", "platform")
 
     def __init__(self, folder: Path):
-        read = {name: json.loads((folder / f"{name}.json").read_text()) for name in ("catalogue", "servers", "traffic", "nodes")}
-        self.catalogue, self.servers, self.traffic = read["catalogue"], read["servers"]["servers"], read["traffic"]["groups"]
-        self.nodes, self.cluster, self.platform = read["nodes"]["nodes"], read["nodes"]["cluster"], read["nodes"]["platform"]
+        read = {
+            name: json.loads((folder / f"{name}.json").read_text())
+            for name in ("catalogue", "servers", "traffic", "nodes")
+        }
+        self.catalogue, self.servers, self.traffic = (
+            read["catalogue"],
+            read["servers"]["servers"],
+            read["traffic"]["groups"],
+        )
+        self.nodes, self.cluster, self.platform = (
+            read["nodes"]["nodes"],
+            read["nodes"]["cluster"],
+            read["nodes"]["platform"],
+        )
 
     def params(self, node: dict, **more) -> dict:
         """The params document of one node."""
         cores = [other["address"] for other in self.nodes if other["role"] == "core"]
-        doc = {"node": node["name"], "address": node["address"], "door": node["door"], "area": node["area"], "seeds": cores,
-               "cluster": self.cluster, "platform": self.platform}
+        doc = {
+            "node": node["name"],
+            "address": node["address"],
+            "door": node["door"],
+            "area": node["area"],
+            "seeds": cores,
+            "cluster": self.cluster,
+            "platform": self.platform,
+        }
         if node["role"] == "core":
             doc |= {"founding": cores, "data": f"data/{node['name']}"}
         return doc | more
@@ -64,8 +82,12 @@
 
     def add_node(self, node, **more):
         role = Core if node["role"] == "core" else Edge
-        params = Params(**{name: tuple(value) if isinstance(value, list) else value
-                           for name, value in self.city.params(node, **self.params_more, **more).items()})
+        params = Params(
+            **{
+                name: tuple(value) if isinstance(value, list) else value
+                for name, value in self.city.params(node, **self.params_more, **more).items()
+            }
+        )
 
         def make(box):
             return role(params, box.disk.files, box.boots, box.clock, Random(self.draw.random()))
@@ -74,11 +96,23 @@
 
     def call_in(self, pace=1.0, traffic=None, name="callers", edges=None):
         """Callers begin; gives their machine."""
-        doors = {box.name: box.door for box in self.boxes.values() if box.role == "edge" and (edges is None or box.name in edges)}
+        doors = {
+            box.name: box.door
+            for box in self.boxes.values()
+            if box.role == "edge" and (edges is None or box.name in edges)
+        }
         areas = {edge: self.boxes[edge].area for edge in doors}
         groups = self.city.traffic if traffic is None else traffic
-        self.add(name, "callers", lambda box: Callers(doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace, None,
-                                                      name, areas), "", "", name)
+        self.add(
+            name,
+            "callers",
+            lambda box: Callers(
+                doors, groups, self.city.catalogue, Random(self.draw.random()), self.now, pace, None, name, areas
+            ),
+            "",
+            "",
+            name,
+        )
         return self.boxes[name].machine
 
     def probe_in(self):
@@ -93,7 +127,11 @@
 
     def inside(self, *but) -> list:
         """All that a cut of the network can part: nodes, servers, the platform."""
-        return [box.name for box in self.boxes.values() if box.role in ("core", "edge", "model", "records", "platform") and box.name not in but]
+        return [
+            box.name
+            for box in self.boxes.values()
+            if box.role in ("core", "edge", "model", "records", "platform") and box.name not in but
+        ]
 
     def machines(self, role: str) -> list:
         return [box.machine for box in self.boxes.values() if box.role == role and box.machine is not None]
@@ -130,8 +168,20 @@
         wait = timedelta(seconds=8)
         if message[0] == "pulse":
             sent, self.waiting = self.waiting, []
-            return [("fetch", number, method, url, {}, json.dumps(doc).encode() if doc is not None else b"", wait, wait, "whole")
-                    for number, url, method, doc in sent]
+            return [
+                (
+                    "fetch",
+                    number,
+                    method,
+                    url,
+                    {},
+                    json.dumps(doc).encode() if doc is not None else b"",
+                    wait,
+                    wait,
+                    "whole",
+                )
+                for number, url, method, doc in sent
+            ]
         if message[0] == "fetched" and message[2] in ("done", "fault"):
             status = message[3]
             self.answers[message[1]] = (status, json.loads(message[5])) if message[2] == "done" else (0, status)
--- a/sumachook/simulation/engine_stand.py
+++ b/sumachook/simulation/engine_stand.py
@@ -13,7 +13,21 @@
     counting it, to the very order that it is carrying out.
     """
 
-    __slots__ = ("name", "engine", "models", "had", "busy", "sequence", "fence", "record", "lag", "shown", "running", "slowness", "repeat")
+    __slots__ = (
+        "name",
+        "engine",
+        "models",
+        "had",
+        "busy",
+        "sequence",
+        "fence",
+        "record",
+        "lag",
+        "shown",
+        "running",
+        "slowness",
+        "repeat",
+    )
 
     def __init__(self, name, engine, models=(), lag=timedelta(milliseconds=200), repeat=202):
         self.name, self.engine, self.lag, self.slowness = name, engine, lag, lambda: 1.0
@@ -27,7 +41,9 @@
         if (method, path) == ("GET", "/report"):
             return 200, msgspec.json.encode(self._shown(now))
         order = msgspec.json.decode(body)
-        answer = self._order(order["verb"], order["model"], order.get("adapter", ""), order["fence"], order.get("sequence"), now)
+        answer = self._order(
+            order["verb"], order["model"], order.get("adapter", ""), order["fence"], order.get("sequence"), now
+        )
         self.shown.append((now, self._report()))
         return answer, b""
 
@@ -54,10 +70,17 @@
             return 400
         self.sequence += 1
         if verb == "unload":
-            span = timedelta(milliseconds=2) if adapter else max(timedelta(milliseconds=3), self.running.get(model, now) - now)
+            span = (
+                timedelta(milliseconds=2)
+                if adapter
+                else max(timedelta(milliseconds=3), self.running.get(model, now) - now)
+            )
         elif adapter:
             span = timedelta(milliseconds=12)
-            if sum(map(len, self.models.values())) + 1 > self.engine.adapter_places or self._used(items) + items[model].adapter_mb > self.engine.memory_mb:
+            if (
+                sum(map(len, self.models.values())) + 1 > self.engine.adapter_places
+                or self._used(items) + items[model].adapter_mb > self.engine.memory_mb
+            ):
                 self.record.append((now, "breach", (verb, model, adapter)))
         else:
             is_stored = model not in self.had
@@ -69,7 +92,9 @@
         return 202
 
     def _used(self, items):
-        return sum(items[model].size_mb + len(adapters) * items[model].adapter_mb for model, adapters in self.models.items())
+        return sum(
+            items[model].size_mb + len(adapters) * items[model].adapter_mb for model, adapters in self.models.items()
+        )
 
     def _settle(self, now):
         if self.busy is None or now < self.busy[0]:
@@ -89,9 +114,17 @@
 
     def _report(self):
         models = [{"name": model, "adapters": sorted(adapters)} for model, adapters in self.models.items()]
-        return {"models": models, "busy": self.busy is not None, "sequence": self.sequence, "waiting": 0, "running": 0, "cacheUsed": 0, "cacheTotal": 0}
+        return {
+            "models": models,
+            "busy": self.busy is not None,
+            "sequence": self.sequence,
+            "waiting": 0,
+            "running": 0,
+            "cacheUsed": 0,
+            "cacheTotal": 0,
+        }
 
     def _shown(self, now):
         known = [item for item in self.shown if item[0] <= now - self.lag] or self.shown[:1]
-        self.shown = self.shown[len(known) - 1:]
+        self.shown = self.shown[len(known) - 1 :]
         return known[-1][1]
