--- a/tests/transit_stories.py
+++ b/tests/transit_stories.py
@@ -11,15 +11,15 @@
 from sumachook.catalog.params import Params
 from sumachook.catalog.state import State
 from sumachook.changefeed.follower import CUT, EMPTY, FRESH, WAITING
-from sumachook.placement.places import Places
-from sumachook.runtime.almanac import ZERO, Almanac
-from sumachook.runtime.clock import Clock
-from sumachook.nodes.edge import Edge
-from sumachook.ledger.purse import Purse
 from sumachook.forwarding.choose import HOLD_PART
 from sumachook.forwarding.port import RequestPort
 from sumachook.forwarding.table import MOST_ROWS, Table
 from sumachook.forwarding.transit import Transit
+from sumachook.ledger.purse import Purse
+from sumachook.nodes.edge import Edge
+from sumachook.placement.places import Places
+from sumachook.runtime.almanac import ZERO, Almanac
+from sumachook.runtime.clock import Clock
 from tests.scene import json_fields
 
 SECOND = timedelta(seconds=1)
@@ -42,22 +42,57 @@
 
 
 def route(name, kind, service="records", **more):
-    return {"name": name, "host": "a.example", "prefix": f"/{name}/", "kind": kind, "timeoutMs": 4000, "targetMs": 400, "tries": 3,
-            "split": [{"service": service, "weight": 1}], **json_fields(more)}
+    return {
+        "name": name,
+        "host": "a.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 4000,
+        "targetMs": 400,
+        "tries": 3,
+        "split": [{"service": service, "weight": 1}],
+        **json_fields(more),
+    }
 
 
 def catalogue(version=1, routes=None, **more):
-    engine = {"slots": 8, "memoryMb": 100.0, "models": [{"name": name, "sizeMb": 10.0, "loadMs": 600, "adapters": 2} for name in ("m", "n")]}
-    standing = [route("plain", "repeatable"), route("once", "once"), route("loose", "stream"), route("chat", "stream", "llm", resumable=True)]
-    return {"name": "c", "areas": ["east", "west"], "version": version, "httpRoutes": standing if routes is None else routes,
-            "services": [{"name": "records", "connections": 300}, {"name": "other"}, {"name": "llm", "connections": 300, "engine": engine}], **more}
+    engine = {
+        "slots": 8,
+        "memoryMb": 100.0,
+        "models": [{"name": name, "sizeMb": 10.0, "loadMs": 600, "adapters": 2} for name in ("m", "n")],
+    }
+    standing = [
+        route("plain", "repeatable"),
+        route("once", "once"),
+        route("loose", "stream"),
+        route("chat", "stream", "llm", resumable=True),
+    ]
+    return {
+        "name": "c",
+        "areas": ["east", "west"],
+        "version": version,
+        "httpRoutes": standing if routes is None else routes,
+        "services": [
+            {"name": "records", "connections": 300},
+            {"name": "other"},
+            {"name": "llm", "connections": 300, "engine": engine},
+        ],
+        **more,
+    }
 
 
 def server(service, area="east", address="10.0.0.1:80", leaving=False):
     return {"kind": "service", "service": service, "address": address, "area": area, "leaving": leaving, "slots": 8}
 
 
-SERVERS = {"r1": server("records"), "r2": server("records"), "r3": server("records"), "l1": server("llm"), "l2": server("llm"), "l3": server("llm")}
+SERVERS = {
+    "r1": server("records"),
+    "r2": server("records"),
+    "r3": server("records"),
+    "l1": server("llm"),
+    "l2": server("llm"),
+    "l3": server("llm"),
+}
 
 
 class Scene:
@@ -69,7 +104,18 @@
             assert self.state.apply(1, ("configure", "q", doc or catalogue(), {}, False, 0))[0] == "ok"
         self.state.servers = dict(SERVERS if servers is None else servers)
         self.purse.balance = credit
-        self.table = Table("e1", 7, "east", self.state, self.trust, self.purse, Random(seed), RequestPort(), self.places, Almanac(lambda: ZERO, START))
+        self.table = Table(
+            "e1",
+            7,
+            "east",
+            self.state,
+            self.trust,
+            self.purse,
+            Random(seed),
+            RequestPort(),
+            self.places,
+            Almanac(lambda: ZERO, START),
+        )
         self.transit, self.out, self.number = Transit(self.table), [], 0
         self.place({name: {"m": ()} for name in held})
 
@@ -79,20 +125,35 @@
         return effects
 
     def place(self, servers):
-        self.places.take(("heard", "core-1", "10.0.0.9:1", ("places", 1, 1, self.places.number + 1, True, servers)), self.now)
+        self.places.take(
+            ("heard", "core-1", "10.0.0.9:1", ("places", 1, 1, self.places.number + 1, True, servers)), self.now
+        )
         return self.take("places")
 
     def configure(self, doc):
-        assert self.state.apply(self.state.number + 1, ("configure", "q", doc, {}, False, self.state.version))[0] == "ok"
+        assert (
+            self.state.apply(self.state.number + 1, ("configure", "q", doc, {}, False, self.state.version))[0] == "ok"
+        )
 
     def ask(self, path=PLAIN, method="POST", headers=(), body=b"{}", host="a.example", **own):
         """A request that comes in; gives its cid. The id of the client's try is the cid as well."""
         self.number += 1
         cid = f"q{self.number}"
-        names = {"deadline": "X-Deadline-Ms", "model": "X-Model", "tokens": "X-Token-Counts", "parts": "X-Prompt-Parts", "last": "Last-Event-ID"}
+        names = {
+            "deadline": "X-Deadline-Ms",
+            "model": "X-Model",
+            "tokens": "X-Token-Counts",
+            "parts": "X-Prompt-Parts",
+            "last": "Last-Event-ID",
+        }
         if path.startswith("/chat/"):
             own = {"model": "m", **own}
-        pairs = [("Host", host), ("X-Request-Id", cid), *headers, *((names[what], str(value)) for what, value in own.items())]
+        pairs = [
+            ("Host", host),
+            ("X-Request-Id", cid),
+            *headers,
+            *((names[what], str(value)) for what, value in own.items()),
+        ]
         self.take("http", cid, method, path, tuple(pairs), body)
         return cid
 
@@ -118,7 +179,9 @@
         return dict(self.sends(cid)[place][4])["x-expect-instance"]
 
     def told(self, cid):
-        return [effect for effect in self.out if effect[0] in ("reply", "head", "chunk", "end", "drop") and effect[1] == cid]
+        return [
+            effect for effect in self.out if effect[0] in ("reply", "head", "chunk", "end", "drop") and effect[1] == cid
+        ]
 
     def reply(self, cid):
         (effect,) = self.told(cid)
@@ -184,11 +247,23 @@
 
 def test_longest_prefix_of_the_host_picks_the_route():
     """Given nested prefixes on two hosts, each path goes to the service of the longest that begins it, queries aside."""
-    routes = [route("a", "repeatable", prefix="/"), route("b", "repeatable", "other", prefix="/x/"), route("c", "repeatable", prefix="/x/y/"),
-              route("d", "repeatable", "other", prefix="/", host="b.example")]
+    routes = [
+        route("a", "repeatable", prefix="/"),
+        route("b", "repeatable", "other", prefix="/x/"),
+        route("c", "repeatable", prefix="/x/y/"),
+        route("d", "repeatable", "other", prefix="/", host="b.example"),
+    ]
     scene = Scene(catalogue(routes=routes), {"r1": server("records"), "o1": server("other")})
-    wanted = {("a.example", "/q"): "r1", ("a.example", "/x/"): "o1", ("a.example", "/x"): "r1", ("a.example", "/x/y/z?/w/"): "r1",
-              ("a.example", "/x/yy/"): "o1", ("A.Example:8144", "/x/q"): "o1", ("b.example", "/x/y/"): "o1", ("a.example", "/q?/x/"): "r1"}
+    wanted = {
+        ("a.example", "/q"): "r1",
+        ("a.example", "/x/"): "o1",
+        ("a.example", "/x"): "r1",
+        ("a.example", "/x/y/z?/w/"): "r1",
+        ("a.example", "/x/yy/"): "o1",
+        ("A.Example:8144", "/x/q"): "o1",
+        ("b.example", "/x/y/"): "o1",
+        ("a.example", "/q?/x/"): "r1",
+    }
     for (host, path), name in wanted.items():
         assert scene.goal(scene.ask(path, host=host)) == name, (host, path)
     assert scene.status(scene.ask("/x/", host="c.example")) == 404
@@ -197,7 +272,10 @@
 def test_weights_split_and_what_has_none_gets_nothing():
     """Given weights 90, 10 and 0, a thousand requests part in about that way, and the last service is never asked."""
     split = [{"service": "records", "weight": 90}, {"service": "other", "weight": 10}, {"service": "llm", "weight": 0}]
-    scene = Scene(catalogue(routes=[route("s", "repeatable", split=split)]), {"r1": server("records"), "o1": server("other"), "l1": server("llm")})
+    scene = Scene(
+        catalogue(routes=[route("s", "repeatable", split=split)]),
+        {"r1": server("records"), "o1": server("other"), "l1": server("llm")},
+    )
     scene.table.edges = 1
     counts = {"r1": 0, "o1": 0, "l1": 0}
     for _ in range(1000):
@@ -213,7 +291,9 @@
     for trust, status in ((EMPTY, 503), (WAITING, 503), (CUT, 503), (FRESH, 404)):
         scene = Scene(trust=trust)
         cid = scene.ask("/none/")
-        assert bool(scene.told(cid)) == (status == 404), trust  # where it may yet be known, it waits a quarter of its time
+        assert bool(scene.told(cid)) == (status == 404), (
+            trust
+        )  # where it may yet be known, it waits a quarter of its time
         scene.run(1.1)
         assert scene.status(cid) == status and scene.fault(cid)["run"] == "no", trust
         assert ("Retry-After" in dict(scene.reply(cid)[3])) == (status == 503)
@@ -265,7 +345,9 @@
     scene = Scene(trust=WAITING, servers={**SERVERS, "o1": server("other")})
     moved, dropped, kept = scene.ask(PLAIN), scene.ask(ONCE), scene.ask(CHAT)
     assert scene.sends() == [] and scene.told(moved) == []
-    scene.configure(catalogue(2, [route("plain", "repeatable", "other"), route("chat", "stream", "llm", resumable=True)]))
+    scene.configure(
+        catalogue(2, [route("plain", "repeatable", "other"), route("chat", "stream", "llm", resumable=True)])
+    )
     scene.trust.word = FRESH
     scene.run(0.1)
     assert scene.goal(kept).startswith("l") and len(scene.sends()) == 1
@@ -333,7 +415,12 @@
         scene.answer(cid, 503, b"", NOT_RUN, ("Retry-After", "0.7"), seal=False)
     assert 2 <= len(scene.sends(cid)) <= 4
     assert len({dict(send[4])["x-expect-instance"] for send in scene.sends(cid)}) == 2
-    assert scene.status(cid) == 503 and scene.fault(cid)["run"] == "no" and scene.retry_after(cid) == 0.7 and scene.settled()
+    assert (
+        scene.status(cid) == 503
+        and scene.fault(cid)["run"] == "no"
+        and scene.retry_after(cid) == 0.7
+        and scene.settled()
+    )
 
 
 def test_resends_without_credit_wait_half_a_second_at_most_and_end():
@@ -343,7 +430,12 @@
     scene.answer(cid, 503, b"", NOT_RUN, seal=False)
     assert len(scene.sends(cid)) == 1 and not scene.told(cid)
     scene.run(0.6)
-    assert len(scene.sends(cid)) == 1 and scene.status(cid) == 503 and scene.fault(cid)["run"] == "no" and scene.retry_after(cid) > 0
+    assert (
+        len(scene.sends(cid)) == 1
+        and scene.status(cid) == 503
+        and scene.fault(cid)["run"] == "no"
+        and scene.retry_after(cid) > 0
+    )
     again = scene.ask(ONCE)
     scene.answer(again, 503, b"", NOT_RUN, seal=False)
     scene.purse.balance = 1.0
@@ -365,12 +457,18 @@
     assert scene.status(cid) == 200
     lost = scene.ask(ONCE)
     asked_at = scene.now
-    while not scene.told(lost) and scene.now - asked_at < timedelta(seconds=5):  # it waits for a while: one may listen again
+    while not scene.told(lost) and scene.now - asked_at < timedelta(
+        seconds=5
+    ):  # it waits for a while: one may listen again
         if scene.table.rows and next(iter(scene.table.rows.values())).tid:
             scene.hear(lost, "fault", kind)
         scene.run(0.05)
     assert scene.now - asked_at < timedelta(seconds=4 * HOLD_PART + 0.1)
-    assert scene.status(lost) == 503 and scene.fault(lost) | {"reason": ""} == {"class": "unreachable", "reason": "", "run": "no"}
+    assert scene.status(lost) == 503 and scene.fault(lost) | {"reason": ""} == {
+        "class": "unreachable",
+        "reason": "",
+        "run": "no",
+    }
     assert scene.retry_after(lost) > 0 and len(scene.sends(lost)) <= 6 and scene.settled()
 
 
@@ -469,7 +567,12 @@
     assert [effect[0] for effect in scene.told(cid)].count("head") == 1 and scene.told(cid)[-1][0] == "end"
     assert scene.body(cid) == b"".join(map(event, (1, 2, 3, 4))) and scene.settled()
     (record,) = scene.records(True)
-    assert record["state"] == "done" and record["firstToken"] == 0.1 and record["late"] is False and len(record["tries"]) == 2
+    assert (
+        record["state"] == "done"
+        and record["firstToken"] == 0.1
+        and record["late"] is False
+        and len(record["tries"]) == 2
+    )
 
 
 def test_the_clients_own_last_event_is_kept_until_there_is_a_newer_one():
@@ -566,10 +669,18 @@
 # answers --------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("pairs,status", [
-    ((("X-Request-Id", "other"), SEAL), 200), ((("X-Request-Id", "other"), NOT_RUN), 503), ((("X-Request-Id", "other"), SEAL), 404),
-    ((), 200), ((SEAL, ("Content-Encoding", "gzip")), 200), ((SEAL, NOT_RUN), 200), ((SEAL,), 408),
-])
+@pytest.mark.parametrize(
+    "pairs,status",
+    [
+        ((("X-Request-Id", "other"), SEAL), 200),
+        ((("X-Request-Id", "other"), NOT_RUN), 503),
+        ((("X-Request-Id", "other"), SEAL), 404),
+        ((), 200),
+        ((SEAL, ("Content-Encoding", "gzip")), 200),
+        ((SEAL, NOT_RUN), 200),
+        ((SEAL,), 408),
+    ],
+)
 def test_bytes_that_are_not_the_servers_answer_never_reach_the_client(pairs, status):
     """Given an answer with another request's id, without the seal, with an encoding, or one that contradicts itself, its client gets
     a failure of this node and nothing of it; and another's promise is not taken for its own."""
@@ -590,10 +701,25 @@
     """Given whole answers of any status, with binary bodies and header pairs that repeat, the client gets just these, without
     what concerns one connection only, also where `Connection` names it."""
     scene = Scene()
-    for status, body in ((200, bytes(range(256)) * 9), (201, b""), (304, b""), (404, b"no"), (400, b"bad"), (500, b"own fault")):
+    for status, body in (
+        (200, bytes(range(256)) * 9),
+        (201, b""),
+        (304, b""),
+        (404, b"no"),
+        (400, b"bad"),
+        (500, b"own fault"),
+    ):
         cid = scene.ask(ONCE)
-        pairs = (("Set-Cookie", "a=1"), ("Set-Cookie", "b=2"), ("X-Odd", "\xe9"), ("Connection", "close, X-Gone"), ("X-Gone", "1"),
-                 ("Keep-Alive", "timeout=3"), ("Transfer-Encoding", "chunked"), ("Content-Length", "7"))
+        pairs = (
+            ("Set-Cookie", "a=1"),
+            ("Set-Cookie", "b=2"),
+            ("X-Odd", "\xe9"),
+            ("Connection", "close, X-Gone"),
+            ("X-Gone", "1"),
+            ("Keep-Alive", "timeout=3"),
+            ("Transfer-Encoding", "chunked"),
+            ("Content-Length", "7"),
+        )
         scene.answer(cid, status, body, *pairs)
         _, _, got_status, headers, got_body = scene.reply(cid)
         assert (got_status, got_body) == (status, body)
@@ -604,17 +730,36 @@
     """Given headers that repeat, hop-by-hop ones and ones named by `Connection`, the server gets method, raw path and body as they
     came, the pairs that are not the connection's in their order, and the router's own facts once."""
     scene = Scene()
-    pairs = (("X-A", "1"), ("X-A", "2"), ("Connection", "keep-alive, X-Hop"), ("X-Hop", "1"), ("TE", "trailers"), ("Upgrade", "x"),
-             ("Content-Type", "a/b"), ("X-Expect-Instance", "forged"), ("X-Urgency", "0"), ("Content-Length", "2"), ("Expect", "100-continue"))
+    pairs = (
+        ("X-A", "1"),
+        ("X-A", "2"),
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "1"),
+        ("TE", "trailers"),
+        ("Upgrade", "x"),
+        ("Content-Type", "a/b"),
+        ("X-Expect-Instance", "forged"),
+        ("X-Urgency", "0"),
+        ("Content-Length", "2"),
+        ("Expect", "100-continue"),
+    )
     path = "/plain/%2e%2E/a//b/../c?x=%20+&&y=/plain/"
     cid = scene.ask(path, method="PATCH", headers=pairs, body=b"\x00\xff", deadline=2500)
     ((_, _, method, url, sent, body, connect, total, _),) = scene.sends(cid)
     assert (method, url, body) == ("PATCH", "http://10.0.0.1:80" + path, b"\x00\xff")
     names = [name.lower() for name, _ in sent]
     assert names[0] == "host" and sent[0][1] == "a.example"
-    assert [pair for pair in sent if pair[0] == "X-A"] == [("X-A", "1"), ("X-A", "2")] and ("Content-Type", "a/b") in sent
+    assert [pair for pair in sent if pair[0] == "X-A"] == [("X-A", "1"), ("X-A", "2")] and (
+        "Content-Type",
+        "a/b",
+    ) in sent
     assert not {"connection", "x-hop", "te", "upgrade", "content-length", "expect"} & set(names)
-    for name, value in (("x-expect-instance", scene.goal(cid)), ("x-urgency", "0"), ("x-deadline-ms", "2500"), ("x-request-id", cid)):
+    for name, value in (
+        ("x-expect-instance", scene.goal(cid)),
+        ("x-urgency", "0"),
+        ("x-deadline-ms", "2500"),
+        ("x-request-id", cid),
+    ):
         assert [pair[1] for pair in sent if pair[0].lower() == name] == [value]
     assert connect <= total == timedelta(seconds=2.5)
 
@@ -638,7 +783,9 @@
     took = (scene.now - START).total_seconds()
     assert bound <= took <= bound + 0.051 and scene.status(cid) == 504 and scene.fault(cid)["run"] == "maybe"
     assert all(abs(at.total_seconds() * 1000 + left - bound * 1000) <= 1 for at, left in states)
-    assert {effect[1] for effect in scene.out if effect[0] == "unfetch"} == {send[1] for send in scene.sends(cid)} and scene.settled()
+    assert {effect[1] for effect in scene.out if effect[0] == "unfetch"} == {
+        send[1] for send in scene.sends(cid)
+    } and scene.settled()
 
 
 def test_a_running_stream_is_not_ended_before_its_time():
@@ -657,7 +804,9 @@
 def test_a_stream_that_goes_on_elsewhere_runs_until_its_time_too():
     """Given a stream that was taken up at another server, a long pause after its next event ends it no sooner than one that was not,
     while a server that gives nothing at all is bounded by its first token."""
-    scene = Scene(catalogue(routes=[route("chat", "stream", "llm", resumable=True, target_ms=100, timeout_ms=9000, tries=6)]))
+    scene = Scene(
+        catalogue(routes=[route("chat", "stream", "llm", resumable=True, target_ms=100, timeout_ms=9000, tries=6)])
+    )
     cid = scene.ask(CHAT)
     scene.stream(cid, 1)
     scene.hear(cid, "fault", "reset")
@@ -757,7 +906,12 @@
     cid = scene.ask(CHAT, deadline=2000)
     scene.run(2)
     (record,) = scene.records(True)
-    assert scene.status(cid) == 503 and scene.fault(cid)["run"] == "no" and scene.retry_after(cid) >= 0.6 and record["duration"] <= 1.0
+    assert (
+        scene.status(cid) == 503
+        and scene.fault(cid)["run"] == "no"
+        and scene.retry_after(cid) >= 0.6
+        and record["duration"] <= 1.0
+    )
     assert scene.settled()
 
 
@@ -790,7 +944,9 @@
     leaving.run(2.1)
     goals = [leaving.goal(leaving.ask()) for _ in range(50)]
     assert set(goals) == {"r2", "r3"}
-    closed = Scene(servers={"r1": server("records", "west"), "r2": server("records"), "r3": server("records", "nowhere")})
+    closed = Scene(
+        servers={"r1": server("records", "west"), "r2": server("records"), "r3": server("records", "nowhere")}
+    )
     assert closed.state.apply(9, ("evacuate", "o", "west"))[0] == "ok"
     assert {closed.goal(closed.ask()) for _ in range(20)} == {"r2"}
     assert closed.state.apply(10, ("restore", "o2", "west"))[0] == "ok"
@@ -936,7 +1092,9 @@
 
 def test_waiting_rows_go_by_priority_and_then_by_age():
     """Given rows of three priorities that wait for one place, the most urgent go first, and among equals the oldest."""
-    routes = [route(name, "stream", "llm", priority=priority) for name, priority in (("low", 9), ("mid", 1), ("high", 0))]
+    routes = [
+        route(name, "stream", "llm", priority=priority) for name, priority in (("low", 9), ("mid", 1), ("high", 0))
+    ]
     scene = Scene(catalogue(routes=routes), held=())
     asked = [scene.ask(f"/{name}/x", model="m") for name in ("low", "high", "mid", "low", "high", "mid")]
     scene.place({"l1": {"m": ()}})
@@ -986,7 +1144,12 @@
             if draw.random() < 0.4:
                 continue
             if draw.random() < (0.9 if is_bad else 0.1):
-                draw.choice((lambda: scene.hear(cid, "fault", "reset"), lambda: scene.answer(cid, 503, b"", NOT_RUN, seal=False)))()
+                draw.choice(
+                    (
+                        lambda: scene.hear(cid, "fault", "reset"),
+                        lambda: scene.answer(cid, 503, b"", NOT_RUN, seal=False),
+                    )
+                )()
             else:
                 scene.answer(cid)
         scene.run(0.05)
@@ -1002,7 +1165,15 @@
 @pytest.mark.parametrize("others", [0, 1, 9])
 def test_what_all_edges_save_up_together_stays_under_the_slack(others):
     """Given a slack of 50 resends over the ratio, the edges that live or were there of late have at most eight tenths of it in all."""
-    params = Params(node="e1", address="127.0.0.1:1", door="127.0.0.1:2", area="east", seeds=("127.0.0.1:3",), front="127.0.0.1:4", resend_slack=50.0)
+    params = Params(
+        node="e1",
+        address="127.0.0.1:1",
+        door="127.0.0.1:2",
+        area="east",
+        seeds=("127.0.0.1:3",),
+        front="127.0.0.1:4",
+        resend_slack=50.0,
+    )
     edge, now = Edge(params, {}, 1, Clock(), Random(1)), Clock().mono()
     for number in range(others):
         name, address = f"x{number}", f"10.0.2.{number}:7"
@@ -1052,7 +1223,12 @@
     for cid in (whole, stream, new, nowhere):
         assert ("Connection", "close") in scene.told(cid)[0][3], cid
     scene.take("cut-short")
-    assert scene.told(stream)[-1][0] == "drop" and scene.status(refused) == 502 and scene.status(late) == 503 and scene.retry_after(late) > 0
+    assert (
+        scene.told(stream)[-1][0] == "drop"
+        and scene.status(refused) == 502
+        and scene.status(late) == 503
+        and scene.retry_after(late) > 0
+    )
     assert ("Connection", "close") in scene.reply(late)[3] and scene.settled()
     scene.run(5)
     assert len(scene.told(late)) == 1
@@ -1074,7 +1250,11 @@
     assert [record["tag"] for record in scene.records(False)] == [late]
     assert closed[quick]["late"] is False and closed[quick]["firstToken"] == 0.05 and closed[quick]["tokens"] == [20, 8]
     assert closed[quick]["asked"] == "m" and closed[quick]["line"] == "chat" and closed[quick]["run"] == "yes"
-    assert closed[late]["late"] is True and [try_[1] for try_ in closed[late]["tries"]] == ["reset", ""] and closed[late]["state"] == "done"
+    assert (
+        closed[late]["late"] is True
+        and [try_[1] for try_ in closed[late]["tries"]] == ["reset", ""]
+        and closed[late]["state"] == "done"
+    )
     assert scene.records(False)[0]["request"] == closed[late]["request"] != closed[quick]["request"]
     logged = [effect[4]["tag"] for effect in scene.out if effect[0] == "log"]
     assert logged == [late]
@@ -1146,11 +1326,19 @@
         name = draw.choice(sorted(SERVERS))
         what = draw.randrange(4)
         if what == 0:
-            scene.place({server: {"m": ("a1",), "n": ()} if draw.random() < 0.5 else {"m": ()} for server in ("l1", "l2", "l3") if draw.random() < 0.7})
+            scene.place(
+                {
+                    server: {"m": ("a1",), "n": ()} if draw.random() < 0.5 else {"m": ()}
+                    for server in ("l1", "l2", "l3")
+                    if draw.random() < 0.7
+                }
+            )
         elif what == 1:
             scene.state.servers[name] = {**scene.state.servers.get(name, SERVERS[name]), "leaving": draw.random() < 0.5}
         elif what == 2:
-            scene.state.servers.pop(name) if name in scene.state.servers else scene.state.servers.update({name: SERVERS[name]})
+            scene.state.servers.pop(name) if name in scene.state.servers else scene.state.servers.update(
+                {name: SERVERS[name]}
+            )
         else:
             scene.trust.word = draw.choice((FRESH, FRESH, CUT, WAITING))
         self.watch()
@@ -1177,7 +1365,11 @@
             return  # called off before its connection stood: no byte went out
         luck = self.draw.random()
         if luck < self.trouble * 0.3:
-            return self.tell(tid, "fault", "refused") if luck < self.trouble * 0.2 else self.later(0.4, self.tell, tid, "fault", "connect-timeout")
+            return (
+                self.tell(tid, "fault", "refused")
+                if luck < self.trouble * 0.2
+                else self.later(0.4, self.tell, tid, "fault", "connect-timeout")
+            )
         self.tell(tid, "sent")
         self.later(self.draw.random() * 0.1, self.arrive, effect)
 
@@ -1187,12 +1379,18 @@
         cid, name, draw = headers["X-Request-Id"], headers["x-expect-instance"], self.draw
         self.arrivals.append((cid, name))
         is_trouble = draw.random() < self.trouble
-        answer = draw.choice(("full", "moved", "reset", "silent", "half", "500", "bare503", "strange", "other", "slow")) if is_trouble else "well"
+        answer = (
+            draw.choice(("full", "moved", "reset", "silent", "half", "500", "bare503", "strange", "other", "slow"))
+            if is_trouble
+            else "well"
+        )
         own = (("X-Request-Id", cid), SEAL)
         if answer in ("full", "moved"):
             return self.tell(tid, "head", 503 if answer == "full" else 421, (("X-Request-Id", cid), NOT_RUN))
         if draw.random() < 0.3 and answer in ("reset", "silent"):
-            return self.tell(tid, "fault", "reset") if answer == "reset" else None  # it took the request and never ran it
+            return (
+                self.tell(tid, "fault", "reset") if answer == "reset" else None
+            )  # it took the request and never ran it
         self.runs[cid] = self.runs.get(cid, 0) + 1
         at = draw.random() * 0.1
         if answer == "reset":
@@ -1247,16 +1445,26 @@
             if status == 200:
                 assert body == b"whole " + cid.encode() and SEAL in told[0][3] and ("X-Request-Id", cid) in told[0][3]
             elif status == 503:
-                assert runs == 0 and msgspec.json.decode(body)["fault"]["run"] == "no" and "Retry-After" in dict(told[0][3]), (cid, path)
+                assert (
+                    runs == 0
+                    and msgspec.json.decode(body)["fault"]["run"] == "no"
+                    and "Retry-After" in dict(told[0][3])
+                ), (cid, path)
             else:
                 assert status in (500, 502, 504), told
         else:
             outcomes[(ends or ["gone"])[0]] = outcomes.get((ends or ["gone"])[0], 0) + 1
             numbers = [int(found) for found in re.findall(rb"id: (\d+)\n", scene.body(cid))]
-            assert scene.body(cid) == b"".join(event(number, 3) for number in range(1, len(numbers) + 1)), (cid, numbers)
+            assert scene.body(cid) == b"".join(event(number, 3) for number in range(1, len(numbers) + 1)), (
+                cid,
+                numbers,
+            )
             assert ends != ["end"] or len(numbers) == storm.COUNT, (cid, numbers)
     assert scene.settled()
-    closed, opened = [record["tag"] for record in scene.records(True)], [record["tag"] for record in scene.records(False)]
+    closed, opened = (
+        [record["tag"] for record in scene.records(True)],
+        [record["tag"] for record in scene.records(False)],
+    )
     assert sorted(closed) == sorted(storm.asked) and len(set(opened)) == len(opened) and set(opened) <= set(closed)
     for record in scene.records(True):
         assert record["run"] != "no" or storm.runs.get(record["tag"], 0) == 0, record
