--- a/sumachook/accord/ballot.py
+++ b/sumachook/accord/ballot.py
@@ -39,7 +39,7 @@
         if seat.role in ("idle", "member") and now >= seat.retry_at and seat.name in seat.roster:
             seat.role, self.yes, seat.ballot = "asking", {seat.name}, self._next()
             seat.doubted = {seat.leader} - {None, seat.name}
-            seat.heard_from = {name: seat.leader_heard for name in seat.doubted}
+            seat.heard_from = dict.fromkeys(seat.doubted, seat.leader_heard)
             return self._ask(now)
         return self._ask(now) if seat.role == "asking" and now >= self.asked_at + ASK_AGAIN else []
 
--- a/sumachook/accord/founding.py
+++ b/sumachook/accord/founding.py
@@ -1,6 +1,6 @@
 """What a blank seat does."""
 
-from sumachook.accord.seat import FILE, Seat
+from sumachook.accord.seat import Seat
 from sumachook.accord.timing import ASK_AGAIN, GAP
 from sumachook.transport.codec import pack_entry
 
--- a/sumachook/catalog/state.py
+++ b/sumachook/catalog/state.py
@@ -42,7 +42,7 @@
     def __init__(self):
         self.number, self.generation, self.doc, self.catalogue = 0, 0, None, None
         self.evacuated, self.servers, self.pairs, self.held, self.roster = (), {}, {}, {}, {}
-        self.duties = {duty: ("", 0) for duty in DUTIES}
+        self.duties = dict.fromkeys(DUTIES, ("", 0))
         self.requests, self.listed_at, self.taken = {}, 0, {}
 
     def image(self) -> dict:
@@ -69,8 +69,8 @@
         self.held = {server: dict(items) for server, items in image["held"].items()}
         self.duties = {duty: tuple(item) for duty, item in image["duties"].items()}
         self.listed_at = image["listedAt"]
-        self.requests = {request: result for request, result in image["requests"]}
-        self.taken = {version: digest for version, digest in image.get("taken", ())}
+        self.requests = dict(image["requests"])
+        self.taken = dict(image.get("taken", ()))
 
     def apply(self, number: int, change) -> tuple:
         self.number = number
--- a/sumachook/forwarding/timeouts.py
+++ b/sumachook/forwarding/timeouts.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from sumachook.forwarding.row import STREAMING, TRYING
+from sumachook.forwarding.row import TRYING
 from sumachook.inference import faults
 
 OPEN_AFTER = timedelta(seconds=0.2)  # in hand for longer: the ledger is told that it is open (§14.6)
--- a/sumachook/forwarding/transit.py
+++ b/sumachook/forwarding/transit.py
@@ -60,7 +60,7 @@
         elif kind == "cut-short":
             out = self._cut_short(now)
         elif kind == "leaving":
-            self.table.shunned |= {name: now + SHUN for name in message[1]}
+            self.table.shunned |= dict.fromkeys(message[1], now + SHUN)
             out = []
         elif kind == "cold":
             self.table.cold |= {name: now + ms * MILLI for name, ms in message[1].items()}
--- a/sumachook/inference/ferry.py
+++ b/sumachook/inference/ferry.py
@@ -89,7 +89,7 @@
 
     def _leaving(self, message, now):
         """A core's word, repeated until the ordered list says so or no longer needs to (§9.1)."""
-        self.table.shunned |= {name: now + SHUN for name in message[1]}
+        self.table.shunned |= dict.fromkeys(message[1], now + SHUN)
         return []
 
     def _gone(self, message, now):
--- a/sumachook/main.py
+++ b/sumachook/main.py
@@ -1,7 +1,6 @@
 """The command line: one program, roles are subcommands (§1.6)."""
 
 import os
-import sys
 from dataclasses import dataclass, field
 from datetime import timedelta
 from pathlib import Path
--- a/sumachook/nodes/client.py
+++ b/sumachook/nodes/client.py
@@ -38,7 +38,7 @@
                             if answer.status != 503:
                                 return answer.status, body
                             reason = f"{core}: {body.get('fault', body)}"
-                    except (aiohttp.ClientError, OSError, asyncio.TimeoutError, msgspec.DecodeError) as error:
+                    except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
                         reason = f"{core}: {error or type(error).__name__}"
                 await asyncio.sleep(0.5)
         return faults.UNREACHED.because(reason)
--- a/sumachook/placement/orders.py
+++ b/sumachook/placement/orders.py
@@ -86,7 +86,7 @@
                     and actual[server].get(name) == "ready"
                     and demand.get(name, 0.0) < demand.get(model, 0.0)
                 ]
-                score = {name: 0.0 for name in spare}
+                score = dict.fromkeys(spare, 0.0)
             if spare and not any(verb == UNLOAD and other == server for (other, _), verb in in_flight.items()):
                 victim = min(spare, key=lambda name: (-score[name], demand.get(name, 0.0), -sizes[name], name))
                 orders.append((server, UNLOAD, "model", victim, sizes[victim]))
--- a/sumachook/placement/succession.py
+++ b/sumachook/placement/succession.py
@@ -33,9 +33,9 @@
                 self.right += 1
             else:
                 self.wrong += 1
-        self.last_hot = {model: at for model, at in self.last_hot.items() if now - at < self.RECENT * 2} | {
-            model: now for model in hot
-        }
+        self.last_hot = {
+            model: at for model, at in self.last_hot.items() if now - at < self.RECENT * 2
+        } | dict.fromkeys(hot, now)
         if self.wrong >= self.right or not hot:
             return ()
         last = max(places[model] for model in hot if model in places)
--- a/sumachook/runtime/almanac.py
+++ b/sumachook/runtime/almanac.py
@@ -1,10 +1,10 @@
 """What time it is, as the cohort agrees."""
 
 from bisect import bisect_right
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 from statistics import median_low
 
-ZERO = datetime(1970, 1, 1, tzinfo=timezone.utc)
+ZERO = datetime(1970, 1, 1, tzinfo=UTC)
 MILLI = timedelta(milliseconds=1)
 
 
--- a/sumachook/runtime/clock.py
+++ b/sumachook/runtime/clock.py
@@ -1,7 +1,7 @@
 """The real clocks of a daemon."""
 
 import time
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 
 
 class Clock:
@@ -18,7 +18,7 @@
         return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
     def wall(self) -> datetime:
-        return datetime.now(timezone.utc)
+        return datetime.now(UTC)
 
 
 def test_wall_knows_its_offset():
--- a/sumachook/simulation/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -1,6 +1,6 @@
 """The in-memory fleet: every machine under one seeded virtual clock."""
 
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 from heapq import heappop, heappush
 from random import Random
 
@@ -13,7 +13,7 @@
 from sumachook.transport.codec import Codec, as_tuples, read_parcel
 
 PULSE = timedelta(seconds=0.05)
-START = datetime(2026, 3, 2, 6, 0, tzinfo=timezone.utc)
+START = datetime(2026, 3, 2, 6, 0, tzinfo=UTC)
 MOST_BUFFERED = 2000
 
 
--- a/sumachook/simulation/model.py
+++ b/sumachook/simulation/model.py
@@ -112,7 +112,7 @@
         self.sizes = {model["name"]: model["memory"] for model in catalogue["models"]}
         self.rates = {model["name"]: model["decodeRate"] for model in catalogue["models"]}
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
-        self.held = {name: "loaded" for name in (*held, *listed.get("holds", ()))}
+        self.held = dict.fromkeys((*held, *listed.get("holds", ())), "loaded")
         self.active, self.waiting, self.by_request, self.record = {}, [], {}, record or Record()
         self.fence, self.is_dark, self.has_ids, self.skips, self.ends_after, self.is_busy, self.says_done = (
             0,
--- a/sumachook/simulation/probe.py
+++ b/sumachook/simulation/probe.py
@@ -23,8 +23,8 @@
     def promise(self, present=(), absent=(), now=timedelta(0)):
         """From an ack on, these keys are known and those are not."""
         self.forget((*present, *absent))
-        self.present |= {key: now for key in present}
-        self.absent |= {key: now for key in absent}
+        self.present |= dict.fromkeys(present, now)
+        self.absent |= dict.fromkeys(absent, now)
 
     def forget(self, keys):
         """An order is on its way that may change them: nothing is promised of them any more."""
--- a/sumachook/simulation/storm.py
+++ b/sumachook/simulation/storm.py
@@ -436,7 +436,7 @@
         group = next(
             each for each in self.town.city.traffic if each["kind"] == "prompt" and not each.get("stream", True)
         )
-        heavy = {name for name in self.town.city.traffic[-1]["models"]}
+        heavy = set(self.town.city.traffic[-1]["models"])
         catalogue, before = self.town.city.catalogue, len(self.callers.calls)
         for item in [*catalogue["models"], *catalogue["adapters"]]:
             if item["name"] not in heavy:
--- a/sumachook/transport/fetcher.py
+++ b/sumachook/transport/fetcher.py
@@ -84,7 +84,7 @@
             outcome = ("fault", "connect-timeout")
         except aiohttp.ClientConnectorError:
             outcome = ("fault", "refused")
-        except asyncio.TimeoutError:
+        except TimeoutError:
             outcome = ("fault", "timeout")
         except (aiohttp.ClientError, OSError, ValueError, UnicodeDecodeError):
             outcome = ("fault", "reset")
--- a/sumachook/transport/forwarder.py
+++ b/sumachook/transport/forwarder.py
@@ -114,7 +114,7 @@
             outcome = ("fault", "connect-timeout")
         except aiohttp.ClientConnectorError:
             outcome = ("fault", "refused")
-        except asyncio.TimeoutError:
+        except TimeoutError:
             outcome = ("fault", "timeout")
         except (aiohttp.ClientError, OSError, ValueError, UnicodeDecodeError):
             outcome = ("fault", "reset")
--- a/sumachook/transport/ports.py
+++ b/sumachook/transport/ports.py
@@ -45,7 +45,7 @@
             try:
                 host, port = split_address(self.address)
                 _, writer = await asyncio.wait_for(asyncio.open_connection(host, port), CONNECT.total_seconds())
-            except (OSError, asyncio.TimeoutError):
+            except (TimeoutError, OSError):
                 self.dropped += len(self.line)  # nobody there: what waited is old news by the time somebody is
                 self.line.clear()
                 self.wake.clear()
--- a/tests/accord_stories.py
+++ b/tests/accord_stories.py
@@ -46,7 +46,7 @@
 def _holds(town, seats):
     """Whether a view of just so many seats works, with a roster of the same, at every one the same."""
     core = leader(town)
-    running = [machine for machine in town.machines("core")]
+    running = list(town.machines("core"))
     return (
         core is not None
         and len(core.accord.members) == len(core.accord.chain.roster()) == seats
--- a/tests/allowance_scene.py
+++ b/tests/allowance_scene.py
@@ -5,7 +5,6 @@
 from random import Random
 from types import SimpleNamespace
 
-from sumachook.allowances.board import Board
 from sumachook.allowances.grantor import Grantor
 from sumachook.allowances.limiter import Limiter
 from sumachook.allowances.terms import Terms
--- a/tests/allowance_stories.py
+++ b/tests/allowance_stories.py
@@ -153,7 +153,7 @@
     offices.offer("shops", 13.0, 9, is_even=True).run(10)
     assert alone > 0.85 * 30 * 8
     assert not any(call.is_refused for call in offices.of("shops"))
-    beside = [call for call in let_in(offices, "audits", since=begun + SECOND, until=begun + 9 * SECOND)]
+    beside = list(let_in(offices, "audits", since=begun + SECOND, until=begun + 9 * SECOND))
     assert len(beside) < 8 * (30 - 13) * 1.25 and len(beside) > 8 * 9 * 0.9
     assert broken(offices, "shops") == []
 
--- a/tests/day_stories.py
+++ b/tests/day_stories.py
@@ -1,6 +1,6 @@
 """Days: midnight, wall clocks that jump, and which day's log a request stands in."""
 
-from datetime import datetime, timedelta, timezone
+from datetime import UTC, datetime, timedelta
 
 from tests.scene import settled, witness
 
@@ -17,7 +17,7 @@
     """Rule 12. Given traffic over midnight and an edge that is killed just before it, each call that was dropped is in the log of
     the day on which it came in, though it was found lost on the next."""
     town = settled(91, edges=4)
-    town.dawn = datetime(2026, 3, 3, tzinfo=timezone.utc) - town.now - timedelta(seconds=6)
+    town.dawn = datetime(2026, 3, 3, tzinfo=UTC) - town.now - timedelta(seconds=6)
     town.run(1)
     callers = town.call_in(3.0)
     town.run(4.6)
--- a/tests/provision_stories.py
+++ b/tests/provision_stories.py
@@ -71,7 +71,7 @@
 
     def add(self, name, area, models=()):
         self.stands[name] = EngineStandIn(
-            name, self.engine, {model: () for model in models} if not isinstance(models, dict) else models
+            name, self.engine, dict.fromkeys(models, ()) if not isinstance(models, dict) else models
         )
         self.state.servers[name] = {
             "service": "llm",
@@ -157,7 +157,7 @@
     # what edges say ------------------------------------------------------------------
 
     def want(self, *names, edge=EDGES[0], left=2000.0):
-        return self.give(("heard", edge, edge, ("want", {"llm": {name: (1, left) for name in names}})))
+        return self.give(("heard", edge, edge, ("want", {"llm": dict.fromkeys(names, (1, left))})))
 
     def use(self, names, edge=EDGES[0]):
         return self.give(("heard", edge, edge, ("usage", {"llm": names})))
@@ -606,7 +606,7 @@
 
 
 def test_news_is_small_and_an_idle_yard_is_asked_nothing():
-    yard = Yard(held={number: ("m0", "m1", "m2") for number in range(6)})
+    yard = Yard(held=dict.fromkeys(range(6), ("m0", "m1", "m2")))
     yard.run(timedelta(seconds=30))
     assert yard.records("order") == [] and yard.records("report") == []
     assert len([item for item in yard.told if item[1] == EDGES[0]]) <= 32
