An image of the state holds still while later changes are applied

Cause: State.image() handed out the live tables of duties and holdings. The log keeps the image under the number of its moment, and the disk's thread writes it later: both showed changes above that number, and a replica that replayed the entries after it refused placements that the others had taken. Change: the two tables that are changed in place are copied. The test was seen failing first.

--- a/sumachook/catalog/state.py
+++ b/sumachook/catalog/state.py
@@ -46,15 +46,16 @@
         self.requests, self.listed_at, self.taken = {}, 0, {}
 
     def image(self) -> dict:
+        """The state as it is now: what is applied later changes nothing in it, also when the disk's thread writes it then."""
         return {
             "number": self.number,
             "generation": self.generation,
             "doc": self.doc,
             "evacuated": self.evacuated,
             "servers": self.servers,
-            "duties": self.duties,
+            "duties": dict(self.duties),
             "pairs": self.pairs,
-            "held": self.held,
+            "held": dict(self.held),
             "roster": self.roster,
             "requests": tuple(self.requests.items()),
             "listedAt": self.listed_at,
@@ -255,3 +256,15 @@
     assert state.apply(4, ("servers", 0, {}))[0] == "refused" and state.listed_at == 3
     again.restore(state.image())
     assert again.image() == state.image() and again.catalogue == state.catalogue
+
+
+def test_an_image_is_of_its_moment_whatever_is_applied_after_it():
+    """A log is cut by an image and the disk's thread writes it later: neither may see changes above its number."""
+    state = State()
+    state.apply(1, ("servers", 0, {"v": {"area": "a"}}))
+    state.apply(2, ("duty-fill", "placer", "s", 1))
+    state.apply(3, ("held", 1, {"v": {"m": "ready"}}))
+    image, before = state.image(), msgspec.json.encode(state.image())
+    state.apply(4, ("held", 1, {"v": None}))
+    state.apply(5, ("duty-vacate", "placer", 1))
+    assert msgspec.json.encode(image) == before
