Membership: who is probed by a node it doesn't know asks it for its list; new seeds are asked at once

Cause: when all cores are restarted sooner than anybody calls them gone, their seeds tell them of each other alone; edges go on probing them and have no reason to knock. The story was seen failing first.

--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -59,6 +59,9 @@
         kind = message[0]
         if kind == "pulse":
             return self._pulse(now, message[1])
+        if kind == "seeds":  # asked at once: all that were known may be gone
+            self.seeds = tuple(message[1])
+            return self._knock()
         if kind == "leave":
             self.me.condition = LEFT
             self.spread[self.me.node] = 0
@@ -132,6 +135,10 @@
 
     def _on_probe(self, sender, address, body, now):
         out = self._read(body[2], now)
+        if (
+            sender not in self.members
+        ):  # it knows an earlier run of ours, so neither seeds nor silence bring us together
+            out.append(("cast", address, ("join", (self.me.news(),))))
         self.feed_heard = body[3]
         self.almanac.take(("vote", sender, body[4]), now)
         return out + [
--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -380,6 +380,21 @@
     assert town.run_until(lambda: edge.follower.trust(town.now) == "fresh", 20)
 
 
+def test_cores_that_were_all_restarted_at_once_know_every_edge_again_though_no_seed_tells_them():
+    """Given edges that run on and cores that are all killed and are back sooner than anybody calls them gone, the cores know every
+    edge again within the time that a machine needs to be in touch: by whom they are probed."""
+    town = settled(77, edges=6)
+    edges = {box.name for box in town.boxes.values() if box.role == "edge"}
+    for core in ("core-1", "core-2", "core-3"):
+        town.kill(core)
+    town.run(0.7)
+    for core in ("core-1", "core-2", "core-3"):
+        town.start(core)
+    assert town.run_until(
+        lambda: all(edges <= {member.node for member in core.membership.live} for core in town.machines("core")), 3
+    )
+
+
 def test_every_area_evacuated_refuses_everybody_and_one_restored_serves_again():
     """Given all areas evacuated, every call is refused as not run; when one is restored, its edges serve from its own servers."""
     from tests.scene import ask, quiet, witness
