Orders to servers that are given up reset their connections

Cause: an order whose timeout had passed was closed, not reset; a cut would hold its bytes and deliver them when it heals, from a holder that may hold nothing any more. Servers that check fences refuse it; others don't. Change: connections of orders are opened so that closing resets them (SO_LINGER of no time); lookups keep theirs.

--- a/sumachook/transport/fetcher.py
+++ b/sumachook/transport/fetcher.py
@@ -1,28 +1,43 @@
 """The HTTP client of a process: fetch effects become requests, what happens becomes messages."""
 
 import asyncio
+import socket
+import struct
 
 import aiohttp
 from assel import Parser
 
 MOST_BODY = 8 << 20
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # of SO_LINGER: on, for no time
+
+
+def _resetting_socket(address) -> socket.socket:
+    """A socket whose closing drops what was not delivered: an order that was given up is not carried out when a cut heals."""
+    family, kind, protocol, *_ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return opened
 
 
 class Fetcher:
     """Runs fetches, each in its own task; tells when the first byte may have gone out (§2.4).
 
     Prompts and orders get a fresh connection each, so that "connection refused" always means that nothing was sent;
-    lookups keep theirs, and never share one with a prompt; so do orders that name the count of orders they expect (§14.5).
+    lookups keep theirs, and never share one with a prompt; so do orders that name the count of orders they expect (§14.5), whose
+    connections are reset when they are given up.
     """
 
-    __slots__ = ("hear", "tasks", "fresh", "kept")
+    __slots__ = ("hear", "tasks", "fresh", "kept", "orders")
 
     def __init__(self, hear):
-        self.hear, self.tasks, self.fresh, self.kept = hear, {}, None, None
+        self.hear, self.tasks, self.fresh, self.kept, self.orders = hear, {}, None, None, None
 
     async def run(self):
         self.fresh = self._session(aiohttp.TCPConnector(force_close=True, limit=0))
         self.kept = self._session(aiohttp.TCPConnector(limit=0, keepalive_timeout=5))
+        self.orders = self._session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=5, socket_factory=_resetting_socket)
+        )
         try:
             await asyncio.Event().wait()
         finally:
@@ -30,6 +45,7 @@
                 task.cancel()
             await self.fresh.close()
             await self.kept.close()
+            await self.orders.close()
 
     def _session(self, connector):
         trace = aiohttp.TraceConfig()
@@ -56,7 +72,7 @@
 
     async def _fetch(self, effect):
         _, tid, method, url, headers, body, connect, total, mode = effect
-        session = self.kept if tid[0] in ("lookup", "provision") else self.fresh
+        session = {"lookup": self.kept, "provision": self.orders}.get(tid[0], self.fresh)
         timeout = aiohttp.ClientTimeout(total=total.total_seconds(), sock_connect=connect.total_seconds())
         try:
             async with session.request(
