--- a/sumachook/leases/leases.py
+++ b/sumachook/leases/leases.py
@@ -1,28 +1,52 @@
 """One core's part in the duties."""
 
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from random import Random
 
-LEASE = timedelta(seconds=2)
 ORDER_TIMEOUT = timedelta(seconds=2)
 DRIFT = timedelta(seconds=0.5)
-VACANT_AFTER = LEASE + ORDER_TIMEOUT + DRIFT
-RENEW = timedelta(seconds=0.4)
-BID_PAUSE = timedelta(seconds=0.5)
-FENCED_LEASE, FENCED_VACANT_AFTER, FENCED_RENEW = timedelta(seconds=1), timedelta(seconds=1.1), timedelta(seconds=0.25)
-FENCED_BID_PAUSE = timedelta(seconds=0.2)
 GIVEN_BACK = -1.0  # as the time at which a renewal was sent: there will be no more
 
 
+@dataclass(frozen=True, slots=True)
+class DutyTiming:
+    """How long a lease lasts from its renewal's sending, how long after the last renewal nobody else may be voted for (the same span
+    makes a duty vacant), and how often a holder renews and a candidate bids."""
+
+    lease: timedelta
+    vacant_after: timedelta
+    renew: timedelta
+    bid_pause: timedelta
+
+
+FENCED = DutyTiming(timedelta(seconds=1), timedelta(seconds=1.1), timedelta(seconds=0.25), timedelta(seconds=0.2))
+UNFENCED = DutyTiming(
+    timedelta(seconds=2), timedelta(seconds=2) + ORDER_TIMEOUT + DRIFT, timedelta(seconds=0.4), timedelta(seconds=0.5)
+)
+
+
+def draw_timing(is_fenced: bool, turn_gap: timedelta) -> DutyTiming:
+    """Servers that check fences refuse an old holder's orders themselves. Where they don't, the lease, an order under way and
+    `turn_gap`, the least time between orders of two holders, pass before a successor is voted for.
+
+    >>> draw_timing(False, timedelta(seconds=3)).vacant_after - draw_timing(False, timedelta(0)).vacant_after
+    datetime.timedelta(seconds=3)
+    >>> draw_timing(True, timedelta(seconds=3)) == FENCED
+    True
+    """
+    return FENCED if is_fenced else replace(UNFENCED, vacant_after=UNFENCED.vacant_after + turn_gap)
+
+
 class Leases:
     """Takes (message, now); reads the ordered duties of the state it is given (§6).
 
     In: ("pulse", isFresh, isLeading), ("heard", seat, address, message), ("quit",).
     Out: ("tell", address, message), ("propose", change), ("log", ...).
     `holds(duty, now)` is the fence while the lease runs, else 0.
-    `isFenced`: servers refuse lower fences, so no order's timeout has to pass before a vacancy. The margin that is left is thin, so
-    there a seat votes for a successor only when the last renewal that it answered has run out. A lease needs a majority's answers
-    and a successor a majority's votes, and any two majorities meet (§6.3).
+    A seat votes for a successor only when the last renewal that it answered has run out, with all that may be under way. A lease
+    needs a majority's answers and a successor a majority's votes, and any two majorities meet (§6.3). `isFenced`: servers refuse
+    lower fences, so neither an order's timeout nor `turn_gap` has to pass.
     """
 
     __slots__ = (
@@ -40,22 +64,17 @@
         "quitting",
         "known",
         "last_sent",
-        "lease",
-        "vacant_after",
-        "renew",
+        "timing",
         "is_fenced",
         "started_at",
         "answered_at",
-        "bid_pause",
     )
 
-    def __init__(self, seat: str, state, draw: Random, now, is_fenced: bool = False):
+    def __init__(
+        self, seat: str, state, draw: Random, now, is_fenced: bool = False, turn_gap: timedelta = timedelta(0)
+    ):
         self.seat, self.state, self.draw, self.is_fenced = seat, state, draw, is_fenced
-        self.lease, self.vacant_after, self.renew, self.bid_pause = (
-            (FENCED_LEASE, FENCED_VACANT_AFTER, FENCED_RENEW, FENCED_BID_PAUSE)
-            if is_fenced
-            else (LEASE, VACANT_AFTER, RENEW, BID_PAUSE)
-        )
+        self.timing = draw_timing(is_fenced, turn_gap)
         self.started_at, self.answered_at = now, {}  # what was answered before the start is not known
         self.leases, self.answers, self.renewed_at, self.votes, self.bids = {}, {}, {}, {}, {}
         self.next_renew, self.is_fresh, self.watched_since, self.quitting = now, False, now, False
@@ -86,7 +105,7 @@
         if not is_leading:
             self.watched_since = now
         if now >= self.next_renew:
-            self.next_renew = now + self.renew
+            self.next_renew = now + self.timing.renew
             out += self._renew(now)
         for duty, (holder, fence) in self.state.duties.items():
             if self.known.get(duty) != (holder, fence):
@@ -110,7 +129,7 @@
                 out += [("tell", address, ("renew", duty, fence, sent)) for address in self._others()]
                 self.renewed_at[duty] = self.answered_at[duty] = now
                 self._count(duty, fence, sent, now)
-        horizon = (now - self.lease).total_seconds()
+        horizon = (now - self.timing.lease).total_seconds()
         self.answers = {key: seats for key, seats in self.answers.items() if key[2] > horizon}
         return out
 
@@ -118,7 +137,7 @@
         _, duty, fence, sent = body
         if sent == GIVEN_BACK:
             if self.state.duties[duty][1] == fence:
-                self.answered_at[duty] = now - self.vacant_after * 2  # its leases are gone already
+                self.answered_at[duty] = now - self._given_back_span()
             return []
         if not self.is_fresh or self.state.fence(duty, seat) != fence:
             return []  # §6.2: a seat outside a working view prolongs nothing
@@ -134,14 +153,14 @@
 
     def _count(self, duty, fence, sent, now):
         if len(self.answers[(duty, fence, sent)]) >= self._most():
-            until = timedelta(seconds=sent) + self.lease  # from when it was sent, on our own clock
+            until = timedelta(seconds=sent) + self.timing.lease  # from when it was sent, on our own clock
             if self.leases.get(duty, (0, now))[0] != fence or self.leases[duty][1] < until:
                 self.leases[duty] = (fence, until)
 
     def _judge(self, duty, holder, fence, now):
         """§6.3: the leader declares a vacancy only when no order of the old holder can be under way."""
         silent_since = max(self.renewed_at.get(duty, now), self.watched_since)
-        if now - silent_since > self.vacant_after and self._may_send(("vacate", duty), now):
+        if now - silent_since > self.timing.vacant_after and self._may_send(("vacate", duty), now):
             note = (
                 "log",
                 "warning",
@@ -158,19 +177,21 @@
         self.leases.clear()
         mine = [(duty, fence) for duty, (holder, fence) in self.state.duties.items() if holder == self.seat]
         told = [
-            ("tell", address, ("renew", duty, fence, GIVEN_BACK))
-            for duty, fence in mine
-            for address in self._others()
-            if self.is_fenced
+            ("tell", address, ("renew", duty, fence, GIVEN_BACK)) for duty, fence in mine for address in self._others()
         ]
         return told + [("propose", ("duty-vacate", duty, fence)) for duty, fence in mine]
 
     def _may_vote(self, duty, now):
-        """§6.3: not before every lease that this seat helped to prolong is over."""
-        return not self.is_fenced or now - self.answered_at.get(duty, self.started_at) > self.vacant_after
+        """§6.3: not before every lease that this seat helped to prolong is over, and what was ordered under it has come or gone."""
+        was_held = self.state.duties[duty][1] > 0
+        return not was_held or now - self.answered_at.get(duty, self.started_at) > self.timing.vacant_after
+
+    def _given_back_span(self):
+        """How much of the wait a holder that gave its duty back has saved: its lease; where fences are checked, all of it."""
+        return self.timing.vacant_after * 2 if self.is_fenced else self.timing.lease
 
     def _may_send(self, what, now):
-        if now - self.last_sent.get(what, now - self.bid_pause * 9) < self.bid_pause:
+        if now - self.last_sent.get(what, now - self.timing.bid_pause * 9) < self.timing.bid_pause:
             return False
         self.last_sent[what] = now
         return True
@@ -192,7 +213,7 @@
         if self.votes.get(key, (self.seat, 0))[0] != self.seat and self.votes[key][1] >= round_:
             round_ = self.votes[key][1] + 1
         self.votes[key] = (self.seat, round_)
-        self.bids[duty] = (fence, round_, now + self.bid_pause * self.draw.uniform(1, 2), {self.seat})
+        self.bids[duty] = (fence, round_, now + self.timing.bid_pause * self.draw.uniform(1, 2), {self.seat})
         return [("tell", address, ("bid", duty, fence, round_)) for address in self._others()]
 
     def _on_bid(self, seat, address, body, now):
--- a/tests/duty_stories.py
+++ b/tests/duty_stories.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from sumachook.catalog.state import State
-from sumachook.leases.leases import Leases
+from sumachook.leases.leases import ORDER_TIMEOUT, Leases
 
 MS = timedelta(milliseconds=1)
 SEATS = ("s0", "s1", "s2")
@@ -18,8 +18,9 @@
     Seats outside nobody's view: all call themselves fresh unless told otherwise, which is harder than the ordered state allows.
     """
 
-    def __init__(self, seed, is_fenced):
+    def __init__(self, seed, is_fenced, turn_gap=timedelta(0)):
         self.draw, self.now, self.queue, self.order, self.is_fenced = Random(seed), timedelta(0), [], count(), is_fenced
+        self.turn_gap, self.spans = turn_gap, []  # [seat, first and last moment at which it was seen to hold the duty]
         self.states, self.changes, self.cuts, self.away, self.leader = {}, [], set(), set(), "s0"
         self.ordered, self.rotas, self.held, self.lag = State(), {}, [], lambda: MS * 3
         self._propose(("found", {seat: seat for seat in SEATS}))
@@ -33,7 +34,7 @@
             state.apply(number, change)
         self.states[seat], self.rotas[seat] = (
             state,
-            Leases(seat, state, Random(self.draw.random()), self.now, self.is_fenced),
+            Leases(seat, state, Random(self.draw.random()), self.now, self.is_fenced, self.turn_gap),
         )
 
     def _push(self, span, *event):
@@ -50,6 +51,10 @@
             getattr(self, "_" + event[0])(*event[1:])
             holders = [seat for seat in SEATS if self.rotas[seat].holds("placer", self.now)]
             assert len(holders) <= 1, (self.now, holders)
+            if holders and (not self.spans or self.spans[-1][0] != holders[0]):
+                self.spans.append([holders[0], self.now, self.now])
+            elif holders:
+                self.spans[-1][2] = self.now
             if holders and (not self.held or self.held[-1][1] != holders[0]):
                 self.held.append((self.now, holders[0]))
         self.now = until
@@ -78,8 +83,8 @@
         self._push(MS * 50, "pulse")
 
 
-def _storm(seed, is_fenced):
-    seats = Seats(seed, is_fenced)
+def _storm(seed, is_fenced, turn_gap=timedelta(0)):
+    seats = Seats(seed, is_fenced, turn_gap)
     draw = Random(seed + 1)
     seats.lag = lambda: MS * draw.choice((1, 2, 3, 10, 80, 300))
     for _ in range(60):
@@ -90,7 +95,9 @@
             seats.away = {draw.choice(SEATS)}  # frozen: its clock goes on
         elif luck < 0.7:
             seats.leader = draw.choice(SEATS)
-        elif luck < 0.8:
+        elif luck < 0.75:
+            seats.give(draw.choice(SEATS), ("quit",))  # it leaves in order, and starts again by and by
+        elif luck < 0.85:
             seats.start(draw.choice(SEATS))
         else:
             seats.cuts, seats.away = set(), set()
@@ -104,6 +111,19 @@
     assert changes > 120  # and it did change hands
 
 
+def test_orders_of_two_holders_never_come_within_the_turn_gap_where_servers_check_no_fences():
+    """Given the same storms and leavings in order, where servers don't check fences, no two leases run at once, and from the last moment of
+    one holder to the first of the next an order's timeout passes and the least time between two holders' orders as well."""
+    changes = 0
+    for seed in range(120):
+        gap = timedelta(seconds=3 * (seed % 2))
+        spans = _storm(seed, False, gap).spans
+        changes += len(spans) - 1
+        for (seat, _, last), (_, first, _) in zip(spans, spans[1:]):
+            assert first - last >= ORDER_TIMEOUT + gap, (seed, seat, last, first)
+    assert changes > 60  # and it did change hands
+
+
 def test_a_holder_that_falls_silent_is_followed_within_two_seconds():
     """A vacancy after 1.1 s, then votes; here a change is ordered as soon as it is proposed."""
     waits = []
