Settings: seeds by SIGHUP everywhere, what waits is named, no early SIGHUP kills; system packages

Cause: (1) a SIGHUP while a node was still importing ended it (Python's default); (2) the cores' way in to the consensus and an edge without members went on using the seeds of the start; (3) changed fields other than the seeds were passed over in silence, and so was a file that could not be read. The three tests of settings were seen failing first (exit by signal 1; nothing told; nothing asked).

--- a/sumachook/catalog/params.py
+++ b/sumachook/catalog/params.py
@@ -29,6 +29,9 @@
     front: str | None = None  # of an edge: where requests to be forwarded come in (§14.4)
     list_readers: Annotated[str, Meta(pattern="^(all|leader)$")] = "all"  # which cores read the platform's list (§9.1)
     fenced: bool = False  # whether servers refuse lower fences, so that a vacancy may be filled sooner (§6.3)
+    turn_gap: Annotated[float, Meta(ge=0, le=60)] = (
+        0.0  # least seconds between orders of two holders where they don't (§6.3)
+    )
     resend_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
     resend_slack: Annotated[float, Meta(ge=0, le=100000)] | None = (
         None  # resends over the ratio, all edges together (§7.7)
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -111,7 +111,9 @@
         me = (self.node, params.address, "core", params.area, boot, ALIVE, params.door, boot)
         self.almanac = Almanac(clock.wall, now)
         self.membership = Membership(me, params.seeds, Random(draw.random()), now, self.almanac)
-        self.leases = Leases(self.node, self.state, Random(draw.random()), now, params.fenced)
+        self.leases = Leases(
+            self.node, self.state, Random(draw.random()), now, params.fenced, timedelta(seconds=params.turn_gap)
+        )
         self.source = Source(self.state, self._other_cores, now, self.almanac, self.accord.fresh)
         self.placer, self.watcher = (
             Placer(self.state, now),
@@ -182,8 +184,7 @@
         if kind == "gone":
             return self.desk.take(message, now)
         if kind == "seeds":
-            self.membership.seeds = message[1]
-            return []
+            return self.membership.take(message, now)
         if kind == "garbage":
             self.ignored += 1
             return []
@@ -260,7 +261,7 @@
         return self.desk.take(("confirmed", self._live_nodes(), self._confirmed()), now) if self.desk.orders else []
 
     def _core_addresses(self):
-        return (*self.params.seeds, *(member.address for member in self.membership.live if member.role == "core"))
+        return (*self.membership.seeds, *(member.address for member in self.membership.live if member.role == "core"))
 
     def _live_boots(self):
         boots = {member.node: member.boot for member in self.membership.live}
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -144,8 +144,7 @@
         if kind == "http":
             return self._http(message, now)
         if kind == "seeds":
-            self.membership.seeds = message[1]
-            return []
+            return self.membership.take(message, now)
         if kind == "garbage":
             self.ignored += 1
             return []
@@ -212,7 +211,7 @@
     def _cores(self):
         """Addresses of live cores: rumoured ones first, else the roster's, else the seeds."""
         live = [member.address for member in self.membership.live if member.role == "core"]
-        return tuple(sorted(live) or sorted(self.state.roster.values()) or self.params.seeds)
+        return tuple(sorted(live) or sorted(self.state.roster.values()) or self.membership.seeds)
 
     def _paths(self):
         return (self.ferry, self.transit) if self.transit else (self.ferry,)
--- a/tests/platform_stories.py
+++ b/tests/platform_stories.py
@@ -5,15 +5,20 @@
 import json
 import os
 import re
+import signal
 import subprocess
 import sys
+import tomllib
 from datetime import timedelta
 from pathlib import Path
 from random import Random
 
 import pytest
 
-from sumachook.catalog.params import read_params
+from sumachook.catalog.params import Params, read_params
+from sumachook.nodes.core import Core
+from sumachook.nodes.edge import Edge
+from sumachook.runtime.clock import Clock
 from sumachook.simulation.city import Town
 from tests.scene import city, leader
 
@@ -63,6 +68,7 @@
 retry-budget-ratio = 0.2
 retry-budget-slack = 58
 fencing-checked = true
+lease-ms = 3000
 [cloud]
 address = "10.200.0.4:8142"
 rate-per-s = 47.0
@@ -253,7 +259,13 @@
         and edge.data is None
         and edge.founding == ()
     )
-    assert (edge.platform, edge.resend_ratio, edge.resend_slack, edge.fenced) == ("10.200.0.4:8142", 0.2, 58.0, True)
+    assert (edge.platform, edge.resend_ratio, edge.resend_slack, edge.fenced, edge.turn_gap) == (
+        "10.200.0.4:8142",
+        0.2,
+        58.0,
+        True,
+        3.0,
+    )
     assert zones == ("hall-a", "hall-b", "hall-c")
     core, _ = _params(CORE, "core")
     assert (core.door, core.data, core.front, core.founding) == ("10.1.0.15:8146", "/data/my-core", None, core.seeds)
@@ -399,6 +411,82 @@
     assert len(machine.heard) == 2
 
 
+def test_changed_settings_that_wait_for_the_next_start_are_named_and_so_is_a_file_that_cannot_be_used(tmp_path):
+    """Given a node that runs, when its file changes in more than its seeds, the fields that wait are named by the file's own names;
+    a file that is cut short or gone is told of, and nothing is handed to the machine."""
+
+    class Machine:
+        heard = ()
+
+        def take(self, message, now):
+            self.heard += (message,)
+            return []
+
+    file, machine = tmp_path / "settings.toml", Machine()
+    file.write_text(SETTINGS)
+    face = Face(machine, str(file))
+    assert face.take(("reload",), timedelta(0)) == [] and machine.heard == ()
+    file.write_text(
+        SETTINGS.replace("acknowledge-ms = 4000", "acknowledge-ms = 5000").replace("10.3.0.40", "10.3.0.41")
+    )
+    (told,) = face.take(("reload",), timedelta(0))
+    assert told[:3] == ("log", "warning", "settings") and told[4] == {"fields": ("bounds.acknowledge-ms",)}
+    assert machine.heard == (("seeds", ("10.1.0.15:7660", "10.2.0.25:7660", "10.3.0.41:7660")),)
+    file.write_text(SETTINGS[:300])
+    (told,) = face.take(("reload",), timedelta(0))
+    assert told[:2] == ("log", "warning") and told[4]["reason"]
+    file.unlink()
+    (told,) = face.take(("reload",), timedelta(0))
+    assert (
+        told[:2] == ("log", "warning") and told[4]["reason"] == "No such file or directory" and len(machine.heard) == 1
+    )
+
+
+def test_a_signal_before_the_host_listens_ends_no_process(tmp_path):
+    """Given a process that is still starting, a signal that its settings changed is ignored; the file is read after it."""
+    file = tmp_path / "settings.toml"
+    os.mkfifo(file)  # the node waits in its start until somebody writes
+    command = [sys.executable, str(Path(__file__).parent.parent / "platform" / "node.py"), "edge"]
+    process = subprocess.Popen(command, env={**os.environ, "SUMACHOOK_NODE_FILE": str(file)}, stderr=subprocess.PIPE)
+    with open(file, "wb") as opened:  # returns once the node has opened it as well
+        process.send_signal(signal.SIGHUP)
+        opened.write(b"node-name = 'n'")
+    told = process.communicate(timeout=60)[1]
+    assert process.returncode == 2 and b"ip-address: missing" in told
+
+
+@pytest.mark.parametrize("role", ["edge", "core"])
+def test_replaced_seeds_are_asked_at_once_and_the_old_ones_no_more(role):
+    """Given a node that knows nobody, when all its seeds are replaced, it knocks at the new ones at once, and only at them from then on."""
+    params = Params(
+        node="n1", address="127.0.0.1:1", door="127.0.0.1:2", area="east", seeds=("127.0.0.1:3", "127.0.0.1:4")
+    )
+    machine, now, second = (
+        {"edge": Edge, "core": Core}[role](params, {}, 1, Clock(), Random(1)),
+        Clock().mono(),
+        timedelta(seconds=1),
+    )
+    machine.take(("pulse",), now)
+    machine.take(("seat-ready",), now)
+    asked = {effect[1] for effect in machine.take(("seeds", ("127.0.0.1:5", "127.0.0.1:6")), now)}
+    assert asked == {"127.0.0.1:5", "127.0.0.1:6"}
+    told = [
+        effect[1]
+        for turn in range(100)
+        for effect in machine.take(("pulse",), now + turn * second / 20)
+        if effect[0] in ("tell", "cast")
+    ]
+    assert set(told) == {"127.0.0.1:5", "127.0.0.1:6"}
+
+
+def test_a_clean_build_needs_the_packages_that_the_deploy_file_lists_and_pinned_wheels_alone():
+    """Given the deploy file, its system packages are those of an interpreter and its installer, and all that it installs is pinned."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    assert deploy["packages"] == ["python3", "python3-pip"] and "python3 -m pip install" in deploy["build"]
+    lines = (ROOT / "requirements.txt").read_text().splitlines()
+    assert lines and all(re.fullmatch(r"[A-Za-z0-9_.-]+==[0-9][0-9.]*", line) for line in lines)
+
+
 # documents ------------------------------------------------------------------------------
 
 
