--- /dev/null
+++ b/harness/days.py
@@ -0,0 +1,192 @@
+"""python -m harness.days: plays the days under examples/days with the users' bench and prints what each one came to.
+
+The bench is no part of this repository: its path is an argument. Each run leaves an entry in journal/, as the bench writes it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import subprocess
+import sys
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+DEFAULT_DAYS = Path("examples/days")
+DEFAULT_OUTPUT = Path("target/days")
+DEFAULT_JOBS = 3
+SECONDS_PER_DAY = 3600
+UNPLAYED = "not played"
+NOT_IN_FORCE = "is not open"  # the bench's words for a trouble that the site's contracts leave out
+
+
+class Report(msgspec.Struct, rename="camel", forbid_unknown_fields=False):
+    """The fields of the bench's report that the table shows; `breaks` counts broken rules by their name."""
+
+    G: float
+    served: float
+    refused: float
+    failed: float
+    parts: list[tuple[str, float, float]]
+    breaks: dict[str, int] = {}
+    short: list[str] = []
+    fault: str | None = None
+    exits_n: int = 0
+    config_ack_ms: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One day on one site with one seed (None: the seed that the day names)."""
+
+    site: Path
+    day: Path
+    seed: int | None
+
+    @property
+    def name(self) -> str:
+        seed = "" if self.seed is None else f".{self.seed}"
+        return f"{self.site.stem}.{self.day.stem}{seed}"
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a run came to: its report, or why there is none."""
+
+    run: Run
+    report: Report | None
+    reason: str = ""
+
+    @property
+    def is_for_another_site(self) -> bool:
+        return self.report is None and NOT_IN_FORCE in self.reason
+
+    @property
+    def is_broken(self) -> bool:
+        if self.is_for_another_site:
+            return False
+        return self.report is None or bool(self.report.breaks) or self.report.fault is not None
+
+
+@dataclass(frozen=True, slots=True)
+class Player:
+    """Starts the bench: its path, where outputs go, and what is added to every call."""
+
+    bench: Path
+    output: Path
+    options: tuple[str, ...]
+    why: str
+
+    def play(self, run: Run) -> Outcome:
+        """Plays one day to its end; its printed sheet and its report stay in the output folder."""
+        report = self.output / f"{run.name}.json"
+        report.unlink(missing_ok=True)
+        command = [
+            str(self.bench),
+            "run",
+            str(run.site),
+            str(run.day),
+            "--jobs",
+            "1",
+            "--report",
+            str(report),
+            "--why",
+            self.why,
+        ]
+        if run.seed is not None:
+            command += ["--seed", str(run.seed)]
+        sheet = self.output / f"{run.name}.log"
+        with sheet.open("wb") as log:
+            try:
+                subprocess.run(
+                    [*command, *self.options],
+                    check=False,
+                    stdout=log,
+                    stderr=subprocess.STDOUT,
+                    timeout=SECONDS_PER_DAY,
+                )
+            except (OSError, subprocess.TimeoutExpired) as error:
+                return Outcome(run, None, str(error))
+        return read_outcome(run, report, sheet)
+
+
+def read_outcome(run: Run, report: Path, sheet: Path) -> Outcome:
+    """The outcome that a report file tells of; where it is missing or odd, the last line of the sheet says why."""
+    try:
+        return Outcome(run, msgspec.json.decode(report.read_bytes(), type=Report))
+    except msgspec.DecodeError as error:
+        return Outcome(run, None, f"{UNPLAYED}: {error}")
+    except OSError:
+        lines = sheet.read_text(errors="replace").splitlines() if sheet.exists() else []
+        return Outcome(run, None, f"{UNPLAYED}: {lines[-1] if lines else 'no sheet'}")
+
+
+def draw_runs(sites: Sequence[Path], days: Sequence[Path], seeds: Sequence[int]) -> Iterator[Run]:
+    """Every day on every site, with its own seed or with each of those given."""
+    for day in days:
+        for site in sites:
+            for seed in seeds or (None,):
+                yield Run(site, day, seed)
+
+
+def find_days(folder: Path, only: Sequence[str]) -> list[Path]:
+    """The day files of a folder whose names begin with one of the prefixes (with none given: all)."""
+    return [day for day in sorted(folder.glob("*.toml")) if not only or day.stem.startswith(tuple(only))]
+
+
+def describe(outcome: Outcome) -> str:
+    """One line of the table."""
+    report = outcome.report
+    if report is None:
+        return f"{outcome.run.name:<62} {outcome.reason}"
+    windows = next((value for name, _, value in report.parts if name == "worst windows"), 0.0)
+    broken = ", ".join(f"{rule} {count}" for rule, count in sorted(report.breaks.items())) or "none"
+    remarks = "; ".join([*([report.fault] if report.fault else []), *report.short])
+    slowest = "-" if report.config_ack_ms is None else f"{report.config_ack_ms:.0f}"
+    return (
+        f"{outcome.run.name:<62} {report.G:6.3f} {report.served:6.3f} {windows:7.3f} {report.refused:7.3f} {report.failed:6.3f} "
+        f"{slowest:>6} {report.exits_n:5d}  {broken}{'  ' + remarks if remarks else ''}"
+    )
+
+
+HEADER = f"{'site, day, seed':<62}  worth served windows refused failed ack ms exits  broken rules"
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m harness.days", description=__doc__)
+    parser.add_argument("--bench", type=Path, required=True, help="path of the bench's program")
+    parser.add_argument(
+        "--site", type=Path, action="append", required=True, help="a site file; may be given several times"
+    )
+    parser.add_argument("--days", type=Path, default=DEFAULT_DAYS, help="folder of day files")
+    parser.add_argument(
+        "--only", action="append", default=[], help="begin of the names of the days to play; several times"
+    )
+    parser.add_argument(
+        "--seed", type=int, action="append", default=[], help="other luck than the day's own; several times"
+    )
+    parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS, help="days played at once")
+    parser.add_argument("--out", type=Path, default=DEFAULT_OUTPUT, help="folder for sheets and reports")
+    parser.add_argument("--no-cpu", action="store_true", help="processor time is not counted")
+    parser.add_argument("--why", default="days of our own", help="line for the journal")
+    given = parser.parse_args(arguments)
+    days = find_days(given.days, given.only)
+    if not days:
+        parser.error(f"{given.days}: no day begins with {', '.join(given.only) or 'anything'}")
+    given.out.mkdir(parents=True, exist_ok=True)
+    player = Player(given.bench.absolute(), given.out.absolute(), ("--no-cpu",) if given.no_cpu else (), given.why)
+    print(HEADER)
+    broken = 0
+    with ThreadPoolExecutor(given.jobs) as pool:
+        for outcome in pool.map(player.play, draw_runs(given.site, days, given.seed)):
+            broken += outcome.is_broken
+            print(describe(outcome), flush=True)
+    print(f"{broken} with a broken rule, a fault or no report")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
