Simulation: cuts that deliver late what they held, as TCP does; power loss that keeps some writes

A cut of the in-memory fleet lost all that was sent during it. A real one holds it back: what lies in a connection's buffers arrives when the link heals, in order, unless the receiver's process ended or the sender gave the connection up (1.5 s without an acknowledgement). Fleet.cut(..., holds=True) and Fleet.heal(links) play that; datagrams are still lost, and a sender without power sends nothing more. Links can be slow one by one. harness.chaos draws late delivery for half of its cuts.

--- a/harness/chaos.py
+++ b/harness/chaos.py
@@ -47,7 +47,9 @@
         cuts = {(name, other) for other in rest} if kind != "deaf" else set()
         cuts |= {(other, name) for other in rest} if kind != "one way" else set()
         town.cuts |= cuts
-        undo.append((ends, lambda: town.cuts.difference_update(cuts)))
+        if draw.random() < 0.5:
+            town.holding |= cuts  # what is sent meanwhile comes late
+        undo.append((ends, lambda: town.heal(cuts)))
     elif kind == "stall":
         box.disk.stalled_until = ends
     elif kind == "slow":
--- a/sumachook/simulation/disk.py
+++ b/sumachook/simulation/disk.py
@@ -32,7 +32,10 @@
                 self.opened.update(record[1]["tag"] for record in records)
         return followup
 
-    def lose_power(self):
+    def lose_power(self, writes_kept=0):
+        """What was not synced is lost, but for so many of the oldest writes."""
+        for _ in range(min(writes_kept, len(self.pending))):
+            self.finish()
         self.pending.clear()
 
     def wipe(self):
--- a/sumachook/simulation/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -1,5 +1,6 @@
 """The in-memory fleet: every machine under one seeded virtual clock."""
 
+from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from heapq import heappop, heappush
 from random import Random
@@ -15,6 +16,7 @@
 PULSE = timedelta(seconds=0.05)
 START = datetime(2026, 3, 2, 6, 0, tzinfo=UTC)
 MOST_BUFFERED = 2000
+HELD_FOR = timedelta(seconds=1.5)  # what a cut held for longer is lost: its sender has given the connection up
 
 
 class BoxClock:
@@ -61,6 +63,20 @@
         self.buffer, self.boots, self.codec, self.is_gone, self.slow = [], 0, None, False, timedelta(0)
 
 
+class HeldMessage(msgspec.Struct, frozen=True):
+    """What a cut link keeps for its end, as TCP does for a connection that stays open."""
+
+    sent_at: timedelta
+    receiver: Box
+    receiver_life: int
+    deliver: Callable
+    arguments: tuple
+
+    def is_deliverable(self, now) -> bool:
+        """Whether the connection still stands: the same process at the other end, and not given up by the sender."""
+        return self.receiver.life == self.receiver_life and now - self.sent_at <= HELD_FOR
+
+
 class Exchange:
     """One HTTP request between two boxes."""
 
@@ -115,6 +131,9 @@
         "deaths",
         "reach",
         "dawn",
+        "holding",
+        "held",
+        "slow_links",
     )
 
     def __init__(self, seed: int, cluster: str = "fleet"):
@@ -123,6 +142,11 @@
         self.latest, self.exchanges, self.by_tid, self.logs = {}, {}, {}, []
         self.latency, self.tries, self.arrivals, self.deaths = (0.0005, 0.003), [], {}, []
         self.reach, self.dawn = Reach(self), START
+        self.holding, self.held = (
+            set(),
+            {},
+        )  # cut links that keep what is sent, and what they keep: link -> [HeldMessage]
+        self.slow_links = {}  # link -> what it adds to the latency
         self._later(LOOK_EVERY, self._look)
 
     # building ----------------------------------------------------------------------
@@ -146,19 +170,25 @@
         self.by_address[box.address] = self.by_door[box.door] = box
         self._later(PULSE * self.draw.random(), self._pulse, box, box.life)
 
-    def kill(self, name):
-        """The process ends at once; what its disk had not synced is lost."""
+    def kill(self, name, writes_kept=0):
+        """The process ends at once; of what its disk had not synced only the first `writes_kept` writes stay."""
         box = self.boxes[name]
         if box.machine is None:
             return
         box.machine, box.life = None, box.life + 1
         self.deaths.append((box.name, self.now))
-        box.disk.lose_power()
+        box.disk.lose_power(writes_kept)
         self._break_exchanges(box)
 
+    def lose_power(self, name, writes_kept=0):
+        """As `kill`, and what the machine had still to send is lost too."""
+        self.kill(name, writes_kept)
+        for link in [link for link in self.held if link[0] == name]:
+            del self.held[link]
+
     def vanish(self, name):
         """The machine is gone: nothing answers, not even a refusal."""
-        self.kill(name)
+        self.lose_power(name)
         self.boxes[name].is_gone = True
 
     def stop(self, name):
@@ -175,17 +205,29 @@
         for message in buffer:
             self._hand(box, message)
 
-    def cut(self, first, second, one_way=False):
-        """Boxes of `first` cannot reach those of `second`."""
-        for one in first:
-            for other in second:
-                if one != other:
-                    self.cuts.add((one, other))
-                    if not one_way:
-                        self.cuts.add((other, one))
+    def cut(self, first, second, one_way=False, holds=False):
+        """Boxes of `first` cannot reach those of `second`; gives the links that were cut.
+
+        With `holds` what is sent on connections that stand arrives late, in order, when the link heals, if it is not older than HELD_FOR by
+        then and its receiver still runs; datagrams are lost all the same. Else all that is sent is lost.
+        """
+        links = {(one, other) for one in first for other in second if one != other}
+        if not one_way:
+            links |= {(other, one) for one, other in links}
+        self.cuts |= links
+        if holds:
+            self.holding |= links
+        else:
+            self.holding -= links
+        return links
 
-    def heal(self):
-        self.cuts.clear()
+    def heal(self, links=None):
+        """Ends these cuts, or all; what they held comes first."""
+        healed = set(self.cuts if links is None else links)
+        self.cuts -= healed
+        self.holding -= healed
+        for link in sorted(healed & self.held.keys()):
+            self._later(timedelta(0), self._release, link)
 
     # time -----------------------------------------------------------------------------
 
@@ -237,20 +279,43 @@
         return (box.name, other.name) not in self.cuts and not other.is_gone
 
     def _send(self, box, other, call, *words):
-        """In order between two boxes, after the wire's latency; lost where they are cut off."""
+        """In order between two boxes, after the wire's latency; lost or held where they are cut off."""
+        self._pass_on(box, other, True, call, words)
+
+    def _send_datagram(self, box, other, call, *words):
+        """As `_send`, but never held."""
+        self._pass_on(box, other, False, call, words)
+
+    def _pass_on(self, box, other, is_connected, call, words):
         at = self.now + timedelta(seconds=self.draw.uniform(*self.latency))
         key = (box.name, other.name)
+        at += self.slow_links.get(key, timedelta(0))
         at = self.latest[key] = max(at, self.latest.get(key, at))
-        self._later(at - self.now, self._arrive, key, other, call, words)
+        self._later(at - self.now, self._arrive, key, other, is_connected, call, words)
 
-    def _arrive(self, key, other, call, words):
+    def _arrive(self, key, other, is_connected, call, words):
         exchange = words[0] if isinstance(words[0], Exchange) else None
-        if key in self.cuts or other.is_gone:
+        is_held = is_connected and not other.is_gone and (key in self.holding if key in self.cuts else key in self.held)
+        if is_held:
+            self.held.setdefault(key, []).append(HeldMessage(self.now, other, other.life, call, words))
+        elif key in self.cuts or other.is_gone:
             if exchange is not None:
                 exchange.is_broken = True  # a connection that lost something says nothing more
         elif exchange is None or not exchange.is_broken:
             call(*words)
 
+    def _release(self, link):
+        """Delivers what a link held that has healed, but for what was given up meanwhile."""
+        if link in self.cuts:
+            return  # cut again before anything came through
+        for message in self.held.pop(link, ()):
+            exchange = message.arguments[0] if isinstance(message.arguments[0], Exchange) else None
+            if not message.is_deliverable(self.now):
+                if exchange is not None:
+                    exchange.is_broken = True
+            elif exchange is None or not exchange.is_broken:
+                message.deliver(*message.arguments)
+
     # effects --------------------------------------------------------------------------
 
     def _do(self, box, effect):
@@ -275,7 +340,8 @@
         if other is None or (is_cast and self.draw.random() < self.loss):
             return
         raw = box.codec.pack(message)
-        self._send(box, other, self._heard, other, raw)
+        send = self._send_datagram if is_cast else self._send
+        send(box, other, self._heard, other, raw)
 
     def _heard(self, other, raw):
         parcel = read_parcel(self.cluster, raw)
--- a/sumachook/simulation/storm.py
+++ b/sumachook/simulation/storm.py
@@ -219,7 +219,7 @@
         town, before = self.town, set(self.town.cuts)
         town.cut(first, second, one_way)
         added = town.cuts - before
-        self._later(lasts, lambda: town.cuts.difference_update(added))
+        self._later(lasts, lambda: town.heal(added))
 
     def _fault_isolate(self, lasts):
         box = self._one("edge", "core")
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -54,6 +54,12 @@
     return town.inside(name)
 
 
+def cut_late(town, name, others=None, one_way=False):
+    """Cuts a core off from the others (all, or those named) with late delivery; gives the links, for `town.heal`."""
+    rest = others or [box.name for box in town.boxes.values() if box.role == "core" and box.name != name]
+    return town.cut([name], rest, one_way, holds=True)
+
+
 def outcomes(callers, **wanted) -> list:
     return [call for call in callers.calls if all(getattr(call, name) == value for name, value in wanted.items())]
 
