--- a/sumachook/fault.py
+++ b/sumachook/fault.py
@@ -16,6 +16,7 @@
         self.layer, self.name, self.reason = layer, name, reason
 
     def because(self, reason: str) -> "Fault":
+        """The same fault, with the reason for which it came about this time."""
         return Fault(self.layer, self.name, reason)
 
     def __bool__(self) -> bool:
--- a/tests/allowance_city_stories.py
+++ b/tests/allowance_city_stories.py
@@ -10,7 +10,7 @@
 
 from harness.twins import LOOKUP_SLACK, PROMPT_SLACK
 from sumachook.catalog.catalogue import merge, read_catalogue
-from sumachook.main import Show
+from sumachook.cli.operator import Show
 from sumachook.simulation.city import Town
 from sumachook.simulation.town_shares import TownShares
 from tests.scene import ask, box_of, city, group, is_held, leader, quiet, settled, witness
