--- a/harness/breaches.py
+++ b/harness/breaches.py
@@ -163,7 +163,7 @@
     (
         5,
         "a changed route is not checked against what others match",
-        "    if len(routes) != len(revision.items.documents):\n        raise _Unproven\n",
+        "    if len(routes) != len(revision.items.documents):\n        raise _UnprovenError\n",
         "",
         CHECKED,
         "any_sequence",
--- a/sumachook/catalog/checked_document.py
+++ b/sumachook/catalog/checked_document.py
@@ -67,7 +67,7 @@
 Checked = tuple[CheckedDocument | None, tuple[PathFault, ...]]
 
 
-class _Unproven(Exception):
+class _UnprovenError(Exception):
     """The difference alone does not show that the wanted document is valid."""
 
 
@@ -115,7 +115,7 @@
     if base is not None and isinstance(wanted, dict):
         try:
             return _revise(base, wanted), ()
-        except _Unproven:
+        except _UnprovenError:
             pass
     return check_document(wanted)
 
@@ -130,7 +130,7 @@
     }
     for field in changed:
         if field not in FIELDS:
-            raise _Unproven
+            raise _UnprovenError
         if field in ITEM_TYPES and field in wanted:
             revisions[field] = _revise_part(base.items[field], wanted[field], ITEM_TYPES[field], BOUNDS[field])
             if revisions[field].items is base.items[field]:
@@ -139,7 +139,7 @@
                 continue
             values[FIELDS[field].name] = revisions[field].items.values
         elif field in ITEM_TYPES:
-            raise _Unproven  # a whole list is gone; rare enough to be read whole
+            raise _UnprovenError  # a whole list is gone; rare enough to be read whole
         else:
             values[FIELDS[field].name] = _read_field(wanted, field)
     changed -= {field for field in ITEM_TYPES if field not in revisions}
@@ -160,11 +160,11 @@
     declared = FIELDS[field]
     if field not in wanted:
         if declared.required:
-            raise _Unproven
+            raise _UnprovenError
         return declared.default if declared.default_factory is msgspec.NODEFAULT else declared.default_factory()
     value = wanted[field]
     if field in BOUNDS and isinstance(value, (list, tuple)) and len(value) > BOUNDS[field]:
-        raise _Unproven
+        raise _UnprovenError
     return _convert(value, declared.type)
 
 
@@ -172,12 +172,12 @@
     try:
         return msgspec.convert(document, declared)
     except msgspec.ValidationError as error:
-        raise _Unproven from error
+        raise _UnprovenError from error
 
 
 def _revise_part(held: NamedItems, wanted: Any, declared: type, bound: int) -> PartRevision:
     if not isinstance(wanted, (list, tuple)) or len(wanted) > bound:
-        raise _Unproven
+        raise _UnprovenError
     count = len(held.documents)
     differing = [*_differing_places(wanted, held.documents), *range(count, len(wanted))]
     documents = wanted if isinstance(wanted, list) else list(wanted)
@@ -231,7 +231,7 @@
         for place in moved:
             names[values[place].name] = place
     if len(names) != len(values):
-        raise _Unproven
+        raise _UnprovenError
     return names
 
 
@@ -255,7 +255,7 @@
 
 def _prove(faults) -> None:
     if next(iter(faults), None) is not None:
-        raise _Unproven
+        raise _UnprovenError
 
 
 def _concerns_tenants(base: CheckedDocument, routes: PartRevision | None) -> bool:
@@ -281,5 +281,5 @@
     for change in revision.changes:
         routes[route_key(change.document)] = change.value
     if len(routes) != len(revision.items.documents):
-        raise _Unproven
+        raise _UnprovenError
     return routes
--- a/tests/checked_document_stories.py
+++ b/tests/checked_document_stories.py
@@ -171,7 +171,7 @@
             max_size=2,
         )
     )
-    return part, {field: names for field in ITEMS} if names else {}
+    return part, dict.fromkeys(ITEMS, names) if names else {}
 
 
 @settings(max_examples=250, deadline=None, derandomize=True)
