--- a/tests/placement_stories.py
+++ b/tests/placement_stories.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import pytest
+
 from tests.scene import ask, is_held, leader, outcomes, quiet, settled, witness
 
 
@@ -199,6 +201,23 @@
         assert len(callers.calls) > 300 and town.arrivals["stamps-1"], how
 
 
+@pytest.mark.parametrize("away", [0.7, 6.0])
+def test_a_leaving_that_was_listed_while_no_core_was_up_is_known_everywhere_once_the_machines_are_in_touch(away):
+    """Rule 4. Given all cores down, for a moment or for long, when the platform lists servers as leaving meanwhile, every edge has
+    taken them out within the three seconds after the cores' start, when the rule binds it again."""
+    town = settled(79, edges=6, list_readers="leader", fenced=True)
+    cores, leaving = ("core-1", "core-2", "core-3"), ("stamps-1", "model-1")
+    for core in cores:
+        town.kill(core)
+    for name in leaving:
+        town.boxes["platform"].machine.servers[name]["leaving"] = True
+    town.run(away)
+    for core in cores:
+        town.start(core)
+    edges = town.machines("edge")
+    assert town.run_until(lambda: all(edge.state.servers[name]["leaving"] for edge in edges for name in leaving), 3)
+
+
 def test_list_that_lacks_everything_does_not_wipe_the_fleet():
     """Given a platform whose list is empty, then junk, for eight seconds, every call goes on being answered."""
     town = settled(78)
