--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -1,7 +1,7 @@
 """Three replicas that agree on the order of changes, with nothing but the coordination parts.
 
 `Replica` is a pure machine: you bring the clock, the wire and the disk. Here all three are a few lines; in a program of
-yours they would be sockets and a file.
+yours they would be sockets and a `storage.folder.DataFolder`.
 
 >>> for number, texts in sorted(main().items()):
 ...     print(number, texts)
--- a/harness/chaos.py
+++ b/harness/chaos.py
@@ -184,7 +184,9 @@
 
     def trouble(self, box, lasts):
         """One fault at a core, disks kept, with what ends it."""
-        kind = self.draw.choice(("kill", "freeze", "cut", "held cut", "one way", "deaf", "stall", "slow disk", "stop"))
+        kind = self.draw.choice(
+            ("kill", "freeze", "cut", "held cut", "one way", "deaf", "stall", "full disk", "slow disk", "stop")
+        )
         town, name, ends = self.town, box.name, self.town.now + timedelta(seconds=lasts)
         rest = [other.name for other in _cores(town) if other is not box]
         if kind in ("kill", "stop") and box.machine is not None:
@@ -201,6 +203,8 @@
             self.undo.append((ends, lambda: town.heal(links & town.cuts)))
         elif kind == "stall":
             box.disk.stalled_until = ends
+        elif kind == "full disk":
+            box.disk.refuses_until = ends
         elif kind == "slow disk":
             box.disk.delay = timedelta(seconds=self.draw.uniform(0.002, 0.3))
             self.undo.append((ends, lambda: setattr(box.disk, "delay", DISK_DELAY)))
@@ -218,6 +222,7 @@
         self.town.heal()
         for box in _cores(self.town):
             box.disk.delay, box.disk.stalled_until = DISK_DELAY, self.town.now
+            box.disk.refuses_until = self.town.now
             if box.machine is None or box.machine.stop_at is not None:
                 self._restart(box)
 
--- a/harness/costs.py
+++ b/harness/costs.py
@@ -33,10 +33,10 @@
             self.counts[box.role, "bytes"] += len(box.codec.pack(message))
             self.tell(fleet, box, address, message, is_cast)
 
-        def synced(fleet, box, life, count):
+        def synced(fleet, box, life):
             if box.life == life:
-                self.counts[box.role, "syncs"] += len({item[1] for item in box.disk.pending[:count]})
-            self.synced(fleet, box, life, count)
+                self.counts[box.role, "syncs"] += 1
+            self.synced(fleet, box, life)
 
         Fleet._tell, Fleet._synced = tell, synced
 
--- a/harness/scale/hollow_fleet.py
+++ b/harness/scale/hollow_fleet.py
@@ -56,7 +56,7 @@
         self.add(
             name,
             role,
-            lambda box: make(params, box.disk.files, box.boots, box.clock, Random(self.draw.random())),
+            lambda box: make(params, box.records, box.boots, box.clock, Random(self.draw.random())),
             params.area,
             params.address,
             params.door,
--- a/harness/scale/host.py
+++ b/harness/scale/host.py
@@ -22,8 +22,10 @@
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.edge import Edge
 from sumachook.nodes.logs import Logs
+from sumachook.nodes.serve import open_folder
 from sumachook.runtime.clock import Clock
-from sumachook.storage.folder import Folder
+from sumachook.storage.file_system import RealFileSystem
+from sumachook.storage.folder import DataFolder
 
 TURN, STARTS_A_SECOND = 0.02, 20
 PARTS = {
@@ -68,8 +70,9 @@
             if role == "edge":
                 self.edges.append(HollowEdge(Edge(params, {}, boot, clock, draw), clock, CLUSTER))
                 continue
-            folder, logs = Folder(work / name), Logs(name, "warning")
-            machine = Core(params, {file: folder.load(file) for file in ("consensus", "ledger")}, boot, clock, draw)
+            logs = Logs(name, "warning")
+            folder = DataFolder(RealFileSystem(work / name))
+            machine = Core(params, open_folder(folder, logs.log).records, boot, clock, draw)
             self.core = Daemon(machine, clock, logs.log, params.door, params.address, CLUSTER, folder)
         for machine in self._machines():
             machine.membership.members = {
--- a/sumachook/leases/leases.py
+++ b/sumachook/leases/leases.py
@@ -41,7 +41,7 @@
 class Leases:
     """Takes (message, now); reads the ordered duties of the state it is given (§6).
 
-    In: ("pulse", isFresh, isLeading), ("heard", seat, address, message), ("quit",).
+    In: ("pulse", isFresh, isLeading), ("heard", seat, address, message), ("quit",), ("resume",).
     Out: ("tell", address, message), ("propose", change), ("log", ...).
     `holds(duty, now)` is the fence while the lease runs, else 0.
     A seat votes for a successor only when the last renewal that it answered has run out, with all that may be under way. A lease
@@ -62,6 +62,7 @@
         "is_fresh",
         "watched_since",
         "quitting",
+        "given_back",
         "known",
         "last_sent",
         "timing",
@@ -79,11 +80,13 @@
         self.leases, self.answers, self.renewed_at, self.votes, self.bids = {}, {}, {}, {}, {}
         self.next_renew, self.is_fresh, self.watched_since, self.quitting = now, False, now, False
         self.known, self.last_sent = {}, {}
+        self.given_back = {}  # duty -> the fence under which this seat will never hold it again
 
     def holds(self, duty: str, now) -> int:
         fence = self.state.fence(duty, self.seat)
         leased_fence, until = self.leases.get(duty, (0, now))
-        return fence if fence and leased_fence == fence and now < until and not self.quitting else 0
+        is_held = fence and leased_fence == fence and now < until and not self._has_given_back(duty, fence)
+        return fence if is_held and not self.quitting else 0
 
     def take(self, message: tuple, now) -> list:
         kind = message[0]
@@ -91,6 +94,9 @@
             return self._pulse(message[1], message[2], now)
         if kind == "quit":
             return self._quit()
+        if kind == "resume":
+            self.quitting = False
+            return []
         return getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
 
     def _most(self):
@@ -113,6 +119,8 @@
                 self.renewed_at[duty] = now
             if not holder and is_fresh and not self.quitting and self.state.roster:
                 out += self._bid(duty, fence + 1, now)
+            elif holder == self.seat and is_fresh and self._has_given_back(duty, fence):
+                out += self._give_back_again(duty, fence, now)
             elif holder and is_leading:
                 out += self._judge(duty, holder, fence, now)
         return out
@@ -123,7 +131,7 @@
         out = []
         for duty in self.state.duties:
             fence = self.state.fence(duty, self.seat)
-            if fence and not self.quitting:
+            if fence and not self.quitting and not self._has_given_back(duty, fence):
                 sent = now.total_seconds()
                 self.answers[(duty, fence, sent)] = {self.seat} if self.is_fresh else set()
                 out += [("tell", address, ("renew", duty, fence, sent)) for address in self._others()]
@@ -172,15 +180,26 @@
         return []
 
     def _quit(self):
-        """On leaving, duties are given back at once; no order goes out after this."""
+        """On leaving, duties are given back at once; no order goes out after this, nor until `resume`."""
         self.quitting = True
         self.leases.clear()
         mine = [(duty, fence) for duty, (holder, fence) in self.state.duties.items() if holder == self.seat]
+        self.given_back |= dict(mine)
         told = [
             ("tell", address, ("renew", duty, fence, GIVEN_BACK)) for duty, fence in mine for address in self._others()
         ]
         return told + [("propose", ("duty-vacate", duty, fence)) for duty, fence in mine]
 
+    def _has_given_back(self, duty, fence) -> bool:
+        """What was given back stays so after a `resume`: others may have stopped counting the old lease."""
+        return fence <= self.given_back.get(duty, 0)
+
+    def _give_back_again(self, duty, fence, now):
+        """The first word may have been lost; nobody else could tell for a while."""
+        if not self._may_send(("vacate", duty), now):
+            return []
+        return [("propose", ("duty-vacate", duty, fence))]
+
     def _may_vote(self, duty, now):
         """§6.3: not before every lease that this seat helped to prolong is over, and what was ordered under it has come or gone."""
         was_held = self.state.duties[duty][1] > 0
--- a/sumachook/ledger/keeper.py
+++ b/sumachook/ledger/keeper.py
@@ -1,13 +1,18 @@
 """The keeping end of the ledger, in each core."""
 
+import re
 from datetime import timedelta
 
+import msgspec
+
 from sumachook.ledger.ranges import keepers_of, range_key
 
 FILE = "ledger"
 LOST, OPEN = "lost", "open"
+UNKNOWN_DAY = "0000-00-00"
 LOST_AFTER = timedelta(seconds=3)
-MOST_STORED = 20000
+MOST_STORED, MOST_STORED_BYTES = 20000, 12 << 20  # the file is rewritten when it is past either
+DAY = re.compile(r"\d{4}-\d\d-\d\d")
 
 
 class Keeper:
@@ -31,6 +36,8 @@
         "next_sweep",
         "open_rows",
         "rewriting",
+        "stored_bytes",
+        "rewrite_at",
     )
 
     def __init__(self, seat, almanac, retention, records, now):
@@ -38,9 +45,10 @@
         self.rows, self.keys, self.hints, self.away_since, self.open_rows = {}, {}, {}, {}, {}
         self.next_hand = self.next_sweep = now
         self.roster, self.stored, self.rewriting = {}, 0, False
+        self.stored_bytes, self.rewrite_at = 0, (MOST_STORED, MOST_STORED_BYTES)
         for record in records:
             self._keep(record[1], record[2])
-            self.stored += 1
+        self._count(records)
 
     def take(self, message: tuple, now) -> list:
         kind = message[0]
@@ -122,7 +130,7 @@
 
     def _write(self, fresh, reply):
         records = tuple(("row", record, hint) for record, hint in fresh)
-        self.stored += len(records)
+        self._count(records)
         return self._journal(fresh) + [("disk", FILE, records, ("keeper-synced", reply))]
 
     def _journal(self, fresh):
@@ -130,22 +138,42 @@
         days = {}
         for record, _ in fresh:
             row = self.rows.get(record["request"], record)
-            days.setdefault(row["openedAt"][:10], []).append(row)
+            day = row["openedAt"][:10]  # an edge's word; it becomes the name of a file
+            days.setdefault(day if DAY.fullmatch(day) else UNKNOWN_DAY, []).append(row)
         return [("journal", f"day-{day}.jsonl", tuple(rows)) for day, rows in days.items()]
 
     def _synced(self, message, now):
         if message[1] is None:
             self.rewriting = False
             return []
-        out = [message[1]]
-        if self.stored > MOST_STORED and not self.rewriting:
-            self.rewriting = True
-            closed = [row for row in self.rows.values() if row["state"] != OPEN]
-            kept = closed[-MOST_STORED // 4 :] + list(self.open_rows.values())
-            self.stored = len(kept)
-            rows = tuple(("row", row, tuple(self.hints.get(row["request"], ()))) for row in kept)
-            out.append(("rewrite", FILE, rows, ("keeper-synced", None)))
-        return out
+        return [message[1], *self._rewrite()]
+
+    def _count(self, records):
+        self.stored += len(records)
+        self.stored_bytes += sum(len(msgspec.json.encode(record)) for record in records)
+
+    def _rewrite(self):
+        """Bounds the file by rows and by bytes: open rows stay, and of the closed ones the newest, a quarter of the bound."""
+        if self.rewriting or (self.stored <= self.rewrite_at[0] and self.stored_bytes <= self.rewrite_at[1]):
+            return []
+        self.rewriting = True
+        rows = [self._row(row) for row in self.open_rows.values()]
+        self.stored = self.stored_bytes = 0
+        self._count(rows)
+        most_rows, most_bytes = self.stored + MOST_STORED // 4, self.stored_bytes + MOST_STORED_BYTES // 4
+        closed = []
+        for row in reversed(self.rows.values()):
+            if row["state"] == OPEN:
+                continue
+            if self.stored >= most_rows or self.stored_bytes >= most_bytes:
+                break
+            closed.append(self._row(row))
+            self._count(closed[-1:])
+        self.rewrite_at = (max(MOST_STORED, 2 * self.stored), max(MOST_STORED_BYTES, 2 * self.stored_bytes))
+        return [("rewrite", FILE, (*reversed(closed), *rows), ("keeper-synced", None))]
+
+    def _row(self, row):
+        return ("row", row, tuple(self.hints.get(row["request"], ())))
 
     # lost rows and repair ---------------------------------------------------------
 
--- a/sumachook/ledger/quill.py
+++ b/sumachook/ledger/quill.py
@@ -6,6 +6,7 @@
 from sumachook.ledger.ranges import keepers_of, range_key
 
 MOST_WAITING = 20000
+MOST_SPOOLED = 40000  # rows in the file; twice what may wait, so that a rewrite is rare
 RESEND = timedelta(seconds=0.3)
 MOST_A_PARCEL = 100
 CARRY_AFTER = timedelta(seconds=0.8)
@@ -32,13 +33,13 @@
 class Quill:
     """Takes (message, now) (§11.1).
 
-    In: ("open", record, isSafe), ("close", record), ("behind", record, isClose), ("pulse", roster, liveSeats, carriers),
+    In: ("open", record, isSafe), ("close", record), ("behind", record, isClose), ("pulse", roster, liveSeats, carriers), ("disk", whether it takes records),
     ("heard", seat, address, message).
     Out: ("tell", address, message), ("recorded", request), ("unrecorded", request, fault), ("duplicate", request, first);
     with a disk also ("disk" | "rewrite", "spool", records, None) for what waits too long for its keepers.
     """
 
-    __slots__ = ("entries", "roster", "live", "lost", "has_disk", "spooled")
+    __slots__ = ("entries", "roster", "live", "lost", "has_disk", "spooled", "rows_in_file")
 
     HINT_AFTER = timedelta(seconds=0.15)
     SAFE_WAIT = timedelta(seconds=0.4)
@@ -47,6 +48,7 @@
 
     def __init__(self, has_disk: bool, spool, now):
         self.entries, self.roster, self.live, self.lost, self.has_disk, self.spooled = {}, {}, set(), 0, has_disk, set()
+        self.rows_in_file = len(spool)
         for _, record, is_close in spool:  # what an earlier run of this node could not hand in
             entry = self.entries[(record["request"], is_close)] = Entry(record, is_close, True, now)
             entry.settled = True
@@ -58,6 +60,9 @@
             return self._start(message, now)
         if kind == "behind":
             return self._write_behind(message[1], message[2], now)
+        if kind == "disk":
+            self.has_disk = message[1]
+            return []
         if kind == "pulse":
             self.roster, self.live = message[1], message[2]
             return self._pulse(message[3], now)
@@ -145,11 +150,26 @@
             for key, entry in self.entries.items()
             if key not in self.spooled and now - entry.started_at > self.SPOOL_AFTER
         ]
+        if (
+            late and self.rows_in_file + len(late) > MOST_SPOOLED
+        ):  # what was handed in meanwhile stays in the file until then
+            self.spooled = set(self.entries)
+            self.rows_in_file = len(self.entries)
+            return [
+                (
+                    "rewrite",
+                    "spool",
+                    tuple(("row", entry.record, entry.is_close) for entry in self.entries.values()),
+                    None,
+                )
+            ]
         if late:
             self.spooled.update(key for key, _ in late)
+            self.rows_in_file += len(late)
             return [("disk", "spool", tuple(("row", entry.record, entry.is_close) for _, entry in late), None)]
         if self.spooled and not self.spooled & set(self.entries):
             self.spooled.clear()
+            self.rows_in_file = 0
             return [("rewrite", "spool", (), None)]
         return []
 
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -72,6 +72,7 @@
         "provisioner",
         "grantor",
         "board",
+        "is_disk_taking",
     )
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random, list_port=None, server_port=None):
@@ -103,7 +104,7 @@
         self.leases = Leases(
             self.node, self.state, Random(draw.random()), now, params.fenced, timedelta(seconds=params.turn_gap)
         )
-        self.source = Source(self.state, self._other_cores, now, self.almanac, self.consensus.is_fresh)
+        self.source = Source(self.state, self._other_cores, now, self.almanac, self._is_fresh)
         self.placer, self.watcher = (
             Placer(self.state, now),
             Watcher(self.state, params.platform, now, list_port, params.list_readers),
@@ -114,8 +115,11 @@
         self.grantor, self.board = Grantor(self.state, now), Board(self.state)
         self.desk = Desk(timedelta(seconds=params.confirm_within), timedelta(seconds=params.order_within))
         self.stop_at, self.may_end_at, self.has_departed, self.ignored = None, now, False, 0
+        self.is_disk_taking = True
 
     def take(self, message: tuple, now) -> list:
+        if message[0] == "disk-state":
+            return self._take_disk_state(message, now)
         if self.is_new:
             self.is_new = False
             return [("disk", LOG_FILE, (("seat", self.node),), ("seat-ready",))]
@@ -156,6 +160,10 @@
 
     def _dispatch(self, message, now):
         kind = message[0]
+        if not self.is_disk_taking and kind == "read":
+            return [("unreadable", message[1], None)]
+        if not self.is_disk_taking and self._needs_disk(message):
+            return []
         if kind == "heard":
             return self._heard(message, now)
         if kind == "pulse":
@@ -202,6 +210,34 @@
             return []
         return []  # a refused proposal is made again by who made it
 
+    # a disk that takes no records (§13.4) --------------------------------------------
+
+    def _take_disk_state(self, message, now):
+        """While the disk takes no records this core is in no view, holds no duty and keeps no rows; it goes on running."""
+        if message.is_taking:
+            self.is_disk_taking = True
+            return [] if self.stop_at is not None else self.leases.take(("resume",), now)
+        effects = self.leases.take(("quit",), now)
+        orders = [effect for effect in effects if effect[0] == "propose"]
+        out = [effect for effect in effects if effect[0] != "propose"]
+        if self.consensus.role == "leading":
+            out += self.consensus.take(("step-back",), now)  # the others need not wait for its silence
+        else:
+            for order in orders:
+                out += self.consensus.take(order, now)
+        self.is_disk_taking = False
+        return out
+
+    def _needs_disk(self, message) -> bool:
+        """What would have to be written, or promised, before it is answered. Who sent it takes us for one that is cut off."""
+        kind = message[0]
+        return kind in ("propose", "compact") or (kind == "heard" and message[3][0] in CONSENSUS.keys() | TALLY)
+
+    def _is_fresh(self, now) -> bool:
+        return self.is_disk_taking and self.consensus.is_fresh(now)
+
+    # messages ----------------------------------------------------------------------
+
     def _heard(self, message, now):
         kind = message[3][0]
         if kind in MEMBERSHIP:
@@ -246,9 +282,11 @@
         return out
 
     def _pulse(self, now):
-        is_fresh, is_leading = self.consensus.is_fresh(now), self.consensus.role == "leading"
+        is_fresh, is_leading = self._is_fresh(now), self.is_disk_taking and self.consensus.role == "leading"
         out = self.membership.take(("pulse", self.state.number if is_fresh else 0), now)
-        out += self.consensus.take(("pulse", self._core_addresses()), now)
+        if self.is_disk_taking:
+            out += self.consensus.take(("pulse", self._core_addresses()), now)
+            out += self.keeper.take(("pulse", self._live_boots(), self.state.roster), now)
         self.almanac.take(("pulse",), now)
         out += self.leases.take(("pulse", is_fresh, is_leading), now)
         out += self.source.take(("pulse",), now)
@@ -258,7 +296,6 @@
         out += self.watcher.take(("pulse", is_fresh, is_leading), now)
         out += self.accountant.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.grantor.take(("pulse", self.leases.holds("accountant", now)), now)
-        out += self.keeper.take(("pulse", self._live_boots(), self.state.roster), now)
         out += self.desk.take(("pulse", self._live_nodes(), self._confirmed()), now)
         out += self._find_pulse(now)
         if self.stop_at is not None and now >= (self.may_end_at if self.has_departed else self.stop_at):
@@ -300,7 +337,7 @@
             change = read_order(path, body)
             if isinstance(change, Fault):
                 return [reply(cid, 400, {"fault": {"class": change.name, "reason": change.reason, "applied": "no"}})]
-            if not self.consensus.is_fresh(now) and not self.consensus.role == "leading":
+            if not self._is_fresh(now) and not (self.is_disk_taking and self.consensus.role == "leading"):
                 reason = "this core is in no working view; ask another"
                 return [reply(cid, 503, {"fault": {"class": "no-view", "reason": reason, "applied": "no"}}, 1)]
             return self.desk.take(("order", cid, change), now)
@@ -313,7 +350,7 @@
         return [reply(cid, 404, {"fault": {"class": "not-found", "reason": f"{method} {path}"}})]
 
     def _condition(self, cid, now):
-        is_fresh = self.consensus.is_fresh(now)
+        is_fresh = self._is_fresh(now)
         doc = {
             "node": self.node,
             "role": "core",
@@ -323,6 +360,7 @@
             "view": self.consensus.view[0],
             "number": self.state.number,
             "generation": self.state.generation,
+            "diskTakesRecords": self.is_disk_taking,
             "ready": is_fresh and self.stop_at is None,
         }
         return reply(cid, 200 if doc["ready"] else 503, doc)
@@ -362,7 +400,7 @@
         return reply(cid, 200, foresee(catalogue, self.state, self.placer.demand))
 
     def _show(self, cid, what, now):
-        state, is_stale = self.state, not self.consensus.is_fresh(now)
+        state, is_stale = self.state, not self._is_fresh(now)
         shown = {
             "cohort": lambda: {
                 "members": [self._member(member) for member in [self.membership.me, *self.membership.members.values()]],
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -5,7 +5,9 @@
 from datetime import timedelta
 
 from sumachook.nodes.desk import reply
+from sumachook.nodes.disk_writer import DiskWriter
 from sumachook.runtime.supervisor import Supervisor
+from sumachook.storage.layout import LOG
 from sumachook.transport.codec import Codec
 from sumachook.transport.door import Door
 from sumachook.transport.fetcher import Fetcher
@@ -22,13 +24,12 @@
     __slots__ = (
         "machine",
         "clock",
-        "folder",
         "log",
         "port",
         "door",
         "fetcher",
         "codec",
-        "writes",
+        "disk",
         "leaving",
         "code",
         "inbox",
@@ -40,16 +41,17 @@
     def __init__(
         self, machine, clock, log, door: str, address=None, cluster="", folder=None, front=None, most_body=None
     ):
-        self.machine, self.clock, self.log, self.folder = machine, clock, log, folder
+        self.machine, self.clock, self.log = machine, clock, log
         self.inbox, self.is_handing, self.code = [], False, 0
         self.door, self.fetcher = Door(door, self._hear, most_body), Fetcher(self._hear)
         self.front, self.forwarder = (Front(front, self._hear), Forwarder(self._hear)) if front else (None, None)
         self.port = NodePort(address, cluster, self._hear) if address else None
         self.codec = Codec(cluster, machine.node, address, machine.boot) if address else None
-        self.writes = self.leaving = None
+        self.disk = DiskWriter(folder, self._hear, log, clock.mono, LOG) if folder else None
+        self.leaving = None
 
     async def run(self) -> int:
-        self.writes, self.leaving = asyncio.Queue(), asyncio.Event()
+        self.leaving = asyncio.Event()
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._hear, ("stop",))
@@ -59,8 +61,8 @@
             children |= {"front": self.front.run, "forwarder": self.forwarder.run}
         if self.port:
             children["port"] = self.port.run
-        if self.folder:
-            children["disk"] = self._disk
+        if self.disk:
+            children["disk"] = self.disk.run
         await Supervisor(children, self._fell).run()
         return self.code
 
@@ -75,26 +77,11 @@
 
     async def _pulse(self):
         while True:
+            if self.disk:
+                self.disk.look()
             self._hear(("pulse",))
             await asyncio.sleep(PULSE.total_seconds())
 
-    async def _disk(self):
-        """All that waits goes out with one sync a file, in order; followups come only after it (§13.2)."""
-        while True:
-            batch = [await self.writes.get()]
-            while not self.writes.empty():
-                batch.append(self.writes.get_nowait())
-            try:
-                await asyncio.to_thread(self.folder.take, batch)
-            except OSError as error:
-                self.log("error", "daemon", "The disk does not take records, leaving.", {"error": str(error)})
-                self.code = 3
-                self.leaving.set()
-                return
-            for *_, followup in batch:
-                if followup is not None:
-                    self._hear(followup)
-
     def _hear(self, message):
         """Messages are taken one after the other, also those that an effect gives rise to."""
         self.inbox.append(message)
@@ -140,7 +127,7 @@
         elif kind == "unfetch":
             (self.forwarder if effect[1][0] == "transit" else self.fetcher).unfetch(effect[1])
         elif kind in ("disk", "rewrite", "journal"):
-            self.writes.put_nowait((*effect[:3], effect[3] if len(effect) > 3 else None))
+            self.disk.put(*effect[:3], effect[3] if len(effect) > 3 else None)
         elif kind == "log":
             self.log(*effect[1:])
         elif kind == "leave":
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -133,6 +133,8 @@
             return self._http(message, now)
         if kind == "seeds":
             return self.membership.take(message, now)
+        if kind == "disk-state":
+            return self.quill.take(("disk", message.is_taking), now)
         if kind == "garbage":
             self.ignored += 1
             return []
--- a/sumachook/nodes/serve.py
+++ b/sumachook/nodes/serve.py
@@ -4,18 +4,20 @@
 import os
 import sys
 import time
+from itertools import count
 from pathlib import Path
 from random import Random
 
-from sumachook.fault import Fault
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.logs import Logs
 from sumachook.runtime.clock import Clock
-from sumachook.storage.folder import Folder
+from sumachook.storage.file_system import RealFileSystem
+from sumachook.storage.folder import DataFolder, Opened
+from sumachook.storage.layout import FILES, FORMER_NAMES, IDENTITY_FILES, LOG
 
-REFUSED, USAGE, DAMAGED, UNREACHED = 1, 2, 3, 4
+REFUSED, USAGE, UNREACHED = 1, 2, 4
 MOST_OPERATOR_BODY = 8 << 20
-FILES = ("consensus", "ledger", "image", "spool")
+OPEN_AGAIN, TELL_EVERY = 0.25, 40  # seconds between two tries of a disk that refuses; tries between two lines about it
 
 
 def fail(code: int, *lines: str):
@@ -32,19 +34,34 @@
     raise SystemExit(code)
 
 
+def open_folder(folder: DataFolder, log) -> Opened:
+    """What the data folder holds; waits for as long as the disk refuses, since nothing may be done on what could be lost again."""
+    for tries in count():
+        try:
+            opened = folder.open(FILES, IDENTITY_FILES, FORMER_NAMES)
+            break
+        except (NotADirectoryError, FileExistsError) as error:
+            fail(USAGE, f"{folder.file_system.path}: {error.strerror}")
+        except OSError as error:
+            if tries % TELL_EVERY == 0:
+                log("warning", "storage", "The data folder cannot be opened, trying again.", {"error": str(error)})
+            time.sleep(OPEN_AGAIN)
+    for damage in opened.damages:
+        more = {"file": damage.name, "reason": damage.reason, "kept": damage.kept_as}
+        log("error", "storage", "A file is damaged and was set aside.", more)
+    if any(damage.name in IDENTITY_FILES for damage in opened.damages):
+        log("error", "storage", "This core gives its identity up and starts as a blank one.", {})
+    return opened
+
+
 def serve(params, role: str, make):
     """Loads the data folder, makes the machine with `make(params, records, boot, clock, draw)` and serves until it leaves (§1.3)."""
     logs = Logs(params.node, params.log_level)
-    folder = Folder(Path(params.data)) if params.data else None
-    records = {}
-    for name in FILES if folder else ():
-        records[name] = folder.load(name)
-        if isinstance(records[name], Fault):
-            logs.log("error", "vault", "A file is damaged, not starting.", {"reason": str(records[name])})
-            fail(DAMAGED, f"{params.data}: {records[name]}")
-    seat = next((record[1] for record in records.get("consensus", ()) if record[0] == "seat"), "")
+    folder = DataFolder(RealFileSystem(Path(params.data))) if params.data else None
+    records = open_folder(folder, logs.log).records if folder else {}
+    seat = next((record[1] for record in records.get(LOG, ()) if record[0] == "seat"), "")
     if seat and seat.rpartition("-")[0] != params.node:
-        fail(USAGE, f"{params.data}: consensus: the folder is of seat {seat!r}, not of node {params.node!r}")
+        fail(USAGE, f"{params.data}: {LOG}: the folder is of seat {seat!r}, not of node {params.node!r}")
     clock, boot = Clock(), time.time_ns() // 1_000_000
     machine = make(params, records, boot, clock, Random(int.from_bytes(os.urandom(8), "big")))
     daemon = Daemon(
--- a/sumachook/simulation/city.py
+++ b/sumachook/simulation/city.py
@@ -90,7 +90,7 @@
         )
 
         def make(box):
-            return role(params, box.disk.files, box.boots, box.clock, Random(self.draw.random()))
+            return role(params, box.records, box.boots, box.clock, Random(self.draw.random()))
 
         return self.add(node["name"], node["role"], make, node["area"], node["address"], node["door"])
 
--- a/sumachook/simulation/disk.py
+++ b/sumachook/simulation/disk.py
@@ -1,44 +1,130 @@
-"""An in-memory disk that keeps only what was synced."""
+"""A machine's disk in memory: the product's own storage over simulated files (§12.1)."""
 
 from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from sumachook.simulation.simulated_files import ProcessEndedError, SimulatedFileSystem
+from sumachook.storage.batches import read_file
+from sumachook.storage.folder import DataFolder, Opened
+from sumachook.storage.layout import FILES, FORMER_NAMES, IDENTITY_FILES, LEDGER, LOG
+from sumachook.storage.write_queue import APPEND, WriteQueue, WriteStep
+from sumachook.transport.codec import as_tuples
+
+MOST_OPERATIONS = 12  # of one step, about; a process may end after any of them
 
 
 class Disk:
-    """Files of synced records; what is on its way is lost with the power (§12.1).
+    """Takes writes as a host does; what is on its way when the process ends or the power is lost may be there or not.
 
-    >>> disk = Disk(); disk.begin("append", "log", (("a",),), "a is synced"); disk.finish()
-    'a is synced'
-    >>> disk.begin("append", "log", (("b",),), None); disk.lose_power(); disk.files
+    >>> disk, zero = Disk(), timedelta(0)
+    >>> disk.begin("disk", "log", (("a",),), "a is synced", zero); disk.finish()
+    ('a is synced',)
+    >>> disk.files
     {'log': [('a',)]}
     """
 
-    __slots__ = ("files", "pending", "stalled_until", "delay", "opened")
+    __slots__ = (
+        "draw",
+        "file_system",
+        "folder",
+        "queue",
+        "stalled_until",
+        "refuses_until",
+        "delay",
+        "opened",
+        "unfinished",
+    )
 
-    def __init__(self):
-        self.files, self.pending, self.stalled_until, self.delay = {}, [], timedelta(0), timedelta(seconds=0.002)
+    def __init__(self, seed: int = 0):
+        self.draw = Random(seed)
+        self.file_system = SimulatedFileSystem(self.draw)
+        self.folder, self.queue = DataFolder(self.file_system), WriteQueue(LOG)
+        self.stalled_until = self.refuses_until = timedelta(0)
+        self.delay = timedelta(seconds=0.002)
+        self.unfinished: list[WriteStep] = []  # each write that was asked for, in order, until its step is finished
         self.opened = set()  # tags whose record was ever synced in a ledger here, noted for the witness
 
-    def begin(self, verb, name, records, followup):
-        self.pending.append((verb, name, tuple(records), followup))
-
-    def finish(self):
-        """The oldest write is safe now; gives what its writer is to be told."""
-        verb, name, records, followup = self.pending.pop(0)
-        if verb == "rewrite":
-            self.files[name] = list(records)
-        else:
-            self.files.setdefault(name, []).extend(records)
-            if name == "ledger":
-                self.opened.update(record[1]["tag"] for record in records)
-        return followup
-
-    def lose_power(self, writes_kept=0):
-        """What was not synced is lost, but for so many of the oldest writes."""
-        for _ in range(min(writes_kept, len(self.pending))):
-            self.finish()
-        self.pending.clear()
+    @property
+    def files(self) -> dict:
+        """{name: records} as a reader of the folder finds them now."""
+        found = {}
+        for name in self.file_system.names():
+            raw = self.file_system.read(name)
+            if name.startswith("day-"):
+                day = name[: len("day-2026-03-02")] + ".jsonl"  # of all its segments
+                found.setdefault(day, []).extend(as_tuples(msgspec.json.decode(line)) for line in raw.splitlines())
+            elif "." not in name:
+                found[name] = list(read_file(name, raw).records)
+        return found
+
+    # a process's life -----------------------------------------------------------
+
+    def open(self, now: timedelta) -> Opened:
+        """What a process that starts now finds; raises `OSError` while the disk refuses."""
+        self._obey(now)
+        self.folder, self.queue = DataFolder(self.file_system), WriteQueue(LOG)
+        return self.folder.open(FILES, IDENTITY_FILES, FORMER_NAMES)
+
+    def begin(self, verb: str, name: str, records, followup, now: timedelta):
+        self.queue.put(verb, name, records, followup, now)
+        self.unfinished.append(WriteStep(verb, name, tuple(records), (), now))
+
+    def finish(self, now: timedelta = timedelta(0)):
+        """The step under way is durable now: gives what its writer is to be told, or None if the disk refuses it."""
+        step = self.queue.begin_step(now)
+        self._obey(now)
+        try:
+            self.folder.write(step)
+        except OSError as error:
+            self.queue.fail_step(str(error))
+            return None
+        if step.verb == APPEND and step.name == LEDGER:
+            self.opened.update(record[1]["tag"] for record in step.records)
+        waiting = self.queue.waiting.get(step.name)
+        left = waiting.count if waiting else 0  # of this file's writes, those that came after the step was begun
+        mine = [write for write in self.unfinished if write.name == step.name]
+        done = set(map(id, mine[: len(mine) - left]))
+        self.unfinished = [write for write in self.unfinished if id(write) not in done]
+        return self.queue.finish_step()
+
+    # faults ---------------------------------------------------------------------
+
+    def end_process(self):
+        """The process ends: the step under way got to any point; files stay as they are."""
+        step = self.queue.begin_step(timedelta(0))
+        if step is not None and not self.file_system.is_refusing:
+            self.file_system.steps_left = self.draw.randint(0, MOST_OPERATIONS)
+            try:
+                self.folder.write(step)
+            except ProcessEndedError:
+                pass
+            self.file_system.steps_left = None
+        self._drop()
+
+    def lose_power(self, writes_kept: int | None = None):
+        """The process ends, and what no sync covered may be lost; or just all but the first so many writes."""
+        if writes_kept is not None:
+            for write in self.unfinished[:writes_kept] if not self.file_system.is_refusing else ():
+                self.folder.write(write)
+            self._drop()
+            return
+        self.end_process()
+        self.file_system.lose_power()
+
+    def remove(self, name: str):
+        """Somebody removes a file behind the node's back."""
+        self.file_system.remove(name)
+        self.file_system.sync_folder()
 
     def wipe(self):
-        self.files.clear()
-        self.pending.clear()
+        self.file_system.wipe()
+        self._drop()
         self.opened.clear()
+
+    def _drop(self):
+        self.queue, self.unfinished = WriteQueue(LOG), []
+
+    def _obey(self, now: timedelta):
+        self.file_system.is_refusing = now < self.refuses_until
--- a/sumachook/simulation/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime, timedelta
 from heapq import heappop, heappush
 from random import Random
+from zlib import crc32
 
 import msgspec
 from assel import Parser
@@ -11,12 +12,13 @@
 from sumachook.simulation.disk import Disk
 from sumachook.simulation.reach import EVERY as LOOK_EVERY
 from sumachook.simulation.reach import Reach
-from sumachook.transport.codec import Codec, as_tuples, read_parcel
+from sumachook.transport.codec import Codec, read_parcel
 
 PULSE = timedelta(seconds=0.05)
 START = datetime(2026, 3, 2, 6, 0, tzinfo=UTC)
 MOST_BUFFERED = 2000
 HELD_FOR = timedelta(seconds=1.5)  # what a cut held for longer is lost: its sender has given the connection up
+START_AGAIN = timedelta(seconds=0.25)  # between two tries of a process whose disk refuses to be read and settled
 
 
 class BoxClock:
@@ -55,11 +57,19 @@
         "role",
         "wake",
         "slow",
+        "records",
     )
 
-    def __init__(self, name, role, make, area, address, door, clock):
+    def __init__(self, name, role, make, area, address, door, clock, seed):
         self.name, self.role, self.make, self.area, self.address, self.door = name, role, make, area, address, door
-        self.machine, self.disk, self.clock, self.life, self.is_frozen = None, Disk(), clock, 0, False
+        self.machine, self.disk, self.clock, self.life, self.is_frozen = (
+            None,
+            Disk(crc32(name.encode(), seed)),
+            clock,
+            0,
+            False,
+        )
+        self.records = {}  # what its process found on the disk at its start
         self.buffer, self.boots, self.codec, self.is_gone, self.slow = [], 0, None, False, timedelta(0)
 
 
@@ -126,6 +136,7 @@
         "logs",
         "cluster",
         "latency",
+        "seed",
         "tries",
         "arrivals",
         "deaths",
@@ -137,6 +148,7 @@
     )
 
     def __init__(self, seed: int, cluster: str = "fleet"):
+        self.seed = seed
         self.now, self.draw, self.heap, self.count, self.cluster = timedelta(0), Random(seed), [], 0, cluster
         self.boxes, self.by_address, self.by_door, self.cuts, self.loss = {}, {}, {}, set(), 0.0
         self.latest, self.exchanges, self.by_tid, self.logs = {}, {}, {}, []
@@ -153,7 +165,7 @@
 
     def add(self, name, role, make, area="", address="", door="", start=True):
         """`make(box)` gives the machine anew at each start."""
-        box = self.boxes[name] = Box(name, role, make, area, address, door, BoxClock(self))
+        box = self.boxes[name] = Box(name, role, make, area, address, door, BoxClock(self), self.seed)
         self.by_address[address] = self.by_door[door] = box
         if start:
             self.start(name)
@@ -164,28 +176,60 @@
         box.life += 1
         box.boots += 1
         box.is_frozen, box.is_gone, box.buffer = False, False, []
+        self._load(box, box.life)
+
+    def _load(self, box, life):
+        """The process reads its folder, tries until the disk lets it, and begins."""
+        if box.life != life:
+            return
+        try:
+            opened = box.disk.open(self.now)
+        except OSError:
+            self._later(START_AGAIN, self._load, box, life)
+            return
+        for damage in opened.damages:
+            self.logs.append(
+                (self.now, box.name, "error", "storage", "A damaged file was set aside.", {"file": damage.name})
+            )
+        box.records = opened.records
         box.machine = box.make(box)
+        name = box.name
         node = getattr(box.machine, "node", name)
         box.codec = Codec(self.cluster, node, box.address, box.boots)
         self.by_address[box.address] = self.by_door[box.door] = box
         self._later(PULSE * self.draw.random(), self._pulse, box, box.life)
 
-    def kill(self, name, writes_kept=0):
-        """The process ends at once; of what its disk had not synced only the first `writes_kept` writes stay."""
+    def kill(self, name, writes_kept=None):
+        """The process ends at once; half of the times the power is lost too, and with it what its disk had not synced.
+
+        With `writes_kept` just so many of the writes on their way stay.
+        """
         box = self.boxes[name]
-        if box.machine is None:
+        if not self._end(box):
             return
-        box.machine, box.life = None, box.life + 1
-        self.deaths.append((box.name, self.now))
-        box.disk.lose_power(writes_kept)
-        self._break_exchanges(box)
+        if writes_kept is not None or box.disk.draw.random() < 0.5:
+            box.disk.lose_power(writes_kept)
+        else:
+            box.disk.end_process()
 
-    def lose_power(self, name, writes_kept=0):
-        """As `kill`, and what the machine had still to send is lost too."""
-        self.kill(name, writes_kept)
+    def lose_power(self, name, writes_kept=None):
+        """The process ends, and what the machine had still to send is lost too."""
+        box = self.boxes[name]
+        if not self._end(box):
+            return
+        box.disk.lose_power(writes_kept)
         for link in [link for link in self.held if link[0] == name]:
             del self.held[link]
 
+    def _end(self, box) -> bool:
+        """Ends the process, if there is one; one that waits for its disk will not begin."""
+        was_running = box.machine is not None
+        box.machine, box.life = None, box.life + 1
+        if was_running:
+            self.deaths.append((box.name, self.now))
+            self._break_exchanges(box)
+        return was_running
+
     def vanish(self, name):
         """The machine is gone: nothing answers, not even a refusal."""
         self.lose_power(name)
@@ -260,6 +304,8 @@
         if box.life != life or box.machine is None:
             return
         if not box.is_frozen:
+            if (change := box.disk.queue.state_change(self.now)) is not None:
+                self._hand(box, change)
             self._hand(box, ("pulse",))
         self._later(PULSE + box.slow, self._pulse, box, life)
 
@@ -353,28 +399,29 @@
 
     def _disk(self, box, effect):
         verb, name, records = effect[:3]
-        followup = effect[3] if verb != "journal" else None
-        records = as_tuples(msgspec.json.decode(msgspec.json.encode(records)))
-        box.disk.begin("rewrite" if verb == "rewrite" else "append", name, records, followup)
-        if len(box.disk.pending) == 1:
-            self._begin_sync(box)
-
-    def _begin_sync(self, box):
-        """One sync for all that waits by now; what comes meanwhile is for the next."""
-        delay = max(box.disk.delay, box.disk.stalled_until - self.now)
-        self._later(delay, self._synced, box, box.life, len(box.disk.pending))
-
-    def _synced(self, box, life, count):
-        if box.life != life:
+        is_idle = box.disk.queue.is_empty
+        box.disk.begin(verb, name, records, effect[3] if verb != "journal" else None, self.now)
+        if is_idle:
+            self._later(timedelta(0), self._begin_sync, box, box.life)
+
+    def _begin_sync(self, box, life):
+        """One sync for all that waits for one file by now; what comes meanwhile is for the next."""
+        if box.life != life or box.disk.queue.begin_step(self.now) is None:
             return
-        if self.now < box.disk.stalled_until:
-            self._begin_sync(box)
+        delay = max(
+            box.disk.delay, box.disk.stalled_until - self.now, START_AGAIN if box.disk.queue.error else box.disk.delay
+        )
+        self._later(delay, self._synced, box, box.life)
+
+    def _synced(self, box, life):
+        if box.life != life:
             return
-        followups = [box.disk.finish() for _ in range(count)]
-        if box.disk.pending:
-            self._begin_sync(box)
-        for followup in followups:
-            if followup is not None:
+        followups = box.disk.finish(self.now) if self.now >= box.disk.stalled_until else None
+        self._begin_sync(box, life)
+        if followups is None and (change := box.disk.queue.state_change(self.now)) is not None:
+            self._hand(box, change)
+        for followup in followups or ():
+            if box.life == life:
                 self._hand(box, followup)
 
     # HTTP ---------------------------------------------------------------------------------
--- a/sumachook/simulation/reach.py
+++ b/sumachook/simulation/reach.py
@@ -24,7 +24,7 @@
     def look(self):
         town = self.town
         cores = [box for box in town.boxes.values() if box.role == "core" and _runs(box)]
-        steady = [core for core in cores if town.now >= core.disk.stalled_until]
+        steady = [core for core in cores if town.now >= max(core.disk.stalled_until, core.disk.refuses_until)]
         seated = {
             core.name for core in steady if any(other is not core and self._meet(core, other) for other in steady)
         }
--- a/sumachook/simulation/storm.py
+++ b/sumachook/simulation/storm.py
@@ -254,6 +254,13 @@
         box.disk.stalled_until = self.town.now + timedelta(seconds=lasts)
         return f"disk of {box.name} stalls for {lasts:.1f}"
 
+    def _fault_refuse(self, lasts):
+        box = self._one("core")
+        if box is None:
+            return None
+        box.disk.refuses_until = self.town.now + timedelta(seconds=lasts)
+        return f"disk of {box.name} refuses writes for {lasts:.1f}"
+
     def _fault_jump(self, lasts):
         box = self._one("core", "edge")
         if box is None:
--- a/sumachook/storage/__init__.py
+++ b/sumachook/storage/__init__.py
@@ -1,5 +1,1 @@
-"""The append-only file of checksummed records."""
-
-from sumachook.storage.folder import Folder
-
-__all__ = ["Folder"]
+"""Durable files of a node: record files, day logs and the queue of writes before them (design, section 13)."""
--- /dev/null
+++ b/sumachook/storage/batches.py
@@ -0,0 +1,131 @@
+"""How records lie in a file: numbered, chained batches, one for each sync (§13.1).
+
+Batch `n + 1` is written only after the sync of batch `n` has come back. So at most the last batch of a file can be
+incomplete after a loss of power, and the header of a later batch proves that the one before it had been synced.
+"""
+
+import struct
+import zlib
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from sumachook.storage import single_records
+from sumachook.transport.codec import as_tuples
+
+MAGIC = b"smk2"
+# magic, generation of the file, number of the batch, length of its body, checksum of the batch before, and its own
+_FIELDS = struct.Struct(">4sQQIII")
+_HEADER_SUM = struct.Struct(">I")
+HEADER_SIZE = _FIELDS.size + _HEADER_SUM.size
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """Where the next batch of a file belongs."""
+
+    generation: int = 1  # counts the times at which the file was written anew
+    number: int = 0  # of the last whole batch
+    checksum: int = 0  # of its body
+    length: int = 0  # bytes of the file up to its end
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """What a file holds: records up to the last whole batch, and the reason if more was lost than an unsynced tail."""
+
+    records: tuple
+    position: Position
+    damage: str = ""
+
+
+def pack_batch(name: str, position: Position, records) -> tuple[bytes, Position]:
+    """The bytes of the next batch, and the position after it."""
+    parts = _body_parts(records)
+    number, length, checksum = position.number + 1, sum(map(len, parts)), 0
+    for part in parts:
+        checksum = zlib.crc32(part, checksum)
+    fields = _FIELDS.pack(MAGIC, position.generation, number, length, position.checksum, checksum)
+    raw = b"".join((fields, _HEADER_SUM.pack(_header_sum(name, fields)), *parts))
+    return raw, replace(position, number=number, checksum=checksum, length=position.length + len(raw))
+
+
+def _body_parts(records) -> list[bytes]:
+    """A JSON array in parts, one record each, so that the interpreter is held for one of them at a time."""
+    parts = [b"["]
+    for place, record in enumerate(records):
+        if place:
+            parts.append(b",")
+        parts.append(msgspec.json.encode(record))
+    parts.append(b"]")
+    return parts
+
+
+def read_file(name: str, raw: bytes) -> Content:
+    """The records of all whole batches; with `damage` where something that had been synced is not whole.
+
+    >>> first, position = pack_batch("log", Position(), [["a"]])
+    >>> second, position = pack_batch("log", position, [["b"], ["c"]])
+    >>> read_file("log", first + second).records
+    (('a',), ('b',), ('c',))
+    >>> read_file("log", first + second[:-1]).records
+    (('a',),)
+    >>> bool(read_file("log", first[:-1] + b"?" + second).damage)
+    True
+    """
+    records, end = single_records.read_prefix(raw)  # files of earlier versions begin with records that stand alone
+    position = Position(length=end)
+    while (batch := _batch_at(name, raw, position)) is not None:
+        body, position = batch
+        records.extend(as_tuples(msgspec.json.decode(body)))
+    return Content(tuple(records), position, _damage_at(name, raw, position))
+
+
+def _batch_at(name: str, raw: bytes, position: Position):
+    """(body, position after it) of the batch that follows on `position`, or None if it is not whole."""
+    header = _header_at(name, raw, position.length)
+    if header is None:
+        return None
+    _, generation, number, length, previous, checksum = header
+    is_of_this_life = position.number == 0 or generation == position.generation
+    follows = (number, previous) == (position.number + 1, position.checksum)
+    if not (is_of_this_life and follows):
+        return None
+    start = position.length + HEADER_SIZE
+    body = raw[start : start + length]
+    if len(body) < length or zlib.crc32(body) != checksum:
+        return None
+    return body, Position(generation, number, checksum, start + length)
+
+
+def _header_at(name: str, raw: bytes, place: int):
+    end = place + _FIELDS.size
+    if end + _HEADER_SUM.size > len(raw):
+        return None
+    fields = raw[place:end]
+    if _HEADER_SUM.unpack_from(raw, end)[0] != _header_sum(name, fields):
+        return None
+    header = _FIELDS.unpack(fields)
+    return header if header[0] == MAGIC else None
+
+
+def _header_sum(name: str, fields: bytes) -> int:
+    return zlib.crc32(fields, zlib.crc32(name.encode()))
+
+
+def _damage_at(name: str, raw: bytes, position: Position) -> str:
+    """Why what follows on the last whole batch cannot be an unsynced tail, or nothing."""
+    if position.length == len(raw):
+        return ""
+    if position.length == 0 and not raw.startswith(single_records.MAGIC):
+        return "its first batch is not whole, which was synced before the file got its name"
+    place = position.length
+    if position.number == 0 and (later := single_records.find_record(raw, place + 1)) is not None:
+        return f"bad bytes at {place}, a good record at {later}"
+    while (place := raw.find(MAGIC, place)) >= 0:
+        header = _header_at(name, raw, place)
+        if header is not None and header[1] == (position.generation if position.number else header[1]):
+            if header[2] > position.number + 1 or (position.number == 0 and place > position.length):
+                return f"batch {position.number + 1} is not whole at {position.length}, batch {header[2]} follows it"
+        place += 1
+    return ""
--- a/sumachook/storage/folder.py
+++ b/sumachook/storage/folder.py
@@ -1,111 +1,138 @@
-"""The data folder of a process on a real disk."""
-
-import os
-from pathlib import Path
-
-import msgspec
-
-from sumachook.fault import Fault
-from sumachook.storage.records import pack_record, read_records
-
-
-class Folder:
-    """Files of one data folder; nothing counts before `fsync` came back (§13.1)."""
-
-    __slots__ = ("path",)
-
-    def __init__(self, path: Path):
-        self.path = path
-        path.mkdir(parents=True, exist_ok=True)
-
-    def load(self, name: str):
-        """The file's records, after its half-written tail was cut off; or a fault."""
-        file_path = self.path / name
-        if not file_path.exists():
-            return ()
-        raw = file_path.read_bytes()
-        answer = read_records(raw)
-        if isinstance(answer, Fault):
-            return answer.because(f"{name}: {answer.reason}")
-        records, good_length = answer
-        if good_length < len(raw):
-            with open(file_path, "r+b") as file:
-                file.truncate(good_length)
-                os.fsync(file.fileno())
-        return records
-
-    def take(self, batch) -> None:
-        """Writes (verb, name, records, ...) in order; appends to one file that follow on each other share a sync."""
-        waiting = {}
-        for verb, name, records, *_ in batch:
-            if verb == "rewrite":
-                waiting.pop(name, None)  # the image holds what was to be appended before it
-                self._rewrite(name, records)
-            else:
-                pack = _pack_line if verb == "journal" else pack_record
-                waiting.setdefault(name, []).extend(pack(record) for record in records)
-        for name, raws in waiting.items():
-            self._write(name, "ab", b"".join(raws))
-
-    def _rewrite(self, name, records):
-        self._write(name + ".new", "wb", b"".join(pack_record(record) for record in records))
-        os.replace(self.path / (name + ".new"), self.path / name)
-        self._sync_folder()
-
-    def _write(self, name, mode, raw):
-        is_new = not (self.path / name).exists()
-        with open(self.path / name, mode) as file:
-            file.write(raw)
-            file.flush()
-            os.fsync(file.fileno())
-        if is_new:
-            self._sync_folder()
-
-    def _sync_folder(self):
-        folder_handle = os.open(self.path, os.O_RDONLY)
-        try:
-            os.fsync(folder_handle)
-        finally:
-            os.close(folder_handle)
-
-
-def _pack_line(row) -> bytes:
-    return msgspec.json.encode(row) + b"\n"
-
-
-def test_tail_is_cut_and_middle_stops(tmp_path):
-    folder = Folder(tmp_path / "data")
-    folder.take([("disk", "log", [["one"]], None), ("disk", "log", [["two"]], None)])
-    file_path = tmp_path / "data" / "log"
-    whole = file_path.read_bytes()
-    file_path.write_bytes(whole[:-2])
-    assert folder.load("log") == (("one",),)
-    folder.take([("disk", "log", [["three"]])])
-    assert folder.load("log") == (("one",), ("three",))
-    raw = file_path.read_bytes()
-    file_path.write_bytes(raw[:18] + b"!" + raw[19:])
-    assert "damaged" in str(folder.load("log"))
-    folder.take([("disk", "log", [["old"]]), ("rewrite", "log", [["fresh"]]), ("disk", "log", [["more"]])])
-    assert folder.load("log") == (("fresh",), ("more",))
-
-
-def test_a_rewrite_cut_off_at_any_step_leaves_the_old_file_or_the_new(tmp_path, monkeypatch):
-    folder = Folder(tmp_path)
-    folder.take([("disk", "log", [["old"]])])
-    steps = ("fsync of the new file", "rename")
-    for step in steps:
-        with monkeypatch.context() as patch:
-
-            def fall(*_):
-                raise OSError(step)
-
-            patch.setattr(os, "fsync" if step == steps[0] else "replace", fall)
-            try:
-                folder.take([("rewrite", "log", [["new"]])])
-            except OSError:
-                pass
-        assert Folder(tmp_path).load("log") == (("old",),)
-    (tmp_path / "log.new").write_bytes(b"half a recor")
-    assert folder.load("log") == (("old",),)
-    folder.take([("rewrite", "log", [["new"]])])
-    assert folder.load("log") == (("new",),)
+"""The data folder of a node: which file is written how, and what a start makes of what it finds."""
+
+from dataclasses import dataclass
+
+from sumachook.storage.batches import Content, Position, pack_batch, read_file
+from sumachook.storage.day_logs import DayLogs
+from sumachook.storage.file_system import FileSystem
+from sumachook.storage.write_queue import LINES, REWRITE, WriteStep
+
+TEMPORARY, SET_ASIDE = ".new", ".damaged"
+
+
+@dataclass(frozen=True, slots=True)
+class Damage:
+    """A file that was set aside, and why."""
+
+    name: str
+    reason: str
+    kept_as: str
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """What a start found: the records of each file, and the files that could not be read."""
+
+    records: dict[str, tuple]
+    damages: tuple[Damage, ...] = ()
+
+
+class DataFolder:
+    """Record files and day logs of one folder; a write counts once `write` has come back (§13).
+
+    `open` is called first. After an `OSError` the same step is given again: what had been written of it is cut off, or
+    written anew, before anything follows it.
+    """
+
+    __slots__ = ("file_system", "day_logs", "positions", "generations", "unsure", "damages")
+
+    def __init__(self, file_system: FileSystem, day_logs: DayLogs | None = None):
+        self.file_system = file_system
+        self.day_logs = day_logs or DayLogs(file_system)
+        self.positions: dict[str, Position] = {}
+        self.generations: dict[str, int] = {}  # the highest of each file that was ever written or found
+        self.damages: dict[str, str] = {}
+        self.unsure: set[str] = set()  # files behind whose position there may be anything
+
+    # start ----------------------------------------------------------------------
+
+    def open(self, names, identity_names=(), former_names=None) -> Opened:
+        """Reads the files `names`, and makes durable what was found before anybody acts on it.
+
+        A file that lost more than an unsynced tail is set aside. If it is one of `identity_names`, all of these are:
+        the node then starts as a blank one, since it may have forgotten what it promised (§13.3).
+        """
+        files = self.file_system
+        files.prepare()
+        self._remove_leftovers()
+        for name, former in (former_names or {}).items():
+            self._take_over(name, former)
+        present = files.names()
+        contents = {name: self._read(name) for name in names if name in present}
+        damaged = {name: content.damage for name, content in contents.items() if content.damage}
+        if lost := [name for name in identity_names if name in damaged]:
+            given_up = [name for name in identity_names if name in contents]
+            damaged = dict.fromkeys(given_up, f"given up together with {lost[0]}") | damaged
+        for name, reason in damaged.items():
+            self._set_aside(name, reason)
+        sound = {name: content for name, content in contents.items() if name not in damaged}
+        for name, content in sound.items():
+            self._settle(name, content.position)
+        files.sync_folder()
+        records = {name: content.records for name, content in sound.items()}
+        return Opened(records, tuple(Damage(name, reason, name + SET_ASIDE) for name, reason in self.damages.items()))
+
+    def _remove_leftovers(self):
+        """Rewrites that were cut short; the files that they were for are whole."""
+        for name in self.file_system.names():
+            if name.endswith(TEMPORARY):
+                self.file_system.remove(name)
+
+    def _take_over(self, name: str, former: str):
+        """A file of an earlier version goes on under its present name."""
+        present = self.file_system.names()
+        if former in present and name not in present:
+            self.file_system.rename(former, name)
+
+    def _set_aside(self, name: str, reason: str):
+        """One at a time and durable, so that no later file is gone while an earlier one is still taken for good."""
+        self.damages.setdefault(name, reason)
+        self.file_system.rename(name, name + SET_ASIDE)  # one is kept of each; a later one takes its place
+        self.file_system.sync_folder()
+
+    def _read(self, name: str) -> Content:
+        return read_file(name, self.file_system.read(name))
+
+    def _settle(self, name: str, position: Position):
+        """Cuts an unsynced tail off; syncs the rest, which a process that was killed may have left unsynced."""
+        if position.length == 0:
+            self.file_system.remove(name)
+            return
+        if self.file_system.size(name) > position.length:
+            self.file_system.truncate(name, position.length)
+        else:
+            self.file_system.sync(name)
+        self.positions[name] = position
+        self.generations[name] = position.generation
+
+    # writing --------------------------------------------------------------------
+
+    def write(self, step: WriteStep) -> None:
+        """Makes one step durable."""
+        if step.verb == LINES:
+            self.day_logs.append(step.name, step.records)
+        elif step.verb == REWRITE or step.name not in self.positions:
+            self._write_anew(step.name, step.records)
+        else:
+            self._append(step.name, step.records)
+
+    def _append(self, name: str, records):
+        position = self.positions[name]
+        if name in self.unsure:
+            self.file_system.truncate(name, position.length)
+        self.unsure.add(name)
+        raw, after = pack_batch(name, position, records)
+        self.file_system.append(name, raw)
+        self.unsure.discard(name)
+        self.positions[name] = after
+
+    def _write_anew(self, name: str, records):
+        """Beside the old file, synced, put in its place; so a file that has its name has a whole first batch."""
+        generation = self.generations[name] = self.generations.get(name, 0) + 1  # a second try is yet another one
+        raw, after = pack_batch(name, Position(generation), records)
+        temporary = name + TEMPORARY
+        self.file_system.write_new(temporary, raw)
+        self.file_system.rename(temporary, name)
+        self.file_system.sync_folder()
+        self.unsure.discard(name)
+        self.positions[name] = after
--- /dev/null
+++ b/sumachook/storage/layout.py
@@ -0,0 +1,10 @@
+"""The files of a node's data folder."""
+
+LOG = "consensus"  # the ordered log of a core, with its identity and its promises
+LEDGER = "ledger"  # the rows that a core keeps
+IMAGE = "image"  # an edge's copy of the control state
+SPOOL = "spool"  # an edge's records that no two keepers have taken
+
+FILES = (LOG, LEDGER, IMAGE, SPOOL)
+IDENTITY_FILES = (LOG, LEDGER)  # without one of these a core is not who it was
+FORMER_NAMES: dict[str, str] = {}  # what a file was called in earlier versions
--- a/tests/control_stories.py
+++ b/tests/control_stories.py
@@ -330,7 +330,7 @@
     town = settled(72, seat_away=4.0)
     former = town.boxes["core-1"].machine.node
     town.kill("core-1")
-    del town.boxes["core-1"].disk.files["consensus"]
+    town.boxes["core-1"].disk.remove("consensus")
     town.start("core-1")
     assert town.boxes["core-1"].machine.node != former
     assert town.run_until(
--- /dev/null
+++ b/tests/disk_stories.py
@@ -0,0 +1,390 @@
+"""Cores whose disk refuses, stalls, is damaged or loses what it had not synced; the host's writer over a real folder."""
+
+import asyncio
+import errno
+import os
+import threading
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from sumachook.catalog.state import State
+from sumachook.leases.leases import Leases
+from sumachook.nodes.disk_writer import DiskWriter
+from sumachook.nodes.serve import open_folder
+from sumachook.storage.file_system import RealFileSystem
+from sumachook.storage.folder import DataFolder
+from sumachook.storage.layout import FILES, IDENTITY_FILES, LOG
+from sumachook.storage.messages import DiskState
+from sumachook.storage.write_queue import APPEND, LINES, MOST_WAITING, REWRITE, WriteStep
+from tests.scene import box_of, found, leader, quiet, settled, witness
+
+SECOND = timedelta(seconds=1)
+CORES = ("core-1", "core-2", "core-3")
+
+
+def _apply(town, core, name, wait=8.0):
+    doc = {"request": name, "part": True, "doc": {"routes": [{"name": name, "target": "refund-01"}]}}
+    answer = town.ask(core, "POST", "/operator/apply", doc, wait)
+    return answer is not None and answer[0] == 200
+
+
+def _town(seed):
+    town = found(seed, edges=1)
+    assert town.ask("core-1", "POST", "/operator/apply", {"request": "first", "doc": town.city.catalogue})[0] == 200
+    town.run(2)
+    return town
+
+
+def _fill(town, name, seconds):
+    town.boxes[name].disk.refuses_until = town.now + SECOND * seconds
+
+
+def _is_whole(town):
+    core = leader(town)
+    return (
+        core is not None
+        and len(core.consensus.members) == 3
+        and len({each.state.number for each in town.machines("core")}) == 1
+    )
+
+
+# a disk that takes no records ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("is_leader", (True, False))
+def test_a_core_whose_disk_is_full_stands_aside_and_comes_back_without_ending(is_leader):
+    """Given a disk that refuses writes for six seconds, the others go on, the core lives, and is a member again soon after."""
+    town = _town(700 + is_leader)
+    head = box_of(town, leader(town)).name
+    full = head if is_leader else next(name for name in CORES if name != head)
+    rest = [name for name in CORES if name != full]
+    machine, life = town.boxes[full].machine, town.boxes[full].life
+    _fill(town, full, 6)
+    town.run(0.3)
+    before = town.now
+    assert _apply(town, rest[0], "while-full")
+    assert town.now - before < SECOND * 2
+    status, doc = town.ask(full, "GET", "/condition")
+    assert status == 503 and doc["diskTakesRecords"] is False and leader(town) is not machine
+    assert town.boxes[full].life == life and town.boxes[full].machine is machine
+    town.run_until(lambda: town.now > town.boxes[full].disk.refuses_until, 10)
+    assert town.run_until(lambda: _is_whole(town) and town.ask(full, "GET", "/condition")[0] == 200, 4)
+    assert _apply(town, full, "after")
+
+
+def test_a_duty_holder_whose_disk_is_full_gives_its_duties_back():
+    """Given the placer's disk full for eight seconds, another core is the placer within 4.2 s, under a higher fence; the first one
+    bids again only when its disk takes records."""
+    town = _town(705)
+    assert town.run_until(lambda: leader(town).state.duties["placer"][0], 10)
+    node, fence = leader(town).state.duties["placer"]
+    full = next(name for name in CORES if town.boxes[name].machine.node == node)
+    _fill(town, full, 8)
+    town.run(0.2)
+    assert _apply(town, next(name for name in CORES if name != full), "write")
+    assert town.run_until(lambda: leader(town) and leader(town).state.duties["placer"][0] not in ("", node), 4.2)
+    assert leader(town).state.duties["placer"][1] > fence
+    assert town.run_until(lambda: town.now > town.boxes[full].disk.refuses_until, 10) and not town.boxes[
+        full
+    ].machine.leases.holds("placer", town.now)
+    assert town.run_until(lambda: not town.boxes[full].machine.leases.quitting, 1)
+
+
+def test_a_duty_that_was_given_back_is_not_held_again_under_its_old_fence():
+    """Given a holder that gave its duty back and whose word was lost, answers that were under way and a resume bring no lease
+    under that fence; it asks for the vacancy again instead."""
+    state = State()
+    for number, change in enumerate([("found", {"a": "a:1", "b": "b:1", "c": "c:1"}), ("duty-fill", "placer", "a", 1)]):
+        state.apply(number, change)
+    holder = Leases("a", state, Random(1), timedelta(0), is_fenced=True)
+    renewals = [effect[2] for effect in holder.take(("pulse", True, False), SECOND) if effect[0] == "tell"]
+    holder.take(("quit",), SECOND * 1.1)
+    for seat in "bc":
+        holder.take(("heard", seat, f"{seat}:1", ("renewed", *renewals[0][1:])), SECOND * 1.2)
+    holder.take(("resume",), SECOND * 1.3)
+    out = holder.take(("pulse", True, False), SECOND * 1.4)
+    assert holder.holds("placer", SECOND * 1.4) == 0
+    assert ("propose", ("duty-vacate", "placer", 1)) in out and not any(
+        effect[0] == "tell" and effect[2][0] == "renew" for effect in out
+    )
+
+
+def test_all_disks_full_at_once_acknowledge_nothing_and_lose_nothing():
+    """Given three disks that refuse for five seconds, no change is acknowledged meanwhile; then all go on as they were."""
+    town = _town(710)
+    number, lives = leader(town).state.generation, [town.boxes[name].life for name in CORES]
+    for name in CORES:
+        _fill(town, name, 5)
+    assert not _apply(town, "core-1", "none", wait=3.0)
+    assert town.run_until(lambda: _is_whole(town), 8)
+    assert leader(town).state.generation >= number and [town.boxes[name].life for name in CORES] == lives
+    assert _apply(town, "core-2", "after")
+
+
+def test_power_lost_on_a_full_disk_keeps_what_was_acknowledged():
+    """Given one full disk, a change acknowledged by the others, and power lost everywhere right after, the change is kept."""
+    for seed in range(720, 726):
+        town = _town(seed)
+        full = CORES[seed % 3]
+        _fill(town, full, 5)
+        town.run(1.2)
+        assert town.run_until(lambda: leader(town) is not None, 3), seed
+        rest = [name for name in CORES if name != full]
+        assert _apply(town, rest[seed % 2], "kept")
+        for name in CORES:
+            town.kill(name)
+        for name in CORES:
+            town.start(name)
+        assert town.run_until(lambda: leader(town) is not None, 10), seed
+        assert "kept" in {route.name for route in leader(town).state.catalogue.routes}, seed
+
+
+def test_a_core_that_starts_on_a_full_disk_waits_for_it():
+    """Given a core that is started while its disk refuses, it comes back as the seat that it was once the disk takes records."""
+    town = _town(730)
+    node = town.boxes["core-2"].machine.node
+    town.kill("core-2")
+    _fill(town, "core-2", 4)
+    town.start("core-2")
+    town.run(3)
+    assert _apply(town, "core-1", "meanwhile")
+    assert town.run_until(lambda: _is_whole(town), 6) and town.boxes["core-2"].machine.node == node
+
+
+def test_what_waits_for_a_hanging_disk_stays_bounded_under_load():
+    """Given a core's disk that hangs for ten seconds under traffic, little waits for it, and every late call is in a day's log."""
+    town = settled(740)
+    callers = town.call_in(4.0)
+    town.run(2)
+    town.boxes["core-2"].disk.stalled_until = town.now + SECOND * 10
+    most = 0
+    for _ in range(20):
+        town.run(0.5)
+        queue = town.boxes["core-2"].disk.queue
+        most = max(most, sum(file.count for file in queue.waiting.values()))
+    assert most < MOST_WAITING / 8, most
+    callers.is_on = False
+    town.run(12)
+    assert _is_whole(town) and witness(town, callers).unaccounted() == []
+
+
+def test_no_row_is_acknowledged_by_a_keeper_whose_disk_is_full():
+    """Given a keeper that cannot write, the others keep its rows, and it is handed them once it can."""
+    town = settled(750)
+    callers = town.call_in(2.0)
+    town.run(2)
+    _fill(town, "core-3", 6)
+    town.run(6.5)
+    callers.is_on = False
+    town.run(12)
+    cores = town.machines("core")
+    assert not any(core.keeper.hints for core in cores) and not any(core.keeper.open_rows for core in cores)
+    assert witness(town, callers).unaccounted() == []
+
+
+# damage ----------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("file", IDENTITY_FILES)
+def test_a_damaged_disk_is_a_lost_disk_and_its_seat_is_taken_out(file):
+    """Given bytes changed in the middle of a core's file, it starts as somebody new and is given a seat; the old one is removed.
+
+    Before, it stopped with exit code 3 and stayed away until somebody moved its folder."""
+    town = settled(760)
+    callers = quiet(town)
+    town.call_in(3.0, name="more")
+    town.run(4)
+    former = town.boxes["core-1"].machine.node
+    town.kill("core-1")
+    files = town.boxes["core-1"].disk.file_system.files
+    files[file].current[10] ^= 0x41
+    files[file].sync()
+    town.start("core-1")
+    node = town.boxes["core-1"].machine.node
+    assert node != former and callers is not None
+    assert town.run_until(
+        lambda: _is_whole(town) and node in leader(town).state.roster and former not in leader(town).state.roster, 12
+    )
+    assert any(line[1:5] == ("core-1", "error", "storage", "A damaged file was set aside.") for line in town.logs)
+    assert {name for name in files if name.endswith(".damaged")} == {f"{name}.damaged" for name in IDENTITY_FILES}
+    assert _apply(town, "core-1", "after")
+
+
+def test_a_process_starts_as_a_blank_one_on_a_damaged_folder_and_says_so(tmp_path):
+    """Given a real folder whose log was changed, the start gives neither log nor ledger, two error lines, and keeps the files."""
+    folder = DataFolder(RealFileSystem(tmp_path))
+    open_folder(folder, lambda *what: None)
+    for name in IDENTITY_FILES:
+        for number in range(2):
+            folder.write(WriteStep(APPEND, name, (("record", number),), (), timedelta(0)))
+    raw = (tmp_path / LOG).read_bytes()
+    (tmp_path / LOG).write_bytes(raw[:20] + b"?" + raw[21:])
+    lines = []
+    assert open_folder(DataFolder(RealFileSystem(tmp_path)), lambda *what: lines.append(what)).records == {}
+    assert [line[:3] for line in lines] == [("error", "storage", "A file is damaged and was set aside.")] * 2 + [
+        ("error", "storage", "This core gives its identity up and starts as a blank one.")
+    ]
+    assert sorted(path.name for path in tmp_path.iterdir()) == sorted(f"{name}.damaged" for name in IDENTITY_FILES)
+
+
+# losses of power, at every moment of a write --------------------------------------------------------
+
+
+def test_power_lost_at_any_moment_of_changes_loses_no_acknowledged_one():
+    """Given changes at three cores, and power lost at all of them a few milliseconds into one, again and again, each
+    acknowledged change is in the state afterwards, no file is ever damaged, and the seats are who they were."""
+    town = _town(770)
+    nodes = {name: town.boxes[name].machine.node for name in CORES}
+    acked = []
+    for step in range(25):
+        core = CORES[step % 3]
+        assert town.run_until(lambda: leader(town) is not None, 10)
+        if _apply(town, core, f"acked-{step}"):
+            acked.append(f"acked-{step}")
+        operator, door = town.operator(), town.boxes[core].door
+        doc = {
+            "request": f"under-way-{step}",
+            "part": True,
+            "doc": {"routes": [{"name": f"under-way-{step}", "target": "refund-01"}]},
+        }
+        operator.ask(f"http://{door}/operator/apply", "POST", doc)
+        town._hand(town.boxes["operator"], ("pulse",))
+        town.run(0.0007 * step)
+        for name in CORES:
+            town.kill(name)
+        town.run(0.1)
+        for name in CORES:
+            town.start(name)
+    assert town.run_until(lambda: leader(town) is not None, 10) and len(acked) > 15
+    assert set(acked) <= {route.name for route in leader(town).state.catalogue.routes}
+    assert {name: town.boxes[name].machine.node for name in CORES} == nodes
+    assert not any(line[3] == "storage" for line in town.logs if line[2] == "error")
+
+
+# the host's writer -------------------------------------------------------------------------------
+
+
+class _Host:
+    """A writer over a real folder, and what its machine was told."""
+
+    def __init__(self, path):
+        self.folder = DataFolder(RealFileSystem(path))
+        open_folder(self.folder, lambda *what: None)
+        self.heard, self.lines = [], []
+        self.now = timedelta(
+            0
+        )  # a clock that stands still: how long the machine's own disk takes is nobody's matter here
+        self.writer = DiskWriter(
+            self.folder, self.heard.append, lambda *what: self.lines.append(what), lambda: self.now, LOG
+        )
+
+    async def until(self, is_reached, within=5.0):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within
+        while not is_reached():
+            assert loop.time() < end, (self.heard, self.lines)
+            self.writer.look()
+            await asyncio.sleep(0.005)
+
+    def play(self, story):
+        async def run():
+            task = asyncio.create_task(self.writer.run())
+            try:
+                await story()
+            finally:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+
+        asyncio.run(run())
+
+
+def _refuse(monkeypatch, is_refusing, call="write"):
+    real = getattr(os, call)
+
+    def write(*arguments):
+        if is_refusing():
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return real(*arguments)
+
+    monkeypatch.setattr(os, call, write)
+
+
+@pytest.mark.parametrize("call", ("write", "fsync", "replace"))
+def test_a_refused_write_is_kept_and_made_good_in_order_and_nobody_hears_of_it_before(tmp_path, monkeypatch, call):
+    """Given a disk that refuses five times, the machine is told at once, then the followups come, each after its bytes."""
+    host, times = _Host(tmp_path), [5]
+
+    def is_refusing():
+        times[0] -= 1
+        return times[0] >= 0
+
+    async def story():
+        for number in range(3):
+            host.writer.put(
+                REWRITE if call == "replace" and number == 0 else APPEND, LOG, ([number],), f"synced {number}"
+            )
+        host.writer.put(LINES, "day-2026-03-02.jsonl", ({"row": 1},), None)
+        host.writer.put(APPEND, "ledger", (["row", 1],), "row synced")
+        await host.until(lambda: "row synced" in host.heard)
+
+    _refuse(monkeypatch, is_refusing, call)
+    host.play(story)
+    assert [message if isinstance(message, str) else message.is_taking for message in host.heard] == [
+        False,
+        True,
+        "synced 0",
+        "synced 1",
+        "synced 2",
+        "row synced",
+    ]
+    assert [line[2] for line in host.lines] == [
+        "The disk does not take records, standing aside.",
+        "The disk takes records again.",
+    ]
+    opened = DataFolder(RealFileSystem(tmp_path)).open(FILES, IDENTITY_FILES)
+    assert opened.records[LOG] == ((0,), (1,), (2,)) and opened.records["ledger"] == (("row", 1),)
+
+
+def test_a_hanging_disk_holds_up_neither_the_loop_nor_the_end_of_the_process(tmp_path, monkeypatch):
+    """Given a sync that hangs, the loop goes on, the machine is told after a second, and the run ends when it is told to."""
+    host, release, real = _Host(tmp_path), threading.Event(), os.fsync
+    monkeypatch.setattr(os, "fsync", lambda handle: (release.wait(20), real(handle))[1])
+
+    async def story():
+        host.writer.put(APPEND, LOG, (["one"],), "synced")
+        await asyncio.sleep(0.01)
+        host.now += SECOND * 1.1
+        await host.until(lambda: host.heard)
+
+    host.play(story)
+    assert [message.is_taking for message in host.heard] == [False]
+    release.set()
+
+
+def test_a_folder_that_cannot_be_opened_is_tried_again(tmp_path, monkeypatch):
+    """Given a disk that refuses at the start, the process waits and says so once; a file in the folder's place is a wrong flag."""
+    times, lines = [3], []
+
+    def is_refusing():
+        times[0] -= 1
+        return times[0] >= 0
+
+    monkeypatch.setattr("time.sleep", lambda seconds: None)
+    _refuse(monkeypatch, is_refusing, "fsync")
+    folder = DataFolder(RealFileSystem(tmp_path / "data"))
+    assert open_folder(folder, lambda *what: lines.append(what)).records == {} and len(lines) == 1
+    (tmp_path / "file").write_bytes(b"")
+    with pytest.raises(SystemExit) as end:
+        open_folder(DataFolder(RealFileSystem(tmp_path / "file")), lambda *what: None)
+    assert end.value.code == 2
+
+
+def test_an_edge_takes_the_word_of_its_disk():
+    """Given an edge with a data folder whose disk refuses, it spools nothing until the disk takes records."""
+    town = found(790, edges=1)
+    edge = town.boxes["edge-1"].machine
+    edge.quill.has_disk = True
+    assert edge.take(DiskState(is_taking=False, reason="full"), town.now) == [] and not edge.quill.has_disk
+    assert edge.take(DiskState(), town.now) == [] and edge.quill.has_disk
