--- a/sumachook/catalog/faults.py
+++ b/sumachook/catalog/faults.py
@@ -2,9 +2,9 @@
 
 from sumachook.fault import Fault
 
-NOT_JSON = Fault("atlas", "not JSON")
-REFUSED = Fault("atlas", "refused")
-STALE = Fault("atlas", "stale generation")
-STALE_VERSION = Fault("atlas", "stale version")
-EMPTY = Fault("atlas", "no catalogue yet")
-UNREACHED = Fault("atlas", "no core answered")
+NOT_JSON = Fault("catalog", "not JSON")
+REFUSED = Fault("catalog", "refused")
+STALE = Fault("catalog", "stale generation")
+STALE_VERSION = Fault("catalog", "stale version")
+EMPTY = Fault("catalog", "no catalogue yet")
+UNREACHED = Fault("catalog", "no core answered")
--- a/sumachook/ledger/faults.py
+++ b/sumachook/ledger/faults.py
@@ -2,5 +2,5 @@
 
 from sumachook.fault import Fault
 
-NO_QUORUM = Fault("tally", "no two keepers answered")
-DUPLICATE = Fault("tally", "the key was used before")
+NO_QUORUM = Fault("ledger", "no two keepers answered")
+DUPLICATE = Fault("ledger", "the key was used before")
--- a/sumachook/ledger/keeper.py
+++ b/sumachook/ledger/keeper.py
@@ -216,7 +216,7 @@
         for row in gone:
             self._keep(row, ())
         return self._write(
-            [(row, ()) for row in gone], ("log", "warning", "tally", "Open rows closed as lost.", {"rows": len(gone)})
+            [(row, ()) for row in gone], ("log", "warning", "ledger", "Open rows closed as lost.", {"rows": len(gone)})
         )
 
     def _hand_over(self, live):
--- a/sumachook/placement/placer.py
+++ b/sumachook/placement/placer.py
@@ -165,7 +165,7 @@
                 pause = min(self.LONGEST_REST, self.refused.get((name, item), (now, self.RESEND))[1] * 2)
                 self.refused[(name, item)] = (now + pause, pause)
                 note = {"server": name, "verb": verb, "item": item, "answer": str(answer[:1])}
-                return [("log", "warning", "loom", "An order was not taken.", note)]
+                return [("log", "warning", "placement", "An order was not taken.", note)]
             self.refused.pop((name, item), None)
             return []
         read = None
@@ -189,7 +189,7 @@
             self.dark.add(name)
             self.actual.pop(name, None)
             self.dirty = True
-            return [("log", "warning", "loom", "A server is dark.", {"server": name})]
+            return [("log", "warning", "placement", "A server is dark.", {"server": name})]
         return []
 
     def _learn(self, name, items, now):
@@ -284,7 +284,7 @@
                 (
                     "log",
                     "info",
-                    "loom",
+                    "placement",
                     "Order goes out.",
                     {"server": name, "verb": verb, "item": item, "fence": self.fence},
                 )
--- a/sumachook/placement/provisioner.py
+++ b/sumachook/placement/provisioner.py
@@ -461,7 +461,7 @@
         if server.is_dark or (server.fails < 2 and not is_unsent):
             return []
         server.is_dark = True
-        return [("log", "warning", "loom", "An engine server is dark.", {"server": server.name, "reason": reason})]
+        return [("log", "warning", "placement", "An engine server is dark.", {"server": server.name, "reason": reason})]
 
     def _on_report(self, server, report, now):
         if report is None:
@@ -505,7 +505,7 @@
                 (
                     "log",
                     "warning",
-                    "loom",
+                    "placement",
                     "A server knows a higher fence; no more orders.",
                     {"server": server.name, "fence": self.fence},
                 )
@@ -520,7 +520,7 @@
             "adapter": order.adapter,
             "answer": verdict,
         }
-        return [("log", "warning", "loom", "An order was not taken.", note)]
+        return [("log", "warning", "placement", "An order was not taken.", note)]
 
     def _on_begun(self, server, order, now):
         if order.is_taken:  # the same order while it is being done is not counted again
@@ -537,7 +537,7 @@
             "adapter": order.adapter,
             "fence": self.fence,
         }
-        return [("log", "info", "loom", "An order was taken.", note)]
+        return [("log", "info", "placement", "An order was taken.", note)]
 
     def _ask_again(self, server, order, now):
         late = now - order.due_at
@@ -565,7 +565,7 @@
                 "ms": ms,
                 "asks": order.asks,
             }
-            return [("log", "debug", "loom", "An order is done.", note)]
+            return [("log", "debug", "placement", "An order is done.", note)]
         self.stale.add(server.name)
         return []
 
--- a/sumachook/placement/watcher.py
+++ b/sumachook/placement/watcher.py
@@ -102,14 +102,14 @@
             self.fails += 1
             note = {"reason": reason, "fails": self.fails}
             return (
-                [("log", "warning", "loom", "The platform's list cannot be had.", note)]
+                [("log", "warning", "placement", "The platform's list cannot be had.", note)]
                 if self.fails in (3, 30, 300)
                 else []
             )
         self.fails = 0
         listed, oddities = self._sound(items)
         out = (
-            [("log", "warning", "loom", "The platform's list has odd entries.", {"entries": oddities})]
+            [("log", "warning", "placement", "The platform's list has odd entries.", {"entries": oddities})]
             if oddities != self.oddities
             else []
         )
@@ -120,7 +120,7 @@
                 (
                     "log",
                     "warning",
-                    "loom",
+                    "placement",
                     "The platform's list lacks more than half, not believed yet.",
                     {"kept": sorted(kept)},
                 )
--- a/sumachook/policies/faults.py
+++ b/sumachook/policies/faults.py
@@ -2,6 +2,6 @@
 
 from sumachook.fault import Fault
 
-REFUSED = Fault("creed", "refused")
-TOO_LONG = Fault("creed", "step limit reached")
-BROKE = Fault("creed", "could not be worked out")
+REFUSED = Fault("policies", "refused")
+TOO_LONG = Fault("policies", "step limit reached")
+BROKE = Fault("policies", "could not be worked out")
--- a/sumachook/policies/policy.py
+++ b/sumachook/policies/policy.py
@@ -85,7 +85,7 @@
     >>> program.run({"attempt": 1, "fault": "reset"}), program.run({"attempt": 3, "fault": "reset"})
     (True, False)
     >>> compile_policy("hold", "waiting / bound < 1").run({"waiting": 1, "bound": 0})
-    creed: could not be worked out (ZeroDivisionError)
+    policies: could not be worked out (ZeroDivisionError)
     """
 
     __slots__ = ("role", "text", "codes")
@@ -141,11 +141,11 @@
     """A Program, or REFUSED with line and column.
 
     >>> compile_policy("hold", "patience < < 3")
-    creed: refused (line 1, column 12: invalid syntax)
+    policies: refused (line 1, column 12: invalid syntax)
     >>> compile_policy("hold", "patience < 'x'")
-    creed: refused (line 1, column 1: number and text cannot be compared)
+    policies: refused (line 1, column 1: number and text cannot be compared)
     >>> compile_policy("hold", "exit()")
-    creed: refused (line 1, column 1: only min, max and abs can be called)
+    policies: refused (line 1, column 1: only min, max and abs can be called)
     """
     names, wanted, default = ROLES[role]
     if not text.strip():
