--- /dev/null
+++ b/harness/order_callers.py
@@ -0,0 +1,213 @@
+"""Operators as the platform's pages describe them: they lose answers, send again anywhere, follow redirects, race each other."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from harness.order_book import OK, REFUSED, Book, Order, Read, Turn, kind_of, marks_of
+
+SILENCE = timedelta(seconds=1)
+ACKNOWLEDGE = timedelta(seconds=4)
+PAUSE, LONGEST_PAUSE = timedelta(seconds=0.1), timedelta(seconds=0.8)
+MOST_REDIRECTS = 2
+LOST_ANSWERS = 0.5
+OPERATORS = 8
+AREAS = ("hall-a", "hall-b")
+
+
+def route(mark: str, timeout: float = 5000) -> dict:
+    return {
+        "name": mark,
+        "host": "h.example",
+        "prefix": f"/{mark}/",
+        "kind": "repeatable",
+        "timeoutMs": timeout,
+        "split": [{"service": "huvo11a", "weight": 1}],
+    }
+
+
+def reordered(value):
+    """The same document with the members of its objects the other way round."""
+    if isinstance(value, dict):
+        return {name: reordered(item) for name, item in reversed(value.items())}
+    return [reordered(item) for item in value] if isinstance(value, list) else value
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One thing that an operator wants done, over all its tries."""
+
+    path: str
+    document: dict | None
+    subject: Order | Turn | None
+    started_at: timedelta
+    give_up_at: timedelta
+    next_at: timedelta
+    pause: timedelta = PAUSE
+    redirects: int = 0
+    door: str = ""
+    tid: int | None = None
+    sent_at: timedelta = timedelta(0)
+
+
+@dataclass(slots=True)
+class Operator:
+    """One operator: at most one call at a time."""
+
+    number: int
+    version: int
+    configuration: dict | None = None
+    call: Call | None = None
+    idle_until: timedelta = timedelta(0)
+    was_unclear: Order | None = None
+
+
+@dataclass(slots=True)
+class Operators:
+    """Takes (message, now) as a machine of the in-memory fleet: eight operators and their calls.
+
+    `doors` gives the control addresses to choose from, `on_sent` and `on_answer` are told of each call sent and answered.
+    """
+
+    book: Book
+    draw: Random
+    doors: object
+    on_sent: object
+    on_answer: object
+    operators: list = field(default_factory=list)
+    under_way: dict = field(default_factory=dict)
+    count: int = 0
+    is_on: bool = True
+    evacuations: bool = True
+
+    def __post_init__(self):
+        self.operators = [Operator(number, self.book.first_version) for number in range(OPERATORS)]
+
+    def take(self, message: tuple, now) -> list:
+        if message[0] == "pulse":
+            return self._pulse(now)
+        if message[0] == "fetched" and message[2] in ("done", "fault"):
+            return self._answered(message, now)
+        return []
+
+    # sending ----------------------------------------------------------------------
+
+    def _pulse(self, now):
+        out = []
+        for operator in self.operators:
+            if operator.call is None and self.is_on and now >= operator.idle_until:
+                operator.call = self._choose(operator, now)
+            call = operator.call
+            if call is not None and call.tid is None and now >= call.next_at:
+                out += self._send(operator, call, now)
+        return out
+
+    def _send(self, operator, call, now):
+        if now > call.give_up_at:
+            self._end(operator, now)
+            return []
+        call.door = self.draw.choice(self.doors())
+        call.redirects = 0
+        return self._fetch(operator, call, call.door, now)
+
+    def _fetch(self, operator, call, door, now):
+        self.count += 1
+        call.tid, call.sent_at, call.door = self.count, now, door
+        self.under_way[call.tid] = (operator, call)
+        self.on_sent(door)
+        document = call.document
+        if document is not None and self.draw.random() < 0.5:
+            document = reordered(document)
+        body = b"" if document is None else msgspec.json.encode(document)
+        method = "GET" if document is None else "POST"
+        return [("fetch", call.tid, method, f"http://{door}{call.path}", {}, body, SILENCE, SILENCE, "whole")]
+
+    # choosing ---------------------------------------------------------------------
+
+    def _choose(self, operator, now):
+        chance = self.draw.random()
+        if self.evacuations and operator.number < len(AREAS) and chance < 0.5:
+            return self._turn(AREAS[operator.number], now)
+        if operator.configuration is None or chance > 0.75:
+            return Call("/show/catalogue", None, None, now, now + ACKNOWLEDGE, now)
+        return self._change(operator, now)
+
+    def _turn(self, area, now):
+        before = self.book.last_turn(area)
+        turn = Turn(area, not (before and before.is_left), now)
+        self.book.turns.append(turn)
+        path = "/operator/evacuate" if turn.is_left else "/operator/restore"
+        return Call(path, {"area": area}, turn, now, now + ACKNOWLEDGE, now)
+
+    def _change(self, operator, now):
+        mark = f"mark-{len(self.book.orders)}"
+        base = operator.version
+        if operator.was_unclear is not None and self.draw.random() < 0.3:
+            base = operator.was_unclear.version  # builds on what may be in force
+        version = base + self.draw.choice((1, 2, 2, 3))
+        is_valid = self.draw.random() < 0.9
+        added = route(mark, 5000 if is_valid else 0)
+        if base == operator.version and self.draw.random() < 0.3:
+            standing = operator.configuration
+            document = {
+                "ifVersion": base,
+                "doc": {**standing, "version": version, "httpRoutes": [*standing["httpRoutes"], added]},
+            }
+        else:
+            document = {
+                "ifVersion": base,
+                "part": True,
+                "doc": {"version": version, "httpRoutes": [added]},
+                "removals": {"httpRoutes": ["never"]},
+            }
+        document["request"] = mark
+        order = Order(mark, base, version, document, is_valid)
+        self.book.orders.append(order)
+        return Call("/operator/configure", document, order, now, now + ACKNOWLEDGE * 3, now)
+
+    # answers ----------------------------------------------------------------------
+
+    def _answered(self, message, now):
+        operator, call = self.under_way.pop(message[1])
+        call.tid = None
+        status, headers, body = message[3:6] if message[2] == "done" else (0, {}, b"")
+        if message[2] == "fault" and message[3] == "timeout":
+            self.on_answer(call.door, call, 0)
+        if status == 307 and call.redirects < MOST_REDIRECTS:
+            call.redirects += 1
+            return self._fetch(operator, call, headers["location"].removeprefix("http://").partition("/")[0], now)
+        if status:
+            self.on_answer(call.door, call, status)
+        is_lost = bool(status) and self.draw.random() < LOST_ANSWERS
+        self._note(operator, call, status, body, is_lost, now)
+        is_clear = not is_lost and kind_of(status) in (OK, REFUSED)
+        if is_clear:
+            self._end(operator, now)
+        else:
+            call.next_at = now + call.pause
+            call.pause = min(call.pause * 2, LONGEST_PAUSE)
+        return []
+
+    def _note(self, operator, call, status, body, is_lost, now):
+        subject = call.subject
+        if isinstance(subject, Order):
+            if status:
+                self.book.note_answer(subject, now, status, not is_lost)
+            operator.was_unclear = None if status and not is_lost else subject
+            if status == 200 and not is_lost:
+                operator.version, operator.configuration = subject.version, None
+        elif isinstance(subject, Turn):
+            if status == 200 and subject.taken_at is None:
+                subject.taken_at = now
+        elif status == 200 and not is_lost:
+            configuration = msgspec.json.decode(body)["catalogue"]
+            operator.version, operator.configuration = configuration["version"], configuration
+            self.book.reads.append(Read(call.sent_at, now, configuration["version"], marks_of(configuration)))
+
+    def _end(self, operator, now):
+        operator.call = None
+        operator.idle_until = now + timedelta(seconds=self.draw.uniform(0, 0.15))
+        if self.draw.random() < 0.5:
+            operator.configuration = None  # looks again before its next change
--- /dev/null
+++ b/harness/orders.py
@@ -0,0 +1,209 @@
+"""python -m harness.orders FIRST LAST: eight operators at once, half of their answers lost, cores killed around answers and requests,
+power and disks lost; an independent book says what each operator was told. Prints what broke a rule."""
+
+import argparse
+from concurrent.futures import ProcessPoolExecutor
+from datetime import timedelta
+from functools import partial
+from random import Random
+
+from harness.order_book import Book
+from harness.order_callers import AREAS, SILENCE, Operators
+from sumachook.simulation.city import City, Town
+from tests.scene import EXAMPLES, leader
+from tests.service_catalogue_stories import whole
+
+FIRST_VERSION = 5
+CATCH_UP = timedelta(seconds=4)
+CALM = 12
+KILLS = (1.0, 0.1, 0.5)  # by seed: a share of the chances below
+TROUBLES = (0.2, 0.8, 0.5)  # by seed: how likely a freeze, a cut or a slow disk is at each step
+AFTER_ANSWER, AFTER_REQUEST = (0.0, 0.004), (0.005, 0.4)
+MOST_SEEDS = 5000
+
+
+class OrderStorm:
+    """One fleet of three cores under operators and losses; `run` gives what is wrong.
+
+    Never more is lost for good than one core, and the next only `CATCH_UP` after the return of the last.
+    """
+
+    def __init__(self, seed: int, edges: int = 1):
+        self.draw = Random(seed)
+        self.kill_share, self.trouble_share = KILLS[seed % 3], TROUBLES[seed % 3]
+        self.town = Town(City(EXAMPLES / "kosice"), seed, edges, seat_away=1.6, confirm_within=0.8, order_within=0.85)
+        self.faults, self.troubled, self.next_loss, self.kills = [], {}, CATCH_UP, 0
+        assert self.town.run_until(lambda: leader(self.town) is not None, 15)
+        assert self.town.run_until(lambda: self._ask_first()[0] == 200, 20)
+        self.book = Book(FIRST_VERSION)
+        self.callers = Operators(self.book, Random(seed + 1), self._doors, self._sent, self._answered)
+        self.town.add("operators", "operators", lambda box: self.callers, "", "", "operators")
+
+    def _ask_first(self):
+        return self.town.ask(
+            "core-1", "POST", "/operator/configure", {"request": "first", "doc": whole(FIRST_VERSION), "ifVersion": 0}
+        ) or (0,)
+
+    def _cores(self):
+        return [box for box in self.town.boxes.values() if box.role == "core"]
+
+    def _doors(self):
+        return [box.door for box in self._cores()]
+
+    # losses -----------------------------------------------------------------------
+
+    def _sent(self, door):
+        if self.draw.random() < 0.03 * self.kill_share:
+            self._kill_later(self.draw.choice(self._cores()), AFTER_REQUEST)
+
+    def _answered(self, door, call, status):
+        box = self.town.by_door[door]
+        if (
+            status == 0
+            and call.sent_at >= self.troubled.get(box.name, timedelta(0))
+            and box.machine is not None
+            and not box.is_frozen
+        ):
+            self.faults.append(f"{box.name} was silent for a second from {call.sent_at} on, {call.path}")
+        if status == 200 and self.draw.random() < 0.06 * self.kill_share:
+            self._kill_later(self.draw.choice((box, self._leader_box() or box)), AFTER_ANSWER)
+
+    def _leader_box(self):
+        core = leader(self.town)
+        return next((box for box in self._cores() if box.machine is core), None) if core else None
+
+    def _kill_later(self, box, span):
+        self.town._later(timedelta(seconds=self.draw.uniform(*span)), self._kill, box)
+
+    def _kill(self, box):
+        if not self.callers.is_on or box.machine is None:
+            return
+        chance = self.draw.random()
+        boxes = self._cores() if chance < 0.15 else [box]
+        is_wiped = chance > 0.85 and self.town.now >= self.next_loss and self._is_whole()
+        self.kills += 1
+        for each in boxes:
+            self.town.kill(each.name)
+        if is_wiped:
+            box.disk.wipe()
+        down = self.draw.uniform(0.1, 2.0)
+        for each in boxes:
+            self._trouble(each, down + 0.1)
+            self.town._later(timedelta(seconds=down + self.draw.uniform(0, 0.1)), self._start, each)
+        if is_wiped:
+            self.next_loss = self.town.now + timedelta(seconds=down) + CATCH_UP
+
+    def _start(self, box):
+        if box.machine is None:
+            self.town.start(box.name)
+            self._trouble(box, 0)
+
+    def _trouble(self, box, seconds):
+        """Calls sent to this core up to then may meet silence."""
+        until = self.town.now + timedelta(seconds=seconds)
+        self.troubled[box.name] = max(until, self.troubled.get(box.name, until))
+
+    def _is_whole(self):
+        core, running = leader(self.town), {machine.node for machine in self.town.machines("core")}
+        return core is not None and len(set(core.consensus.members) & running) == 3
+
+    def _other_trouble(self):
+        """A freeze, a cut or a slow disk of one core for up to three seconds."""
+        box, lasts = self.draw.choice(self._cores()), self.draw.uniform(0.1, 3.0)
+        if box.machine is None or box.is_frozen:
+            return
+        self._trouble(box, lasts + SILENCE.total_seconds())
+        ends = timedelta(seconds=lasts)
+        others = [other.name for other in self._cores() if other is not box]
+        match self.draw.choice(("freeze", "cut", "one way", "slow")):
+            case "freeze":
+                self.town.freeze(box.name)
+                self.town._later(ends, self._wake, box)
+            case "slow":
+                box.disk.delay = timedelta(seconds=self.draw.uniform(0.002, 0.2))
+            case cut:
+                links = self.town.cut([box.name], others, one_way=cut == "one way", holds=self.draw.random() < 0.7)
+                self.town._later(ends, self.town.heal, links)
+
+    def _wake(self, box):
+        if box.is_frozen:
+            self.town.wake(box.name)
+
+    # the run ----------------------------------------------------------------------
+
+    def run(self, seconds: float = 40.0) -> list:
+        end = self.town.now + timedelta(seconds=seconds)
+        while self.town.now < end:
+            if self.draw.random() < self.trouble_share:
+                self._other_trouble()
+            self.town.run_until(self._look, self.draw.uniform(0.2, 1.5))
+        self._calm()
+        return self.faults + self.book.faults(self._final())
+
+    def _look(self):
+        """No area may be closed again once its reopening was acknowledged, until it is to be emptied anew."""
+        core = leader(self.town)
+        for area in AREAS if core is not None else ():
+            turn = self.book.last_turn(area)
+            if turn is None or turn.taken_at is None or self.town.now - turn.taken_at < SILENCE / 10:
+                continue
+            if core.state.is_open(area) == turn.is_left:
+                word = "open" if turn.is_left else "closed"
+                self.faults.append(
+                    f"{area} is {word} at {self.town.now}, though its turn was acknowledged at {turn.taken_at}"
+                )
+        return False
+
+    def _calm(self):
+        self.callers.is_on = False
+        self.town.heal()
+        for box in self._cores():
+            box.disk.delay, box.disk.stalled_until = timedelta(seconds=0.002), self.town.now
+            self._wake(box)
+            if box.machine is None:
+                self.town.start(box.name)
+        self.town.run_until(self._look, CALM)
+
+    def _final(self):
+        """What is read back at the end; the reads at all cores agree."""
+        read = []
+        for box in self._cores():
+            answer = self.town.ask(box.name, "GET", "/show/catalogue")
+            if answer and answer[0] == 200:
+                read.append(answer[1]["catalogue"])
+        if not read:
+            self.faults.append("no core reads the configuration back after the calm")
+            return leader(self.town).state.doc if leader(self.town) else self.town.machines("core")[0].state.doc
+        if any(other != read[0] for other in read):
+            self.faults.append("the cores read back different configurations")
+        return read[0]
+
+
+def play(seed: int, seconds: float = 40.0):
+    """(seed, orders, answers that acknowledge, kills, faults) of one storm."""
+    storm = OrderStorm(seed)
+    faults = storm.run(seconds)
+    acknowledged = sum(order.was_told("taken") for order in storm.book.orders)
+    return seed, len(storm.book.orders), acknowledged, storm.kills, list(dict.fromkeys(faults))
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.orders", description=__doc__)
+    parser.add_argument("first", type=int)
+    parser.add_argument("last", type=int, help=f"at most {MOST_SEEDS} seeds after the first")
+    parser.add_argument("--seconds", type=float, default=40.0, help="of each storm, before its calm")
+    parser.add_argument("--jobs", type=int, default=4)
+    given = parser.parse_args()
+    seeds = range(given.first, min(given.last, given.first + MOST_SEEDS) + 1)
+    orders = acknowledged = kills = bad = 0
+    with ProcessPoolExecutor(given.jobs) as pool:
+        for seed, sent, taken, killed, faults in pool.map(partial(play, seconds=given.seconds), seeds):
+            orders, acknowledged, kills, bad = orders + sent, acknowledged + taken, kills + killed, bad + bool(faults)
+            for fault in faults[:5]:
+                print(seed, fault, flush=True)
+    print(f"{len(seeds)} storms, {orders} orders, {acknowledged} acknowledged, {kills} kills, {bad} storms with faults")
+    raise SystemExit(1 if bad else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/harness/scale/host.py
+++ b/harness/scale/host.py
@@ -41,7 +41,7 @@
         "provisioner",
         "watcher",
         "placer",
-        "desk",
+        "api",
         "grantor",
         "board",
     ),
--- a/harness/scale/meter.py
+++ b/harness/scale/meter.py
@@ -35,8 +35,8 @@
 from sumachook.ledger.purse import Accountant, Purse
 from sumachook.ledger.quill import Quill
 from sumachook.membership import Membership
+from sumachook.nodes.control_api import ControlApi
 from sumachook.nodes.core import Core
-from sumachook.nodes.desk import Desk
 from sumachook.nodes.edge import Edge
 from sumachook.placement.herald import Herald
 from sumachook.placement.placer import Placer
@@ -55,7 +55,8 @@
     (Replica, "take", ORDERED),
     (State, "apply", ORDERED),
     (State, "restore", ORDERED),
-    (Desk, "take", ORDERED),
+    (ControlApi, "http", ORDERED),
+    (ControlApi, "pulse", ORDERED),
     (Leases, "take", DUTIES),
     (Keeper, "take", LEDGER),
     (Quill, "take", LEDGER),
--- a/harness/scale/tables.py
+++ b/harness/scale/tables.py
@@ -30,7 +30,7 @@
     "provisioner": "usage, orders, what servers hold",
     "watcher": "list",
     "placer": "pairs",
-    "desk": "operators' orders",
+    "api": "operators' orders",
     "places": "places",
     "transit": "requests",
     "ferry": "requests, own door",
--- a/sumachook/catalog/params.py
+++ b/sumachook/catalog/params.py
@@ -12,7 +12,8 @@
 
 class Params(msgspec.Struct, rename="camel", forbid_unknown_fields=True, frozen=True):
     """Addresses, area, three seeds; `read_params` checks them (§1.6). In seconds: `seatAway`, how long a seat may be away;
-    `orderWithin`, how long an operator's order is proposed again; `confirmWithin`, how long its answer waits for the edges (§5.4)."""
+    `orderWithin`, how long an operator's order is proposed again before it is answered; `confirmWithin`, how long its answer waits for the
+    edges, within that time (§5.4)."""
 
     node: Name
     address: str
--- a/sumachook/catalog/state.py
+++ b/sumachook/catalog/state.py
@@ -1,16 +1,24 @@
 """The ordered state: what every core and edge works out from the same changes."""
 
-from hashlib import sha256
-
 import msgspec
 
 from sumachook.catalog import faults
 from sumachook.catalog.catalogue import merge
 from sumachook.catalog.checked_document import replace_in, revise_document
+from sumachook.catalog.orders import (
+    MOST_FAULTS,
+    OK,
+    REFUSED,
+    STALE,
+    UNCLEAR,
+    TakenVersions,
+    digest,
+    digest_of_configuration,
+    version_of,
+)
 from sumachook.catalog.part import removal_faults
 
 MOST_REQUESTS = 1000
-MOST_TAKEN = 1000
 DUTIES = ("placer", "accountant")
 
 
@@ -39,13 +47,19 @@
         "listed_at",
         "taken",
         "checked",
+        "version_at",
+        "turned_at",
+        "_seen",
     )
 
     def __init__(self):
         self.number, self.generation, self.doc, self.catalogue = 0, 0, None, None
         self.evacuated, self.servers, self.pairs, self.held, self.roster = (), {}, {}, {}, {}
         self.duties = dict.fromkeys(DUTIES, ("", 0))
-        self.requests, self.listed_at, self.taken = {}, 0, {}
+        self.requests, self.listed_at, self.taken = {}, 0, TakenVersions()
+        self.version_at = 0  # the log entry that brought the version in force
+        self.turned_at = {}  # the log entry of each area's last turn
+        self._seen = None  # of the attempt that is applied now, None where nobody says
         self.checked = None  # the document in force with what was read from it
 
     def image(self) -> dict:
@@ -62,7 +76,9 @@
             "roster": self.roster,
             "requests": tuple(self.requests.items()),
             "listedAt": self.listed_at,
-            "taken": tuple(self.taken.items()),
+            "taken": self.taken.image(),
+            "versionAt": self.version_at,
+            "turnedAt": dict(self.turned_at),
         }
 
     def restore(self, image: dict):
@@ -74,8 +90,9 @@
         self.held = {server: dict(items) for server, items in image["held"].items()}
         self.duties = {duty: tuple(item) for duty, item in image["duties"].items()}
         self.listed_at = image["listedAt"]
-        self.requests = dict(image["requests"])
-        self.taken = dict(image.get("taken", ()))
+        self.requests = {request: (content, tuple(result)) for request, (content, result) in image["requests"]}
+        self.taken = TakenVersions.from_image(image.get("taken"), self.version)
+        self.version_at, self.turned_at = image.get("versionAt", self.number), dict(image.get("turnedAt", ()))
 
     def apply(self, number: int, change) -> tuple:
         self.number = number
@@ -117,46 +134,97 @@
 
     # operators ------------------------------------------------------------------
 
-    def _once(self, request, work):
-        """§5.4: a repeat is answered with the first result."""
-        if request not in self.requests:
-            self.requests[request] = work()
+    def _order(self, origin, attempt, seen, change):
+        """An operator's call, with the last change that its core had seen when the call came (`orders.Attempt`)."""
+        self._seen = seen
+        try:
+            return getattr(self, "_" + change[0])(*change[1:])
+        finally:
+            self._seen = None
+
+    def _is_overtaken(self, number: int) -> bool:
+        """Whether the call came to its core before change `number`: it may be a copy that lay in a buffer, its caller answered long ago."""
+        return self._seen is not None and self._seen < number
+
+    def _once(self, request, content, work):
+        """§5.4: a repeat under one id is answered with the first result; the id is taken, for other content it is refused."""
+        if not request:
+            return work()
+        if request in self.requests:
+            held, result = self.requests[request]
+            return result if held == content else (REFUSED, (("request", "this id belongs to another order"),))
+        result = work()
+        if result[0] != UNCLEAR:
+            self.requests[request] = (content, result if result[0] == OK else (result[0], result[1][:MOST_FAULTS]))
             while len(self.requests) > MOST_REQUESTS:
                 del self.requests[next(iter(self.requests))]
-        return self.requests[request]
+        return result
 
     def _apply(self, request, doc, is_part, if_generation):
-        return self._once(request, lambda: self._merge(doc, is_part, if_generation))
+        return self._once(
+            request, digest("apply", doc, is_part, if_generation), lambda: self._merge(doc, is_part, if_generation)
+        )
 
     def _merge(self, doc, is_part, if_generation):
         if if_generation is not None and if_generation != self.generation:
-            return ("stale", (("generation", f"{faults.STALE.name}: it is {self.generation}, not {if_generation}"),))
+            return (STALE, (("generation", f"{faults.STALE.name}: it is {self.generation}, not {if_generation}"),))
         if is_part and self.doc is None:
-            return ("refused", (("$", faults.EMPTY.name),))
+            return (REFUSED, (("$", faults.EMPTY.name),))
         return self._put(merge(self.doc, doc) if is_part else doc)
 
-    def _configure(self, request, doc, removals, is_part, if_version):
+    def _configure(self, request, doc, removals, is_part, base, defaults=None):
         """Content decides, not the request: what was taken under its version is taken, whoever asks again (§14.2)."""
-        version = doc.get("version") if isinstance(doc, dict) else None
-        if not isinstance(version, int) or isinstance(version, bool):
-            return ("refused", (("version", "a whole number is needed"),))
-        digest = _digest(doc, removals, is_part, if_version)
-        if self.taken.get(version) == digest:
-            return ("ok", self.generation)
-        if if_version != self.version:
-            return ("stale", (("version", f"{faults.STALE_VERSION.name}: it is {self.version}, not {if_version}"),))
+        content, version = digest_of_configuration(doc, removals, is_part, base), version_of(doc)
+        if verdict := self._verdict(content, base, version):
+            return verdict
+        wanted, found = self._wanted(doc, removals, is_part, defaults)
+        result = self._put(wanted) if not found else (REFUSED, found)
+        if result[0] == OK:
+            self.taken.record(version, content)
+            self.version_at = self.number
+        return result
+
+    def _claim(self, request, content, base, version, found):
+        """A configuration by its digest: its core saw that it is no longer to be taken, or found these faults in it on its base."""
+        verdict = self._verdict(content, base, version)
+        if verdict is None and found:
+            return (REFUSED, found)
+        return verdict or (UNCLEAR, (("version", "its base came into force meanwhile"),))
+
+    def claim_of(self, change: tuple) -> tuple:
+        """What is to be ordered for a configuration: itself, or a claim where its verdict needs no more than the digest."""
+        _, request, doc, removals, is_part, base, *rest = change
+        content, version = digest_of_configuration(doc, removals, is_part, base), version_of(doc)
+        if base != self.version or self.taken.knows(version, content):
+            return ("claim", request, content, base, version, ())
+        wanted, found = self._wanted(doc, removals, is_part, *rest)
+        found = found or revise_document(self.checked, wanted)[1]
+        return ("claim", request, content, base, version, found[:MOST_FAULTS]) if found else change
+
+    def _verdict(self, content, base, version):
+        """What the versions alone decide of a configuration, or None."""
+        if self.taken.knows(version, content):
+            return (OK, self.generation)
+        if self.taken.may_be_forgotten(base, version):
+            return (UNCLEAR, (("version", f"{version} is too long ago to tell"),))
+        if base != self.version:
+            return (STALE, (("version", f"{faults.STALE_VERSION.name}: it is {self.version}, not {base}"),))
+        if self._is_overtaken(self.version_at):
+            return (UNCLEAR, (("version", f"{base} came into force after this call"),))
+        return None
+
+    def _wanted(self, doc, removals, is_part, defaults=None):
+        """(the whole that a configuration asks for, faults that need no look at it); its base is the version in force."""
+        version = version_of(doc)
+        if version is None:
+            return None, (("version", "a whole number is needed"),)
         if version <= self.version:
-            return ("refused", (("version", f"{version} is not above {self.version}"),))
+            return None, (("version", f"{version} is not above {self.version}"),)
         if is_part and self.doc is None:
-            return ("refused", (("$", faults.EMPTY.name),))
+            return None, (("$", faults.EMPTY.name),)
         if found := removal_faults(removals):
-            return ("refused", found)
-        result = self._put(replace_in(self.checked, doc, removals) if is_part else doc)
-        if result[0] == "ok":
-            self.taken[version] = digest
-            while len(self.taken) > MOST_TAKEN:
-                del self.taken[next(iter(self.taken))]
-        return result
+            return None, found
+        return (replace_in(self.checked, doc, removals) if is_part else {**(defaults or {}), **doc}), ()
 
     def _put(self, wanted):
         """The whole that is to be in force, if it is valid."""
@@ -166,24 +234,31 @@
         self.checked, self.doc, self.catalogue = checked, checked.document, checked.catalogue
         catalogue = self.catalogue
         self.evacuated = tuple(area for area in self.evacuated if area in catalogue.areas)
+        self.turned_at = {area: number for area, number in self.turned_at.items() if area in catalogue.areas}
         names = {model.name for model in catalogue.models}
         self.pairs = {model: pair for model, pair in self.pairs.items() if model in names}
         self.generation += 1
         return ("ok", self.generation)
 
     def _evacuate(self, request, area):
-        return self._once(request, lambda: self._turn(area, True))
+        return self._once(request, digest("evacuate", area), lambda: self._turn(area, True))
 
     def _restore(self, request, area):
-        return self._once(request, lambda: self._turn(area, False))
+        return self._once(request, digest("restore", area), lambda: self._turn(area, False))
 
     def _turn(self, area, is_left):
+        """Empties an area or takes that back; not by a call that came before the area's last turn, which it must not overtake."""
         if self.catalogue is None or area not in self.catalogue.areas:
-            return ("refused", (("area", f"no area {area!r}"),))
+            return (REFUSED, (("area", f"no area {area!r}"),))
+        if (area in self.evacuated) == is_left:
+            return (OK, self.generation)
+        if self._is_overtaken(self.turned_at.get(area, 0)):
+            return (UNCLEAR, (("area", f"{area!r} was turned after this call came"),))
         rest = tuple(other for other in self.evacuated if other != area)
         self.evacuated = tuple(sorted((*rest, area))) if is_left else rest
+        self.turned_at[area] = self.number
         self.generation += 1
-        return ("ok", self.generation)
+        return (OK, self.generation)
 
     # duties -----------------------------------------------------------------------
 
@@ -231,11 +306,6 @@
         return ("ok",)
 
 
-def _digest(*content) -> str:
-    """The same for the same content on every node, whatever the order of its fields."""
-    return sha256(msgspec.json.encode(content, order="deterministic")).hexdigest()
-
-
 def _doc():
     return {
         "name": "c",
--- a/sumachook/nodes/client.py
+++ b/sumachook/nodes/client.py
@@ -10,7 +10,7 @@
 from sumachook.catalog import faults
 
 WAIT = timedelta(seconds=10)
-ROUNDS = 3
+ROUNDS = 8  # half a second apart: longer than a change of the leader takes
 
 
 class Client:
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -2,27 +2,21 @@
 
 from datetime import timedelta
 from random import Random
-from urllib.parse import unquote
-
-import msgspec
 
 from sumachook.allowances.board import Board
 from sumachook.allowances.grantor import Grantor
-from sumachook.catalog.catalogue import merge, read_catalogue
+from sumachook.catalog.orders import Attempt
 from sumachook.catalog.state import State
 from sumachook.changefeed.source import Source
 from sumachook.consensus import Options, Replica
 from sumachook.consensus.storage import FILE as LOG_FILE
 from sumachook.consensus.wire import TYPES as CONSENSUS
-from sumachook.fault import Fault
 from sumachook.leases.leases import Leases
 from sumachook.ledger.keeper import Keeper
 from sumachook.ledger.purse import Accountant
 from sumachook.membership.membership import ALIVE, Membership
-from sumachook.nodes.desk import Desk, read_order, reply
+from sumachook.nodes.control_api import ControlApi, starting
 from sumachook.nodes.edge import MEMBERSHIP
-from sumachook.placement.account import account_for_places
-from sumachook.placement.outlook import foresee
 from sumachook.placement.placer import Placer
 from sumachook.placement.port import ServerPort
 from sumachook.placement.provisioner import Provisioner
@@ -33,10 +27,20 @@
 LEASES = {"bid", "vote", "renew", "renewed"}
 FEED = {"follow", "confirm", "confirmed"}
 TALLY = {"open", "close", "hand", "handed"}
-OPERATOR = ("apply", "configure", "evacuate", "restore")
-FIND_WITHIN = timedelta(seconds=1)
 SHORTEST_LEAVE = timedelta(seconds=0.5)  # for duties that are given back
 LONGEST_LEAVE, LEAVE_SHARE = timedelta(seconds=3), 0.5  # for the seat to be taken over; of the grace at most
+LOCAL = (
+    "propose",
+    "deliver",
+    "restored",
+    "compact",
+    "refused",
+    "resign",
+    "departed",
+    "read",
+    "readable",
+    "unreadable",
+)  # effects that are for a part of this core
 
 
 def seat_of(records: dict) -> str:
@@ -60,14 +64,13 @@
         "watcher",
         "keeper",
         "accountant",
-        "desk",
+        "api",
         "is_new",
         "is_ready",
         "stop_at",
         "may_end_at",
         "has_departed",
         "ignored",
-        "finds",
         "almanac",
         "provisioner",
         "grantor",
@@ -104,45 +107,36 @@
         self.leases = Leases(
             self.node, self.state, Random(draw.random()), now, params.fenced, timedelta(seconds=params.turn_gap)
         )
-        self.source = Source(self.state, self._other_cores, now, self.almanac, self._is_fresh)
+        self.source = Source(self.state, self.other_cores, now, self.almanac, self.is_fresh)
         self.placer, self.watcher = (
             Placer(self.state, now),
             Watcher(self.state, params.platform, now, list_port, params.list_readers),
         )
         self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
         self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
-        self.accountant, self.finds = Accountant(now), {}
+        self.accountant = Accountant(now)
         self.grantor, self.board = Grantor(self.state, now), Board(self.state)
-        self.desk = Desk(timedelta(seconds=params.confirm_within), timedelta(seconds=params.order_within))
         self.stop_at, self.may_end_at, self.has_departed, self.ignored = None, now, False, 0
         self.is_disk_taking = True
+        self.api = ControlApi(self)
 
     def take(self, message: tuple, now) -> list:
         if message[0] == "disk-state":
             return self._take_disk_state(message, now)
         if self.is_new:
             self.is_new = False
-            return [("disk", LOG_FILE, (("seat", self.node),), ("seat-ready",))]
+            refusal = [starting(message[1])] if message[0] == "http" else []
+            return [*refusal, ("disk", LOG_FILE, (("seat", self.node),), ("seat-ready",))]
         if not self.is_ready:
             self.is_ready = message[0] == "seat-ready"
-            return []
+            return [starting(message[1])] if message[0] == "http" else []
         out, work, number = [], [message], self.state.number
         while work or number < self.state.number:
             if not work:  # what was delivered goes out at once, in one parcel
                 number = self.state.number
                 work += [("serve",)]
             for effect in self._dispatch(work.pop(0), now):
-                if effect[0] in (
-                    "propose",
-                    "deliver",
-                    "restored",
-                    "compact",
-                    "refused",
-                    "resign",
-                    "departed",
-                    "readable",
-                    "unreadable",
-                ):
+                if effect[0] in LOCAL:
                     work.append(effect)
                 elif effect[0] == "word":
                     out += [
@@ -186,10 +180,15 @@
             return self.provisioner.take(message, now)
         if kind == "fetched" and message[2] in ("done", "fault"):
             return (self.placer if message[1][0] == "placer" else self.watcher).take(message, now)
+        if kind == "readable":
+            return self.api.readable(message[1], now)
+        if kind == "unreadable":
+            return self.api.unreadable(message[1], message[2], now)
         if kind == "http":
-            return self._http(message, now)
+            return self.api.http(message, now)
         if kind == "gone":
-            return self.desk.take(message, now)
+            self.api.gone(message[1])
+            return []
         if kind == "seeds":
             return self.membership.take(message, now)
         if kind == "garbage":
@@ -233,7 +232,7 @@
         kind = message[0]
         return kind in ("propose", "compact") or (kind == "heard" and message[3][0] in CONSENSUS.keys() | TALLY)
 
-    def _is_fresh(self, now) -> bool:
+    def is_fresh(self, now) -> bool:
         return self.is_disk_taking and self.consensus.is_fresh(now)
 
     # messages ----------------------------------------------------------------------
@@ -263,7 +262,7 @@
         if kind in ("want", "usage", "places_ask"):
             return self.provisioner.take(message, now)
         if kind in ("find", "found"):
-            return self._find_heard(message, now)
+            return self.api.searches.heard(message[2], message[3], now)
         self.ignored += 1
         return []
 
@@ -274,15 +273,21 @@
         out = self.source.take(("delivered", number, entry), now)
         self.placer.take(("changed",), now)
         out += self.provisioner.take(("changed",), now)
-        if change[0] in OPERATOR:
-            out += self.desk.take(("delivered", number, change, result, self.state.version), now)
+        if change[0] == "order":
+            self.api.desk.delivered(number, Attempt(*change[1:4]), result, self.state.version, now)
             out.append(
-                ("log", "info", "core", "Change delivered.", {"number": number, "kind": change[0], "result": result[0]})
+                (
+                    "log",
+                    "info",
+                    "core",
+                    "Order delivered.",
+                    {"number": number, "kind": change[4][0], "result": result[0]},
+                )
             )
         return out
 
     def _pulse(self, now):
-        is_fresh, is_leading = self._is_fresh(now), self.is_disk_taking and self.consensus.role == "leading"
+        is_fresh, is_leading = self.is_fresh(now), self.is_disk_taking and self.consensus.role == "leading"
         out = self.membership.take(("pulse", self.state.number if is_fresh else 0), now)
         if self.is_disk_taking:
             out += self.consensus.take(("pulse", self._core_addresses()), now)
@@ -296,14 +301,13 @@
         out += self.watcher.take(("pulse", is_fresh, is_leading), now)
         out += self.accountant.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.grantor.take(("pulse", self.leases.holds("accountant", now)), now)
-        out += self.desk.take(("pulse", self._live_nodes(), self._confirmed()), now)
-        out += self._find_pulse(now)
+        out += self.api.pulse(self._live_edges(), self.source.confirmed, now)
         if self.stop_at is not None and now >= (self.may_end_at if self.has_departed else self.stop_at):
             out.append(("leave", 0))
         return out
 
     def _settle_orders(self, now):
-        return self.desk.take(("confirmed", self._live_nodes(), self._confirmed()), now) if self.desk.orders else []
+        return self.api.desk.settle(self._live_edges(), self.source.confirmed, now) if self.api.desk.orders else []
 
     def _core_addresses(self):
         return (*self.membership.seeds, *(member.address for member in self.membership.live if member.role == "core"))
@@ -312,169 +316,11 @@
         boots = {member.node: member.boot for member in self.membership.live}
         return boots | {self.node: self.boot}
 
-    def _live_nodes(self):
+    def _live_edges(self):
         return sorted(
             [member.node for member in self.membership.live if member.condition == ALIVE and member.role == "edge"]
         )
 
-    def _confirmed(self):
-        return self.source.confirmed
-
-    def _other_cores(self):
+    def other_cores(self):
+        """Addresses of the other voters."""
         return [address for seat, address in self.state.roster.items() if seat != self.node]
-
-    # HTTP -------------------------------------------------------------------------
-
-    def _http(self, message, now):
-        _, cid, method, path, headers, body = message
-        if path == "/condition":
-            return [self._condition(cid, now)]
-        if path == "/metrics":
-            return [reply(cid, 200, self._metrics(now))]
-        if self.params.operator_key and headers.get("authorization") != f"Bearer {self.params.operator_key}":
-            return [reply(cid, 401, {"fault": {"class": "unknown-operator", "reason": "Authorization: Bearer KEY"}})]
-        if method == "POST" and path in [f"/operator/{kind}" for kind in OPERATOR]:
-            change = read_order(path, body)
-            if isinstance(change, Fault):
-                return [reply(cid, 400, {"fault": {"class": change.name, "reason": change.reason, "applied": "no"}})]
-            if not self._is_fresh(now) and not (self.is_disk_taking and self.consensus.role == "leading"):
-                reason = "this core is in no working view; ask another"
-                return [reply(cid, 503, {"fault": {"class": "no-view", "reason": reason, "applied": "no"}}, 1)]
-            return self.desk.take(("order", cid, change), now)
-        if method == "POST" and path in ("/plan", "/check"):
-            return [self._weigh(cid, path, body)]
-        if method == "GET" and path.startswith("/show/"):
-            return [self._show(cid, path[6:], now)]
-        if method == "GET" and path.startswith("/ledger/"):
-            return self._find(cid, unquote(path[8:]), now)
-        return [reply(cid, 404, {"fault": {"class": "not-found", "reason": f"{method} {path}"}})]
-
-    def _condition(self, cid, now):
-        is_fresh = self._is_fresh(now)
-        doc = {
-            "node": self.node,
-            "role": "core",
-            "area": self.params.area,
-            "inView": is_fresh,
-            "leader": self.consensus.leader_name,
-            "view": self.consensus.view[0],
-            "number": self.state.number,
-            "generation": self.state.generation,
-            "diskTakesRecords": self.is_disk_taking,
-            "ready": is_fresh and self.stop_at is None,
-        }
-        return reply(cid, 200 if doc["ready"] else 503, doc)
-
-    def _metrics(self, now):
-        return {
-            "node": self.node,
-            "number": self.state.number,
-            "view": self.consensus.view[0],
-            "logged": len(self.consensus.log.entries),
-            "members": len(self.membership.members) + 1,
-            "ledgerRows": len(self.keeper.rows),
-            "ledgerOpen": len(self.keeper.open_rows),
-            "hints": len(self.keeper.hints),
-            "followers": len(self.source.followers),
-            "ignored": self.ignored,
-            "storeCredit": round(self.placer.budget, 2),
-            "allowances": self.grantor.told(now),
-        }
-
-    def _weigh(self, cid, path, body):
-        """plan and check: say what would be, change nothing."""
-        try:
-            doc = msgspec.json.decode(body)
-            wanted = merge(self.state.doc or {}, doc["doc"]) if doc.get("part") else doc["doc"]
-        except (msgspec.DecodeError, RecursionError, KeyError, TypeError, AttributeError) as error:
-            return reply(cid, 400, {"fault": {"class": "not JSON", "reason": str(error)}})
-        catalogue, found = read_catalogue(wanted)
-        if catalogue is None:
-            return reply(
-                cid,
-                422,
-                {"result": "refused", "faults": [{"path": path_, "reason": reason} for path_, reason in found]},
-            )
-        if path == "/check":
-            return reply(cid, 200, {"result": "ok"})
-        return reply(cid, 200, foresee(catalogue, self.state, self.placer.demand))
-
-    def _show(self, cid, what, now):
-        state, is_stale = self.state, not self._is_fresh(now)
-        shown = {
-            "cohort": lambda: {
-                "members": [self._member(member) for member in [self.membership.me, *self.membership.members.values()]],
-                "roster": state.roster,
-                "view": {
-                    "ballot": self.consensus.view[0],
-                    "members": self.consensus.members,
-                    "leader": self.consensus.leader_name,
-                },
-                "confirmed": self._confirmed(),
-            },
-            "duties": lambda: {
-                "duties": {duty: {"holder": holder, "fence": fence} for duty, (holder, fence) in state.duties.items()}
-            },
-            "pairs": lambda: {"pairs": state.pairs, "held": state.held},
-            "servers": lambda: {"servers": state.servers, "evacuated": state.evacuated},
-            "catalogue": lambda: {"generation": state.generation, "catalogue": state.doc},
-            "lines": lambda: {
-                "lines": [msgspec.to_builtins(line) for line in state.catalogue.lines] if state.catalogue else [],
-                "demand": self.placer.demand,
-            },
-            "places": lambda: {"holder": state.duties["placer"][0], **account_for_places(self.provisioner, now)},
-            "allowances": lambda: {"holder": state.duties["accountant"][0], "tenants": self.board.told(now)},
-        }.get(what)
-        if shown is None:
-            return reply(
-                cid,
-                404,
-                {
-                    "fault": {
-                        "class": "not-found",
-                        "reason": "cohort, duties, pairs, servers, catalogue, lines, places or allowances",
-                    }
-                },
-            )
-        return reply(cid, 200, {"stale": is_stale, "number": state.number, **shown()})
-
-    def _member(self, member):
-        return {
-            "node": member.node,
-            "role": member.role,
-            "area": member.area,
-            "address": member.address,
-            "condition": member.condition,
-            "incarnation": member.incarnation,
-            "door": member.door,
-        }
-
-    # finding a request over all keepers ----------------------------------------------
-
-    def _find(self, cid, request, now):
-        row = self.keeper.find(request)
-        if row is not None and row["state"] not in ("open", "lost"):
-            return [reply(cid, 200, row)]
-        self.finds[str(cid)] = (cid, row, now, len(self._other_cores()))
-        return [("tell", address, ("find", str(cid), request)) for address in self._other_cores()]
-
-    def _find_heard(self, message, now):
-        _, _, address, body = message
-        if body[0] == "find":
-            return [("tell", address, ("found", body[1], self.keeper.find(body[2])))]
-        waiting = self.finds.get(body[1])
-        if waiting is None:
-            return []
-        cid, row, at, left = waiting
-        better = body[2] if body[2] and (row is None or row["state"] in ("open", "lost")) else row
-        self.finds[body[1]] = (cid, better, at, left - 1)
-        return self._find_pulse(now)
-
-    def _find_pulse(self, now):
-        out = []
-        for asker, (cid, row, at, left) in list(self.finds.items()):
-            if left <= 0 or now - at > FIND_WITHIN:
-                del self.finds[asker]
-                missing = {"fault": {"class": "unknown", "reason": "no keeper that answered holds this request"}}
-                out.append(reply(cid, 200, row) if row else reply(cid, 404, missing))
-        return out
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -4,8 +4,8 @@
 import signal
 from datetime import timedelta
 
-from sumachook.nodes.desk import reply
 from sumachook.nodes.disk_writer import DiskWriter
+from sumachook.nodes.replies import reply
 from sumachook.runtime.supervisor import Supervisor
 from sumachook.storage.layout import LOG
 from sumachook.transport.codec import Codec
@@ -118,6 +118,8 @@
             (self.front if isinstance(effect[1], tuple) else self.door).answer(effect)
         elif kind == "forward":
             self.forwarder.forward(effect)
+        elif kind == "limits":
+            self.front.obey(effect[1])
         elif kind == "shut":
             self.front.shut()
         elif kind == "wake":
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -13,9 +13,9 @@
 from sumachook.ledger.purse import Purse
 from sumachook.ledger.quill import Quill
 from sumachook.membership.membership import ALIVE, GONE, SUSPECT, Membership
-from sumachook.nodes.desk import reply
 from sumachook.nodes.edge_shutdown import EdgeShutdown
 from sumachook.nodes.edge_status import condition, metrics
+from sumachook.nodes.replies import reply
 from sumachook.nodes.state_file import FILE, StateFile
 from sumachook.nodes.usage_report import UsageReport
 from sumachook.placement.places import Places
@@ -55,6 +55,7 @@
         "shutdown",
         "asked_places_at",
         "limiter",
+        "told_limits",
     )
 
     def __init__(self, params, records: dict, boot: int, clock, draw: Random, request_port=None):
@@ -94,6 +95,7 @@
         )
         self.usage_report, self.shutdown = UsageReport(now), EdgeShutdown(timedelta(seconds=params.grace), now)
         self.asked_places_at, self.next_demand, self.ignored, self.was_alone = now, now, 0, False
+        self.told_limits = None
 
     def take(self, message: tuple, now) -> list:
         out, work = [], [message]
@@ -242,7 +244,7 @@
             if self.ferry.table.demand:
                 out += [("tell", core, ("demand", self.ferry.table.demand)) for core in cores]
                 self.ferry.table.demand = {}
-        out += self.state_file.save(now)
+        out += self.state_file.save(now) + self._tell_limits()
         return out + self.shutdown.step(self.ferry, self.transit, self.quill, now)
 
     def _limit(self, cores, now):
@@ -255,6 +257,14 @@
             ("pulse", self.state.roster.get(self.state.duties["accountant"][0]), cores, self._carriers(), edges), now
         )
 
+    def _tell_limits(self):
+        """The front obeys the configuration's limits of clients."""
+        catalogue = self.state.catalogue
+        if self.transit is None or catalogue is None or catalogue.limits == self.told_limits:
+            return []
+        self.told_limits = catalogue.limits
+        return [("limits", catalogue.limits)]
+
     def _http(self, message, now):
         _, cid, method, path, headers, body = message
         if path == "/condition":
--- a/sumachook/nodes/serve.py
+++ b/sumachook/nodes/serve.py
@@ -16,7 +16,7 @@
 from sumachook.storage.layout import FILES, FORMER_NAMES, IDENTITY_FILES, LOG
 
 REFUSED, USAGE, UNREACHED = 1, 2, 4
-MOST_OPERATOR_BODY = 8 << 20
+MOST_OPERATOR_BODY = 4 << 20
 OPEN_AGAIN, TELL_EVERY = 0.25, 40  # seconds between two tries of a disk that refuses; tries between two lines about it
 
 
--- a/sumachook/transport/door.py
+++ b/sumachook/transport/door.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 from datetime import timedelta
 
 import msgspec
@@ -9,6 +10,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
+from sumachook.transport.connection_limits import ConnectionLimits, header_size
 from sumachook.transport.ports import split_address
 
 MOST_BODY = 1 << 20
@@ -18,9 +20,18 @@
 
 
 class JsonHandler(RequestHandler):
-    """Even what is no HTTP gets its reason in JSON."""
+    """Even what is no HTTP gets its reason in JSON; knows since when a head has been coming in."""
 
-    __slots__ = ()
+    __slots__ = ("head_since",)
+
+    def __init__(self, manager, **options):
+        super().__init__(manager, **options)
+        self.head_since = None
+
+    def data_received(self, data):
+        if self.head_since is None:
+            self.head_since = self._loop.time()
+        super().data_received(data)
 
     def handle_error(self, request, status=500, exc=None, message=None):
         plain = super().handle_error(request, status, exc, message)
@@ -52,12 +63,12 @@
 class Door:
     """Serves HTTP on one address (§2.3)."""
 
-    __slots__ = ("address", "hear", "exchanges", "number", "listener", "server", "in_hand", "most_body", "idle_since")
+    __slots__ = ("address", "hear", "exchanges", "number", "listener", "server", "in_hand", "limits", "idle_since")
     OPTIONS = {}
-    MOST_BODY = MOST_BODY
+    LIMITS = ConnectionLimits(body_bytes=MOST_BODY, idle_timeout=IDLE.total_seconds())
 
     def __init__(self, address: str, hear, most_body=None):
-        self.most_body, self.idle_since = most_body or self.MOST_BODY, {}
+        self.limits, self.idle_since = replace(self.LIMITS, body_bytes=most_body) if most_body else self.LIMITS, {}
         self.address, self.hear, self.exchanges, self.number, self.listener, self.server = (
             address,
             hear,
@@ -87,16 +98,21 @@
             await server.shutdown(0.5)
 
     def _sweep(self, now):
-        """A connection on which no request is answered, or begun but not read whole, is closed after a while (§2.3)."""
-        seen = {}
+        """A connection that rests for too long is closed, and one on which a head has been coming in for too long (§2.3).
+
+        A connection rests by the limit in force when it began to, or by a longer one since: its client knows no other yet.
+        """
+        resting = {}
         for connection in list(self.server.connections):
             transport = connection.transport
             if transport is None or transport in self.in_hand:
                 continue
-            since = seen[transport] = self.idle_since.get(transport, now)
-            if now - since > IDLE.total_seconds():
+            since, limit = resting[transport] = self.idle_since.get(transport, (now, self.limits.idle_timeout))
+            is_idle = now - since > max(limit, self.limits.idle_timeout)
+            is_slow = connection.head_since is not None and now - connection.head_since > self.limits.header_timeout
+            if is_idle or is_slow:
                 transport.close()
-        self.idle_since = seen
+        self.idle_since = resting
 
     def shut(self):
         """No new connections; idle ones are closed, the others once their request is answered (§14.7)."""
@@ -144,17 +160,27 @@
             return await self._handle(request)
         finally:
             self.in_hand.discard(transport)
+            request.protocol.head_since = None
+
+    async def _read_body(self, request):
+        """The whole body, or the answer to one that is too long or stands still."""
+        most, body = self.limits.body_bytes, bytearray()
+        if (request.content_length or 0) > most:
+            return _refusal(413, "too-large", f"at most {most} bytes")
+        try:
+            while len(body) <= most and not request.content.at_eof():
+                async with asyncio.timeout(self.limits.idle_timeout):
+                    body += await request.content.read(most + 1 - len(body))
+        except TimeoutError:
+            return _refusal(408, "body-stalled", f"nothing came for {self.limits.idle_timeout} s")
+        return bytes(body) if len(body) <= most else _refusal(413, "too-large", f"at most {most} bytes")
 
     async def _handle(self, request):
-        body = b""
-        if request.can_read_body:
-            if (request.content_length or 0) > self.most_body:
-                return _too_large(self.most_body)
-            body = await request.content.read(self.most_body + 1)
-            while len(body) <= self.most_body and not request.content.at_eof():
-                body += await request.content.read(self.most_body + 1 - len(body))
-            if len(body) > self.most_body:
-                return _too_large(self.most_body)
+        if header_size(request) > self.limits.header_bytes:
+            return _refusal(431, "header-too-large", f"at most {self.limits.header_bytes} bytes")
+        body = await self._read_body(request) if request.can_read_body else b""
+        if isinstance(body, web.Response):
+            return body
         self.number += 1
         cid, message = self._message(request, body)
         exchange = self.exchanges[cid] = Exchange()
@@ -216,10 +242,9 @@
     return answer
 
 
-def _too_large(most):
-    answer = web.Response(
-        status=413, body=_fault("too-large", f"at most {most} bytes"), content_type="application/json"
-    )
+def _refusal(status, name, reason):
+    """The last answer of its connection, to what never reached the machine."""
+    answer = web.Response(status=status, body=_fault(name, reason), content_type="application/json")
     answer.force_close()
     return answer
 
--- a/sumachook/transport/front.py
+++ b/sumachook/transport/front.py
@@ -2,9 +2,11 @@
 
 from aiohttp import web
 
+from sumachook.transport.connection_limits import ConnectionLimits
 from sumachook.transport.door import Door, _fault
 
-LONGEST_FIELD = 32 << 10
+LONGEST_FIELD = 1 << 20  # of the parser; the limits of the configuration are below it
+NEVER = 1e6  # seconds: the sweep closes what rests, by limits that may change meanwhile
 
 
 class Front(Door):
@@ -13,12 +15,18 @@
     __slots__ = ()
     OPTIONS = {
         "auto_decompress": False,
-        "keepalive_timeout": 15.0,
+        "keepalive_timeout": NEVER,
         "max_line_size": LONGEST_FIELD,
         "max_field_size": LONGEST_FIELD,
         "max_headers": 1000,
     }
-    MOST_BODY = 8 << 20
+    LIMITS = ConnectionLimits(header_bytes=32 << 10, body_bytes=8 << 20)  # until the configuration is known
+
+    def obey(self, limits):
+        """The configuration's limits of clients (`atlas/limits.py`) are in force from now on."""
+        self.limits = ConnectionLimits(
+            limits.header_bytes, limits.body_bytes, limits.header_ms / 1000, limits.idle_ms / 1000
+        )
 
     async def _serve(self, request):
         if (
--- /dev/null
+++ b/tests/limit_stories.py
@@ -0,0 +1,206 @@
+"""The configuration's limits of clients at an edge's front: sizes, times, and changes while connections rest (§14.2)."""
+
+import asyncio
+
+import pytest
+
+from sumachook.catalog.limits import Limits
+from sumachook.transport.door import _free_address
+from sumachook.transport.front import Front
+from sumachook.transport.ports import split_address
+
+BOUND, TURNS = 8.0, 30
+LIMITS = {"header_bytes": 2000, "body_bytes": 3000, "header_ms": 3000.0, "idle_ms": 15000.0}
+
+
+class Hall:
+    """A front with limits, whose machine answers each request at once; its sweep is called by the stories alone."""
+
+    def __init__(self, **limits):
+        self.messages, self.writers, self.front = [], [], Front(_free_address(), self.hear)
+        self.front.obey(Limits(**LIMITS | limits))
+
+    def hear(self, message):
+        self.messages.append(message)
+        if message[0] == "request":
+            self.front.answer(("reply", message[1], 200, {}, b"ok"))
+
+    async def __aenter__(self):
+        self.task = asyncio.get_running_loop().create_task(self.front.run())
+        while self.front.listener is None:
+            await asyncio.sleep(0)
+        return self
+
+    async def __aexit__(self, *what):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def connect(self, raw=b""):
+        before = len(self.front.server.connections)
+        reader, writer = await asyncio.open_connection(*split_address(self.front.address))
+        while len(self.front.server.connections) == before:
+            await asyncio.sleep(0)
+        writer.write(raw)
+        self.writers.append(writer)  # a writer that nobody holds is closed
+        await turns()
+        return reader, writer
+
+
+async def turns():
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+async def has_ended(reader):
+    await turns()
+    return reader.at_eof()
+
+
+def play(story, **limits):
+    async def run():
+        async with Hall(**limits) as hall:
+            return await story(hall)
+
+    return asyncio.run(asyncio.wait_for(run(), BOUND))
+
+
+def post(size, headers=b""):
+    return b"POST /x HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n" % (headers, size) + b"x" * size
+
+
+async def ask(hall, raw):
+    reader, _ = await hall.connect(raw)
+    return int((await reader.readline()).split()[1])
+
+
+@pytest.mark.parametrize(
+    "raw,status",
+    [
+        (post(3000), 200),
+        (post(3001), 413),
+        (post(10, b"A: %s\r\n" % (b"a" * 1800)), 200),
+        (post(10, b"A: %s\r\n" % (b"a" * 2000)), 431),
+        (post(10, b"".join(b"A%d: %s\r\n" % (number, b"a" * 90) for number in range(30))), 431),
+        (
+            b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"3e8\r\n%s\r\n" % (b"x" * 1000) * 4
+            + b"0\r\n\r\n",
+            413,
+        ),
+    ],
+)
+def test_what_is_larger_than_the_limits_is_refused_and_reaches_no_machine(raw, status):
+    """Given heads and bodies up to the limits and beyond, in one field and in many, with a length and in chunks, the former pass and
+    the latter are refused."""
+
+    async def story(hall):
+        return await ask(hall, raw), len(hall.messages)
+
+    assert play(story) == (status, 1 if status == 200 else 0)
+
+
+def test_larger_limits_let_more_through_at_once():
+    """Given limits that grow, a head of half a megabyte and a body of ten pass from then on, over a connection made before too."""
+
+    async def story(hall):
+        large = post(10 << 20, b"A: %s\r\n" % (b"a" * (512 << 10)))
+        first, (reader, writer) = await ask(hall, large), await hall.connect()
+        hall.front.obey(Limits(header_bytes=1 << 20, body_bytes=16 << 20))
+        writer.write(large)
+        return first, int((await reader.readline()).split()[1])
+
+    assert play(story) == (431, 200)
+
+
+def test_a_head_that_does_not_come_whole_is_given_the_header_time():
+    """Given half a head, first on a new connection, then after a request, it is closed once the header time is over and not before."""
+
+    async def story(hall):
+        begun = b"GET /x HTTP/1.1\r\nHost"
+        reader, _ = await hall.connect(begun)
+        used, writer = await hall.connect(post(2))
+        assert (await used.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+        await turns()
+        writer.write(begun)
+        await turns()
+        hall.front._sweep(hall.now() + 2.9)
+        assert not await has_ended(reader) and not await has_ended(used)
+        hall.front._sweep(hall.now() + 3.1)
+        assert await has_ended(reader) and await has_ended(used)
+
+    play(story)
+
+
+def test_half_a_body_that_never_comes_is_swept():
+    """Given bodies of which half comes, one of which goes on shortly after, and one of which does not: the former is answered, the
+    latter told so after the idle time, its connection closed, and its request reaches no machine."""
+
+    async def story(hall):
+        reader, _ = await hall.connect(post(100)[:-50])
+        slow, writer = await hall.connect(post(100)[:-50])
+        writer.write(b"x" * 50)
+        assert (await slow.readline()).split()[1] == b"200"
+        assert (
+            (await reader.readline()).split()[1] == b"408"
+            and (await reader.read()).endswith(b"}")
+            and len(hall.messages) == 1
+        )
+
+    play(story, idle_ms=100.0)
+
+
+def test_connections_rest_by_the_limit_that_their_clients_know():
+    """Given connections that rest, when the limit shrinks they keep theirs, and what rests from then on has the new one; when it grows
+    they may rest longer; and no other bound ends them sooner."""
+
+    async def story(hall):
+        start = hall.now()
+        old, _ = await hall.connect()
+        hall.front._sweep(start)
+        hall.front.obey(Limits(**LIMITS | {"idle_ms": 5000.0}))
+        new, _ = await hall.connect()
+        hall.front._sweep(start + 1)
+        hall.front._sweep(start + 5.9)
+        assert not await has_ended(new)
+        hall.front._sweep(start + 6.1)
+        assert await has_ended(new) and not await has_ended(old)
+        hall.front._sweep(start + 14.9)
+        assert not await has_ended(old)
+        hall.front.obey(Limits(**LIMITS | {"idle_ms": 60000.0}))
+        hall.front._sweep(start + 59)
+        assert not await has_ended(old)
+        hall.front._sweep(start + 60.1)
+        assert await has_ended(old)
+
+    play(story)
+
+
+def test_the_parser_closes_no_resting_connection_by_a_time_of_its_own():
+    """Given an idle limit longer than any default, no timer of the library ends a connection that was used."""
+    assert Front.OPTIONS["keepalive_timeout"] >= 1e6
+
+
+def test_an_edge_tells_its_front_the_limits_when_they_change():
+    """Given configurations, the edge hands its front the limits of each that changes them, and no others."""
+    from datetime import timedelta
+    from random import Random
+
+    from sumachook.catalog.params import Params
+    from sumachook.nodes.edge import Edge
+    from sumachook.runtime.clock import Clock
+    from tests.service_catalogue_stories import whole
+
+    params = Params(
+        node="e1", address="127.0.0.1:1", door="127.0.0.1:2", area="hall-a", seeds=("127.0.0.1:3",), front="127.0.0.1:4"
+    )
+    edge, now, told = Edge(params, {}, 1, Clock(), Random(1)), Clock().mono(), []
+    for number, doc in enumerate(
+        (whole(1), whole(2), whole(3, limits={"idleMs": 9000}), whole(4, limits={"idleMs": 9000}), whole(5)), 1
+    ):
+        assert edge.state.apply(number, ("configure", "q", doc, {}, False, number - 1))[0] == "ok"
+        now += timedelta(seconds=0.05)
+        told += [effect[1].idle_ms for effect in edge.take(("pulse",), now) if effect[0] == "limits"]
+    assert told == [15000.0, 9000.0, 15000.0]
--- /dev/null
+++ b/tests/order_stories.py
@@ -0,0 +1,514 @@
+"""Operators' orders: versions decided at delivery, repeats known by content, late copies without effect, reads that are never old."""
+
+import asyncio
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from harness.order_book import Book, Order
+from harness.order_callers import reordered
+from harness.orders import play
+from sumachook.catalog.orders import Attempt
+from sumachook.catalog.state import State
+from sumachook.nodes.desk import Desk
+from sumachook.nodes.order_request import MOST_DEPTH, read_order
+from tests.scene import box_of, found, json_fields, leader
+from tests.service_catalogue_stories import route, whole
+
+SECOND = timedelta(seconds=1)
+PART = {"version": 7, "httpRoutes": [route(1)]}
+CORES = ("core-1", "core-2", "core-3")
+
+
+def _order(number, change, seen, origin="core-2.1"):
+    return ("order", *Attempt(origin, number, seen), change)
+
+
+def _update(doc, base, removals=None):
+    return ("configure", "", doc, removals or {}, True, base, {})
+
+
+def _state(version=5):
+    state = State()
+    assert state.apply(1, _order(1, ("configure", "", whole(version), {}, False, 0, {}), 0)) == ("ok", 1)
+    return state
+
+
+# one state --------------------------------------------------------------------
+
+
+def test_start_that_was_held_up_does_not_overtake_the_finish():
+    """Given a start at one core whose proposal lies in a buffer, the same start at another, and the finish of it, the copy changes
+    nothing when it comes, and is not called done; a start that came to its core after the finish counts."""
+    state = _state()
+    held_up = _order(1, ("evacuate", "", "hall-b"), 1)
+    assert state.apply(2, _order(1, ("evacuate", "", "hall-b"), 1, "core-1.1"))[0] == "ok" and not state.is_open(
+        "hall-b"
+    )
+    assert state.apply(3, _order(2, ("restore", "", "hall-b"), 2, "core-1.1"))[0] == "ok"
+    assert state.apply(4, held_up)[0] == "unclear" and state.is_open("hall-b")
+    assert state.apply(5, _order(2, ("evacuate", "", "hall-a"), 1))[0] == "ok"  # another area is not concerned
+    assert state.apply(6, _order(3, ("evacuate", "", "hall-b"), 3))[0] == "ok" and not state.is_open("hall-b")
+    assert state.apply(7, held_up)[0] == "ok"  # what it asks for stands anyhow
+
+
+def test_finish_that_was_held_up_does_not_overtake_the_next_start():
+    """Given a finish in a buffer, its repeat elsewhere and a new start, the area stays closed, on a copy of the state too."""
+    state, again = _state(), State()
+    held_up = _order(9, ("restore", "", "hall-b"), 2)
+    for number, kind in enumerate(("evacuate", "restore", "evacuate"), 2):
+        assert state.apply(number, _order(number, (kind, "", "hall-b"), number - 1, "core-1.1"))[0] == "ok"
+    again.restore(msgspec.json.decode(msgspec.json.encode(state.image())))
+    for each in (state, again):
+        assert each.apply(5, held_up)[0] == "unclear" and not each.is_open("hall-b")
+
+
+def test_copy_of_an_order_that_was_refused_is_not_taken_once_its_base_is_there():
+    """Given a change on a version that is not there yet, refused at one core while a copy of it lies in a buffer of another: when that
+    version comes, the copy is not taken, nor refused; the same change sent after that is."""
+    state = _state(5)
+    early = _update({"version": 9, "httpRoutes": [route(9)]}, 7)
+    assert state.apply(2, _order(1, early, 1, "core-1.1"))[0] == "stale"
+    assert state.apply(3, _order(2, _update(PART, 5), 2, "core-1.1"))[0] == "ok"
+    assert state.apply(4, _order(1, early, 1))[0] == "unclear" and state.version == 7
+    assert state.apply(5, _order(2, early, 3)) == ("ok", 3) and state.version == 9
+
+
+def test_claim_is_judged_as_the_whole_document_would_be():
+    """Given configurations taken, stale, invalid and good, each but the good one is ordered by its digest alone, in a few hundred
+    bytes, and its verdict is the document's."""
+    state = _state(5)
+    assert state.apply(2, _order(1, _update(PART, 5), 1))[0] == "ok"
+    big = [route(number) for number in range(100, 700)]
+    bad = [*big, route(900, timeout_ms=0)]
+    for change, verdict in (
+        (_update(reordered(PART), 5), "ok"),
+        (_update({"version": 8, "httpRoutes": big}, 5), "stale"),
+        (_update({"version": 9, "httpRoutes": bad}, 5), "stale"),
+        (_update({"version": 9, "httpRoutes": bad}, 7), "refused"),
+        (_update({"version": 7, "httpRoutes": big}, 7), "refused"),
+        (_update({"version": None}, 7), "refused"),
+        (_update({"version": 9}, 7, {"areas": []}), "refused"),
+        (_update({"version": "x"}, 5), "stale"),
+    ):
+        claim = state.claim_of(change)
+        assert claim[0] == "claim" and len(msgspec.json.encode(claim)) < 500
+        copy = State()
+        copy.restore(state.image())
+        assert state.apply(3, _order(2, claim, 2))[0] == verdict and copy.apply(3, _order(2, change, 2))[0] == verdict
+    good = _update({"version": 9, "httpRoutes": big}, 7)
+    assert state.claim_of(good) is good
+    late = state.claim_of(_update({"version": 12}, 9))
+    assert state.apply(4, _order(3, good, 3))[0] == "ok"
+    assert state.apply(5, _order(4, late, 3))[0] == "unclear"  # its base came meanwhile: neither refused nor taken
+
+
+def test_defaults_that_a_core_fills_in_do_not_make_it_another_order():
+    """Given the same configuration from cores whose settings list different zones, the second is a repeat."""
+    state = State()
+    doc = {field: value for field, value in whole(5).items() if field not in ("name", "areas")}
+    for number, areas in enumerate((["hall-a", "hall-b"], ["hall-b"]), 1):
+        change = ("configure", "", doc, {}, False, 0, {"name": "platform", "areas": areas})
+        assert state.apply(number, _order(number, change, 0)) == ("ok", 1)
+    assert state.catalogue.areas == ("hall-a", "hall-b")
+
+
+def test_one_request_id_is_not_two_orders():
+    """Given an id that was used, other content under it is refused and not called taken."""
+    state = _state()
+    assert state.apply(2, ("evacuate", "once", "hall-a")) == ("ok", 2) and state.apply(
+        3, ("evacuate", "once", "hall-a")
+    ) == ("ok", 2)
+    assert (
+        state.apply(4, ("evacuate", "once", "hall-b"))[0] == "refused"
+        and state.apply(5, ("restore", "once", "hall-a"))[0] == "refused"
+    )
+    assert not state.is_open("hall-a") and state.is_open("hall-b")
+
+
+# the desk ---------------------------------------------------------------------
+
+
+def _desk(state=None, **more):
+    return Desk("core-2.1", state or _state(), **more)
+
+
+def _accepted(desk, change=("evacuate", "", "hall-b"), cid=1, now=SECOND):
+    ((_, token),) = desk.accept(cid, change, now)
+    return token
+
+
+def test_order_is_proposed_after_its_read_and_answered_by_its_own_delivery():
+    """Given an order, it is proposed once its read came back, again while nothing is delivered, and answered by the delivery of its own
+    attempt and by no other's; then it is proposed no more."""
+    desk = _desk()
+    token = _accepted(desk)
+    assert desk.pulse((), {}, SECOND) == []
+    desk.readable(token, SECOND)
+    ((_, entry),) = desk.pulse((), {}, SECOND)
+    assert entry == _order(1, ("evacuate", "", "hall-b"), 1)
+    assert desk.pulse((), {}, SECOND * 1.1) == [] and desk.pulse((), {}, SECOND * 1.5) == [("propose", entry)]
+    desk.delivered(
+        7, Attempt("core-2.0", 1, 1), ("ok", 9), 5, SECOND * 1.5
+    )  # of an earlier life of this core's process
+    desk.delivered(7, Attempt("core-1.1", 1, 1), ("ok", 9), 5, SECOND * 1.5)
+    assert desk.pulse((), {}, SECOND * 1.6) == []
+    desk.delivered(8, Attempt(*entry[1:4]), ("refused", (("area", "no area"),)), 5, SECOND * 1.6)
+    desk.delivered(9, Attempt(*entry[1:4]), ("ok", 9), 5, SECOND * 1.6)
+    ((kind, cid, status, _, _),) = desk.pulse((), {}, SECOND * 1.7)
+    assert (kind, cid, status) == ("reply", 1, 422) and desk.orders == {} and desk.pulse((), {}, SECOND * 3) == []
+
+
+def test_order_whose_caller_went_away_is_proposed_no_more():
+    """Given callers that hang up before the read came back, between it and the proposal, and after that, nothing more is proposed; so
+    an order that lay in the buffer of a frozen core goes no further than the end of its call behind it."""
+    for steps in range(3):
+        desk = _desk()
+        token = _accepted(desk)
+        if steps > 0:
+            desk.readable(token, SECOND)
+        if steps > 1:
+            assert len(desk.pulse((), {}, SECOND)) == 1
+        desk.gone(1)
+        desk.readable(token, SECOND)
+        assert desk.pulse((), {}, SECOND * 2) == [] and desk.orders == {}
+
+
+def test_order_is_answered_in_its_time_and_says_whether_it_may_be_taken_yet():
+    """Given no delivery, an order that was not proposed is answered as not applied, one that was as perhaps applied; one whose edges are
+    slow is acknowledged in that time too."""
+    for is_proposed, applied in ((False, "no"), (True, "maybe")):
+        desk = _desk(answer_within=SECOND)
+        token = _accepted(desk)
+        if is_proposed:
+            desk.readable(token, SECOND)
+            desk.pulse((), {}, SECOND)
+        ((_, _, status, _, body),) = [effect for effect in desk.pulse((), {}, SECOND * 2) if effect[0] == "reply"]
+        assert status == 503 and msgspec.json.decode(body)["fault"]["applied"] == applied
+        assert desk.pulse((), {}, SECOND * 9) == []
+    desk = _desk(answer_within=SECOND)
+    desk.readable(_accepted(desk), SECOND)
+    ((_, entry),) = desk.pulse((), {}, SECOND)
+    desk.delivered(7, Attempt(*entry[1:4]), ("ok", 3), 5, SECOND * 1.9)
+    assert desk.pulse(("e1",), {}, SECOND * 1.9) == []
+    ((_, _, status, _, body),) = desk.pulse(("e1",), {}, SECOND * 2)
+    assert status == 200 and msgspec.json.decode(body)["unconfirmed"] == ["e1"]
+
+
+def test_orders_at_one_core_are_bounded():
+    """Given as many orders as a desk holds, the next is turned away as not applied."""
+    desk = _desk()
+    for cid in range(128):
+        assert desk.accept(cid, ("evacuate", "", "hall-b"), SECOND)[0][0] == "read"
+    ((kind, _, status, _, body),) = desk.accept(128, ("evacuate", "", "hall-b"), SECOND)
+    assert (kind, status) == ("reply", 503) and msgspec.json.decode(body)["fault"]["applied"] == "no"
+
+
+def test_documents_too_deep_to_be_walked_are_refused_at_once():
+    """Given an order nested ever deeper, it is refused by itself and never proposed, where the library still reads it and where not."""
+    for depth in (MOST_DEPTH, 300, 900, 100000):
+        doc = b'{"ifVersion":5,"doc":{"version":7,"extra":' + b"[" * depth + b"]" * depth + b"}}"
+        assert read_order("/operator/configure", doc).__class__.__name__ == "Fault"
+    assert read_order("/operator/configure", b'{"ifVersion":5,"doc":{"version":7,"extra":[[[]]]}}')[0] == "configure"
+
+
+# a fleet ----------------------------------------------------------------------
+
+
+def _town(seed, **more):
+    town = found(seed, edges=1, seat_away=1.6, confirm_within=0.8, order_within=0.85, **more)
+    assert town.run_until(lambda: _call(town, "core-1", "configure", doc=whole(5), if_version=0)[0] == 200, 10)
+    return town
+
+
+def _call(town, core, kind, **document):
+    return town.ask(core, "POST", f"/operator/{kind}", json_fields(document), follows=False) or (0, None)
+
+
+def _post(town, core, kind, **document):
+    """A call that is under way; its number among the operator's answers."""
+    number = town.operator().ask(
+        f"http://{town.boxes[core].door}/operator/{kind}", "POST", json_fields(document), False
+    )
+    town._hand(town.boxes["operator"], ("pulse",))
+    return number
+
+
+def _wait(town, *numbers):
+    answers = town.operator().answers
+    assert town.run_until(lambda: all(number in answers for number in numbers), 9)
+    return [answers[number] for number in numbers]
+
+
+def _until_clear(town, kind, cores=CORES, **document):
+    """As operators do it: sent again, anywhere, until the answer is clear."""
+    for turn in range(40):
+        status, body = _call(town, cores[turn % len(cores)], kind, **document)
+        if status in (200, 400, 409, 422):
+            return status, body
+        town.run(0.2)
+    raise AssertionError("no clear answer")
+
+
+def _roles(town):
+    """(name of the leading core, names of the others)."""
+    assert town.run_until(lambda: leader(town) is not None and len(leader(town).consensus.members) == 3, 20)
+    name = box_of(town, leader(town)).name
+    return name, [other for other in CORES if other != name]
+
+
+def test_order_under_way_at_two_cores_is_acknowledged_at_both_and_taken_once():
+    """Given the same change sent to all cores at once, members of its objects in another order at one, each acknowledges it and it is
+    in force once."""
+    town = _town(401)
+    docs = (PART, reordered(PART), PART)
+    numbers = [_post(town, core, "configure", doc=doc, if_version=5, part=True) for core, doc in zip(CORES, docs)]
+    answers = _wait(town, *numbers)
+    assert [status for status, _ in answers] == [200] * 3 and {body["generation"] for _, body in answers} == {2}
+
+
+def test_one_of_three_changes_on_one_base_wins_at_three_cores_also_when_answers_are_lost():
+    """Given three different changes under one number on one base at three cores, over and over, one is acknowledged; each sent again
+    at every other core is answered as it was, also when newer ones came."""
+    town = _town(402)
+    base, told = 5, []
+    for turn in range(4):
+        docs = [{"version": base + 2, "httpRoutes": [route(100 + 10 * turn + place)]} for place in range(3)]
+        numbers = [
+            _post(town, core, "configure", doc=doc, if_version=base, part=True) for core, doc in zip(CORES, docs)
+        ]
+        statuses = [status for status, _ in _wait(town, *numbers)]
+        assert sorted(statuses) == [200, 409, 409]
+        told += [(doc, base, status) for doc, status in zip(docs, statuses)]
+        base += 2
+    for doc, on, status in told:
+        assert [_call(town, core, "configure", doc=doc, if_version=on, part=True)[0] for core in CORES] == [status] * 3
+
+
+def test_what_was_taken_is_known_after_power_loss_of_all_and_on_a_replaced_disk():
+    """Given changes taken, an evacuation among them, when all cores lose power and one its disk, each core acknowledges each of them
+    again, and refuses what lost its race."""
+    town = _town(403)
+    second = {"version": 9, "httpRoutes": [route(2)]}
+    assert _call(town, "core-1", "configure", doc=PART, if_version=5, part=True)[0] == 200
+    assert (
+        _call(town, "core-2", "configure", doc=second, if_version=7, part=True, removals={"httpRoutes": ["r-1"]})[0]
+        == 200
+    )
+    assert _call(town, "core-3", "evacuate", area="hall-b")[0] == 200
+    for name in CORES:
+        town.kill(name)
+    town.boxes["core-3"].disk.wipe()
+    for name in CORES:
+        town.start(name)
+    for core in CORES:
+        assert town.run_until(
+            lambda: _call(town, core, "configure", doc=PART, if_version=5, part=True)[0] == 200, 20
+        ), core
+        assert (
+            _until_clear(
+                town,
+                "configure",
+                (core,),
+                doc=reordered(second),
+                if_version=7,
+                part=True,
+                removals={"httpRoutes": ["r-1"]},
+            )[0]
+            == 200
+        )
+        assert _until_clear(town, "configure", (core,), doc=whole(5), if_version=0)[0] == 200
+        assert (
+            _until_clear(town, "configure", (core,), doc={**second, "httpRoutes": []}, if_version=7, part=True)[0]
+            == 409
+        )
+        assert _until_clear(town, "evacuate", (core,), area="hall-b")[0] == 200
+    assert not leader(town).state.is_open("hall-b")
+
+
+def test_base_that_is_not_current_is_told_before_what_is_invalid():
+    """Given changes on an old base, good and invalid, each core says that another version is current; on the current one, the invalid
+    are refused for what they are, and nothing moves."""
+    town = _town(404)
+    for place, bad in enumerate(
+        (
+            {"version": 9, "httpRoutes": [route(9, timeout_ms=0)]},
+            {"version": "9"},
+            {"version": 4},
+            {"version": 9, "httpRoutes": 7},
+        )
+    ):
+        core = CORES[place % 3]
+        assert _call(town, core, "configure", doc=bad, if_version=3, part=True)[0] == 409
+        assert _call(town, core, "configure", doc=bad, if_version=5, part=True)[0] == 422
+    assert leader(town).state.version == 5
+
+
+def test_core_that_is_cut_off_neither_refuses_nor_confirms_nor_reads():
+    """Given a core cut off from the others, once it can know it, stale orders, invalid ones, good ones and reads are answered within 0.6
+    seconds with the way to another core or as not applied; what it was asked is not in force."""
+    town = _town(405)
+    _, others = _roles(town)
+    lone = others[0]
+    town.cut([lone], town.inside(lone))
+    town.run(3)
+    assert (
+        _until_clear(town, "configure", [core for core in CORES if core != lone], doc=PART, if_version=5, part=True)[0]
+        == 200
+    )
+    for document in (
+        {"doc": {"version": 9}, "ifVersion": 3},
+        {"doc": {"version": 9, "httpRoutes": 7}, "ifVersion": 5},
+        {"doc": {"version": 8}, "ifVersion": 5},
+    ):
+        before = town.now
+        status, body = _call(town, lone, "configure", part=True, **document)
+        assert status in (307, 503) and body["fault"]["applied"] == "no" and (town.now - before) < SECOND * 0.6
+    before = town.now
+    assert (
+        town.ask(lone, "GET", "/show/catalogue", follows=False)[0] in (307, 503) and (town.now - before) < SECOND * 0.6
+    )
+    town.heal()
+    town.run(5)
+    assert {core.state.version for core in town.machines("core")} == {7}
+
+
+def test_leader_that_is_just_cut_off_answers_as_unclear_within_a_second():
+    """Given a leader cut off in the moment in which an order comes, it answers within 0.9 s that the order may be taken yet or that it was
+    not; sent again it is acknowledged, once."""
+    town = _town(406)
+    first, others = _roles(town)
+    number = _post(town, first, "configure", doc=PART, if_version=5, part=True)
+    town.run(0.06)
+    town.cut([first], town.inside(first))
+    before = town.now
+    ((status, body),) = _wait(town, number)
+    assert status in (200, 307, 503) and (town.now - before) < SECOND * 0.9
+    assert _until_clear(town, "configure", others, doc=PART, if_version=5, part=True)[0] == 200
+    town.heal()
+    town.run(6)
+    assert _until_clear(town, "configure", (first,), doc=PART, if_version=5, part=True)[0] == 200
+    assert {core.state.generation for core in town.machines("core")} == {2}
+
+
+def test_proposal_that_lies_in_a_buffer_is_without_effect_after_what_came_later():
+    """Given a member whose proposals to evacuate lie in a buffer until its caller went elsewhere, had the area emptied and taken back:
+    when they arrive the area stays open, at every core and edge."""
+    town = _town(407)
+    first, others = _roles(town)
+    late = town.boxes[others[0]]
+    held, plain = [], late.machine
+
+    class Holding:
+        def __getattr__(self, name):
+            return getattr(plain, name)
+
+        def take(self, message, now):
+            out = plain.take(message, now)
+            held.extend(effect for effect in out if _is_proposal(effect))
+            return [effect for effect in out if not _is_proposal(effect)]
+
+    late.machine = Holding()
+    number = _post(town, late.name, "evacuate", request="one", area="hall-b")
+    ((status, body),) = _wait(town, number)
+    late.machine = plain
+    assert status == 503 and body["fault"]["applied"] == "maybe" and len(held) > 1
+    assert _call(town, first, "evacuate", request="two", area="hall-b")[0] == 200
+    assert _call(town, first, "restore", request="three", area="hall-b")[0] == 200
+    for effect in held:
+        town._do(late, effect)
+    town.run(2)
+    assert {machine.state.is_open("hall-b") for role in ("core", "edge") for machine in town.machines(role)} == {True}
+
+
+def _is_proposal(effect) -> bool:
+    return effect[0] == "tell" and effect[2][0] == "propose"
+
+
+def test_long_order_at_a_member_is_handed_on_to_the_leader():
+    """Given an order of half a megabyte at a member, its caller is handed on to the leader's control address, where it is taken."""
+    town = _town(408)
+    first, others = _roles(town)
+    document = {"doc": {"version": 7, "extra": {"note": "x" * 500_000}}, "ifVersion": 5, "part": True}
+    status, body = _call(town, others[0], "configure", **document)
+    assert status == 307 and body["fault"]["reason"] == f"ask {town.boxes[first].door}"
+    assert _call(town, first, "configure", **document)[0] == 200
+
+
+def test_core_that_has_just_started_answers_before_its_identity_is_on_its_disk():
+    """Given a core with an empty disk that is slow, calls get 503 at once and no silence."""
+    town = _town(409)
+    town.kill("core-2")
+    town.boxes["core-2"].disk.wipe()
+    town.boxes["core-2"].disk.delay = SECOND * 3
+    town.start("core-2")
+    for _ in range(2):
+        before = town.now
+        assert _call(town, "core-2", "evacuate", area="hall-b")[0] == 503 and town.now - before < SECOND / 2
+        town.run(0.2)
+
+
+def test_bodies_up_to_four_mebibytes_reach_a_core_and_longer_ones_get_413():
+    """Given bodies of just four mebibytes and one byte more, with a length and in chunks, the former reach the machine whole."""
+    from sumachook.nodes.serve import MOST_OPERATOR_BODY
+    from sumachook.transport.door import Door, _free_address, _raw
+
+    async def story():
+        sizes, door = [], Door(_free_address(), lambda message: hear(message), MOST_OPERATOR_BODY)
+
+        def hear(message):
+            sizes.append(len(message[5]))
+            door.answer(("reply", message[1], 200, {}, b""))
+
+        task = asyncio.get_running_loop().create_task(door.run())
+        while door.listener is None:
+            await asyncio.sleep(0)
+        statuses = []
+        for size in (4 << 20, (4 << 20) + 1):
+            for head, body in (
+                (b"Content-Length: %d" % size, b"x" * size),
+                (b"Transfer-Encoding: chunked", b"%x\r\n%s\r\n0\r\n\r\n" % (size, b"x" * size)),
+            ):
+                answer = await _raw(
+                    door.address, b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n%s\r\n\r\n" % head + body
+                )
+                statuses.append(int(answer.split()[1]))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return statuses, sizes
+
+    assert asyncio.run(story()) == ([200, 200, 413, 413], [4 << 20, 4 << 20])
+
+
+# the book and the storm -------------------------------------------------------
+
+
+def test_the_book_accuses_each_wrong():
+    """Given answers and a final configuration that break one rule each, the book names it; given sound ones it is silent."""
+
+    def fault_of(*orders, present=(), refuse_after=False):
+        book = Book(5, orders=list(orders))
+        if refuse_after:
+            book.note_answer(orders[0], SECOND * 3, 412, True)
+        return book.faults({"httpRoutes": [{"name": mark} for mark in present]})
+
+    def order(mark, base, version, *kinds, **more):
+        return Order(mark, base, version, {}, answers=[(SECOND, kind, True) for kind in kinds], **more)
+
+    assert fault_of(order("mark-1", 5, 7, "taken"), order("mark-2", 5, 7, "refused"), present=["mark-1"]) == []
+    for accusations in (
+        fault_of(order("mark-1", 5, 7, "taken")),
+        fault_of(order("mark-1", 5, 7, "refused"), present=["mark-1"]),
+        fault_of(order("mark-1", 5, 7, "taken"), order("mark-2", 5, 8, "taken"), present=["mark-1", "mark-2"]),
+        fault_of(order("mark-1", 5, 7, "taken", is_valid=False), present=["mark-1"]),
+        fault_of(order("mark-1", 5, 7, "taken"), present=["mark-1"], refuse_after=True),
+    ):
+        assert accusations
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_storm_of_orders_with_lost_answers_and_losses_keeps_the_book(seed):
+    """Given eight operators, half of their answers lost, and kills around answers and requests, nobody is told what is not so."""
+    _, sent, acknowledged, _, faults = play(seed, 16.0)
+    assert faults == [] and sent > 3 and acknowledged > 1
