--- a/harness/days.py
+++ b/harness/days.py
@@ -23,7 +23,7 @@
 NOT_IN_FORCE = "is not open"  # the bench's words for a trouble that the site's contracts leave out
 
 
-class Report(msgspec.Struct, rename="camel", forbid_unknown_fields=False):
+class Report(msgspec.Struct, forbid_unknown_fields=False):
     """The fields of the bench's report that the table shows; `breaks` counts broken rules by their name."""
 
     G: float
--- a/sumachook/leases/leases.py
+++ b/sumachook/leases/leases.py
@@ -1,6 +1,6 @@
 """One core's part in the duties."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 
@@ -11,8 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyTiming:
-    """How long a lease lasts from its renewal's sending, how long after the last renewal nobody else may be voted for (the same span
-    makes a duty vacant), and how often a holder renews and a candidate bids."""
+    """The spans of a duty.
+
+    `lease` counts from the sending of a renewal; for `vacant_after` since the last renewal nobody else is voted for,
+    and then the duty is vacant; a holder renews every `renew`, a candidate bids every one to two `bid_pause`.
+    """
 
     lease: timedelta
     vacant_after: timedelta
@@ -27,8 +30,10 @@
 
 
 def draw_timing(is_fenced: bool, turn_gap: timedelta) -> DutyTiming:
-    """Servers that check fences refuse an old holder's orders themselves. Where they don't, the lease, an order under way and
-    `turn_gap`, the least time between orders of two holders, pass before a successor is voted for.
+    """Timing for servers that check fences, which refuse an old holder's orders themselves, or don't.
+
+    Where they don't, the lease, an order under way and `turn_gap`, the least time between orders of two holders, pass
+    before a successor is voted for.
 
     >>> draw_timing(False, timedelta(seconds=3)).vacant_after - draw_timing(False, timedelta(0)).vacant_after
     datetime.timedelta(seconds=3)
@@ -38,15 +43,24 @@
     return FENCED if is_fenced else replace(UNFENCED, vacant_after=UNFENCED.vacant_after + turn_gap)
 
 
+@dataclass(slots=True)
+class Bid:
+    """This replica's bid for a vacant duty: its fence and round, when it is made again, and who voted for it."""
+
+    fence: int
+    round: int
+    again_at: timedelta
+    voters: set[str] = field(default_factory=set)
+
+
 class Leases:
     """Takes (message, now); reads the ordered duties of the state it is given (§6).
 
-    In: ("pulse", isFresh, isLeading), ("heard", seat, address, message), ("quit",), ("resume",).
+    In: ("pulse", is_fresh, is_leading), ("heard", replica, address, message), ("quit",), ("resume",).
     Out: ("tell", address, message), ("propose", change), ("log", ...).
-    `holds(duty, now)` is the fence while the lease runs, else 0.
-    A seat votes for a successor only when the last renewal that it answered has run out, with all that may be under way. A lease
-    needs a majority's answers and a successor a majority's votes, and any two majorities meet (§6.3). `isFenced`: servers refuse
-    lower fences, so neither an order's timeout nor `turn_gap` has to pass.
+    A replica votes for a successor only when the last renewal that it answered has run out, with all that may be under
+    way. A lease needs a majority's answers and a successor a majority's votes, and any two majorities meet (§6.3).
+    `is_fenced`: servers refuse lower fences, so neither an order's timeout nor `turn_gap` has to pass.
     """
 
     __slots__ = (
@@ -82,22 +96,40 @@
         self.known, self.last_sent = {}, {}
         self.given_back = {}  # duty -> the fence under which this seat will never hold it again
 
-    def holds(self, duty: str, now) -> int:
+    def holds(self, duty: str, now: timedelta) -> int:
+        """The fence of a duty while the lease runs, else 0."""
         fence = self.state.fence(duty, self.seat)
         leased_fence, until = self.leases.get(duty, (0, now))
         is_held = fence and leased_fence == fence and now < until and not self._has_given_back(duty, fence)
         return fence if is_held and not self.quitting else 0
 
-    def take(self, message: tuple, now) -> list:
-        kind = message[0]
-        if kind == "pulse":
-            return self._pulse(message[1], message[2], now)
-        if kind == "quit":
-            return self._quit()
-        if kind == "resume":
-            self.quitting = False
-            return []
-        return getattr(self, "_on_" + message[3][0])(message[1], message[2], message[3], now)
+    def take(self, message: tuple, now: timedelta) -> list[tuple]:
+        """What is to be done after a message."""
+        match message:
+            case ("pulse", is_fresh, is_leading):
+                return self._pulse(is_fresh, is_leading, now)
+            case ("quit",):
+                return self._quit()
+            case ("resume",):
+                self.quitting = False
+                return []
+            case ("heard", replica, address, body):
+                return self._on_heard(replica, address, body, now)
+        raise ValueError(f"no message of the duties: {message[0]!r}")
+
+    def _on_heard(self, replica, address, body, now):
+        match body:
+            case ("renew", duty, fence, sent) if sent == GIVEN_BACK:
+                return self._on_given_back(duty, fence, now)
+            case ("renew", duty, fence, sent):
+                return self._on_renew(replica, address, duty, fence, sent, now)
+            case ("renewed", duty, fence, sent):
+                return self._on_renewed(replica, duty, fence, sent, now)
+            case ("bid", duty, fence, round_):
+                return self._on_bid(replica, address, duty, fence, round_, now)
+            case ("vote", duty, fence, round_):
+                return self._on_vote(replica, duty, fence, round_)
+        raise ValueError(f"no word of the duties: {body[0]!r}")
 
     def _most(self):
         return len(self.state.roster) // 2 + 1
@@ -141,21 +173,20 @@
         self.answers = {key: seats for key, seats in self.answers.items() if key[2] > horizon}
         return out
 
-    def _on_renew(self, seat, address, body, now):
-        _, duty, fence, sent = body
-        if sent == GIVEN_BACK:
-            if self.state.duties[duty][1] == fence:
-                self.answered_at[duty] = now - self._given_back_span()
-            return []
-        if not self.is_fresh or self.state.fence(duty, seat) != fence:
-            return []  # §6.2: a seat outside a working view prolongs nothing
+    def _on_given_back(self, duty, fence, now):
+        if self.state.duties[duty][1] == fence:
+            self.answered_at[duty] = now - self._given_back_span()
+        return []
+
+    def _on_renew(self, replica, address, duty, fence, sent, now):
+        if not self.is_fresh or self.state.fence(duty, replica) != fence:
+            return []  # §6.2: a replica outside a working view prolongs nothing
         self.renewed_at[duty] = self.answered_at[duty] = now
         return [("tell", address, ("renewed", duty, fence, sent))]
 
-    def _on_renewed(self, seat, address, body, now):
-        _, duty, fence, sent = body
-        if (duty, fence, sent) in self.answers and seat in self.state.roster:
-            self.answers[(duty, fence, sent)].add(seat)
+    def _on_renewed(self, replica, duty, fence, sent, now):
+        if (duty, fence, sent) in self.answers and replica in self.state.roster:
+            self.answers[(duty, fence, sent)].add(replica)
             self._count(duty, fence, sent, now)
         return []
 
@@ -169,14 +200,9 @@
         """§6.3: the leader declares a vacancy only when no order of the old holder can be under way."""
         silent_since = max(self.renewed_at.get(duty, now), self.watched_since)
         if now - silent_since > self.timing.vacant_after and self._may_send(("vacate", duty), now):
-            note = (
-                "log",
-                "warning",
-                "leases",
-                "A duty falls vacant.",
-                {"duty": duty, "holder": holder, "fence": fence},
-            )
-            return [note, ("propose", ("duty-vacate", duty, fence))]
+            note = {"duty": duty, "holder": holder, "fence": fence}
+            vacate = ("propose", ("duty-vacate", duty, fence))
+            return [("log", "warning", "leases", "A duty falls vacant.", note), vacate]
         return []
 
     def _quit(self):
@@ -185,9 +211,8 @@
         self.leases.clear()
         mine = [(duty, fence) for duty, (holder, fence) in self.state.duties.items() if holder == self.seat]
         self.given_back |= dict(mine)
-        told = [
-            ("tell", address, ("renew", duty, fence, GIVEN_BACK)) for duty, fence in mine for address in self._others()
-        ]
+        words = [("renew", duty, fence, GIVEN_BACK) for duty, fence in mine]
+        told = [("tell", address, word) for word in words for address in self._others()]
         return told + [("propose", ("duty-vacate", duty, fence)) for duty, fence in mine]
 
     def _has_given_back(self, duty, fence) -> bool:
@@ -201,12 +226,12 @@
         return [("propose", ("duty-vacate", duty, fence))]
 
     def _may_vote(self, duty, now):
-        """§6.3: not before every lease that this seat helped to prolong is over, and what was ordered under it has come or gone."""
+        """§6.3: not before every lease that this replica helped to prolong is over, and the orders under it settled."""
         was_held = self.state.duties[duty][1] > 0
         return not was_held or now - self.answered_at.get(duty, self.started_at) > self.timing.vacant_after
 
     def _given_back_span(self):
-        """How much of the wait a holder that gave its duty back has saved: its lease; where fences are checked, all of it."""
+        """How much of the wait is saved by giving a duty back: the lease; where fences are checked, all of it."""
         return self.timing.vacant_after * 2 if self.is_fenced else self.timing.lease
 
     def _may_send(self, what, now):
@@ -218,52 +243,46 @@
     # winning a duty -----------------------------------------------------------------
 
     def _bid(self, duty, fence, now):
-        key = (duty, fence)
-        current = self.bids.get(duty)
-        if current is None or current[0] != fence:
-            load = sum(holder == self.seat for holder, _ in self.state.duties.values())
-            wait = timedelta(seconds=self.draw.uniform(0.05, 0.3) + 0.3 * load)  # spread the duties out
-            self.bids[duty] = (fence, 0, now + wait, set())
+        bid = self.bids.get(duty)
+        if bid is None or bid.fence != fence:
+            self.bids[duty] = Bid(fence, 0, now + self._first_wait())
             return []
-        _, round_, at, votes = current
-        if now < at or not self._may_vote(duty, now):
+        if now < bid.again_at or not self._may_vote(duty, now):
             return []
-        round_ += 1
-        if self.votes.get(key, (self.seat, 0))[0] != self.seat and self.votes[key][1] >= round_:
-            round_ = self.votes[key][1] + 1
-        self.votes[key] = (self.seat, round_)
-        self.bids[duty] = (fence, round_, now + self.timing.bid_pause * self.draw.uniform(1, 2), {self.seat})
+        round_ = self._next_round(duty, fence, bid)
+        self.votes[(duty, fence)] = (self.seat, round_)
+        again_at = now + self.timing.bid_pause * self.draw.uniform(1, 2)
+        self.bids[duty] = Bid(fence, round_, again_at, {self.seat})
         return [("tell", address, ("bid", duty, fence, round_)) for address in self._others()]
 
-    def _on_bid(self, seat, address, body, now):
-        _, duty, fence, round_ = body
+    def _first_wait(self):
+        """Longer for who has duties already, so that they spread out."""
+        load = sum(holder == self.seat for holder, _ in self.state.duties.values())
+        return timedelta(seconds=self.draw.uniform(0.05, 0.3) + 0.3 * load)
+
+    def _next_round(self, duty, fence, bid):
+        """Above our last one, and above that of whoever else we voted for."""
+        voted_for, voted_round = self.votes.get((duty, fence), (self.seat, 0))
+        return bid.round + 1 if voted_for == self.seat else max(bid.round, voted_round) + 1
+
+    def _on_bid(self, replica, address, duty, fence, round_, now):
         holder, last = self.state.duties.get(duty, ("?", 0))
-        if (
-            holder
-            or fence != last + 1
-            or not self.is_fresh
-            or seat not in self.state.roster
-            or not self._may_vote(duty, now)
-        ):
+        is_next = not holder and fence == last + 1
+        if not is_next or not self.is_fresh or replica not in self.state.roster or not self._may_vote(duty, now):
             return []
         voted = self.votes.get((duty, fence))
-        if voted is None or round_ > voted[1] or (voted == (seat, round_)):
-            self.votes = {key: vote for key, vote in self.votes.items() if key[0] != duty}
-            self.votes[(duty, fence)] = (seat, round_)
-            return [("tell", address, ("vote", duty, fence, round_))]
-        return []
+        if voted is not None and round_ <= voted[1] and voted != (replica, round_):
+            return []
+        self.votes = {key: vote for key, vote in self.votes.items() if key[0] != duty}
+        self.votes[(duty, fence)] = (replica, round_)
+        return [("tell", address, ("vote", duty, fence, round_))]
 
-    def _on_vote(self, seat, address, body, now):
-        _, duty, fence, round_ = body
-        current = self.bids.get(duty)
-        if (
-            current is None
-            or current[:2] != (fence, round_)
-            or self.state.duties[duty][0]
-            or seat not in self.state.roster
-        ):
+    def _on_vote(self, replica, duty, fence, round_):
+        bid = self.bids.get(duty)
+        if bid is None or (bid.fence, bid.round) != (fence, round_):
             return []
-        current[3].add(seat)
-        if len(current[3]) == self._most():
-            return [("propose", ("duty-fill", duty, self.seat, fence))]
-        return []
+        if self.state.duties[duty][0] or replica not in self.state.roster:
+            return []
+        bid.voters.add(replica)
+        is_won = len(bid.voters) == self._most()
+        return [("propose", ("duty-fill", duty, self.seat, fence))] if is_won else []
--- a/tests/own_days_stories.py
+++ b/tests/own_days_stories.py
@@ -80,6 +80,7 @@
         return read_outcome(Run(Path("x.toml"), Path("a.toml"), None), file, tmp_path / "no.log")
 
     assert not outcome().is_broken and "none" in describe(outcome())
+    assert (outcome().report.exits_n, outcome().report.config_ack_ms) == (REPORT["exits_n"], REPORT["config_ack_ms"])
     assert outcome(breaks={"CONFIG": 2}).is_broken and "CONFIG 2" in describe(outcome(breaks={"CONFIG": 2}))
     assert outcome(fault="ended").is_broken
     sheet = tmp_path / "sheet.log"
