Model: a checker over the real control machines: walks, exhaustive search, replay

An independent book judges after each message (docs/design.md 12.7). A counter-example is a list of choices, shrunk by delta debugging, and replayed by 'python -m harness.model replay FILE' or a story.

--- /dev/null
+++ b/harness/model/__main__.py
@@ -0,0 +1,159 @@
+"""python -m harness.model COMMAND: walks, exhaustive exploration and replays over the real control machines, in virtual time."""
+
+import argparse
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+
+import msgspec
+
+from harness.model.explore import CounterExample, Search
+from harness.model.explore import replay as replay_steps
+from harness.model.shrink import Shrinker
+from harness.model.steps import BEGINNINGS
+from harness.model.story import Story, load, play, save
+from harness.model.walk import draw_story
+
+MOST_SEEDS = 20_000
+
+
+def _walk(seed: int, seats: int, seconds: float, shrink_for: float, ignored: tuple):
+    """(story, outcome, what is left of the story once shrunk) of one walk."""
+    story = draw_story(seed, seats, seconds)
+    outcome = play(story, ignored)
+    if not outcome.findings or not shrink_for:
+        return story, outcome, story
+    return story, outcome, Shrinker(story, outcome.findings[0].rule, shrink_for, ignored).run()
+
+
+def walk(given) -> int:
+    """Plays the walks of a range of seeds; writes down what broke a rule, shrunk."""
+    first, last = given.seeds
+    seeds = range(first, min(last, first + MOST_SEEDS) + 1)
+    rules, counts, seconds, tried = Counter(), Counter(), 0.0, 0
+    work = partial(
+        _walk,
+        seats=given.seats,
+        seconds=given.seconds_of_simulated_time,
+        shrink_for=given.shrink,
+        ignored=tuple(given.ignore),
+    )
+    with ProcessPoolExecutor(given.jobs) as pool:
+        for story, outcome, small in pool.map(work, seeds):
+            counts.update(outcome.counts)
+            seconds += outcome.seconds
+            tried += len(story.choices)
+            if outcome.findings:
+                rules[outcome.findings[0].rule] += 1
+                _report(story, outcome, small, given.out)
+    print(
+        f"{len(seeds)} walks over {given.seats} cores, {tried} choices, {seconds / 3600:.2f} simulated hours, {dict(counts)}"
+    )
+    print(f"{sum(rules.values())} walks broke a rule: {dict(rules)}")
+    return 1 if rules else 0
+
+
+def _report(story: Story, outcome, small: Story, folder: Path | None):
+    finding = outcome.findings[0]
+    print(f"seed {story.seed}: {finding.rule} after {outcome.seconds:.1f} s: {finding.text}", flush=True)
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / f"{finding.rule}-{story.seats}-{story.seed}.json"
+        save(small, path)
+        print(f"    {len(small.choices)} choices: {path}", flush=True)
+
+
+def _search(beginning: str, rounds: int, deviations: int, seconds: float):
+    return Search(beginning, rounds, deviations, seconds).run()
+
+
+def explore(given) -> int:
+    """Searches from each beginning; writes down what broke a rule."""
+    work = partial(_search, rounds=given.rounds, deviations=given.deviations, seconds=given.seconds)
+    states, found = 0, 0
+    with ProcessPoolExecutor(given.jobs) as pool:
+        for report in pool.map(work, given.beginnings):
+            states += report.states
+            end = "all tried" if report.is_complete else "not all tried"
+            print(
+                f"{report.beginning}: {report.states} states, {report.dropped} met before, {report.recoveries} recoveries, {end}",
+                flush=True,
+            )
+            for example in report.found:
+                found += 1
+                _report_example(example, given.out)
+    print(f"{states} states within {given.rounds} rounds and {given.deviations} deviations, {found} broke a rule")
+    return 1 if found else 0
+
+
+def _report_example(example: CounterExample, folder: Path | None):
+    print(f"    {example.rule}: {example.text}")
+    for step in example.steps:
+        print(f"        {step.kind} {step.node} {step.other}")
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / f"{example.rule}-{example.beginning}.json"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(example)))
+        print(f"    {path}", flush=True)
+
+
+def replay(given) -> int:
+    """Plays what a file holds: a story, or the steps of a search."""
+    if "beginning" in msgspec.json.decode(given.file.read_bytes()):
+        return _replay_steps(msgspec.json.decode(given.file.read_bytes(), type=CounterExample))
+    story = load(given.file)
+    for choice in story.choices:
+        print(f"{choice.at:8.3f}  {choice}")
+    outcome = play(story)
+    for finding in outcome.findings:
+        print(f"{finding.rule} at {finding.at:.3f}: {finding.text}")
+    print(f"{outcome.seconds:.1f} s, {outcome.counts}")
+    return 1 if outcome.findings else 0
+
+
+def _replay_steps(example: CounterExample) -> int:
+    for step in example.steps:
+        print(f"{step.kind} {step.node} {step.other}")
+    broken = replay_steps(example)
+    print(broken or "no rule is broken")
+    return 1 if broken else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="python -m harness.model", description=__doc__)
+    commands = parser.add_subparsers(required=True)
+    walks = commands.add_parser("walk", help="long seeded random walks over whole cores")
+    walks.add_argument("--seeds", type=int, nargs=2, default=(1, 20), metavar=("FIRST", "LAST"))
+    walks.add_argument("--seats", type=int, choices=(3, 5), default=3)
+    walks.add_argument("--seconds-of-simulated-time", type=float, default=60.0, metavar="S")
+    walks.add_argument("--jobs", type=int, default=3)
+    walks.add_argument("--out", type=Path, help="a folder for the counter-examples")
+    walks.add_argument(
+        "--shrink",
+        type=float,
+        default=60.0,
+        metavar="S",
+        help="seconds of real time to shrink one counter-example, 0 for none",
+    )
+    walks.add_argument(
+        "--ignore", nargs="*", default=(), metavar="RULE", help="rules whose breaks are known, to look past them"
+    )
+    walks.set_defaults(run=walk)
+    searches = commands.add_parser("explore", help="all sequences of steps up to a bound, over three replicas")
+    searches.add_argument("--rounds", type=int, default=2)
+    searches.add_argument("--deviations", type=int, default=1)
+    searches.add_argument("--beginnings", nargs="*", choices=tuple(BEGINNINGS), default=tuple(BEGINNINGS))
+    searches.add_argument("--seconds", type=float, default=1e9, metavar="S", help="of real time for each beginning")
+    searches.add_argument("--jobs", type=int, default=3)
+    searches.add_argument("--out", type=Path, help="a folder for the counter-examples")
+    searches.set_defaults(run=explore)
+    replays = commands.add_parser("replay", help="plays the story in a file")
+    replays.add_argument("file", type=Path)
+    replays.set_defaults(run=replay)
+    given = parser.parse_args()
+    raise SystemExit(given.run(given))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/harness/model/canonical.py
@@ -0,0 +1,94 @@
+"""A short name for a state: equal for states that differ only in the time, or in which follower is which."""
+
+from collections import deque
+from datetime import timedelta
+from functools import cache
+from hashlib import blake2b
+
+import msgspec
+
+from harness.model.cluster import Application, Cluster, FixedDraw, Node
+
+SKIPPED = (FixedDraw, Application)
+DERIVED = {"digests", "rosters", "size", "_encoded", "life", "last"}  # fields that follow from others, or only count
+LONG_AGO = -3.0  # seconds; what lies further back makes no difference
+
+
+def key_of(cluster: Cluster, swaps=()) -> bytes:
+    """The smallest digest of the state over the given renamings of nodes."""
+    texts = [_describe(cluster)]
+    for one, other in swaps:
+        texts.append(_rename(texts[0], one, other))
+    return min(blake2b(text.encode(), digest_size=12).digest() for text in texts)
+
+
+def _rename(text: str, one: str, other: str) -> str:
+    for quote in ('"{}"', '"{}:1"'):
+        text = (
+            text.replace(quote.format(one), "\0")
+            .replace(quote.format(other), quote.format(one))
+            .replace("\0", quote.format(other))
+        )
+    return text
+
+
+def _describe(cluster) -> str:
+    walker = _Walker(cluster.now)
+    nodes = sorted((name, walker.plain(node)) for name, node in cluster.nodes.items())
+    links = sorted(
+        (list(link), [walker.plain(message) for message in messages]) for link, messages in cluster.links.items()
+    )
+    return msgspec.json.encode([nodes, links, sorted(map(list, cluster.held)), sorted(cluster.lost_disks)]).decode()
+
+
+class _Walker:
+    """Turns objects into plain data, times into distances from now."""
+
+    def __init__(self, now):
+        self.now, self.seen = now, {}
+
+    def plain(self, value):
+        """What an object holds, without what only its host knows."""
+        if value is None or isinstance(value, (bool, int, str)):
+            return value
+        if isinstance(value, timedelta):
+            return self._distance(value)
+        if isinstance(value, float):
+            return round(value, 3)
+        if isinstance(value, bytes):
+            return value.hex()
+        if isinstance(value, dict):
+            return sorted(([self.plain(name), self.plain(item)] for name, item in value.items()), key=repr)
+        if isinstance(value, (set, frozenset)):
+            return sorted((self.plain(item) for item in value), key=repr)
+        if isinstance(value, (list, tuple, deque)):
+            return [self.plain(item) for item in value]
+        return self._object(value)
+
+    def _distance(self, value):
+        seconds = (value - self.now).total_seconds()
+        return round(max(seconds, LONG_AGO), 3)
+
+    def _object(self, value):
+        if isinstance(value, SKIPPED) or callable(value):
+            return None
+        if id(value) in self.seen:
+            return self.seen[id(value)]
+        self.seen[id(value)] = place = f"#{len(self.seen)}"
+        if isinstance(value, Node):
+            disk = msgspec.json.encode(value.durable).decode()
+            writes = [
+                [verb, msgspec.json.encode(records).decode(), self.plain(done)] for verb, records, done in value.writes
+            ]
+            return [value.name, disk, writes, value.is_frozen, value.is_stalled, self.plain(value.replica)]
+        names = _fields(type(value)) or sorted(vars(value))
+        return [type(value).__name__, place, [self.plain(getattr(value, name, None)) for name in names]]
+
+
+@cache
+def _fields(kind: type) -> tuple:
+    """What objects of this class hold, without what follows from the rest."""
+    names = getattr(kind, "__struct_fields__", None) or [
+        name for base in kind.__mro__ for name in getattr(base, "__slots__", ())
+    ]
+    return tuple(name for name in names if name not in DERIVED)
--- /dev/null
+++ b/harness/model/cluster.py
@@ -0,0 +1,382 @@
+"""Replicas of the consensus machine with their disks and links, driven one choice at a time.
+
+Nothing here runs by itself: a message waits on its link until it is delivered, a write is on its way until it is synced, and time stands
+still between rounds. A cluster is copied by `pickle`, so a search can go on from it in many ways.
+"""
+
+import pickle
+from collections import deque
+from datetime import timedelta
+
+import msgspec
+
+from harness.model.observe import groups_of
+from sumachook.consensus import Options, Replica, effects, events
+from sumachook.consensus.timing import FRESH
+from sumachook.transport.codec import read_entry
+
+FOUNDERS = ("a", "b", "c")
+CHANGE = "change"  # the kind of the changes that are proposed here
+NO_TIME = timedelta(0)
+DRAWS = {"a": 0.3, "b": 0.5, "c": 0.8, "d": 0.6}
+REPLACE_AFTER = timedelta(seconds=1.6)
+MOST_DELIVERED = 2000  # messages of one round; more means that two replicas answer each other for ever
+LOG_ENTRIES = 6  # a snapshot after so few, so that the search meets some
+
+
+class FixedDraw:
+    """In the place of a generator of random numbers: each node draws always the same part of a range, so that equal states stay equal."""
+
+    def __init__(self, part: float, start: int):
+        self.part, self.start = part, start
+
+    def uniform(self, low: float, high: float) -> float:
+        """This node's part of the range."""
+        return low + (high - low) * self.part
+
+    def getrandbits(self, _bits: int) -> int:
+        """A number of its own for each start."""
+        return self.start
+
+
+class Application:
+    """The program around a replica: a counter of what was delivered, with a digest of it."""
+
+    def __init__(self):
+        self.number, self.digest = 0, 0
+
+    def snapshot(self):
+        """Plain data to come back from."""
+        return {"number": self.number, "digest": self.digest}
+
+    def apply(self, number: int, entry: bytes):
+        """Takes one delivered entry."""
+        self.number, self.digest = number, hash_of(self.digest, entry)
+
+    def restore(self, image):
+        """Takes a snapshot."""
+        self.number, self.digest = (image["number"], image["digest"]) if image else (0, 0)
+
+
+class Node:
+    """One machine: its replica while it runs, its program, and its disk."""
+
+    def __init__(self, name: str):
+        self.name, self.address = name, f"{name}:1"
+        self.replica, self.application = None, Application()
+        self.durable, self.writes = [], deque()
+        self.is_frozen, self.is_stalled, self.has_departed, self.life = False, False, False, 0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a process runs, frozen or not."""
+        return self.replica is not None
+
+
+class BrokenRuleError(Exception):
+    """A rule is broken."""
+
+    def __init__(self, rule: str, text: str):
+        super().__init__(f"{rule}: {text}")
+        self.rule, self.text = rule, text
+
+
+class Cluster:
+    """Three founders and perhaps a newcomer, with the rules that must hold after every step."""
+
+    def __init__(self, names=FOUNDERS):
+        self.now = timedelta(seconds=100)
+        self.nodes = {name: Node(name) for name in names}
+        self.links = {(one, other): deque() for one in names for other in names if one != other}
+        self.held, self.entries, self.delivered_at, self.proposals, self.skipped = set(), {}, {}, 0, 0
+        self.lost_disks = set()
+
+    def copy(self) -> "Cluster":
+        """Another one in the same state."""
+        return pickle.loads(self.pack())
+
+    def pack(self) -> bytes:
+        """The whole as bytes."""
+        return pickle.dumps(self, pickle.HIGHEST_PROTOCOL)
+
+    # nodes ------------------------------------------------------------------------------
+
+    def add(self, name: str):
+        """One node more, with an empty disk."""
+        for other in self.nodes:
+            self.links[(name, other)], self.links[(other, name)] = deque(), deque()
+        self.nodes[name] = Node(name)
+
+    def start(self, name: str):
+        """A process begins on what its disk holds."""
+        node = self.nodes[name]
+        node.life += 1
+        node.application, node.is_frozen, node.has_departed = Application(), False, False
+        founders = tuple(f"{founder}:1" for founder in FOUNDERS) if name in FOUNDERS else ()
+        options = Options(replace_after=REPLACE_AFTER, max_log_entries=LOG_ENTRIES)
+        node.replica = Replica(
+            name,
+            node.address,
+            founders,
+            FixedDraw(DRAWS[name], node.life * len(DRAWS) + sorted(DRAWS).index(name)),
+            node.application.snapshot,
+            tuple(node.durable),
+            options,
+            self.now,
+        )
+        number, image = node.replica.snapshot()
+        node.application.restore(image)
+        if node.application.number != number:
+            raise BrokenRuleError(
+                "snapshot", f"{name} starts from a snapshot of change {number} that is one of {node.application.number}"
+            )
+
+    def crash(self, name: str, writes_kept: int = 0):
+        """The process ends; of its writes under way the first ones may survive."""
+        node = self.nodes[name]
+        for _ in range(min(writes_kept, len(node.writes))):
+            self._write(node)
+        node.writes.clear()
+        node.replica = None
+        for link, messages in self.links.items():
+            if link[1] == name:
+                messages.clear()
+
+    def lose_disk(self, name: str):
+        """The disk of a node that is down is lost."""
+        self.nodes[name].durable.clear()
+        self.lost_disks.add(name)
+
+    # messages ------------------------------------------------------------------------------
+
+    def handle(self, name: str, event):
+        """Gives one event to a replica and carries out what it wants."""
+        node = self.nodes[name]
+        queue = [event]
+        while queue:
+            for effect in node.replica.handle(queue.pop(0), self.now):
+                follow_up = self._carry_out(node, effect)
+                if follow_up is not None:
+                    queue.append(follow_up)
+        self.check(name)
+
+    def _carry_out(self, node, effect):
+        match effect:
+            case effects.Send(address, message):
+                receiver = address.partition(":")[0]
+                link = (node.name, receiver)
+                if link in self.links and self.nodes[receiver].is_running:
+                    self.links[link].append(message)
+            case effects.Store(records, done):
+                node.writes.append(("store", records, done))
+            case effects.Replace(records, done):
+                node.writes.append(("replace", records, done))
+            case effects.Deliver(number, entry):
+                self._deliver(node, number, entry)
+            case effects.Restore(number, state):
+                node.application.restore(state)
+                self._compare(node, number)
+            case effects.Compact():
+                return events.LogCompacted()
+            case effects.Departed():
+                node.has_departed = True
+        return None
+
+    def _deliver(self, node, number, entry):
+        if number != node.application.number + 1:
+            raise BrokenRuleError("order", f"{node.name} delivers change {number} after {node.application.number}")
+        if self.entries.setdefault(number, entry) != entry:
+            raise BrokenRuleError(
+                "order",
+                f"{node.name} delivers {entry!r} as change {number}, another delivered {self.entries[number]!r}",
+            )
+        self.delivered_at.setdefault(number, self.now)
+        node.application.apply(number, entry)
+
+    def _compare(self, node, number):
+        digest = 0
+        for place in range(1, number + 1):
+            digest = hash_of(digest, self.entries.get(place, b""))
+        if (node.application.number, node.application.digest) != (number, digest):
+            raise BrokenRuleError("snapshot", f"{node.name} takes a snapshot of change {number} that is not its state")
+
+    def deliver_next(self, link) -> bool:
+        """The oldest message of a link arrives; whether there was one that could."""
+        sender, receiver = link
+        node = self.nodes[receiver]
+        if not self.links[link] or node.is_frozen:
+            return False
+        message = self.links[link].popleft()
+        if node.is_running:
+            self.handle(receiver, events.Received(sender, self.nodes[sender].address, message))
+        return True
+
+    def sync(self, name: str):
+        """The oldest write of a node is durable."""
+        node = self.nodes[name]
+        done = self._write(node)
+        if done is not None and node.is_running:
+            self.handle(name, done)
+
+    def _write(self, node):
+        verb, records, done = node.writes.popleft()
+        if verb == "replace":
+            node.durable.clear()
+        node.durable.extend(stored(record) for record in records)
+        return done
+
+    # rounds -------------------------------------------------------------------------------
+
+    def tick(self, seconds: float):
+        """Time passes, and every process that is awake notices."""
+        self.now += timedelta(seconds=seconds)
+        for name, node in self.nodes.items():
+            if node.is_running and not node.is_frozen:
+                addresses = tuple(other.address for other in self.nodes.values())
+                self.handle(name, events.Tick(addresses))
+        for node in self.nodes.values():
+            if node.has_departed and node.is_running:
+                self.crash(node.name)
+
+    def settle(self, is_reversed: bool = False):
+        """Delivers and syncs all that may be, until nothing moves."""
+        links = sorted(self.links, reverse=is_reversed)
+        for _ in range(MOST_DELIVERED):
+            moved = False
+            for link in links:
+                if link not in self.held and self.deliver_next(link):
+                    moved = True
+            for name, node in self.nodes.items():
+                if node.writes and not node.is_stalled and not node.is_frozen:
+                    self.sync(name)
+                    moved = True
+            if not moved:
+                return
+        raise BrokenRuleError("endless", "the replicas never come to rest")
+
+    def propose(self, name: str):
+        """Somebody wants one more change."""
+        node = self.nodes[name]
+        if not node.is_running or node.is_frozen:
+            self.skipped += 1
+        else:
+            self.proposals += 1
+            self.handle(name, events.ProposalMade((CHANGE, self.proposals)))
+
+    def propose_somewhere(self):
+        """At each node in turn."""
+        names = sorted(self.nodes)
+        self.propose(names[(self.proposals + self.skipped) % len(names)])
+
+    def taken_proposals(self):
+        """The numbers of the changes proposed here that were delivered."""
+        for entry in self.entries.values():
+            change = read_entry(entry)
+            if change[0] == CHANGE:
+                yield change[1]
+
+    def hold(self, name: str, is_out: bool, is_in: bool):
+        """Links of this node deliver nothing until they are released."""
+        for link in self.links:
+            if (is_out and link[0] == name) or (is_in and link[1] == name):
+                self.held.add(link)
+
+    def lose_held(self):
+        """What the held links keep is lost."""
+        for link in self.held:
+            self.links[link].clear()
+
+    def end_trouble(self):
+        """All nodes run, are in touch, and sync; the time of those that were told to end is over, and they come back."""
+        self.held.clear()
+        for name, node in self.nodes.items():
+            node.is_frozen = node.is_stalled = False
+            if node.is_running and node.replica.state.is_leaving:
+                self.crash(name)
+            if not node.is_running:
+                self.start(name)
+
+    # rules -----------------------------------------------------------------------------------
+
+    def awake(self) -> list:
+        """The nodes whose process runs and is not frozen."""
+        return [node for node in self.nodes.values() if node.is_running and not node.is_frozen]
+
+    def leaders(self) -> list:
+        """Those that lead under a lease."""
+        return [node for node in self.awake() if node.replica.role == "leading" and node.replica.is_fresh(self.now)]
+
+    def check(self, name: str):
+        """What must hold once this node has taken an event."""
+        node, replica = self.nodes[name], self.nodes[name].replica
+        committed = max(self.entries, default=0)
+        if replica.role == "leading" and replica.log.end < committed:
+            raise BrokenRuleError(
+                "lost",
+                f"{name} leads view {replica.view} with a log up to {replica.log.end}, change {committed} was delivered before",
+            )
+        if replica.is_fresh(self.now):
+            self._check_fresh(node, committed)
+        leaders = self.leaders()
+        if len(leaders) > 1:
+            raise BrokenRuleError(
+                "leaders", f"{' and '.join(leader.name for leader in leaders)} lead under a lease at the same time"
+            )
+
+    def _check_fresh(self, node, committed):
+        is_leading = node.replica.role == "leading"
+        bound = NO_TIME if is_leading else FRESH
+        acknowledged = max((number for number, at in self.delivered_at.items() if at <= self.now - bound), default=0)
+        if node.application.number < acknowledged:
+            raise BrokenRuleError(
+                "stale",
+                f"{node.name} ({node.replica.role}) calls its state fresh at change {node.application.number}, "
+                f"{acknowledged} was delivered more than {bound.total_seconds()} s before",
+            )
+
+    def check_durable(self):
+        """What was delivered lies on the disks of a majority of the voters, those that lost theirs left out."""
+        committed = max(self.entries, default=0)
+        leaders = self.leaders()
+        if not leaders or self.lost_disks:
+            return
+        holding = {name for name, node in self.nodes.items() if durable_end(node.durable) >= committed}
+        for voters in groups_of(leaders[0].replica.state.roster):
+            if len(holding & voters) < len(voters) // 2 + 1:
+                raise BrokenRuleError(
+                    "durable",
+                    f"change {committed} was delivered and lies on the disks of {sorted(holding)} only, of the voters "
+                    f"{sorted(voters)}",
+                )
+
+
+def stored(record):
+    """A record as it would be read back."""
+    return as_tuples(msgspec.json.decode(msgspec.json.encode(record)))
+
+
+def as_tuples(value):
+    """Lists as tuples, as the storage gives them."""
+    if isinstance(value, list):
+        return tuple(as_tuples(item) for item in value)
+    if isinstance(value, dict):
+        return {name: as_tuples(item) for name, item in value.items()}
+    return value
+
+
+def durable_end(records) -> int:
+    """How far a disk holds the log."""
+    end = 0
+    for record in records:
+        if record[0] == "snapshot":
+            end = record[1]
+        elif record[0] == "view":
+            end = record[3] - 1 + len(record[4])
+        elif record[0] == "entries":
+            end = record[2] - 1 + len(record[3])
+    return end
+
+
+def hash_of(digest: int, entry: bytes) -> int:
+    """A digest that is the same in every process."""
+    return int.from_bytes(msgspec.json.encode([digest, entry.decode()]), "big") % (2**61 - 1)
--- /dev/null
+++ b/harness/model/explore.py
@@ -0,0 +1,160 @@
+"""Every sequence of steps up to a bound, from states where much can go wrong.
+
+A search goes on in rounds (a tick, then everything arrives). Other steps are deviations; the bound is on the number of rounds and on the
+number of deviations, so that all ways to depart that often from the ordinary course are tried. States met before, with no more left to try
+then, are dropped, and so are those that differ only in which follower is which.
+"""
+
+import pickle
+import time
+
+import msgspec
+
+from harness.model.canonical import key_of
+from harness.model.cluster import BrokenRuleError, Cluster
+from harness.model.steps import BEGINNINGS, ROUND, Kind, Step, enabled, go_on, take
+
+TICK, SETTLE = Step(Kind.TICK), Step(Kind.SETTLE)
+ROUNDS_TO_RECOVER = 25  # 5 s
+LAG = 2  # changes that a follower may be behind at any moment
+SWAPS = {"calm_view": (("b", "c"),), "leader_cut_off": (("b", "c"),)}
+
+
+class CounterExample(msgspec.Struct, frozen=True):
+    """Steps from a beginning that break a rule."""
+
+    beginning: str
+    steps: tuple[Step, ...]
+    rule: str
+    text: str
+    is_calm_after: bool = False  # whether it shows only after some seconds of calm
+
+
+class Report(msgspec.Struct):
+    """How far a search came."""
+
+    beginning: str
+    states: int = 0
+    dropped: int = 0
+    recoveries: int = 0
+    is_complete: bool = True
+    found: list[CounterExample] = []
+
+
+class Search:
+    """Depth-first over all deviations, from one beginning."""
+
+    def __init__(self, beginning: str, rounds: int, deviations: int, seconds: float = 1e9, most_states: int = 10**9):
+        self.report = Report(beginning, found=[])
+        self.rounds, self.deviations, self.most_states = rounds, deviations, most_states
+        self.seen, self.recovered = {}, set()
+        self.ends_at = time.monotonic() + seconds
+
+    def run(self) -> Report:
+        """Tries all, or until a rule is broken or the time is over."""
+        cluster = BEGINNINGS[self.report.beginning]()
+        is_settled = not any(cluster.links.values())
+        self._visit(cluster, 2 * self.rounds - (0 if is_settled else 1), self.deviations, ())
+        return self.report
+
+    def _visit(self, cluster: Cluster, left: int, deviations: int, path: tuple):
+        """`left` counts half rounds: an even number of them begins with a tick."""
+        if self.report.found or not self._is_within_bounds():
+            return
+        if self._was_seen(cluster, left, deviations):
+            self.report.dropped += 1
+            return
+        self.report.states += 1
+        if left == 0:
+            self._recover(cluster, path)
+            return
+        packed = cluster.pack()
+        self._go(cluster, SETTLE if left % 2 else TICK, left - 1, deviations, path)
+        if deviations:
+            for step in enabled(cluster_of(packed)):
+                self._go(cluster_of(packed), step, left, deviations - 1, path)
+
+    def _is_within_bounds(self):
+        if time.monotonic() < self.ends_at and self.report.states < self.most_states:
+            return True
+        self.report.is_complete = False
+        return False
+
+    def _was_seen(self, cluster, left, deviations):
+        key = key_of(cluster, SWAPS.get(self.report.beginning, ()))
+        tried = self.seen.setdefault(key, [])
+        if any(
+            left <= other_left and left % 2 == other_left % 2 and deviations <= other for other_left, other in tried
+        ):
+            return True
+        tried.append((left, deviations))
+        return False
+
+    def _go(self, cluster, step, left, deviations, path):
+        if self.report.found:
+            return
+        path = (*path, step)
+        try:
+            take(cluster, step)
+        except BrokenRuleError as broken:
+            self._note(path, broken, False)
+        else:
+            self._visit(cluster, left, deviations, path)
+
+    def _recover(self, cluster, path):
+        self.report.recoveries += 1
+        try:
+            recover(cluster)
+        except BrokenRuleError as broken:
+            self._note(path, broken, True)
+
+    def _note(self, path, broken, is_calm_after):
+        self.report.found.append(CounterExample(self.report.beginning, path, broken.rule, broken.text, is_calm_after))
+
+
+def cluster_of(packed: bytes) -> Cluster:
+    """A cluster from its bytes."""
+    return pickle.loads(packed)
+
+
+def recover(cluster: Cluster):
+    """After the end of all trouble a change is taken, and everybody who votes has it."""
+    cluster.end_trouble()
+    first, why = cluster.proposals + 1, None
+    for _ in range(ROUNDS_TO_RECOVER):
+        go_on(cluster, 1)
+        why = _why_not_recovered(cluster, first)
+        if why is None:
+            return
+    raise why
+
+
+def _why_not_recovered(cluster, first) -> BrokenRuleError | None:
+    leaders = cluster.leaders()
+    if not leaders:
+        return BrokenRuleError(
+            "no-view", f"no leader under a lease {ROUNDS_TO_RECOVER * ROUND:.0f} s after the trouble"
+        )
+    if not any(number >= first for number in cluster.taken_proposals()):
+        return BrokenRuleError("no-change", "no change is taken after the trouble")
+    leader = leaders[0]
+    voters = [cluster.nodes[name] for name in leader.replica.roster if cluster.nodes[name].is_running]
+    behind = [
+        node.name
+        for node in voters
+        if node.application.number < leader.application.number - LAG and not node.replica.state.is_leaving
+    ]
+    return BrokenRuleError("catch-up", f"{behind} lag behind change {leader.application.number}") if behind else None
+
+
+def replay(example: CounterExample):
+    """Plays a counter-example again; gives the broken rule, or None if none is broken."""
+    cluster = BEGINNINGS[example.beginning]()
+    try:
+        for step in example.steps:
+            take(cluster, step)
+        if example.is_calm_after:
+            recover(cluster)
+    except BrokenRuleError as broken:
+        return broken
+    return None
--- /dev/null
+++ b/harness/model/faults.py
@@ -0,0 +1,276 @@
+"""How the faults among the choices are brought about and ended, within what is borne."""
+
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from harness.model import choices
+from harness.model.losses import Losses
+from harness.model.town import ControlTown
+
+GRACE = 8.0  # a machine that was told to leave is ended after so long at the latest
+LOOK_AGAIN = 0.02  # seconds between two looks whether it has left
+WHOLE_DISK_DELAY = 0.002
+
+
+class Faults:
+    """Applies faults to a town; one that would take away more than is borne is passed over.
+
+    `is_wild`: trouble that passes may meet any number of machines at once; disks are lost within what is borne all the same.
+    """
+
+    def __init__(self, town: ControlTown, losses: Losses, is_wild: bool):
+        self.town, self.losses, self.is_wild = town, losses, is_wild
+        self.armed, self.leaving, self.starting = [], set(), {}
+        town.book.on_acknowledged = self._acknowledged
+
+    @property
+    def now(self) -> float:
+        """Seconds of virtual time."""
+        return self.town.now.total_seconds()
+
+    @singledispatchmethod
+    def apply(self, choice):
+        """Brings one choice about."""
+        raise TypeError(f"{choice!r} is no fault")
+
+    def end_all(self):
+        """The beginning of a calm: all that passes is over, all that is to come back does."""
+        town = self.town
+        self.armed = []
+        for name in list(self.starting):
+            self._start(name)
+        for name in list(self.leaving):
+            town.kill(name)
+        town.heal()
+        town.slow_links.clear()
+        for name in town.names:
+            box = town.boxes[name]
+            box.disk.stalled_until, box.slow, box.disk.delay = town.now, _span(0), _span(WHOLE_DISK_DELAY)
+            if box.is_frozen:
+                town.wake(name)
+        for name in self.losses.trouble_until:
+            self.losses.trouble_until[name] = min(self.losses.trouble_until[name], self.now)
+
+    # what several do -----------------------------------------------------------------
+
+    def _later(self, seconds, call, *arguments):
+        self.town._later(_span(seconds), call, *arguments)
+
+    def _begin(self, selector, seconds):
+        """The name of the machine, if it may be in trouble for so long, or None."""
+        name = self.town.name_of(selector)
+        if not self.is_wild and not self.losses.may_lose(self.now, {name}):
+            return None
+        self.losses.add_trouble(name, self.now, self.now + seconds)
+        return name
+
+    def _start(self, name):
+        box = self.town.boxes[name]
+        if self.starting.pop(name, None) and box.machine is None and name in self.town.names:
+            self.town.start(name)
+
+    def _start_later(self, name, seconds):
+        self.starting[name] = True
+        self._later(seconds, self._start, name)
+
+    def _add_machine(self):
+        self.losses.add_machine(self.town.add_machine(), self.now)
+
+    def _add_missing(self):
+        if len(self.town.names) < self.losses.seats:
+            self._add_machine()
+
+    # the network -------------------------------------------------------------------------
+
+    def _links(self, name, others, direction):
+        """Those between the machine and the others that are not cut yet."""
+        links = set()
+        if direction in ("both", "out"):
+            links |= {(name, other) for other in others if other != name}
+        if direction in ("both", "in"):
+            links |= {(other, name) for other in others if other != name}
+        return links - self.town.cuts
+
+    def _cut(self, name, others, direction, holds, seconds):
+        links = self._links(name, others, direction)
+        self.town.cuts |= links
+        if holds:
+            self.town.holding |= links
+        self._later(seconds, self.town.heal, links)
+
+    @apply.register
+    def _(self, choice: choices.Cut):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is not None:
+            others = [self.town.name_of(selector) for selector in choice.towards] or self.town.inside()
+            self._cut(name, others, choice.direction, choice.holds, choice.seconds)
+
+    @apply.register
+    def _(self, choice: choices.CutOperators):
+        self._cut(self.town.name_of(choice.machine), ["operators"], choice.direction, choice.holds, choice.seconds)
+
+    @apply.register
+    def _(self, choice: choices.SlowLink):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is None:
+            return
+        links = self._links(name, self.town.inside(), choice.direction)
+        for link in links:
+            self.town.slow_links[link] = _span(choice.delay)
+        self._later(choice.seconds, self._speed_up, links)
+
+    def _speed_up(self, links):
+        for link in links:
+            self.town.slow_links.pop(link, None)
+
+    # processes -------------------------------------------------------------------------------
+
+    @apply.register
+    def _(self, choice: choices.Freeze):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is None or self.town.boxes[name].is_frozen:
+            return
+        self.town.freeze(name)
+        self._later(choice.seconds, self._wake, name, self.town.boxes[name].life)
+
+    def _wake(self, name, life):
+        box = self.town.boxes[name]
+        if box.is_frozen and box.life == life:
+            self.town.wake(name)
+
+    @apply.register
+    def _(self, choice: choices.Kill):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is not None:
+            self.town.kill(name, choice.writes_kept)
+            self._start_later(name, choice.seconds)
+
+    @apply.register
+    def _(self, choice: choices.SlowMachine):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is not None:
+            self.town.boxes[name].slow = _span(choice.delay)
+            self._later(choice.seconds, self._unslow, name)
+
+    def _unslow(self, name):
+        self.town.boxes[name].slow = _span(0)
+
+    @apply.register
+    def _(self, choice: choices.ClockStep):
+        self.town.boxes[self.town.name_of(choice.machine)].clock.jump += _span(choice.jump)
+
+    # disks ---------------------------------------------------------------------------------------
+
+    @apply.register
+    def _(self, choice: choices.SlowDisk):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is not None:
+            self.town.boxes[name].disk.delay = _span(choice.delay)
+            self._later(choice.seconds, self._mend_disk, name)
+
+    def _mend_disk(self, name):
+        self.town.boxes[name].disk.delay = _span(WHOLE_DISK_DELAY)
+
+    @apply.register
+    def _(self, choice: choices.StalledDisk):
+        name = self._begin(choice.machine, choice.seconds)
+        if name is not None:
+            self.town.boxes[name].disk.stalled_until = self.town.now + _span(choice.seconds)
+
+    @apply.register
+    def _(self, choice: choices.DiskLoss):
+        name = self.town.name_of(choice.machine)
+        if self.losses.may_lose(self.now, {name}):
+            self._lose_disk(name, choice.seconds)
+
+    def _lose_disk(self, name, seconds):
+        self.losses.add_disk_loss(name, self.now, self.now + seconds)
+        self.town.lose_power(name)
+        self.town.wipe(name)
+        self._start_later(name, seconds)
+
+    @apply.register
+    def _(self, choice: choices.PowerLoss):
+        names = [self.town.name_of(selector) for selector in choice.machines] or list(self.town.names)
+        wiped = {self.town.name_of(selector) for selector in choice.wiped}
+        self._lose_power(names, wiped, choice.seconds, choice.writes_kept, choice.stagger)
+
+    def _lose_power(self, names, wiped, seconds, writes_kept, stagger):
+        """Disks are lost only within what is borne; others only come to no harm that lasts."""
+        if not self.losses.may_lose(self.now, wiped):
+            wiped = set()
+        if not self.is_wild and not self.losses.may_lose(self.now, set(names) | wiped):
+            return
+        for place, name in enumerate(dict.fromkeys([*names, *wiped])):
+            down = seconds + place * stagger
+            if name in wiped:
+                self._lose_disk(name, down)
+            else:
+                self.losses.add_trouble(name, self.now, self.now + down)
+                self.town.lose_power(name, writes_kept)
+                self._start_later(name, down)
+
+    @apply.register
+    def _(self, choice: choices.AtAcknowledgement):
+        self.armed.append(choice)
+
+    def _acknowledged(self, attempt):
+        armed, self.armed = self.armed, []
+        name = self.town.by_door[attempt.target].name
+        for choice in armed:
+            self._later(choice.delay, self._strike, choice, name)
+
+    def _strike(self, choice, name):
+        names = [name] if choice.scope == "answering" else list(self.town.names)
+        if name in self.town.names:
+            order = [name, *(other for other in names if other != name)]
+            self._lose_power(names, set(order[: choice.wipes]), choice.seconds, 0, 0.0)
+
+    # machines that come and go -------------------------------------------------------------------
+
+    @apply.register
+    def _(self, choice: choices.Join):
+        if len(self.town.names) <= self.losses.seats:
+            self._add_machine()
+
+    @apply.register
+    def _(self, choice: choices.Replace):
+        name = self.town.name_of(choice.machine)
+        if self.losses.may_lose(self.now, {name}):
+            self.losses.remove_machine(name, self.now, is_planned=False)
+            self.town.remove(name)
+            self._later(choice.seconds, self._add_missing)
+
+    @apply.register
+    def _(self, choice: choices.Leave):
+        name = self.town.name_of(choice.machine)
+        box = self.town.boxes[name]
+        if name in self.leaving or box.machine is None or box.is_frozen:
+            return
+        if choice.is_final:
+            if not self.losses.may_leave(self.now, name):
+                return
+            self.losses.remove_machine(name, self.now, is_planned=True)
+        elif self._begin(choice.machine, GRACE + choice.seconds) is None:
+            return
+        self.leaving.add(name)
+        self.town.stop(name)
+        self._later(LOOK_AGAIN, self._look_whether_left, name, box.life, choice, self.now + GRACE)
+
+    def _look_whether_left(self, name, life, choice, kill_at):
+        box = self.town.boxes[name]
+        if box.life == life and self.now < kill_at:
+            self._later(LOOK_AGAIN, self._look_whether_left, name, life, choice, kill_at)
+            return
+        self.leaving.discard(name)
+        self.town.kill(name)
+        if not choice.is_final:
+            self.losses.trouble_until[name] = self.now + choice.seconds
+            self._start_later(name, choice.seconds)
+        elif name in self.town.names:
+            self.town.remove(name)
+            self._later(choice.seconds, self._add_missing)
+
+
+def _span(seconds):
+    return timedelta(seconds=seconds)
--- /dev/null
+++ b/harness/model/operators.py
@@ -0,0 +1,119 @@
+"""Operators of the model: they order, resend, follow redirects and read back, and note what they were told."""
+
+from datetime import timedelta
+
+import msgspec
+
+WAIT = timedelta(seconds=8)
+MOST_REDIRECTS = 2
+PART_OF_A_SECOND = 0.3  # the pause before the next target after an answer that does not settle it
+
+
+class Attempt:
+    """One request on its way."""
+
+    __slots__ = ("order", "target", "sent_at", "redirects")
+
+    def __init__(self, order, target, sent_at, redirects):
+        self.order, self.target, self.sent_at, self.redirects = order, target, sent_at, redirects
+
+
+class Order:
+    """What an operator wants, with the targets it is still to be sent to."""
+
+    __slots__ = (
+        "kind",
+        "key",
+        "path",
+        "document",
+        "base",
+        "version",
+        "targets",
+        "patience",
+        "next_at",
+        "first_sent_at",
+        "acknowledged_at",
+        "refused_at",
+        "is_invalid",
+    )
+
+    def __init__(self, kind, key, path, document, base=0, version=0, is_invalid=False):
+        self.kind, self.key, self.path, self.document, self.base, self.version = (
+            kind,
+            key,
+            path,
+            document,
+            base,
+            version,
+        )
+        self.is_invalid, self.targets, self.patience, self.next_at = is_invalid, [], 1.0, None
+        self.first_sent_at = self.acknowledged_at = self.refused_at = None
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether its operator knows how it ended."""
+        return self.acknowledged_at is not None or self.refused_at is not None
+
+
+class Operators:
+    """A machine of the fleet; `judge` is told of each answer."""
+
+    __slots__ = ("door_of", "judge", "attempts", "orders", "number")
+
+    def __init__(self, door_of, judge):
+        self.door_of, self.judge = door_of, judge
+        self.attempts, self.orders, self.number = {}, [], 0
+
+    def send(self, order: Order, targets, patience: float, now):
+        """Begins, or goes on, to send the order to these targets, one after the other."""
+        order.targets, order.patience, order.next_at = list(targets), patience, now
+        if order not in self.orders:
+            self.orders.append(order)
+
+    def take(self, message: tuple, now) -> list:
+        """One message of the fleet; gives the requests to be made."""
+        if message[0] == "pulse":
+            return self._send_due(now)
+        if message[0] == "fetched" and message[2] in ("done", "fault"):
+            return self._answered(message, now)
+        return []
+
+    def _send_due(self, now):
+        out = []
+        for order in list(self.orders):
+            if order.is_settled or not order.targets:
+                self.orders.remove(order)
+            elif now >= order.next_at:
+                order.next_at = now + timedelta(seconds=order.patience)
+                target = self.door_of(order.targets.pop(0))
+                if target is not None:
+                    out += self._request(order, target, now, 0)
+        return out
+
+    def _request(self, order, door, now, redirects):
+        self.number += 1
+        self.attempts[self.number] = Attempt(order, door, now, redirects)
+        if order.first_sent_at is None:
+            order.first_sent_at = now
+        body = b""
+        if order.document is not None:  # each request bears an id of its own, as the platform's do: content decides
+            body = msgspec.json.encode({**order.document, "request": f"{order.key}.{self.number}"})
+        method = "GET" if order.document is None else "POST"
+        return [
+            ("fetch", self.number, method, f"http://{door}{order.path}", {}, body, timedelta(seconds=1), WAIT, "whole")
+        ]
+
+    def _answered(self, message, now):
+        attempt = self.attempts.pop(message[1], None)
+        if attempt is None:
+            return []
+        order = attempt.order
+        status, headers, body = (message[3], message[4], message[5]) if message[2] == "done" else (0, {}, b"")
+        if status == 307 and attempt.redirects < MOST_REDIRECTS and "location" in headers:
+            door = headers["location"].removeprefix("http://").partition("/")[0]
+            return self._request(order, door, now, attempt.redirects + 1)
+        if status != 307:
+            self.judge.answered(attempt, status, body, now)
+        if not order.is_settled and order.next_at is not None and order.targets:
+            order.next_at = min(order.next_at, now + timedelta(seconds=PART_OF_A_SECOND))
+        return []
--- /dev/null
+++ b/harness/model/town.py
@@ -0,0 +1,168 @@
+"""A fleet of cores alone, as the checker drives it."""
+
+from random import Random
+
+from harness.model import observe
+from harness.model.book import Book
+from harness.model.operators import Operators
+from sumachook.catalog.state import State
+from sumachook.changefeed.follower import Follower
+from sumachook.nodes.edge import FEED
+from sumachook.simulation.city import City, Town
+
+AREAS = ("hall-a", "hall-b", "hall-c")
+MOST_SEEDS = 3
+FOLLOWER_NAMES = ("follower-1", "follower-2")
+DEPLOYED = {"seat_away": 1.6, "confirm_within": 0.8, "order_within": 3.5, "fenced": True, "list_readers": "leader"}
+
+
+class CoresOnly(City):
+    """A city without servers and traffic."""
+
+    __slots__ = ()
+
+    def __init__(self):
+        self.catalogue, self.servers, self.traffic, self.cluster, self.platform = {}, [], [], "model", "127.0.0.9:9"
+        self.nodes = [core_node(number) for number in (1, 2, 3)]
+
+
+def core_node(number: int) -> dict:
+    """The machine with this number."""
+    return {
+        "name": f"core-{number:02}",
+        "role": "core",
+        "area": AREAS[number % 3],
+        "address": f"127.0.0.9:{17000 + number}",
+        "door": f"127.0.0.9:{27000 + number}",
+    }
+
+
+class FeedFollower:
+    """Follows the feed as an edge does."""
+
+    __slots__ = ("follower", "addresses_of", "book", "node")
+
+    def __init__(self, node, addresses_of, book, draw, now):
+        self.node, self.addresses_of, self.book = node, addresses_of, book
+        self.follower = Follower(State(), draw, now)
+
+    def take(self, message: tuple, now) -> list:
+        """One message of the fleet."""
+        if message[0] == "pulse":
+            out = self.follower.take(("pulse", self.addresses_of(), 0), now)
+        elif message[0] == "heard" and message[3][0] in FEED:
+            out = self.follower.take(message, now)
+        else:
+            return []
+        self.book.followed_to(self.node, self.follower.number, self.follower.state, now)
+        return [effect for effect in out if effect[0] == "tell"]
+
+
+class ControlTown(Town):
+    """Cores, followers of their feed and operators; everything that a core delivers or vouches for goes into the book."""
+
+    __slots__ = ("book", "names", "operators", "identities", "machine_count", "recorded")
+
+    def __init__(self, seed: int, seats: int):
+        self.book, self.names, self.identities, self.machine_count = Book(), [], {}, 3
+        self.recorded = _recorded_state(self)
+        super().__init__(CoresOnly(), seed, 0, wanted_seats=seats, **DEPLOYED)
+        self.operators = Operators(self._door_of, self.book)
+        self.add("operators", "operator", lambda box: self.operators, "", "", "operators")
+        for name in FOLLOWER_NAMES:
+            self._add_follower(name)
+
+    def _add_follower(self, name):
+        def make(box):
+            return FeedFollower(name, self._core_addresses, self.book, Random(self.draw.random()), self.now)
+
+        self.add(name, "follower", make, AREAS[0], f"{name}:1", f"{name}:door")
+
+    def add_node(self, node, **more):
+        """A core whose deliveries are recorded."""
+        self.names.append(node["name"])
+        box = super().add_node(node, **more)
+        make = box.make
+        box.make = lambda box: self._record(box, make(box))
+        self.kill(box.name)
+        box.disk.wipe()
+        self.start(box.name)
+        return box
+
+    def _record(self, box, core):
+        core.state.__class__ = self.recorded
+        core.membership.seeds = self._core_addresses()[:MOST_SEEDS]  # the platform names machines that there are
+        self.identities[box.name] = core.node
+        return core
+
+    def add_machine(self) -> str:
+        """A core with an empty disk at an address that nobody had; gives its name."""
+        self.machine_count += 1
+        return self.add_node(core_node(self.machine_count), founding=[]).name
+
+    def wipe(self, name):
+        """The disk of a machine that is down is emptied."""
+        self.boxes[name].disk.wipe()
+        self.identities.pop(name, None)
+
+    def remove(self, name):
+        """The machine is gone for good."""
+        self.vanish(name)
+        self.names.remove(name)
+        self.identities.pop(name, None)
+
+    def inside(self, *but) -> list:
+        """All that a cut of the network can part."""
+        return [name for name in (*self.names, *FOLLOWER_NAMES) if name not in but]
+
+    # whom there is ---------------------------------------------------------------------
+
+    def cores(self) -> list:
+        """The machines of the cores that run and are not frozen."""
+        boxes = [self.boxes[name] for name in self.names]
+        return [box.machine for box in boxes if box.machine is not None and not box.is_frozen]
+
+    def leader(self):
+        """The core that leads under a lease, or None."""
+        return next(
+            (core for core in self.cores() if observe.is_leading(core) and observe.is_fresh(core, self.now)), None
+        )
+
+    def name_of(self, selector: str) -> str:
+        """The machine that a choice names."""
+        if selector == "leader":
+            leading = [name for name in self.names if self._is_leading(self.boxes[name])]
+            return leading[0] if leading else self.names[0]
+        return self.names[int(selector) % len(self.names)]
+
+    def _is_leading(self, box):
+        return box.machine is not None and observe.is_leading(box.machine)
+
+    def _door_of(self, selector):
+        return self.boxes[self.name_of(selector)].door
+
+    def _core_addresses(self):
+        return tuple(self.boxes[name].address for name in self.names)
+
+    def _hand(self, box, message):
+        super()._hand(box, message)
+        if box.role == "core" and box.machine is not None and not box.is_frozen:
+            self.book.look(box.machine, self.now)
+
+
+def _recorded_state(town):
+    """A class of states that tell the book of this town what they take."""
+
+    class RecordedState(State):
+        __slots__ = ()
+
+        def apply(self, number, change):
+            result = super().apply(number, change)
+            town.book.delivered("a core", number, change, self, town.now)
+            return result
+
+        def restore(self, image):
+            super().restore(image)
+            town.book.restored("a core", self.number, self, town.now)
+
+    return RecordedState
