Membership: an answer to a probe counts only from the node probed, in this run of the prober

Cause: probes were numbered from 0 at each start and an answer was paired by its number alone, so that one held up from an earlier run, or from another node, ended the wait for a silent one. Change: numbers begin at the boot << 16, and the answering node must be the one asked.

--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -9,6 +9,7 @@
 
 ALIVE, SUSPECT, GONE, LEFT = "alive", "suspect", "gone", "left"
 _WEIGHT = {ALIVE: 0, SUSPECT: 1, GONE: 2, LEFT: 3}
+BOOT_BITS = 16  # a boot is a time in milliseconds: no later run of a node uses the same numbers, all below 2**63
 
 
 class Membership:
@@ -51,7 +52,8 @@
         self.members, self.spread, self.turn = {}, {}, []
         self.next_probe = self.next_seed = now
         self.feed = 0
-        self.pending, self.relays, self.number = {}, {}, 0
+        self.pending, self.relays = {}, {}
+        self.number = self.me.boot << BOOT_BITS  # an answer to a probe of an earlier run has a lower number
         self.last_pulse, self.woke_at = now, now - self.SUSPECT_FOR * 4
         self.spread[self.me.node] = 0
 
@@ -150,7 +152,8 @@
         ]
 
     def _on_probe_ack(self, sender, address, body, now):
-        self.pending.pop(body[1], None)
+        if body[1] in self.pending and self.pending[body[1]][0] == sender:
+            del self.pending[body[1]]
         self.feed_heard = body[3]
         self.almanac.take(("vote", sender, body[4]), now)
         return self._read(body[2], now)
