--- a/sumachook/transport/codec.py
+++ b/sumachook/transport/codec.py
@@ -208,27 +208,3 @@
         return parcel.sender, parcel.address, parcel.incarnation, (parcel.kind, *values)
     except Exception as error:  # thrift raises whatever its C reader meets; all of it is garbage to us
         return faults.GARBAGE.because(type(error).__name__)
-
-
-def test_every_kind_survives_the_wire():
-    samples = {
-        "s": "x",
-        "i": 5,
-        "f": 0.5,
-        "b": True,
-        "d": ((1, "a"), {"k": (2,)}),
-        "e": (b"1", b"2"),
-        "y": b"\0z",
-        "r": b"\0z",
-        "m": (("n1", "127.0.0.1:1", "edge", "hall", 2, "alive", "127.0.0.1:2", 9),),
-    }
-    codec = Codec("c", "n", "127.0.0.1:1", 1)
-    for kind, fields in FIELDS.items():
-        message = (kind, *(samples[letter] for _, letter in fields))
-        assert read_parcel("c", codec.pack(message))[3] == message
-
-
-def test_garbage_is_a_fault_at_every_cut():
-    raw = Codec("c", "n", "127.0.0.1:1", 1).pack(("heartbeat", (1, "a"), 7, 4, 4, True, ("a", "b"), 3))
-    assert all(isinstance(read_parcel("c", raw[:length]), type(faults.GARBAGE)) for length in range(len(raw)))
-    assert read_parcel("c", b"\0" * (MOST_BYTES + 1)) == faults.TOO_LONG
--- a/sumachook/transport/door.py
+++ b/sumachook/transport/door.py
@@ -1,7 +1,6 @@
 """The HTTP door of a process: what comes in becomes messages, effects become answers."""
 
 import asyncio
-import socket
 from dataclasses import replace
 from datetime import timedelta
 
@@ -247,69 +246,3 @@
     answer = web.Response(status=status, body=_fault(name, reason), content_type="application/json")
     answer.force_close()
     return answer
-
-
-def _free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
-async def _with_door(answers, story):
-    """Runs `story(address, messages)` against a door whose machine answers by path."""
-    messages = []
-
-    def hear(message):
-        messages.append(message)
-        if message[0] == "http":
-            for effect in answers.get(message[3], ()):
-                door.answer((effect[0], message[1], *effect[1:]))
-
-    door = Door(_free_address(), hear)
-    task = asyncio.get_running_loop().create_task(door.run())
-    try:
-        while True:
-            try:
-                _, writer = await asyncio.open_connection(*split_address(door.address))
-                writer.close()
-                break
-            except OSError:
-                await asyncio.sleep(0)
-        return await story(door.address, messages)
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
-async def _raw(address, raw):
-    reader, writer = await asyncio.open_connection(*split_address(address))
-    writer.write(raw)
-    answer = await reader.read()
-    writer.close()
-    return answer
-
-
-def test_a_dropped_stream_has_no_closing_chunk_and_a_whole_one_has():
-    begin = [("head", 200, {"Content-Type": "text/event-stream"}), ("chunk", b"data: 1\n\n")]
-    answers = {"/cut": [*begin, ("drop",)], "/whole": [*begin, ("end",)]}
-
-    async def story(address, messages):
-        asked = b"GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-        return await _raw(address, asked % b"/cut"), await _raw(address, asked % b"/whole")
-
-    cut, whole = asyncio.run(_with_door(answers, story))
-    assert b"data: 1" in cut and not cut.endswith(b"0\r\n\r\n") and cut.count(b"HTTP/1.1") == 1
-    assert b"data: 1" in whole and whole.endswith(b"0\r\n\r\n")
-
-
-def test_garbage_and_too_large_bodies_get_json_and_reach_no_machine():
-    async def story(address, messages):
-        garbage = await _raw(address, b"NONSENSE\r\n\r\n")
-        size = MOST_BODY + 1
-        large = await _raw(address, b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
-        return garbage, large, list(messages)
-
-    garbage, large, messages = asyncio.run(_with_door({}, story))
-    assert garbage.startswith(b"HTTP/1.1 400") or garbage.startswith(b"HTTP/1.0 400"), garbage
-    assert b'"malformed"' in garbage and large.startswith(b"HTTP/1.1 413") and b'"too-large"' in large
-    assert messages == []
--- a/sumachook/transport/ports.py
+++ b/sumachook/transport/ports.py
@@ -131,33 +131,3 @@
             pass  # cancelled only when the whole process ends
         finally:
             writer.close()
-
-
-def test_parcels_arrive_and_garbage_is_counted():
-    from sumachook.transport.codec import Codec
-    from sumachook.transport.door import _free_address
-
-    async def story():
-        heard, done = [], asyncio.Event()
-
-        def hear(message):
-            heard.append(message)
-            if len(heard) == 3:
-                done.set()
-
-        port, other = NodePort(_free_address(), "c", hear), NodePort(_free_address(), "c", hear)
-        tasks = [asyncio.get_running_loop().create_task(each.run()) for each in (port, other)]
-        while port.transport is None or other.transport is None:
-            await asyncio.sleep(0)
-        raw = Codec("c", "n", other.address, 1).pack(("follow", 7, 1))
-        other.cast(port.address, b"garbage")
-        other.cast(port.address, raw)
-        other.tell(port.address, raw)
-        await asyncio.wait_for(done.wait(), 5)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        return heard
-
-    heard = asyncio.run(story())
-    assert heard.count(("heard", "n", heard[-1][2], ("follow", 7, 1))) == 2 and heard.count(("garbage",)) == 1
--- a/tests/door_stories.py
+++ b/tests/door_stories.py
@@ -1,10 +1,11 @@
-"""The door's sweep over its connections, by a clock of its own (§2.3)."""
+"""The door: what it takes for a request, how its answers end, and its sweep over connections, by a clock of its own (§2.3)."""
 
 import asyncio
 
 import pytest
 
-from sumachook.transport.door import IDLE, Door, _free_address
+from harness.loopback import free_address
+from sumachook.transport.door import IDLE, MOST_BODY, Door
 from sumachook.transport.ports import split_address
 
 BOUND, START = 8.0, 1000.0  # seconds for one story; where its clock begins
@@ -18,7 +19,7 @@
     def __init__(self):
         self.messages, self.door, self.task = (
             [],
-            Door(_free_address(), lambda message: self.messages.append(message)),
+            Door(free_address(), lambda message: self.messages.append(message)),
             None,
         )
 
@@ -112,3 +113,66 @@
         assert await _has_ended(reader) and [message[0] for message in hall.messages] == ["http", "http"]
 
     play(story)
+
+
+# requests and answers ----------------------------------------------------------------------
+
+
+async def _with_door(answers, story):
+    """Runs `story(address, messages)` against a door whose machine answers by path."""
+    messages = []
+
+    def hear(message):
+        messages.append(message)
+        if message[0] == "http":
+            for effect in answers.get(message[3], ()):
+                door.answer((effect[0], message[1], *effect[1:]))
+
+    door = Door(free_address(), hear)
+    task = asyncio.get_running_loop().create_task(door.run())
+    try:
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(*split_address(door.address))
+                writer.close()
+                break
+            except OSError:
+                await asyncio.sleep(0)
+        return await story(door.address, messages)
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+async def _raw(address, raw):
+    reader, writer = await asyncio.open_connection(*split_address(address))
+    writer.write(raw)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def test_a_dropped_stream_has_no_closing_chunk_and_a_whole_one_has():
+    begin = [("head", 200, {"Content-Type": "text/event-stream"}), ("chunk", b"data: 1\n\n")]
+    answers = {"/cut": [*begin, ("drop",)], "/whole": [*begin, ("end",)]}
+
+    async def story(address, messages):
+        asked = b"GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        return await _raw(address, asked % b"/cut"), await _raw(address, asked % b"/whole")
+
+    cut, whole = asyncio.run(_with_door(answers, story))
+    assert b"data: 1" in cut and not cut.endswith(b"0\r\n\r\n") and cut.count(b"HTTP/1.1") == 1
+    assert b"data: 1" in whole and whole.endswith(b"0\r\n\r\n")
+
+
+def test_garbage_and_too_large_bodies_get_json_and_reach_no_machine():
+    async def story(address, messages):
+        garbage = await _raw(address, b"NONSENSE\r\n\r\n")
+        size = MOST_BODY + 1
+        large = await _raw(address, b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
+        return garbage, large, list(messages)
+
+    garbage, large, messages = asyncio.run(_with_door({}, story))
+    assert garbage.startswith(b"HTTP/1.1 400") or garbage.startswith(b"HTTP/1.0 400"), garbage
+    assert b'"malformed"' in garbage and large.startswith(b"HTTP/1.1 413") and b'"too-large"' in large
+    assert messages == []
--- a/tests/leaving_stories.py
+++ b/tests/leaving_stories.py
@@ -7,12 +7,13 @@
 import msgspec
 import pytest
 
+from harness.loopback import free_address
 from sumachook.catalog.params import Params
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.edge import Edge
 from sumachook.nodes.edge_shutdown import CLOSING, LEAST_OPEN, MOST_OPEN, QUIET_FOR
 from sumachook.runtime.clock import Clock
-from sumachook.transport.door import TURNS, _free_address
+from sumachook.transport.door import TURNS
 from sumachook.transport.ports import NodePort, split_address
 from tests.forward_stories import BOUND, SOON, head, play, sealed, well
 from tests.transit_stories import catalogue, server
@@ -213,10 +214,10 @@
 
     async def run():
         loop, heard = asyncio.get_running_loop(), []
-        other = NodePort(_free_address(), "c", heard.append)
+        other = NodePort(free_address(), "c", heard.append)
         listening = loop.create_task(other.run())
         machine = Speaker(other.address)
-        daemon = Daemon(machine, Clock(), lambda *what: None, _free_address(), _free_address(), "c")
+        daemon = Daemon(machine, Clock(), lambda *what: None, free_address(), free_address(), "c")
         task = loop.create_task(daemon.run())
         while daemon.door.listener is None or other.transport is None:
             await asyncio.sleep(0)
--- /dev/null
+++ b/tests/wire_stories.py
@@ -0,0 +1,60 @@
+"""Parcels between nodes: what the codec reads, and that both kinds of socket bring them (§2.1, §2.2)."""
+
+import asyncio
+
+from harness.loopback import free_address
+from sumachook.transport import faults
+from sumachook.transport.codec import MOST_BYTES, Codec, read_parcel
+from sumachook.transport.ports import NodePort
+from sumachook.transport.shapes import FIELDS
+
+
+def test_every_kind_survives_the_wire():
+    samples = {
+        "s": "x",
+        "i": 5,
+        "f": 0.5,
+        "b": True,
+        "d": ((1, "a"), {"k": (2,)}),
+        "e": (b"1", b"2"),
+        "y": b"\0z",
+        "r": b"\0z",
+        "m": (("n1", "127.0.0.1:1", "edge", "hall", 2, "alive", "127.0.0.1:2", 9),),
+    }
+    codec = Codec("c", "n", "127.0.0.1:1", 1)
+    for kind, fields in FIELDS.items():
+        message = (kind, *(samples[letter] for _, letter in fields))
+        assert read_parcel("c", codec.pack(message))[3] == message
+
+
+def test_garbage_is_a_fault_at_every_cut():
+    raw = Codec("c", "n", "127.0.0.1:1", 1).pack(("heartbeat", (1, "a"), 7, 4, 4, True, ("a", "b"), 3))
+    assert all(isinstance(read_parcel("c", raw[:length]), type(faults.GARBAGE)) for length in range(len(raw)))
+    assert read_parcel("c", b"\0" * (MOST_BYTES + 1)) == faults.TOO_LONG
+
+
+def test_parcels_arrive_and_garbage_is_counted():
+    async def story():
+        heard, done = [], asyncio.Event()
+
+        def hear(message):
+            heard.append(message)
+            if len(heard) == 3:
+                done.set()
+
+        port, other = NodePort(free_address(), "c", hear), NodePort(free_address(), "c", hear)
+        tasks = [asyncio.get_running_loop().create_task(each.run()) for each in (port, other)]
+        while port.transport is None or other.transport is None:
+            await asyncio.sleep(0)
+        raw = Codec("c", "n", other.address, 1).pack(("follow", 7, 1))
+        other.cast(port.address, b"garbage")
+        other.cast(port.address, raw)
+        other.tell(port.address, raw)
+        await asyncio.wait_for(done.wait(), 5)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return heard
+
+    heard = asyncio.run(story())
+    assert heard.count(("heard", "n", heard[-1][2], ("follow", 7, 1))) == 2 and heard.count(("garbage",)) == 1
