--- /dev/null
+++ b/harness/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""A fuzzer of the forwarding path over real sockets on loopback."""
--- /dev/null
+++ b/harness/fuzz/book.py
@@ -0,0 +1,172 @@
+"""The independent book of a fuzz run: who asked what, what each server ran and sent, and what each client received."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from harness.fuzz.http_text import Response, read_responses
+from harness.fuzz.plan import MAX_ATTEMPTS, PlannedRequest
+
+NOT_RUN_PROMISES = frozenset({408, 421, 429, 503})
+OWN_FAILURES = frozenset({429, 502, 503, 504})
+REQUEST_ID, SEAL = b"x-request-id", b"x-server-seal"
+
+
+@dataclass(slots=True)
+class Arrival:
+    """One request as it reached a server."""
+
+    server: str
+    method: str
+    path: str
+    body: bytes
+    has_run: bool
+
+
+@dataclass(slots=True)
+class ServedAnswer:
+    """One answer of a server, as composed and as its bytes went out."""
+
+    request_id: str
+    seal: str
+    method: str
+    status: int
+    body: bytes
+    raw: bytes
+    fault: str
+    sent: bytearray = field(default_factory=bytearray)
+
+    def readable(self) -> Response | None:
+        """The whole answer that stands in the bytes that went out, by the fuzzer's own strict reader."""
+        reading = read_responses(bytes(self.sent), [self.method], is_closed=True)
+        return reading.responses[0] if reading.responses and reading.responses[0].is_complete else None
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request that a client wrote, and what came back."""
+
+    request: PlannedRequest
+    is_whole: bool = False
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+
+
+def stream_event(number: int, owner: str) -> bytes:
+    """One event of a stream; `owner` tells the runs apart where they may not be joined."""
+    return b"id: %d\ndata: %s\n\n" % (number, owner.encode())
+
+
+class Book:
+    """Collects what both ends saw and judges it; it knows nothing of the product."""
+
+    def __init__(self) -> None:
+        self.asked: dict[str, Asked] = {}
+        self.arrivals: dict[str, list[Arrival]] = defaultdict(list)
+        self.answers: dict[str, list[ServedAnswer]] = defaultdict(list)
+        self.received: dict[str, Response] = {}
+        self.violations: list[str] = []
+        self.outcomes: dict[str, int] = defaultdict(int)
+
+    def ask(self, request: PlannedRequest) -> Asked:
+        """A client is about to write a request."""
+        entry = self.asked[request.request_id] = Asked(request)
+        return entry
+
+    def receive(self, request: PlannedRequest, response: Response) -> None:
+        """A client read this response in the place of that request's."""
+        self.received[request.request_id] = response
+
+    def note(self, rule: str, what: str) -> None:
+        """A broken rule."""
+        self.violations.append(f"{rule}: {what}")
+
+    def judge(self) -> list[str]:
+        """All broken rules, once nothing is under way any more."""
+        for request_id, arrivals in self.arrivals.items():
+            self._judge_arrivals(request_id, arrivals)
+        for request_id, response in self.received.items():
+            self._judge_response(self.asked[request_id].request, response)
+        return self.violations
+
+    def _judge_arrivals(self, request_id: str, arrivals: list[Arrival]) -> None:
+        entry = self.asked.get(request_id)
+        if entry is None:
+            self.note("UNASKED", f"{request_id!r} arrived, and no client sent it")
+            return
+        request = entry.request
+        for arrival in arrivals:
+            if not entry.is_whole:
+                self.note("UNASKED", f"{request_id} arrived though its client never sent all of it")
+            if (arrival.method, arrival.path, arrival.body) != (request.method, request.path, request.body):
+                self.note(
+                    "UNASKED", f"{request_id} arrived as {arrival.method} {arrival.path} with {len(arrival.body)} bytes"
+                )
+        runs = sum(arrival.has_run for arrival in arrivals)
+        if runs > 1 and not request.is_repeatable:
+            self.note("TWICE", f"{request_id} ran {runs} times")
+        servers = {arrival.server for arrival in arrivals}
+        if len(servers) > MAX_ATTEMPTS[request.route]:
+            self.note("BUDGET", f"{request_id} was sent to {len(servers)} servers")
+
+    def _judge_response(self, request: PlannedRequest, response: Response) -> None:
+        name, ran = request.request_id, any(arrival.has_run for arrival in self.arrivals.get(request.request_id, ()))
+        self.outcomes[f"{response.status}{'' if response.is_complete else ' cut'}"] += 1
+        if response.status < 200:
+            self.note("MIXED", f"{name} got an informational or switching answer, {response.status}")
+        if any(value != name.encode() for value in response.values(REQUEST_ID)):
+            self.note("MIXED", f"{name} got an answer that bears the id {response.values(REQUEST_ID)}")
+        if response.status in NOT_RUN_PROMISES and ran and not request.is_repeatable:
+            self.note("REFUSED", f"{name} got {response.status} and has run")
+        seals = response.values(SEAL)
+        if response.status < 300:
+            self._judge_success(request, response, seals)
+        elif seals:
+            self._judge_sealed_failure(request, response, seals)
+        elif response.status not in OWN_FAILURES:
+            self.note("DENIED", f"{name} got {response.status} from the node itself")
+
+    def _judge_success(self, request: PlannedRequest, response: Response, seals: list[bytes]) -> None:
+        name = request.request_id
+        if len(seals) != 1:
+            self.note("MIXED", f"{name} got {response.status} with the seals {seals}")
+            return
+        candidates = [body for status, body in self._whole_answers(request, seals[0]) if status == response.status]
+        if request.is_stream and request.is_repeatable:
+            candidates.append(b"".join(stream_event(number, name) for number in range(1, request.size + 1)))
+        if response.is_complete and response.body not in candidates:
+            given = [f"{answer.seal} ({answer.fault})" for answer in self.answers.get(name, ())]
+            self.note(
+                "MIXED",
+                f"{name} got a complete {response.status} of {len(response.body)} bytes with the seal {seals[0]!r}; "
+                f"given: {given}; it begins {response.body[:40]!r} and ends {response.body[-40:]!r}",
+            )
+        elif not response.is_complete and not any(
+            body.startswith(response.body) for body in self._begun_bodies(request, seals[0], candidates)
+        ):
+            self.note("ORDER", f"{name} got the beginning of an answer that no server gave: {response.body[:80]!r}")
+
+    def _judge_sealed_failure(self, request: PlannedRequest, response: Response, seals: list[bytes]) -> None:
+        given = self._whole_answers(request, seals[0])
+        if not any(status == response.status for status, _ in given):
+            self.note(
+                "MIXED",
+                f"{request.request_id} got {response.status} with a seal whose server gave {[status for status, _ in given]}",
+            )
+        elif response.is_complete and not any(
+            (status, body) == (response.status, response.body) for status, body in given
+        ):
+            self.note("MIXED", f"{request.request_id} got a sealed {response.status} with another body")
+
+    def _whole_answers(self, request: PlannedRequest, seal: bytes) -> list[tuple[int, bytes]]:
+        """(status, body) of the whole answers to this request that went out with this seal."""
+        found = []
+        for answer in self.answers.get(request.request_id, ()):
+            read = answer.readable()
+            if read is not None and read.value(SEAL) == seal:
+                found.append((read.status, read.body))
+        return found
+
+    def _begun_bodies(self, request: PlannedRequest, seal: bytes, candidates: list[bytes]) -> list[bytes]:
+        return candidates + [
+            answer.body for answer in self.answers.get(request.request_id, ()) if answer.seal.encode() == seal
+        ]
--- /dev/null
+++ b/harness/fuzz/edge_host.py
@@ -0,0 +1,131 @@
+"""Hosts a real edge with its front and its forwarder in this process, as the daemon does."""
+
+import asyncio
+from datetime import timedelta
+from random import Random
+
+from harness.loopback import free_address
+from sumachook.catalog.params import Params
+from sumachook.nodes.edge import Edge
+from sumachook.runtime.clock import Clock
+from sumachook.transport.forwarder import Forwarder
+from sumachook.transport.front import Front
+from sumachook.transport.ports import split_address
+
+PULSE = timedelta(seconds=0.02)
+TIMEOUT_MS, TARGET_MS = 900, 100
+PLENTY = 1e9  # resends are not what is tried here
+ROUTE_KINDS = {"plain": "repeatable", "once": "once", "loose": "stream", "chat": "stream"}
+
+
+def catalogue(max_attempts: dict[str, int]) -> dict:
+    """One route of each kind, all to one service."""
+    routes = [
+        {
+            "name": name,
+            "host": "a.example",
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "timeoutMs": TIMEOUT_MS,
+            "targetMs": TARGET_MS,
+            "tries": max_attempts[name],
+            "split": [{"service": "records", "weight": 1}],
+            "resumable": name == "chat",
+        }
+        for name, kind in ROUTE_KINDS.items()
+    ]
+    return {
+        "name": "c",
+        "areas": ["east"],
+        "version": 1,
+        "httpRoutes": routes,
+        "services": [{"name": "records", "connections": 100_000}],
+    }
+
+
+class EdgeHost:
+    """An edge before the given servers (name: address), its front and its forwarder on real sockets."""
+
+    def __init__(self, servers: dict[str, str], max_attempts: dict[str, int], seed: int) -> None:
+        self.clock = Clock()
+        self.front, self.forwarder = Front(free_address(), self._hear), Forwarder(self._hear)
+        params = Params(
+            node="e1",
+            address="127.0.0.1:1",
+            door="127.0.0.1:2",
+            area="east",
+            seeds=("127.0.0.1:3",),
+            front=self.front.address,
+        )
+        self.edge = Edge(params, {}, 1, self.clock, Random(seed))
+        outcome = self.edge.state.apply(1, ("configure", "fuzz", catalogue(max_attempts), {}, False, 0))
+        assert outcome[0] == "ok", outcome
+        self.edge.state.servers = {
+            name: {
+                "kind": "service",
+                "service": "records",
+                "address": address,
+                "area": "east",
+                "leaving": False,
+                "slots": 1000,
+            }
+            for name, address in servers.items()
+        }
+        self.edge.purse.cap = self.edge.purse.balance = PLENTY
+        self.inbox: list[tuple] = []
+        self.is_handing = False
+        self.tasks: list[asyncio.Task] = []
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where clients connect."""
+        return split_address(self.front.address)
+
+    async def start(self) -> None:
+        """Serves, and tells the edge that it is in touch."""
+        loop = asyncio.get_running_loop()
+        self._pulse()
+        self.tasks = [loop.create_task(each) for each in (self.front.run(), self.forwarder.run(), self._pulses())]
+        while self.front.listener is None or not self.forwarder.is_open:
+            await asyncio.sleep(0)
+
+    async def stop(self) -> None:
+        """Ends all tasks."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def settle(self) -> None:
+        """Waits until no request is in hand."""
+        while self.edge.transit.table.rows or self.front.exchanges:
+            await asyncio.sleep(PULSE.total_seconds())
+
+    async def _pulses(self) -> None:
+        while True:
+            await asyncio.sleep(PULSE.total_seconds())
+            self._pulse()
+
+    def _pulse(self) -> None:
+        now = self.clock.mono()
+        self.edge.follower.proved_at = self.edge.follower.last_pulse = now
+        self._hear(("pulse",))
+
+    def _hear(self, message: tuple) -> None:
+        self.inbox.append(message)
+        if self.is_handing:
+            return
+        self.is_handing = True
+        try:
+            while self.inbox:
+                for effect in self.edge.take(self.inbox.pop(0), self.clock.mono()):
+                    self._do(effect)
+        finally:
+            self.is_handing = False
+
+    def _do(self, effect: tuple) -> None:
+        if effect[0] in ("reply", "head", "chunk", "end", "drop"):
+            self.front.answer(effect)
+        elif effect[0] == "forward":
+            self.forwarder.forward(effect)
+        elif effect[0] == "unfetch":
+            self.forwarder.unfetch(effect[1])
--- /dev/null
+++ b/harness/fuzz/plan.py
@@ -0,0 +1,165 @@
+"""What a fuzz run brings about: drawn from a seed, so that the same seed plays the same cases."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+ROUTE_KINDS = ("plain", "once", "loose", "chat")
+REPEATABLE = frozenset({"plain", "chat"})
+STREAMS = frozenset({"loose", "chat"})
+MAX_ATTEMPTS = {"plain": 2, "once": 2, "loose": 1, "chat": 3}
+MOST_REQUESTS = 4
+LARGE_BODY = 300_000
+
+
+class ServerFault(StrEnum):
+    """What a server does with one request that reaches it."""
+
+    NONE = "none"
+    CUT = "cut"
+    RESET = "reset"
+    PAUSE = "pause"
+    HANG = "hang"
+    GARBLE = "garble"
+    INSERT = "insert"
+    DUPLICATE = "duplicate"
+    SURPLUS = "surplus"
+    LATE_SURPLUS = "late surplus"
+    HALF_SURPLUS = "half surplus"
+    SWAP = "swap"
+    EARLIER_ID = "earlier id"
+    EARLY = "early"
+    INFORMATIONAL = "informational"
+    SWITCHING = "switching protocols"
+    SHORT_LENGTH = "short length"
+    LONG_LENGTH = "long length"
+    TWO_LENGTHS = "two lengths"
+    LENGTH_AND_CHUNKED = "length and chunked"
+    NO_LENGTH = "no length"
+    NO_SEAL = "no seal"
+    NO_ID = "no id"
+    ENCODED = "encoded"
+    NOT_RUN = "not run"
+    UNMARKED_REFUSAL = "unmarked refusal"
+    MARKED_SUCCESS = "marked success"
+    DROPPED_IDLE = "dropped idle connection"
+    SILENT_IDLE = "silent idle connection"
+    FAILURE = "failure"
+    OTHER_STATUS = "other status"
+    BAD_CHUNK = "bad chunk"
+    TRAILERS = "trailers"
+
+
+class ClientFault(StrEnum):
+    """How a client uses its connection."""
+
+    NONE = "none"
+    KEPT = "kept connection"
+    PIPELINED = "pipelined"
+    PIECES = "pieces"
+    HALF_CLOSE = "half close"
+    PARTIAL_CLOSE = "part of a request, then close"
+    PARTIAL_RESET = "part of a request, then reset"
+    RESET_IN_ANSWER = "reset in the answer"
+    CLOSE_IN_ANSWER = "close in the answer"
+    SLOW_READER = "slow reader"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedRequest:
+    """One try of a client."""
+
+    request_id: str
+    route: str
+    method: str
+    body: bytes
+    is_chunked: bool
+    size: int  # bytes of a whole answer, or events of a stream
+
+    @property
+    def path(self) -> str:
+        """The request's target; it names the request, so that a swapped target shows."""
+        return f"/{self.route}/{self.request_id}"
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route in REPEATABLE
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether its answer is a series of events."""
+        return self.route in STREAMS
+
+    def encode(self, is_last: bool) -> bytes:
+        """The request's bytes."""
+        lines = [f"{self.method} {self.path} HTTP/1.1", "Host: a.example", f"X-Request-Id: {self.request_id}"]
+        if is_last:
+            lines.append("Connection: close")
+        if self.is_chunked:
+            lines.append("Transfer-Encoding: chunked")
+            body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in _parts(self.body)) + b"0\r\n\r\n"
+        else:
+            lines.append(f"Content-Length: {len(self.body)}")
+            body = self.body
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One connection of a client: its requests in order, and where in the bytes its fault falls (0 to 1)."""
+
+    number: int
+    fault: ClientFault
+    requests: tuple[PlannedRequest, ...]
+    position: float
+    pieces: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerMove:
+    """What a server does with one arrival; `position` says where in the answer's bytes (0 to 1)."""
+
+    fault: ServerFault
+    position: float
+    does_run: bool
+    status: int
+    byte: int
+
+
+def _parts(body: bytes) -> list[bytes]:
+    size = max(1, len(body) // 3)
+    return [body[at : at + size] for at in range(0, len(body), size)]
+
+
+def draw_case(seed: int, number: int) -> Case:
+    """The case of a number under a seed."""
+    draw = Random(f"client/{seed}/{number}")
+    fault = draw.choice(tuple(ClientFault))
+    is_many = fault in (ClientFault.KEPT, ClientFault.PIPELINED, ClientFault.PIECES, ClientFault.SLOW_READER)
+    count = draw.randint(2, MOST_REQUESTS) if is_many else 1
+    requests = tuple(_draw_request(draw, f"q{number}-{place}") for place in range(count))
+    return Case(number, fault, requests, draw.random(), draw.randint(1, 6))
+
+
+def _draw_request(draw: Random, request_id: str) -> PlannedRequest:
+    route = draw.choice(ROUTE_KINDS)
+    method = draw.choice(("POST", "POST", "POST", "GET", "PUT"))
+    size = draw.choice((0, 2, 40, 4000)) if draw.random() < 0.95 else LARGE_BODY
+    body = b"" if method == "GET" else (request_id.encode() + b"|").ljust(size, b"b")[: max(size, 1)]
+    is_chunked = bool(body) and draw.random() < 0.3
+    answer_size = draw.randint(1, 6) if route in STREAMS else draw.choice((1, 30, 600, 70_000))
+    return PlannedRequest(request_id, route, method, body, is_chunked, answer_size)
+
+
+def draw_move(seed: int, request_id: str, arrival: int, calm: float) -> ServerMove:
+    """What a server does with the given arrival of a request, whichever server it is; `calm` of them are served well."""
+    draw = Random(f"server/{seed}/{request_id}/{arrival}")
+    fault = ServerFault.NONE if draw.random() < calm else draw.choice(tuple(ServerFault))
+    return ServerMove(
+        fault,
+        draw.random(),
+        draw.random() < 0.8,
+        draw.choice((400, 403, 404, 409, 302, 304, 204, 201)),
+        draw.randrange(256),
+    )
--- /dev/null
+++ b/harness/fuzz/run.py
@@ -0,0 +1,91 @@
+"""Plays cases against a real edge on loopback and returns what the book says."""
+
+import asyncio
+import gc
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from harness.fuzz.book import Book
+from harness.fuzz.client import FuzzClient
+from harness.fuzz.edge_host import TIMEOUT_MS, EdgeHost
+from harness.fuzz.plan import MAX_ATTEMPTS, draw_case
+from harness.fuzz.server import FaultyServer, turns
+
+SERVERS = 4
+AT_ONCE = 40
+CASES_AN_EDGE = 400
+CALM = 0.35
+CASE_BOUND = 20.0  # seconds; a case that takes longer hangs
+
+
+@dataclass(slots=True)
+class FuzzReport:
+    """What a run found."""
+
+    cases: int = 0
+    requests: int = 0
+    arrivals: int = 0
+    runs: int = 0
+    longest_hold: float = 0.0
+    outcomes: Counter = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+
+    def add(self, book: Book) -> None:
+        """Takes in the book of one edge."""
+        self.requests += len(book.asked)
+        self.arrivals += sum(map(len, book.arrivals.values()))
+        self.runs += sum(arrival.has_run for arrivals in book.arrivals.values() for arrival in arrivals)
+        self.violations += book.judge()
+        self.outcomes.update(book.outcomes)
+        holds = [entry.ended_at - entry.sent_at for entry in book.asked.values() if entry.ended_at]
+        self.longest_hold = max([self.longest_hold, *holds])
+
+    def lines(self) -> list[str]:
+        """The figures, for people."""
+        outcomes = ", ".join(f"{name}: {count}" for name, count in sorted(self.outcomes.items()))
+        figures = f"{self.cases} cases, {self.requests} requests, {self.arrivals} arrivals, {self.runs} runs"
+        return [
+            figures,
+            f"answers: {outcomes}",
+            f"longest hold {self.longest_hold:.2f} s (timeout {TIMEOUT_MS / 1000} s)",
+            f"{len(self.violations)} broken rules",
+            *self.violations,
+        ]
+
+
+async def _play_on_one_edge(seed: int, numbers: list[int], report: FuzzReport, calm: float) -> None:
+    book = Book()
+    servers = [FaultyServer(f"s{place}", seed, book, calm) for place in range(SERVERS)]
+    for server in servers:
+        await server.start()
+    host = EdgeHost({server.name: server.address for server in servers}, MAX_ATTEMPTS, seed)
+    await host.start()
+    waiting = asyncio.Semaphore(AT_ONCE)
+
+    async def play(number: int) -> None:
+        async with waiting:
+            client = FuzzClient(draw_case(seed, number), host.address, book)
+            try:
+                await asyncio.wait_for(client.play(), CASE_BOUND)
+            except TimeoutError:
+                book.note("HANGS", f"case {number} did not end within {CASE_BOUND:.0f} s")
+
+    await asyncio.gather(*(play(number) for number in numbers))
+    await asyncio.wait_for(host.settle(), CASE_BOUND)
+    await turns()
+    await host.stop()
+    for server in servers:
+        await server.stop()
+    report.cases += len(numbers)
+    report.add(book)
+
+
+def play_cases(seed: int, numbers: Iterable[int], calm: float = CALM) -> FuzzReport:
+    """Plays the cases of these numbers, some hundred on each edge."""
+    report, left = FuzzReport(), list(numbers)
+    while left:
+        now, left = left[:CASES_AN_EDGE], left[CASES_AN_EDGE:]
+        asyncio.run(_play_on_one_edge(seed, now, report, calm))
+        gc.collect()
+    return report
--- /dev/null
+++ b/tests/fuzz_stories.py
@@ -0,0 +1,127 @@
+"""The fuzzer of the forwarding path: a bounded, seeded part of what `python -m harness.fuzz` plays (§16.5)."""
+
+import pytest
+
+from harness.fuzz.book import Arrival, Book, ServedAnswer
+from harness.fuzz.http_text import Response, read_responses
+from harness.fuzz.plan import PlannedRequest, draw_case, draw_move
+from harness.fuzz.run import play_cases
+
+CASES = 150
+HELD_TOO_LONG = 2.5  # seconds; a busy machine is slow, but a request that is never ended shows
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_rule_is_broken_whatever_servers_and_clients_do(seed):
+    """Given servers and clients that misbehave at any byte, the independent book finds no broken rule, and requests end in their time."""
+    report = play_cases(seed, range(CASES))
+    assert report.violations == []
+    assert report.cases == CASES and report.runs > CASES / 2 and report.longest_hold < HELD_TOO_LONG
+    assert {"200", "502", "504"} <= set(report.outcomes), report.outcomes
+
+
+def test_the_same_seed_draws_the_same_cases():
+    """Given a seed and a number, the case and what servers do with its requests are always the same."""
+    assert [draw_case(7, number) for number in range(50)] == [draw_case(7, number) for number in range(50)]
+    assert [draw_move(7, "q1-0", arrival, 0.3) for arrival in range(9)] == [
+        draw_move(7, "q1-0", arrival, 0.3) for arrival in range(9)
+    ]
+    assert len({draw_case(7, number).fault for number in range(200)}) > 8
+
+
+# the book itself: each rule that it judges is seen broken ------------------------------------
+
+REQUEST = PlannedRequest("q1", "once", "POST", b"body", False, 9)
+STREAM = PlannedRequest("q1", "chat", "POST", b"body", False, 2)
+GIVEN = b"HTTP/1.1 200 Any\r\nX-Request-Id: q1\r\nX-Server-Seal: s1.1\r\nContent-Length: 2\r\n\r\nok"
+
+
+def _book(request=REQUEST, runs=(True,), is_whole=True, **arrived):
+    book = Book()
+    book.ask(request).is_whole = is_whole
+    for place, has_run in enumerate(runs):
+        fields = {
+            "server": f"s{place}",
+            "method": request.method,
+            "path": request.path,
+            "body": request.body,
+            **arrived,
+        }
+        book.arrivals["q1"].append(Arrival(has_run=has_run, **fields))
+    book.answers["q1"].append(ServedAnswer("q1", "s1.1", "POST", 200, b"ok", GIVEN, "none", bytearray(GIVEN)))
+    return book
+
+
+def _received(book, raw):
+    (response,) = read_responses(raw, ["POST"]).responses
+    book.receive(book.asked["q1"].request, response)
+    return {line.partition(":")[0] for line in book.judge()}
+
+
+def test_what_is_in_order_breaks_no_rule():
+    """Given an answer as its server gave it, or a failure of the node's own, nothing is noted."""
+    assert _received(_book(), GIVEN) == set()
+    assert _received(_book(runs=(False,)), b"HTTP/1.1 503 Any\r\nContent-Length: 0\r\n\r\n") == set()
+    assert _received(_book(), b"HTTP/1.1 502 Any\r\nContent-Length: 0\r\n\r\n") == set()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        GIVEN.replace(b"ok", b"no"),
+        GIVEN.replace(b"200", b"201"),
+        GIVEN.replace(b"s1.1", b"s1.2"),
+        GIVEN.replace(b"200", b"500"),
+        GIVEN.replace(b"X-Server-Seal: s1.1\r\n", b""),
+        GIVEN.replace(b"Id: q1", b"Id: q2"),
+        GIVEN.replace(b"200", b"101"),
+    ],
+)
+def test_an_answer_that_no_server_gave_is_mixed(raw):
+    """Given another body, status, seal or id than the server's, the book notes MIXED."""
+    assert _received(_book(), raw) == {"MIXED"}
+
+
+def test_each_rule_about_arrivals_is_seen():
+    """Given a second run, a promise after a run, changed bytes, a part of a request, or too many servers, the book notes it."""
+    nothing = b"HTTP/1.1 502 Any\r\nContent-Length: 0\r\n\r\n"
+    assert _received(_book(runs=(True, True)), nothing) == {"TWICE"}
+    assert _received(_book(), nothing.replace(b"502", b"503")) == {"REFUSED"}
+    assert _received(_book(body=b"bodx"), nothing) == {"UNASKED"}
+    assert _received(_book(is_whole=False), nothing) == {"UNASKED"}
+    assert _received(_book(STREAM, runs=(True,) * 4), nothing) == {"BUDGET"}
+    assert _received(_book(), nothing.replace(b"502", b"404")) == {"DENIED"}
+
+
+def test_a_stream_with_a_gap_is_seen():
+    """Given a stream whose client lacks an event or has one twice, complete or not, the book notes it."""
+    events = [b"id: 1\ndata: q1\n\n", b"id: 2\ndata: q1\n\n"]
+    for body, is_complete, rules in (
+        (events, True, set()),
+        (events[:1], False, set()),
+        (events[:1], True, {"MIXED"}),
+        (events[1:], False, {"ORDER"}),
+        (events[:1] * 2, False, {"ORDER"}),
+    ):
+        book = _book(STREAM)
+        book.receive(
+            STREAM, Response(200, ((b"x-server-seal", b"s1.1"), (b"x-request-id", b"q1")), b"".join(body), is_complete)
+        )
+        assert {line.partition(":")[0] for line in book.judge()} == rules, body
+
+
+@pytest.mark.parametrize(
+    "raw,is_complete",
+    [
+        (b"HTTP/1.1 200 A\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", True),
+        (b"HTTP/1.1 200 A\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", False),
+        (b"HTTP/1.1 100 A\r\n\r\nHTTP/1.1 200 A\r\nContent-Length: 2\r\n\r\nok", True),
+        (b"HTTP/1.1 200 A\r\n\r\nok", False),
+        (b"HTTP/1.1 200 A\r\nContent-Length: 3\r\n\r\nok", False),
+        (b"HTTP/1.1 200 A\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", False),
+    ],
+)
+def test_the_reader_tells_whole_answers_from_cut_ones(raw, is_complete):
+    """Given answers that are whole, cut, or of unknown or ambiguous end, only those that are surely whole count so."""
+    (response,) = read_responses(raw, ["GET"]).responses
+    assert response.is_complete is is_complete
