A core's log of the version before is refused in clear words

Cause: the log file has another name and other records since consensus replaced accord; a core that was started on an old folder came up as a blank one and forgot the control state in silence. Change: such a folder ends the start with exit code 2 and a line that names the page; docs/operations.md says how to upgrade. The unused way to rename a file is gone.

--- a/sumachook/nodes/serve.py
+++ b/sumachook/nodes/serve.py
@@ -13,10 +13,11 @@
 from sumachook.runtime.clock import Clock
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder, Opened
-from sumachook.storage.layout import FILES, FORMER_NAMES, IDENTITY_FILES, LOG
+from sumachook.storage.layout import EARLIER_LOG, FILES, IDENTITY_FILES, LOG
 
 REFUSED, USAGE, UNREACHED = 1, 2, 4
 MOST_OPERATOR_BODY = 4 << 20
+EARLIER_LOG_HELP = "the log of an earlier version cannot be taken over; see Upgrade in docs/operations.md"
 OPEN_AGAIN, TELL_EVERY = 0.25, 40  # seconds between two tries of a disk that refuses; tries between two lines about it
 
 
@@ -38,7 +39,7 @@
     """What the data folder holds; waits for as long as the disk refuses, since nothing may be done on what could be lost again."""
     for tries in count():
         try:
-            opened = folder.open(FILES, IDENTITY_FILES, FORMER_NAMES)
+            opened = folder.open(FILES, IDENTITY_FILES)
             break
         except (NotADirectoryError, FileExistsError) as error:
             fail(USAGE, f"{folder.file_system.path}: {error.strerror}")
@@ -46,6 +47,8 @@
             if tries % TELL_EVERY == 0:
                 log("warning", "storage", "The data folder cannot be opened, trying again.", {"error": str(error)})
             time.sleep(OPEN_AGAIN)
+    if LOG not in opened.records and EARLIER_LOG in folder.file_system.names():
+        fail(USAGE, f"{folder.file_system.path}: {EARLIER_LOG}: {EARLIER_LOG_HELP}")
     for damage in opened.damages:
         more = {"file": damage.name, "reason": damage.reason, "kept": damage.kept_as}
         log("error", "storage", "A file is damaged and was set aside.", more)
--- a/sumachook/simulation/disk.py
+++ b/sumachook/simulation/disk.py
@@ -8,7 +8,7 @@
 from sumachook.simulation.simulated_files import ProcessEndedError, SimulatedFileSystem
 from sumachook.storage.batches import read_file
 from sumachook.storage.folder import DataFolder, Opened
-from sumachook.storage.layout import FILES, FORMER_NAMES, IDENTITY_FILES, LEDGER, LOG
+from sumachook.storage.layout import FILES, IDENTITY_FILES, LEDGER, LOG
 from sumachook.storage.write_queue import APPEND, WriteQueue, WriteStep
 from sumachook.transport.codec import as_tuples
 
@@ -65,7 +65,7 @@
         """What a process that starts now finds; raises `OSError` while the disk refuses."""
         self._obey(now)
         self.folder, self.queue = DataFolder(self.file_system), WriteQueue(LOG)
-        return self.folder.open(FILES, IDENTITY_FILES, FORMER_NAMES)
+        return self.folder.open(FILES, IDENTITY_FILES)
 
     def begin(self, verb: str, name: str, records, followup, now: timedelta):
         self.queue.put(verb, name, records, followup, now)
--- a/sumachook/storage/folder.py
+++ b/sumachook/storage/folder.py
@@ -46,7 +46,7 @@
 
     # start ----------------------------------------------------------------------
 
-    def open(self, names, identity_names=(), former_names=None) -> Opened:
+    def open(self, names, identity_names=()) -> Opened:
         """Reads the files `names`, and makes durable what was found before anybody acts on it.
 
         A file that lost more than an unsynced tail is set aside. If it is one of `identity_names`, all of these are:
@@ -55,8 +55,6 @@
         files = self.file_system
         files.prepare()
         self._remove_leftovers()
-        for name, former in (former_names or {}).items():
-            self._take_over(name, former)
         present = files.names()
         contents = {name: self._read(name) for name in names if name in present}
         damaged = {name: content.damage for name, content in contents.items() if content.damage}
@@ -78,12 +76,6 @@
             if name.endswith(TEMPORARY):
                 self.file_system.remove(name)
 
-    def _take_over(self, name: str, former: str):
-        """A file of an earlier version goes on under its present name."""
-        present = self.file_system.names()
-        if former in present and name not in present:
-            self.file_system.rename(former, name)
-
     def _set_aside(self, name: str, reason: str):
         """One at a time and durable, so that no later file is gone while an earlier one is still taken for good."""
         self.damages.setdefault(name, reason)
--- a/sumachook/storage/layout.py
+++ b/sumachook/storage/layout.py
@@ -7,4 +7,4 @@
 
 FILES = (LOG, LEDGER, IMAGE, SPOOL)
 IDENTITY_FILES = (LOG, LEDGER)  # without one of these a core is not who it was
-FORMER_NAMES: dict[str, str] = {}  # what a file was called in earlier versions
+EARLIER_LOG = "accord"  # of the version before; its entries bear no digests, so it cannot be taken over
--- a/tests/disk_stories.py
+++ b/tests/disk_stories.py
@@ -12,11 +12,12 @@
 from sumachook.catalog.state import State
 from sumachook.leases.leases import Leases
 from sumachook.nodes.disk_writer import DiskWriter
-from sumachook.nodes.serve import open_folder
+from sumachook.nodes.serve import USAGE, open_folder
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder
-from sumachook.storage.layout import FILES, IDENTITY_FILES, LOG
+from sumachook.storage.layout import EARLIER_LOG, FILES, IDENTITY_FILES, LOG
 from sumachook.storage.messages import DiskState
+from sumachook.storage.single_records import pack_record
 from sumachook.storage.write_queue import APPEND, LINES, MOST_WAITING, REWRITE, WriteStep
 from tests.scene import box_of, found, leader, quiet, settled, witness
 
@@ -229,6 +230,16 @@
     assert sorted(path.name for path in tmp_path.iterdir()) == sorted(f"{name}.damaged" for name in IDENTITY_FILES)
 
 
+def test_a_folder_of_the_version_before_is_refused_in_clear_words_and_left_as_it_is(tmp_path, capsys):
+    """Given a log of the version before and none of this one, a start as a blank core would forget the control state in silence."""
+    old = pack_record(["seat", "core-1-0badcafe"])
+    (tmp_path / EARLIER_LOG).write_bytes(old)
+    with pytest.raises(SystemExit) as end:
+        open_folder(DataFolder(RealFileSystem(tmp_path)), lambda *what: None)
+    assert end.value.code == USAGE and "earlier version" in capsys.readouterr().err
+    assert (tmp_path / EARLIER_LOG).read_bytes() == old
+
+
 # losses of power, at every moment of a write --------------------------------------------------------
 
 
