--- a/harness/chaos.py
+++ b/harness/chaos.py
@@ -114,7 +114,7 @@
     def __init__(self, seed, seats):
         self.book, self.seats = Book(), seats
         Logged.book, Logged.max_log_entries = self.book, SMALL_LOG if seed % 2 else None
-        more = {"seatAway": 1.5, "wantedSeats": seats} if seats else {}
+        more = {"seat_away": 1.5, "wanted_seats": seats} if seats else {}
         self.town, self.draw = Town(City(EXAMPLES / "kosice"), seed, edges=0, **more), Random(seed)
         self.book.town = self.town
         self.undo, self.lost_until, self.whole_by, self.order_number, self.leaving = [], {}, None, 0, set()
