--- a/tests/order_stories.py
+++ b/tests/order_stories.py
@@ -1,6 +1,7 @@
 """Operators' orders: versions decided at delivery, repeats known by content, late copies without effect, reads that are never old."""
 
 import asyncio
+import random
 from datetime import timedelta
 
 import msgspec
@@ -436,6 +437,25 @@
     assert _call(town, first, "configure", **document)[0] == 200
 
 
+def test_order_of_four_mebibytes_is_taken_known_again_and_built_on():
+    """Given a change of four mebibytes that does not compress, it is acknowledged and in force everywhere, its repeat is known without
+    the document in the log, the next change builds on it, and a core that comes back with an empty disk has it."""
+    town = _town(410)
+    first, others = _roles(town)
+    note = random.Random(1).randbytes(2_050_000).hex()
+    document = {"doc": {"version": 7, "extra": {"note": note}}, "if_version": 5, "part": True}
+    assert _until_clear(town, "configure", (first,), **document)[0] == 200
+    logged = sum(len(entry) for entry in leader(town).consensus.log.entries)
+    assert _call(town, first, "configure", **document)[0] == 200
+    assert sum(len(entry) for entry in leader(town).consensus.log.entries) < logged + 5000
+    assert _until_clear(town, "configure", others, doc={"version": 9}, if_version=7, part=True)[0] == 200
+    town.kill(others[0])
+    town.boxes[others[0]].disk.wipe()
+    town.start(others[0])
+    assert town.run_until(lambda: {core.state.version for core in town.machines("core")} == {9}, 10)
+    assert {machine.state.version for machine in town.machines("edge")} == {9}
+
+
 def test_core_that_has_just_started_answers_before_its_identity_is_on_its_disk():
     """Given a core with an empty disk that is slow, calls get 503 at once and no silence."""
     town = _town(409)
