--- a/harness/chaos.py
+++ b/harness/chaos.py
@@ -223,7 +223,7 @@
         for box in _cores(self.town):
             box.disk.delay, box.disk.stalled_until = DISK_DELAY, self.town.now
             box.disk.refuses_until = self.town.now
-            if box.machine is None or box.machine.stop_at is not None:
+            if box.machine is None or box.machine.shutdown.has_begun:
                 self._restart(box)
 
     # losses for good
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -163,7 +163,7 @@
             "number": core.state.number,
             "generation": core.state.generation,
             "diskTakesRecords": core.is_disk_taking,
-            "ready": is_fresh and core.stop_at is None,
+            "ready": is_fresh and not core.shutdown.has_begun,
         }
         return reply(cid, 200 if doc["ready"] else 503, doc)
 
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -10,13 +10,13 @@
 from sumachook.changefeed.source import Source
 from sumachook.consensus import Options, Replica
 from sumachook.consensus.storage import FILE as LOG_FILE
-from sumachook.consensus.wire import TYPES as CONSENSUS
 from sumachook.leases.leases import Leases
 from sumachook.ledger.keeper import Keeper
 from sumachook.ledger.purse import Accountant
 from sumachook.membership.membership import ALIVE, Membership
 from sumachook.nodes.control_api import ControlApi, starting
-from sumachook.nodes.edge import MEMBERSHIP
+from sumachook.nodes.core_routing import FEED, LOCAL, PART_OF, SEARCH, needs_disk
+from sumachook.nodes.core_shutdown import CoreShutdown
 from sumachook.placement.placer import Placer
 from sumachook.placement.port import ServerPort
 from sumachook.placement.provisioner import Provisioner
@@ -24,24 +24,6 @@
 from sumachook.runtime.almanac import Almanac
 from sumachook.transport.codec import read_entry
 
-LEASES = {"bid", "vote", "renew", "renewed"}
-FEED = {"follow", "confirm", "confirmed"}
-TALLY = {"open", "close", "hand", "handed"}
-SHORTEST_LEAVE = timedelta(seconds=0.5)  # for duties that are given back
-LONGEST_LEAVE, LEAVE_SHARE = timedelta(seconds=3), 0.5  # for the seat to be taken over; of the grace at most
-LOCAL = (
-    "propose",
-    "deliver",
-    "restored",
-    "compact",
-    "refused",
-    "resign",
-    "departed",
-    "read",
-    "readable",
-    "unreadable",
-)  # effects that are for a part of this core
-
 
 def seat_of(records: dict) -> str:
     """The seat that a data folder belongs to, or "" for a blank one."""
@@ -51,33 +33,6 @@
 class Core:
     """Takes (message, now) from its host and gives back what the host must do (§1.2)."""
 
-    __slots__ = (
-        "params",
-        "node",
-        "boot",
-        "state",
-        "membership",
-        "consensus",
-        "leases",
-        "source",
-        "placer",
-        "watcher",
-        "keeper",
-        "accountant",
-        "api",
-        "is_new",
-        "is_ready",
-        "stop_at",
-        "may_end_at",
-        "has_departed",
-        "ignored",
-        "almanac",
-        "provisioner",
-        "grantor",
-        "board",
-        "is_disk_taking",
-    )
-
     def __init__(self, params, records: dict, boot: int, clock, draw: Random, list_port=None, server_port=None):
         now = clock.mono()
         self.params, self.boot = params, boot
@@ -87,16 +42,8 @@
         self.is_ready = not self.is_new
         self.state = State()
         options = Options(replace_after=timedelta(seconds=params.seat_away), wanted_voters=params.wanted_seats)
-        self.consensus = Replica(
-            self.node,
-            params.address,
-            params.founding,
-            Random(draw.random()),
-            self.state.image,
-            records.get(LOG_FILE, ()),
-            options,
-            now,
-        )
+        log, seed = records.get(LOG_FILE, ()), Random(draw.random())
+        self.consensus = Replica(self.node, params.address, params.founding, seed, self.state.image, log, options, now)
         number, image = self.consensus.snapshot()
         if image is not None:
             self.state.restore(image)
@@ -108,15 +55,13 @@
             self.node, self.state, Random(draw.random()), now, params.fenced, timedelta(seconds=params.turn_gap)
         )
         self.source = Source(self.state, self.other_cores, now, self.almanac, self.is_fresh)
-        self.placer, self.watcher = (
-            Placer(self.state, now),
-            Watcher(self.state, params.platform, now, list_port, params.list_readers),
-        )
+        self.placer = Placer(self.state, now)
+        self.watcher = Watcher(self.state, params.platform, now, list_port, params.list_readers)
         self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
         self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
         self.accountant = Accountant(now)
         self.grantor, self.board = Grantor(self.state, now), Board(self.state)
-        self.stop_at, self.may_end_at, self.has_departed, self.ignored = None, now, False, 0
+        self.shutdown, self.ignored = CoreShutdown(timedelta(seconds=params.grace)), 0
         self.is_disk_taking = True
         self.api = ControlApi(self)
 
@@ -139,15 +84,9 @@
                 if effect[0] in LOCAL:
                     work.append(effect)
                 elif effect[0] == "word":
-                    out += [
-                        ("tell", member.address, ("leaving", effect[1]))
-                        for member in self.membership.live
-                        if member.role == "edge"
-                    ]
+                    out += self._tell_edges(("leaving", effect[1]))
                 elif effect[0] == "cold":
-                    out += [
-                        ("tell", member.address, effect) for member in self.membership.live if member.role == "edge"
-                    ]
+                    out += self._tell_edges(effect)
                 elif effect[0] not in ("view", "member", "objected"):
                     out.append(effect)
         return out
@@ -156,7 +95,7 @@
         kind = message[0]
         if not self.is_disk_taking and kind == "read":
             return [("unreadable", message[1], None)]
-        if not self.is_disk_taking and self._needs_disk(message):
+        if not self.is_disk_taking and needs_disk(message):
             return []
         if kind == "heard":
             return self._heard(message, now)
@@ -195,27 +134,29 @@
             self.ignored += 1
             return []
         if kind == "stop":
-            if self.stop_at is not None:
-                return []
-            self.stop_at = now + min(LONGEST_LEAVE, timedelta(seconds=self.params.grace) * LEAVE_SHARE)
-            self.may_end_at = now + SHORTEST_LEAVE
-            note = ("log", "info", "core", "Leaving, duties and seat are given back.", {})
-            # the seat comes last: who leads orders what was given back before it hands over
-            return [note, *self.leases.take(("quit",), now), *self.membership.take(("leave",), now), ("resign",)]
+            return self._stop(now)
         if kind == "resign":
             return self.consensus.take(("leave",), now)
         if kind == "departed":
-            self.has_departed = True
+            self.shutdown.note_departed()
             return []
         return []  # a refused proposal is made again by who made it
 
+    def _stop(self, now):
+        if self.shutdown.has_begun:
+            return []
+        self.shutdown.begin(now)
+        note = ("log", "info", "core", "Leaving, duties and seat are given back.", {})
+        # the seat comes last: who leads orders what was given back before it hands over
+        return [note, *self.leases.take(("quit",), now), *self.membership.take(("leave",), now), ("resign",)]
+
     # a disk that takes no records (§13.4) --------------------------------------------
 
     def _take_disk_state(self, message, now):
         """While the disk takes no records this core is in no view, holds no duty and keeps no rows; it goes on running."""
         if message.is_taking:
             self.is_disk_taking = True
-            return [] if self.stop_at is not None else self.leases.take(("resume",), now)
+            return [] if self.shutdown.has_begun else self.leases.take(("resume",), now)
         effects = self.leases.take(("quit",), now)
         orders = [effect for effect in effects if effect[0] == "propose"]
         out = [effect for effect in effects if effect[0] != "propose"]
@@ -227,42 +168,24 @@
         self.is_disk_taking = False
         return out
 
-    def _needs_disk(self, message) -> bool:
-        """What would have to be written, or promised, before it is answered. Who sent it takes us for one that is cut off."""
-        kind = message[0]
-        return kind in ("propose", "compact") or (kind == "heard" and message[3][0] in CONSENSUS.keys() | TALLY)
-
     def is_fresh(self, now) -> bool:
+        """Whether this core is in a working view and can keep what it promises there."""
         return self.is_disk_taking and self.consensus.is_fresh(now)
 
     # messages ----------------------------------------------------------------------
 
     def _heard(self, message, now):
         kind = message[3][0]
-        if kind in MEMBERSHIP:
-            return self.membership.take(message, now)
-        if kind in CONSENSUS:
-            return self.consensus.take(message, now)
-        if kind in LEASES:
-            return self.leases.take(message, now)
+        if kind in PART_OF:
+            return getattr(self, PART_OF[kind]).take(message, now)
         if kind in FEED:
             return self.source.take(message, now) + (self._settle_orders(now) if kind != "follow" else [])
-        if kind in TALLY:
-            return self.keeper.take(message, now)
-        if kind == "credit":
-            return self.accountant.take(message, now)
+        if kind in SEARCH:
+            return self.api.searches.heard(message[2], message[3], now)
         if (
             kind == "allow_ask"
-        ):  # the lease is looked at now, not at the last pulse: this may have lain in a buffer (§15.4)
+        ):  # the lease is looked at now: this may have lain in a buffer since the last pulse (§15.4)
             return self.grantor.take(("asked", *message[1:], self.leases.holds("accountant", now)), now)
-        if kind == "allow_report":
-            return self.board.take(message, now)
-        if kind == "demand":
-            return self.placer.take(message, now)
-        if kind in ("want", "usage", "places_ask"):
-            return self.provisioner.take(message, now)
-        if kind in ("find", "found"):
-            return self.api.searches.heard(message[2], message[3], now)
         self.ignored += 1
         return []
 
@@ -275,15 +198,8 @@
         out += self.provisioner.take(("changed",), now)
         if change[0] == "order":
             self.api.desk.delivered(number, Attempt(*change[1:4]), result, self.state.version, now)
-            out.append(
-                (
-                    "log",
-                    "info",
-                    "core",
-                    "Order delivered.",
-                    {"number": number, "kind": change[4][0], "result": result[0]},
-                )
-            )
+            told = {"number": number, "kind": change[4][0], "result": result[0]}
+            out.append(("log", "info", "core", "Order delivered.", told))
         return out
 
     def _pulse(self, now):
@@ -296,19 +212,22 @@
         out += self.leases.take(("pulse", is_fresh, is_leading), now)
         out += self.source.take(("pulse",), now)
         out += self.placer.take(("pulse", self.leases.holds("placer", now)), now)
-        edge_addresses = tuple(member.address for member in self.membership.live if member.role == "edge")
-        out += self.provisioner.take(("pulse", self.leases.holds("placer", now), edge_addresses), now)
+        out += self.provisioner.take(("pulse", self.leases.holds("placer", now), self._edge_addresses()), now)
         out += self.watcher.take(("pulse", is_fresh, is_leading), now)
         out += self.accountant.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.grantor.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.api.pulse(self._live_edges(), self.source.confirmed, now)
-        if self.stop_at is not None and now >= (self.may_end_at if self.has_departed else self.stop_at):
-            out.append(("leave", 0))
-        return out
+        return out + self.shutdown.step(now)
 
     def _settle_orders(self, now):
         return self.api.desk.settle(self._live_edges(), self.source.confirmed, now) if self.api.desk.orders else []
 
+    def _edge_addresses(self):
+        return tuple(member.address for member in self.membership.live if member.role == "edge")
+
+    def _tell_edges(self, message):
+        return [("tell", address, message) for address in self._edge_addresses()]
+
     def _core_addresses(self):
         return (*self.membership.seeds, *(member.address for member in self.membership.live if member.role == "core"))
 
