Consensus: one that replaces a voter at its own address does not elect itself away; docstrings

The newcomer sent its Prepare to the address of the voter that it replaces, its own, took it and gave its candidacy up, for ever. Voters at the own address get nothing now, and a message of one's own is dropped; the test was seen failing first.

The story of a large state pads `requests`, since `taken` is a type of its own now.

--- a/sumachook/consensus/candidate.py
+++ b/sumachook/consensus/candidate.py
@@ -67,6 +67,7 @@
         return state.send_to_voters(Canvass(state.candidacy, state.view, state.log.end))
 
     def on_canvass_accepted(self, sender: str, message: CanvassAccepted, now: timedelta) -> list[Effect]:
+        """Goes on to collect promises once a quorum has accepted and no lease binds this replica."""
         state = self.state
         if state.role is not Role.CANVASSING or message.view != state.candidacy or not state.hears_no_leader(now):
             return []
@@ -90,6 +91,7 @@
         return [state.store(records, CandidacySynced(state.candidacy))]
 
     def on_candidacy_synced(self, event: CandidacySynced, now: timedelta) -> list[Effect]:
+        """The own promise is durable: asks the others for theirs."""
         state, log = self.state, self.state.log
         if event.view != state.candidacy or state.role is not Role.PREPARING:
             return []
@@ -105,6 +107,7 @@
         return [Send(address, message) for name, address in state.other_voters.items() if name not in self.promises]
 
     def on_promise(self, sender: str, message: Promise, now: timedelta) -> list[Effect]:
+        """Notes the promise of another voter."""
         state = self.state
         if state.role is not Role.PREPARING or message.view != state.candidacy:
             return []
@@ -112,6 +115,7 @@
         return self._decide(now)
 
     def tick_preparing(self, now: timedelta) -> list[Effect]:
+        """Decides, asks again, or gives up."""
         out = self._decide(now)
         if out or self.state.role is not Role.PREPARING:
             return out
--- a/sumachook/consensus/catch_up.py
+++ b/sumachook/consensus/catch_up.py
@@ -60,6 +60,7 @@
         return self.fetch(now) if self.followed.is_behind or self.cursor < self.followed.end else []
 
     def on_entries(self, message: Entries, now: timedelta) -> list[Effect]:
+        """Takes whole entries, or falls back to what is delivered where the logs differ."""
         if message.view != self.followed.view or message.first != self.cursor + 1:
             return []
         log = self.state.log
@@ -73,6 +74,7 @@
         return out + self._fetch_next(now)
 
     def on_entry_part(self, message: EntryPart, now: timedelta) -> list[Effect]:
+        """Takes a part of a large entry."""
         if message.view != self.followed.view or message.number != self.cursor + 1:
             return []
         data = self._assemble(message)
@@ -83,6 +85,7 @@
         return out + self._fetch_next(now)
 
     def on_snapshot_part(self, message: SnapshotPart, now: timedelta) -> list[Effect]:
+        """Takes a part of a snapshot, unless the own log leads to it too."""
         state, followed = self.state, self.followed
         if message.view != followed.view or message.number <= followed.matched:
             return []
--- a/sumachook/consensus/departure.py
+++ b/sumachook/consensus/departure.py
@@ -23,6 +23,7 @@
         self.is_over = False
 
     def begin(self, now: timedelta) -> list[Effect]:
+        """The process has been told to end."""
         if self.begun_at is not None:
             return []
         self.state.is_leaving = True
@@ -32,6 +33,7 @@
         return self.tick(now)
 
     def tick(self, now: timedelta) -> list[Effect]:
+        """Hands over leading, or tells the leader again."""
         state = self.state
         if self.begun_at is None or self.is_over:
             return []
@@ -62,6 +64,7 @@
         return [note, Send(address, TakeOver(state.view, state.view, self.leader.newcomers.present(now)))]
 
     def on_leaving_noted(self, message: LeavingNoted) -> list[Effect]:
+        """The leader says whether a replacement is there."""
         self.will_be_replaced = message.has_replacement
         return []
 
--- a/sumachook/consensus/followed_log.py
+++ b/sumachook/consensus/followed_log.py
@@ -38,10 +38,12 @@
         return True
 
     def note(self, committed: int, end: int) -> None:
+        """What the leader says is committed, and where its log ends."""
         self.committed, self.end = max(self.committed, committed), max(self.end, end)
 
     @property
     def is_behind(self) -> bool:
+        """Whether the leader has entries that were not handed to the disk here."""
         return self.stored < self.end
 
     def take(self, first: int, entries: Sequence[bytes]) -> list[Effect]:
@@ -58,9 +60,11 @@
         return [state.store((record,), EntriesSynced(self.view, self.address, matched))]
 
     def deliver(self) -> list[Effect]:
+        """Delivers what is committed and durable."""
         return self.state.deliver(min(self.committed, self.state.synced))
 
     def on_entries_synced(self, event: EntriesSynced) -> list[Effect]:
+        """Entries are durable: delivers them and says so."""
         state = self.state
         if event.view != self.view or event.view != state.followed:
             return []
--- a/sumachook/consensus/follower.py
+++ b/sumachook/consensus/follower.py
@@ -35,6 +35,7 @@
     # installing a view
 
     def on_install(self, sender: str, address: str, message: Install, now: timedelta) -> list[Effect]:
+        """Joins the view, at once where all of its log fits, else after fetching the rest."""
         state, view = self.state, message.view
         if view < max(state.promised, state.followed) or state.name not in message.members:
             return []
@@ -69,6 +70,7 @@
         return [state.store((record,), ViewSynced(message.view, self.followed.address, message.end))]
 
     def on_view_synced(self, event: ViewSynced, now: timedelta) -> list[Effect]:
+        """The view and its log are durable: this replica is a member."""
         state = self.state
         if not event.view == state.view == state.promised:
             return []
@@ -86,6 +88,7 @@
     # entries
 
     def on_append(self, address: str, message: Append, now: timedelta) -> list[Effect]:
+        """Takes new entries as a member, or as a learner that has caught up."""
         state, followed = self.state, self.followed
         if message.view != followed.view or not (state.is_member or self._is_learner()):
             return []
@@ -109,6 +112,7 @@
     # heartbeats
 
     def on_heartbeat(self, sender: str, address: str, message: Heartbeat, now: timedelta) -> list[Effect]:
+        """Follows the leader of no lower a view than before, and acknowledges its round."""
         state, view = self.state, message.view
         known = max(state.followed, state.guard.view)
         is_own = state.role in CANDIDATE_ROLES and state.candidacy > view
--- a/sumachook/consensus/founding.py
+++ b/sumachook/consensus/founding.py
@@ -24,10 +24,12 @@
         self.blank_at: dict[str, tuple[str, timedelta]] = {}
 
     def on_standing(self, message: Standing, now: timedelta) -> None:
+        """Notes another blank replica."""
         if message.is_blank:
             self.blank_at[message.address] = (message.replica, now)
 
     def tick(self, cores: tuple[str, ...], now: timedelta) -> list[Effect]:
+        """Announces itself again, and founds when all founders are there."""
         if now < self.announce_at:
             return []
         state, self.announce_at = self.state, now + STANDING_INTERVAL
--- a/sumachook/consensus/host.py
+++ b/sumachook/consensus/host.py
@@ -35,6 +35,11 @@
 
 def tuple_of(effect: effects.Effect) -> tuple[Any, ...]:
     """The effect as hosts take it."""
+    return _tuple_of_output(effect) or _tuple_of_answer(effect)
+
+
+def _tuple_of_output(effect: effects.Effect) -> tuple[Any, ...] | None:
+    """Messages, writes and deliveries."""
     match effect:
         case effects.Send(address, message):
             return ("tell", address, to_body(message))
@@ -46,6 +51,12 @@
             return ("deliver", number, entry)
         case effects.Restore(number, state):
             return ("restored", number, state)
+    return None
+
+
+def _tuple_of_answer(effect: effects.Effect) -> tuple[Any, ...]:
+    """Answers to the embedding program, and what it is told."""
+    match effect:
         case effects.Refuse(change, fault):
             return ("refused", change, fault)
         case effects.ViewChanged(view, members):
--- a/sumachook/consensus/installer.py
+++ b/sumachook/consensus/installer.py
@@ -36,6 +36,7 @@
         self.sent_at = now
 
     def start(self, members: tuple[str, ...], promises: Mapping[str, Promise], now: timedelta) -> list[Effect]:
+        """Installs the view at this replica and sends it to the other members."""
         state = self.state
         state.role, state.members, state.view, state.followed = (
             Role.INSTALLING,
@@ -67,6 +68,7 @@
         return Install(state.view, state.members, start + 1, log.end, log.digest_at(start) or b"", entries)
 
     def on_installed(self, sender: str, message: Installed, now: timedelta) -> list[Effect]:
+        """A member has synced the view."""
         state = self.state
         if state.role is not Role.INSTALLING or message.view != state.candidacy or sender not in state.members:
             return []
@@ -74,6 +76,7 @@
         return self._done(sender, now)
 
     def on_own_view_synced(self, event: OwnViewSynced, now: timedelta) -> list[Effect]:
+        """This replica has synced the view."""
         if event.view != self.state.candidacy or self.state.role is not Role.INSTALLING:
             return []
         return self._done(self.state.name, now)
@@ -89,6 +92,7 @@
         self.progress_at[name] = now
 
     def tick(self, now: timedelta) -> list[Effect]:
+        """Sends the view again, and begins anew without members that make no progress."""
         state = self.state
         late = [
             name for name in state.members if name not in self.installed and now - self.progress_at[name] > ROUND_LIMIT
--- a/sumachook/consensus/leader.py
+++ b/sumachook/consensus/leader.py
@@ -89,6 +89,7 @@
     # order
 
     def propose(self, change: Any, now: timedelta) -> list[Effect]:
+        """Orders a change."""
         if self.state.role is not Role.LEADING:
             return [Refuse(change, faults.NO_VIEW.because("a change of view is under way"))]
         if len(self.waiting) >= MAX_WAITING:
@@ -126,6 +127,7 @@
         return [Send(address, message) for address in targets.values()]
 
     def on_own_entries_synced(self, event: OwnEntriesSynced, now: timedelta) -> list[Effect]:
+        """The own disk holds the entries of one sync."""
         state = self.state
         if event.view != state.view or state.role is not Role.LEADING:
             return []
@@ -134,6 +136,7 @@
         return self._commit(now) + self._flush(now)
 
     def on_appended(self, sender: str, message: Appended, now: timedelta) -> list[Effect]:
+        """Another replica has synced entries."""
         state = self.state
         if message.view != state.view or state.role is not Role.LEADING:
             return []
@@ -183,6 +186,7 @@
         ]
 
     def on_heartbeat_ack(self, sender: str, address: str, message: HeartbeatAck, now: timedelta) -> list[Effect]:
+        """Counts the acknowledgement as of when its round was sent."""
         state = self.state
         state.highest_number = max(state.highest_number, message.promised.number)
         if message.view != state.view or state.role not in (Role.LEADING, Role.INSTALLING):
@@ -220,9 +224,11 @@
         return self._send_entries(max(first, state.log.base + 1), targets, now)
 
     def tick(self, now: timedelta) -> list[Effect]:
+        """The next round where it is due, and what has to be sent again."""
         return (self.beat(now) if now >= self.beat_at else []) + self.resend(now)
 
     def is_disk_stalled(self, now: timedelta) -> bool:
+        """Whether the own disk has owed a sync for too long."""
         return self.is_syncing and now - self.sync_at > SILENCE
 
     def is_idle(self) -> bool:
@@ -230,4 +236,5 @@
         return not self.is_syncing and not self.waiting
 
     def hears(self, names: Iterable[str], now: timedelta) -> set[str]:
+        """Those of these replicas that were heard lately, and this one."""
         return {name for name in names if name == self.state.name or self.state.hears(name, now)}
--- a/sumachook/consensus/lease.py
+++ b/sumachook/consensus/lease.py
@@ -36,6 +36,7 @@
         self.proved_at: dict[str, timedelta] = {}
 
     def begin_round(self, now: timedelta) -> int:
+        """The number of a round that is sent now."""
         return self.rounds.begin(now)
 
     def prove(self, replica: str, number: int) -> None:
@@ -45,10 +46,12 @@
             self.proved_at[replica] = max(sent_at, self.proved_at.get(replica, sent_at))
 
     def is_held(self, leader: str, roster: Roster, now: timedelta) -> bool:
+        """Whether a quorum is proved as of a moment ago."""
         proved = {replica for replica, sent_at in self.proved_at.items() if now - sent_at < LEASE}
         return roster.has_quorum({leader, *proved})
 
     def forget(self) -> None:
+        """Nothing that was proved or sent before counts any longer."""
         self.rounds.sent_at.clear()
         self.proved_at.clear()
 
@@ -86,6 +89,7 @@
             self.until = None
 
     def permits(self, candidate: str, released: ViewId, now: timedelta) -> bool:
+        """Whether a view may be promised to this candidate, which names a lease as given up."""
         if self.until is None or now >= self.until:
             return True
         return self.view != NO_VIEW and (candidate == self.view.replica or released == self.view)
@@ -107,9 +111,11 @@
         self.complete_as_of: timedelta | None = None
 
     def begin_round(self, now: timedelta) -> int:
+        """The number of a round that is sent now."""
         return self.rounds.begin(now)
 
     def was_sent(self, echo: int) -> bool:
+        """Whether an echo is of a recent round of this process."""
         return echo in self.rounds.sent_at
 
     def confirm(self, echo: int) -> None:
@@ -119,8 +125,10 @@
             self.complete_as_of = sent_at if self.complete_as_of is None else max(self.complete_as_of, sent_at)
 
     def is_fresh(self, now: timedelta) -> bool:
+        """Whether the state was complete a moment ago."""
         return self.complete_as_of is not None and now - self.complete_as_of < FRESH
 
     def forget(self) -> None:
+        """Nothing that was proved or sent before counts any longer."""
         self.rounds.sent_at.clear()
         self.complete_as_of = None
--- a/sumachook/consensus/log.py
+++ b/sumachook/consensus/log.py
@@ -47,12 +47,14 @@
 
 
 def encode_snapshot(snapshot: Snapshot) -> EncodedSnapshot:
+    """A snapshot as one document."""
     document = _SnapshotDocument(snapshot.number, msgspec.Raw(snapshot.state), snapshot.roster, snapshot.digest)
     data = msgspec.json.encode(document)
     return EncodedSnapshot(snapshot.number, data, zlib.crc32(data))
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
+    """The snapshot of a document that `encode_snapshot` made."""
     document = msgspec.json.decode(data, type=_SnapshotDocument)
     return Snapshot(document.number, bytes(document.state), document.roster, document.digest)
 
@@ -92,17 +94,21 @@
 
     @property
     def base(self) -> int:
+        """The number of the last entry that the snapshot covers."""
         return self.snapshot.number
 
     @property
     def end(self) -> int:
+        """The number of the last entry."""
         return self.base + len(self.entries)
 
     @property
     def roster(self) -> Roster:
+        """The roster after the last entry."""
         return self.rosters[-1][1]
 
     def roster_at(self, number: int) -> Roster:
+        """The roster after the entry of this number."""
         return next(roster for first, roster in reversed(self.rosters) if first <= number)
 
     @property
@@ -111,6 +117,7 @@
         return self.rosters[-1][0]
 
     def entry(self, number: int) -> bytes:
+        """The entry of this number, which must be after the snapshot."""
         return self.entries[number - self.base - 1]
 
     def digest_at(self, number: int) -> bytes | None:
@@ -118,6 +125,7 @@
         return self.digests[number - self.base] if self.base <= number <= self.end else None
 
     def extend(self, entries: Sequence[bytes]) -> None:
+        """Appends entries."""
         for entry in entries:
             self.entries.append(entry)
             self.digests.append(_chained(self.digests[-1], entry))
@@ -159,6 +167,7 @@
         return tuple(chosen)
 
     def bytes_after(self, number: int) -> int:
+        """The size of all entries after this number."""
         return sum(map(len, self.entries[max(0, number - self.base) :]))
 
     def compact(self, last: int, state: Any) -> None:
--- a/sumachook/consensus/log_server.py
+++ b/sumachook/consensus/log_server.py
@@ -23,6 +23,7 @@
         self.queued: dict[str, tuple[str, Fetch]] = {}
 
     def on_fetch(self, sender: str, address: str, message: Fetch, now: timedelta) -> list[Effect]:
+        """Answers at once, or at the next tick if this replica got its part already."""
         state = self.state
         if state.role not in (Role.LEADING, Role.INSTALLING) or message.view != state.view:
             return []
--- a/sumachook/consensus/membership.py
+++ b/sumachook/consensus/membership.py
@@ -25,6 +25,7 @@
         self.state, self.newcomers, self.progress = state, newcomers, progress
 
     def next_change(self, now: timedelta) -> Change | None:
+        """The next change of the roster, if one is needed and possible."""
         state = self.state
         if state.log.last_roster_change > state.committed:
             return None
--- a/sumachook/consensus/newcomers.py
+++ b/sumachook/consensus/newcomers.py
@@ -12,6 +12,8 @@
 
 
 class Newcomer(msgspec.Struct, frozen=True):
+    """A replica without a seat: where it is, and when it was heard first and last."""
+
     address: str
     first_at: timedelta
     last_at: timedelta
--- a/sumachook/consensus/penalties.py
+++ b/sumachook/consensus/penalties.py
@@ -28,10 +28,12 @@
         self.by_replica: dict[str, _Penalty] = {}
 
     def add(self, replica: str, now: timedelta) -> None:
+        """The replica has failed now."""
         last = self.by_replica.get(replica)
         is_repeated = last is not None and now - last.until < PENALTY_FORGIVEN
         pause = min(last.pause * 2, MAX_PENALTY) if last is not None and is_repeated else PENALTY
         self.by_replica[replica] = _Penalty(now + pause, pause)
 
     def is_punished(self, replica: str, now: timedelta) -> bool:
+        """Whether the replica is to be kept out."""
         return replica in self.by_replica and now < self.by_replica[replica].until
--- a/sumachook/consensus/progress.py
+++ b/sumachook/consensus/progress.py
@@ -19,6 +19,7 @@
         self.well_since: dict[str, timedelta] = {}
 
     def reset(self) -> None:
+        """Another view: what was known holds no longer."""
         self.acked, self.owed, self.caught_up_at, self.well_since = {}, {}, {}, {}
 
     def acknowledge(self, name: str, end: int, now: timedelta) -> bool:
@@ -36,6 +37,7 @@
         return is_new
 
     def is_caught_up(self, name: str, now: timedelta) -> bool:
+        """Whether it had synced all that is committed a moment ago."""
         return name in self.caught_up_at and now - self.caught_up_at[name] < CAUGHT_UP_WITHIN
 
     def well_for(self, name: str, now: timedelta) -> timedelta:
@@ -59,4 +61,5 @@
         return now - since > SILENCE
 
     def owing_for(self, name: str, now: timedelta) -> timedelta:
+        """How long this member has owed the same entry."""
         return now - self.owed[name][1] if name in self.owed else timedelta(0)
--- a/sumachook/consensus/proposals.py
+++ b/sumachook/consensus/proposals.py
@@ -19,6 +19,7 @@
 
 
 def split_proposal(number: int, change: Any) -> Iterator[Propose]:
+    """The messages that carry a change to the leader."""
     data = pack_entry(change)
     for offset in range(0, len(data), CHUNK_BYTES):
         yield Propose(number, offset, len(data), data[offset : offset + CHUNK_BYTES])
@@ -70,6 +71,7 @@
         self.held: list[tuple[Any, timedelta]] = []
 
     def propose(self, change: Any, now: timedelta) -> list[Effect]:
+        """Orders the change, sends it to the leader, or holds it for the next one."""
         if self._can_order():
             return self.leader.propose(change, now)
         if address := self._leader_address(now):
--- a/sumachook/consensus/reads.py
+++ b/sumachook/consensus/reads.py
@@ -1,4 +1,4 @@
-"""Reads that see everything acknowledged before they began (§4.8)."""
+"""Reads that see everything acknowledged before they began (§4.9)."""
 
 from datetime import timedelta
 from typing import Any
@@ -9,19 +9,23 @@
 from sumachook.consensus.leader import Leader
 from sumachook.consensus.messages import ReadIndex, ReadIndexAnswer
 from sumachook.consensus.state import NONCE_BITS, ReplicaState
-from sumachook.consensus.timing import READ_LIMIT
+from sumachook.consensus.timing import READ_LIMIT, READ_RETRY
 from sumachook.consensus.views import Role
 
 
-class _Read(msgspec.Struct, frozen=True):
+class _Read(msgspec.Struct):
     token: Any
-    asked_at: timedelta
-    leader: str
+    begun_at: timedelta
+    leader: str | None = None  # who was asked
+    sent_at: timedelta | None = None
     must_deliver: int | None = None
 
 
 class Reads:
-    """A leader answers at once under a lease, a member once it has delivered what the leader had committed."""
+    """A leader answers at once under a lease, a follower once it has delivered what the leader had committed.
+
+    During a change of the view a read waits a little for the next leader.
+    """
 
     __slots__ = ("state", "leader", "last", "waiting")
 
@@ -31,43 +35,51 @@
         self.waiting: dict[int, _Read] = {}
 
     def request(self, token: Any, now: timedelta) -> list[Effect]:
-        state = self.state
+        """Begins a read; answers at once where nobody need be asked, or nobody is there to be asked."""
         if self.leader.has_lease(now):
             return [Readable(token)]
-        if not state.is_member or state.leader is None or state.leader_address is None or state.hears_no_leader(now):
-            return [self._unreadable(token, now)]
+        if self.state.hears_no_leader(now):
+            return [Unreadable(token, None)]
         self.last += 1
-        self.waiting[self.last] = _Read(token, now, state.leader)
-        return [Send(state.leader_address, ReadIndex(self.last))]
+        read = self.waiting[self.last] = _Read(token, now)
+        return self._ask(self.last, read, now)
+
+    def _ask(self, number: int, read: _Read, now: timedelta) -> list[Effect]:
+        """Asks the leader, if one is followed and was not asked a moment ago."""
+        address = self._leader_address(now)
+        if address is None or (read.sent_at is not None and now - read.sent_at < READ_RETRY):
+            return []
+        read.leader, read.sent_at = self.state.leader, now
+        return [Send(address, ReadIndex(number))]
+
+    def _leader_address(self, now: timedelta) -> str | None:
+        state = self.state
+        is_other = state.leader not in (None, state.name) and state.role in (Role.MEMBER, Role.IDLE)
+        return state.leader_address if is_other and not state.hears_no_leader(now) else None
 
     def on_read_index(self, address: str, message: ReadIndex, now: timedelta) -> list[Effect]:
+        """Answers a follower; only under the lease the answer counts."""
         is_valid = self.leader.has_lease(now)
         return [Send(address, ReadIndexAnswer(message.token, self.state.committed, is_valid))]
 
-    def on_answer(self, sender: str, message: ReadIndexAnswer, now: timedelta) -> list[Effect]:
+    def on_answer(self, sender: str, message: ReadIndexAnswer) -> list[Effect]:
+        """The leader has said how far this replica must have delivered."""
         read = self.waiting.get(message.token)
-        if read is None or read.leader != sender or read.must_deliver is not None:
-            return []
-        if not message.is_valid:
-            del self.waiting[message.token]
-            return [self._unreadable(read.token, now)]
-        self.waiting[message.token] = msgspec.structs.replace(read, must_deliver=message.committed)
-        return self.settle(now)
+        if read is not None and read.leader == sender and read.must_deliver is None and message.is_valid:
+            read.must_deliver = message.committed
+        return []
 
     def settle(self, now: timedelta) -> list[Effect]:
-        """Answers what has been delivered far enough and what has waited too long."""
+        """Answers what has been delivered far enough and what has waited too long; asks again about the rest."""
         out: list[Effect] = []
         for number, read in list(self.waiting.items()):
-            if read.must_deliver is not None and self.state.delivered >= read.must_deliver:
+            has_delivered = read.must_deliver is not None and self.state.delivered >= read.must_deliver
+            if has_delivered or self.leader.has_lease(now):
                 out.append(Readable(read.token))
-            elif now - read.asked_at > READ_LIMIT:
-                out.append(self._unreadable(read.token, now))
+            elif now - read.begun_at > READ_LIMIT or self.state.hears_no_leader(now):
+                out.append(Unreadable(read.token, self._leader_address(now)))
             else:
+                out += self._ask(number, read, now) if read.must_deliver is None else []
                 continue
             del self.waiting[number]
         return out
-
-    def _unreadable(self, token: Any, now: timedelta) -> Unreadable:
-        state = self.state
-        is_known = state.role is Role.MEMBER and state.leader != state.name and not state.hears_no_leader(now)
-        return Unreadable(token, state.leader_address if is_known else None)
--- a/sumachook/consensus/replica.py
+++ b/sumachook/consensus/replica.py
@@ -84,30 +84,37 @@
 
     @property
     def role(self) -> Role:
+        """What this replica is doing."""
         return self.state.role
 
     @property
     def view(self) -> ViewId:
+        """The view that was installed last."""
         return self.state.view
 
     @property
     def members(self) -> tuple[str, ...]:
+        """The members of that view."""
         return self.state.members
 
     @property
     def leader_name(self) -> str | None:
+        """The leader that was heard last, if any."""
         return self.state.leader
 
     @property
     def log(self) -> Log:
+        """The log."""
         return self.state.log
 
     @property
     def roster(self) -> dict[str, str]:
+        """The voters by name with their addresses."""
         return self.state.roster.addresses
 
     @property
     def is_blank(self) -> bool:
+        """Whether it knows of no roster."""
         return self.state.is_blank
 
     def snapshot(self) -> tuple[int, Any]:
@@ -132,10 +139,13 @@
         return [] if event is None else [tuple_of(effect) for effect in self.handle(event, now)]
 
     def handle(self, event: events.Event, now: timedelta) -> list[Effect]:
+        """Takes an event; gives what the host must do, in order."""
         self._notice_gap(now)
         match event:
             case events.Tick(cores):
                 out = self._tick(cores, now)
+            case events.Received(sender, _, _) if sender == self.state.name:
+                return []  # its own message, sent to one that had its address before
             case events.Received(sender, address, message):
                 self.candidate.suspected.discard(sender)  # whoever speaks is not suspected any longer
                 out = self._receive(sender, address, message, now)
@@ -265,5 +275,5 @@
             case messages.ReadIndex():
                 return self.reads.on_read_index(address, message, now)
             case messages.ReadIndexAnswer():
-                return self.reads.on_answer(sender, message, now)
+                return self.reads.on_answer(sender, message)
         return []
--- a/sumachook/consensus/roster.py
+++ b/sumachook/consensus/roster.py
@@ -7,6 +7,7 @@
 
 
 def majority_of(size: int) -> int:
+    """The smallest majority of so many."""
     return size // 2 + 1
 
 
@@ -29,6 +30,7 @@
     joining: str | None = None
 
     def has_quorum(self, names: Collection[str]) -> bool:
+        """Whether these replicas are a majority, of both groups during a replacement."""
         present = set(names)
         return all(len(group & present) >= majority_of(len(group)) for group in self._groups())
 
@@ -40,6 +42,7 @@
 
     @property
     def is_joint(self) -> bool:
+        """Whether a replacement is under way."""
         return self.joining is not None
 
     @property
@@ -48,12 +51,15 @@
         return len(self.addresses) - self.is_joint
 
     def with_voter(self, name: str, address: str) -> "Roster":
+        """The roster with one more voter."""
         return Roster({**self.addresses, name: address}, self.leaving, self.joining)
 
     def replacing(self, leaving: str, joining: str, address: str) -> "Roster":
+        """The roster while one voter replaces another."""
         return Roster({**self.addresses, joining: address}, leaving, joining)
 
     def without(self, name: str) -> "Roster":
+        """The roster without this voter, and without the replacement in which it takes part."""
         rest = {other: address for other, address in self.addresses.items() if other != name}
         is_over = name in (self.leaving, self.joining)
         return Roster(rest) if is_over else Roster(rest, self.leaving, self.joining)
--- a/sumachook/consensus/state.py
+++ b/sumachook/consensus/state.py
@@ -95,19 +95,24 @@
 
     @property
     def is_blank(self) -> bool:
+        """Whether it knows of no roster."""
         return self.log.end == 0 and self.view == NO_VIEW
 
     @property
     def roster(self) -> Roster:
+        """The roster that stands at the end of the log."""
         return self.log.roster
 
     @property
     def is_voter(self) -> bool:
+        """Whether it is in its own roster."""
         return self.name in self.roster.addresses
 
     @property
     def other_voters(self) -> dict[str, str]:
-        return {name: address for name, address in self.roster.addresses.items() if name != self.name}
+        """The voters elsewhere; while this replica replaces one at its own address, that one is nowhere any more."""
+        voters = self.roster.addresses.items()
+        return {name: address for name, address in voters if name != self.name and address != self.address}
 
     @property
     def is_member(self) -> bool:
@@ -115,6 +120,7 @@
         return self.role is Role.MEMBER and self.view == self.promised
 
     def hears(self, name: str, now: timedelta, within: timedelta = SILENCE) -> bool:
+        """Whether this replica was heard lately."""
         return name in self.heard_at and now - self.heard_at[name] < within
 
     def knows_leaving(self, name: str, now: timedelta) -> bool:
@@ -122,6 +128,7 @@
         return name in self.leaving_at and now - self.leaving_at[name] < LEAVING_KNOWN_FOR
 
     def hears_no_leader(self, now: timedelta) -> bool:
+        """Whether no leader was heard for a while."""
         return now - self.leader_heard_at > SILENCE
 
     def is_forlorn(self, now: timedelta) -> bool:
@@ -129,6 +136,7 @@
         return self.role in (Role.IDLE, Role.CANVASSING) and now - self.leader_heard_at > FORLORN_AFTER
 
     def next_view(self) -> ViewId:
+        """A view with a higher number than any that is known."""
         highest = max(
             self.promised.number, self.view.number, self.candidacy.number, self.followed.number, self.highest_number
         )
@@ -142,16 +150,20 @@
         self.retry_at = now + timedelta(seconds=self.random.uniform(0.2, 0.9)) + pause
 
     def follow(self, leader: str, address: str, now: timedelta) -> None:
+        """Notes who leads."""
         self.leader, self.leader_address, self.leader_heard_at = leader, address, now
 
     def send_to_voters(self, message: Message) -> list[Effect]:
+        """The message to every other voter."""
         return [Send(address, message) for address in dict.fromkeys(self.other_voters.values())]
 
     def store(self, records: tuple[Record, ...], done: Event | None) -> Effect:
+        """Appends records to the file."""
         self.record_count += len(records)
         return Store(records, done)
 
     def rewrite(self, done: Event | None) -> Effect:
+        """Writes the whole file anew."""
         self.record_count = 0
         return Replace(whole_file(self.name, self), done)
 
@@ -164,6 +176,7 @@
         return [Restore(snapshot.number, state_of(snapshot))]
 
     def deliver(self, up_to: int) -> list[Effect]:
+        """Delivers entries up to this number, which are committed and durable."""
         out: list[Effect] = []
         while self.delivered < up_to:
             self.delivered += 1
@@ -174,6 +187,7 @@
         return out
 
     def should_compact(self) -> bool:
+        """Whether a snapshot should replace the delivered entries."""
         delivered = self.delivered - self.log.base
         if not delivered:
             return False
@@ -185,10 +199,12 @@
         return size > bound and size - self.log.bytes_after(self.delivered) > bound / 2
 
     def compact(self) -> list[Effect]:
+        """Makes a snapshot of the state, which has taken all that was delivered."""
         if not self.should_compact():
             return []
         self.log.compact(self.delivered, self.take_snapshot())
         return [self.rewrite(None)]
 
     def note(self, level: str, text: str, **details: Any) -> Effect:
+        """A line for the program's log."""
         return Note(level, text, details)
--- a/sumachook/consensus/storage.py
+++ b/sumachook/consensus/storage.py
@@ -29,6 +29,7 @@
         self.members: tuple[str, ...] = ()
 
     def replay(self, records: Iterable[Record]) -> None:
+        """Takes the records of a file in order."""
         for record in records:
             match record:
                 case ("promise", view):
@@ -58,6 +59,7 @@
 
 
 def promise_record(view: ViewId) -> Record:
+    """No lower view is promised or joined any more."""
     return ("promise", tuple(view))
 
 
--- a/sumachook/consensus/timing.py
+++ b/sumachook/consensus/timing.py
@@ -28,6 +28,7 @@
 PENALTY_FORGIVEN = timedelta(seconds=5)
 PROPOSAL_HOLD = timedelta(seconds=0.5)  # so long a change waits for the next leader
 READ_LIMIT = timedelta(seconds=0.5)
+READ_RETRY = timedelta(seconds=0.05)
 LEAVING_INTERVAL = timedelta(seconds=0.1)
 LEAVING_KNOWN_FOR = timedelta(seconds=1)
 HANDOVER_LIMIT = timedelta(seconds=0.2)  # so long a leader that leaves waits for the entries under way
--- a/sumachook/consensus/view_watch.py
+++ b/sumachook/consensus/view_watch.py
@@ -33,6 +33,7 @@
         self.progress, self.penalties = progress, penalties
 
     def tick(self, now: timedelta) -> list[Effect]:
+        """What a leader does at each tick."""
         if self.leader.is_disk_stalled(now):
             return self.leader.step_back("Own disk stalls, stepping back.", now)
         if out := self._put_out(now):
--- a/sumachook/consensus/voter.py
+++ b/sumachook/consensus/voter.py
@@ -33,6 +33,7 @@
         return [Send(address, CanvassAccepted(message.view))]
 
     def on_prepare(self, sender: str, address: str, message: Prepare, now: timedelta) -> list[Effect]:
+        """Promises the view, once that is durable, unless a higher one was promised or a lease binds this replica."""
         state, view = self.state, message.view
         if view < state.promised or (view == state.promised and state.view == view):
             return []
@@ -47,6 +48,7 @@
         return [state.store((promise_record(view),), PromiseSynced(view, address))]
 
     def on_promise_synced(self, event: PromiseSynced) -> list[Effect]:
+        """The promise is durable: tells the candidate how the own log stands."""
         state, log = self.state, self.state.log
         if event.view != state.promised:
             return []
--- a/tests/consensus_stories.py
+++ b/tests/consensus_stories.py
@@ -619,7 +619,7 @@
     town = _whole(352, seats)
     compact_after(town, 10)
     for core in town.machines("core"):
-        core.state.taken = {number: f"{Random(number).getrandbits(40000):x}" for number in range(300)}
+        core.state.requests = {f"r{n}": ("refused", (("x", f"{Random(n).getrandbits(40000):x}"),)) for n in range(300)}
     for number in range(12):
         assert _apply(town, f"more-{number}")
     log = leader(town).consensus.log
@@ -633,4 +633,4 @@
         town, lambda: _holds(town, seats) and town.boxes[lost].machine.node in leader(town).consensus.members, 3
     )
     assert took is not None
-    assert town.boxes[lost].machine.state.taken == leader(town).state.taken
+    assert town.boxes[lost].machine.state.requests == leader(town).state.requests
--- a/tests/replica_stories.py
+++ b/tests/replica_stories.py
@@ -393,3 +393,17 @@
     _receive(replica, "a", _heartbeat(10), now)
     replica.handle(events.ReadRequested("new"), now)
     assert _receive(replica, "a", messages.ReadIndexAnswer(old_read.token, 2, True), now) == []
+
+
+def test_one_that_replaces_a_voter_at_its_own_address_does_not_speak_to_itself():
+    """Given a newcomer at the address of the voter that it replaces, it can be elected: nothing of its own comes back to it."""
+    replace = pack_entry(("seat-replace", "c", "d", "c:1")).decode()
+    records = (("seat", "d"), ("view", (4, "a"), ("a", "b", "d"), 1, (FOUND, FOUNDED, replace)))
+    replica = Replica("d", "c:1", (), Random(3), dict, records, Options(), NOW)
+    out = _tick(replica, NOW + SECOND)
+    assert {effect.address for effect in out if isinstance(effect, effects.Send)} == {"a:1", "b:1"}
+    replica.candidate.start(NOW + SECOND, set())
+    sent = replica.handle(events.CandidacySynced(replica.state.candidacy), NOW + SECOND)
+    assert {effect.address for effect in sent} == {"a:1", "b:1"}
+    own = messages.Prepare(replica.state.candidacy, ("a", "b", "c", "d"), NO_VIEW)
+    assert replica.handle(events.Received("d", "c:1", own), NOW + SECOND) == [] and replica.role is Role.PREPARING
