--- a/tests/edge_cut_stories.py
+++ b/tests/edge_cut_stories.py
@@ -11,6 +11,9 @@
 SECOND, TICK = timedelta(seconds=1), 0.05
 BOUND = SECOND * 2  # from the acknowledgement to the last edge in touch
 CUT_SECONDS = 20
+CORE_FRESH = (
+    SECOND * 0.85
+)  # how old at most a core's state is that it calls fresh, with the pulse that finds the acknowledgement
 LEAVE = SECOND  # from when a core is in no working view until no edge takes changes from it
 ASKED = SECOND * 1.1  # an edge that found no other that vouches may ask it again, and waits so long for an answer
 
@@ -21,7 +24,7 @@
     def __init__(self, town):
         self.town, self.version, self.under_way, self.acked = town, 5, None, []
         self.held = {edge.node: 0 for edge in town.machines("edge")}
-        self.late, self.went_back, self.stayed = [], [], []
+        self.late, self.went_back, self.stayed, self.false_proofs = [], [], [], []
         self.core, self.fresh_at = None, town.now  # the core that is cut off, and when it was last in a working view
         self.others_fresh_since = town.now  # without a break, some other core
 
@@ -59,6 +62,9 @@
                     self.version = version
                     self.acked.append((version, now))
         for edge in self.town.machines("edge"):
+            known = edge.follower.proved_at - CORE_FRESH
+            if edge.state.version < max((version for version, at in self.acked if at < known), default=0):
+                self.false_proofs.append((edge.node, edge.follower.proved_at, now))
             if edge.follower.number < self.held[edge.node]:
                 self.went_back.append((edge.node, now))
             self.held[edge.node] = edge.follower.number
@@ -109,7 +115,7 @@
     watch._send(rest[0])  # races the heal
     town.heal()
     watch.run(6, (lone, *rest))
-    assert watch.late == watch.went_back == watch.stayed == []
+    assert watch.late == watch.went_back == watch.stayed == watch.false_proofs == []
     assert taken >= 20 and len(watch.acked) > taken, (taken, len(watch.acked))
     assert {edge.state.version for edge in town.machines("edge")} <= {watch.version, watch.version + 1}
 
@@ -138,3 +144,21 @@
     watch.held[far.node] = far.follower.number
     watch.run(8)
     assert watch.acked and watch.late == [] and watch.went_back == [] and far.state.version == watch.version
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_what_was_held_up_on_its_way_to_an_edge_makes_no_proof_newer(seed):
+    """Given links between edges and cores that hold for a second what is sent and deliver it late, over and over, with changes all the
+    while: what an edge takes for proved, it holds; no edge goes back; and once links are whole, it obeys in time."""
+    town = _town(470 + seed, edges=4)
+    watch, cores = _Watch(town), ("core-1", "core-2", "core-3")
+    for turn in range(12):
+        edge = f"edge-{turn % 4 + 1}"
+        core = next(box.name for box in town.boxes.values() if box.address == town.boxes[edge].machine.follower.core)
+        links = town.cut([core], [edge], one_way=turn % 3 == 0, holds=True)
+        watch.run(0.6 + 0.3 * (turn % 3), cores)
+        town.heal(links)
+        watch.run(0.4, cores)
+    watch.acked.clear()
+    watch.run(3, cores)
+    assert watch.false_proofs == watch.went_back == watch.late == [] and len(watch.acked) > 10
