Check of changes: the operator's document stays as it came; true in the place of one is seen

The breach that takes equal values of other types for unchanged was not seen: the revision put standing items into the list that it was given, and the stories compared with that list afterwards. A story over links between cores that deliver late: what an edge takes for proved, it holds.

--- a/sumachook/catalog/checked_document.py
+++ b/sumachook/catalog/checked_document.py
@@ -180,7 +180,7 @@
         raise _UnprovenError
     count = len(held.documents)
     differing = [*_differing_places(wanted, held.documents), *range(count, len(wanted))]
-    documents = wanted if isinstance(wanted, list) else list(wanted)
+    documents = list(wanted)
     values = list(held.values[: len(wanted)])
     values += [None] * (len(wanted) - len(values))
     changes = []
--- a/tests/checked_document_stories.py
+++ b/tests/checked_document_stories.py
@@ -187,9 +187,10 @@
             wanted = _copy(wanted)
             if isinstance(wanted.get(ROUTES), list) and data.draw(draw.booleans()):
                 wanted[ROUTES] = data.draw(draw.permutations(wanted[ROUTES]))
-        held = copy.deepcopy(base)
+        held, asked = copy.deepcopy(base), _copy(wanted)
         revised, faults = revise_document(base, wanted)
         assert base == held, "the document in force was changed"
+        assert _copy(wanted) == asked, "the operator's document was changed"
         assert (read_catalogue(_copy(wanted)), faults) == ((revised and revised.catalogue, faults), faults)
         if revised is not None:
             again, _ = check_document(_copy(wanted))
@@ -258,6 +259,15 @@
         assert revise_document(base, wanted) == (None, read_catalogue(wanted)[1]) and read_catalogue(wanted)[1]
 
 
+def test_true_in_the_place_of_one_is_refused_as_by_the_whole_check():
+    """Given a standing route with one try, the same with true for it is refused; with 1.0, which counts as a whole number, it is taken."""
+    base, _ = check_document(whole(1, 5) | {ROUTES: [route(0), route(1, tries=1)]})
+    for tries in (True, 1.0):
+        wanted = replace_in(base, {ROUTES: [route(1, tries=tries)]}, {})
+        assert revise_document(base, wanted)[1] == read_catalogue(wanted)[1]
+    assert read_catalogue(replace_in(base, {ROUTES: [route(1, tries=True)]}, {}))[1] != ()
+
+
 def test_two_routes_may_exchange_what_they_match():
     """Given two routes that exchange their prefixes in one change, it is valid, and the table follows."""
     base, _ = check_document(whole(1, 5))
--- a/tests/edge_cut_stories.py
+++ b/tests/edge_cut_stories.py
@@ -162,3 +162,19 @@
     watch.acked.clear()
     watch.run(3, cores)
     assert watch.false_proofs == watch.went_back == watch.late == [] and len(watch.acked) > 10
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_cores_that_are_cut_off_by_links_that_deliver_late_prove_nothing_to_edges(seed):
+    """Given a core behind links to the others that hold for a second and more, over and over, with changes all the while and edges that reach
+    all: what an edge takes for proved, it holds, whichever core it follows, and no edge goes back."""
+    town = _town(480 + seed, edges=4)
+    watch, cores = _Watch(town), ["core-1", "core-2", "core-3"]
+    for turn in range(8):
+        lone = cores[turn % 3] if turn % 2 else box_of(town, leader(town)).name if leader(town) else cores[0]
+        rest = [core for core in cores if core != lone]
+        links = town.cut([lone], rest, one_way=turn % 4 == 3, holds=True)
+        watch.run(1.0 + 0.4 * (turn % 3), rest)
+        town.heal(links)
+        watch.run(1.5, cores)
+    assert watch.false_proofs == watch.went_back == [] and len(watch.acked) > 10
