A whole configuration is ordered as its difference from the one in force

The core that takes it makes the difference (State.claim_of); at delivery it is applied to the document in force and counts only if what comes of it has the digest that the entry names; otherwise the verdict is unclear, and the next sending is made anew.

tests/difference_stories.py: a property over sequences of wholes, ordered as differences and as wholes, with the same verdicts, reasons and state; spoiled differences; a fleet. The fleet's story found that a list and a tuple of the same items counted as different in the check.

--- a/sumachook/catalog/checked_document.py
+++ b/sumachook/catalog/checked_document.py
@@ -212,8 +212,8 @@
 
 
 def _is_same_text(one: Any, other: Any) -> bool:
-    """Equal as JSON texts: 1, 1.0 and true are equal values but are not the same to a check."""
-    return one == other and msgspec.json.encode(one) == msgspec.json.encode(other)
+    """Equal as JSON texts: 1, 1.0 and true are equal values but not the same to a check; a list and a tuple are the same."""
+    return msgspec.json.encode(one) == msgspec.json.encode(other)
 
 
 def _revise_names(held: NamedItems, values: list, differing: list[int]) -> dict[str, int]:
--- a/sumachook/catalog/state.py
+++ b/sumachook/catalog/state.py
@@ -5,6 +5,13 @@
 from sumachook.catalog import faults
 from sumachook.catalog.catalogue import merge
 from sumachook.catalog.checked_document import replace_in, revise_document
+from sumachook.catalog.difference import (
+    DifferenceError,
+    apply_difference,
+    difference_between,
+    document_digest,
+    is_worthwhile,
+)
 from sumachook.catalog.orders import (
     MOST_FAULTS,
     OK,
@@ -178,7 +185,11 @@
         if verdict := self._verdict(content, base, version):
             return verdict
         wanted, found = self._wanted(doc, removals, is_part, defaults)
-        result = self._put(wanted) if not found else (REFUSED, found)
+        return (REFUSED, found) if found else self._take(wanted, content, version)
+
+    def _take(self, wanted, content, version):
+        """Puts a whole into force, if it is valid, and remembers its order."""
+        result = self._put(wanted)
         if result[0] == OK:
             self.taken.record(version, content)
             self.version_at = self.number
@@ -192,14 +203,41 @@
         return verdict or (UNCLEAR, (("version", "its base came into force meanwhile"),))
 
     def claim_of(self, change: tuple) -> tuple:
-        """What is to be ordered for a configuration: itself, or a claim where its verdict needs no more than the digest."""
+        """What is to be ordered for a configuration: a claim where its verdict needs no more than the digest, the difference from the
+        one in force where that is shorter, or itself."""
         _, request, doc, removals, is_part, base, *rest = change
         content, version = digest_of_configuration(doc, removals, is_part, base), version_of(doc)
         if base != self.version or self.taken.knows(version, content):
             return ("claim", request, content, base, version, ())
         wanted, found = self._wanted(doc, removals, is_part, *rest)
-        found = found or revise_document(self.checked, wanted)[1]
-        return ("claim", request, content, base, version, found[:MOST_FAULTS]) if found else change
+        checked = None
+        if not found:
+            checked, found = revise_document(self.checked, wanted)
+        if checked is None:
+            return ("claim", request, content, base, version, found[:MOST_FAULTS])
+        return change if is_part else self._shortened(change, content, checked)
+
+    def _shortened(self, change, content, wanted):
+        """A whole configuration as its difference from the one in force, where that is shorter by half."""
+        _, request, doc, _, _, base, *_ = change
+        if self.checked is None:
+            return change
+        difference = difference_between(self.checked, wanted)
+        if not is_worthwhile(difference, doc):
+            return change
+        return ("revise", request, content, base, version_of(doc), difference, document_digest(wanted.document))
+
+    def _revise(self, request, content, base, version, difference, result_digest):
+        """A whole configuration by its difference from the one of version `base`; what comes of it has to be what its core meant."""
+        if verdict := self._verdict(content, base, version):
+            return verdict
+        try:
+            wanted = apply_difference(self.checked, difference)
+        except DifferenceError as error:
+            return (UNCLEAR, (("$", f"not a difference from the version in force: {error}"),))
+        if document_digest(wanted) != result_digest:
+            return (UNCLEAR, (("$", "not a difference from the document in force"),))
+        return self._take(wanted, content, version)
 
     def _verdict(self, content, base, version):
         """What the versions alone decide of a configuration, or None."""
--- /dev/null
+++ b/tests/difference_stories.py
@@ -0,0 +1,151 @@
+"""A whole configuration that differs little goes into log and feed as its difference (§5.2)."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as draw
+
+from sumachook.catalog.orders import MOST_FAULTS, OK, STALE, UNCLEAR
+from sumachook.catalog.state import State
+from sumachook.transport.codec import pack_entry, read_entry
+from tests.configure_stories import _configure, _town
+from tests.service_catalogue_stories import route, whole
+
+
+def _state(routes=200):
+    state = State()
+    assert state.apply(1, ("configure", "q1", whole(1, routes), {}, False, 0))[0] == OK
+    return state
+
+
+def _logged(change):
+    """The change as another node reads it from its log."""
+    return read_entry(pack_entry(change))
+
+
+def _changed(document, version, **more):
+    """The whole as an operator sends it, with one route altered."""
+    document = msgspec.json.decode(msgspec.json.encode(document)) | {"version": version}
+    document["httpRoutes"][version % len(document["httpRoutes"])] |= more
+    return document
+
+
+def _plain(document):
+    return msgspec.json.decode(msgspec.json.encode(document))
+
+
+def test_a_whole_is_ordered_as_its_difference_and_comes_to_the_same():
+    """Given a whole that alters one route of 200, the entry is a difference of a hundredth of it, known again when it is resent whole."""
+    state, other = _state(), _state()
+    wanted = _changed(state.doc, 2, timeoutMs=77)
+    change = ("configure", "q2", wanted, {}, False, 1)
+    entry = state.claim_of(change)
+    assert entry[0] == "revise" and len(pack_entry(entry)) * 100 < len(pack_entry(change)) * 3
+    assert state.apply(2, _logged(entry))[0] == other.apply(2, _logged(change))[0] == OK
+    assert _plain(state.doc) == _plain(other.doc) == wanted and state.catalogue == other.catalogue
+    assert _plain(state.image()) == _plain(other.image())
+    again = state.claim_of(("configure", "q9", wanted, {}, False, 1))
+    assert again[0] == "claim" and state.apply(3, _logged(again))[0] == OK and state.generation == 2
+
+
+def test_a_whole_that_differs_much_or_a_first_one_is_ordered_as_it_is():
+    """Given no configuration in force, or one of which nothing stays, the change is ordered itself."""
+    first = ("configure", "q", whole(1, 3), {}, False, 0)
+    assert State().claim_of(first) is first
+    other = whole(2, 0) | {"httpRoutes": [route(number, timeoutMs=9) for number in range(300, 320)]}
+    change = ("configure", "q", other, {}, False, 1)
+    assert _state(5).claim_of(change) is change
+
+
+@pytest.mark.parametrize("bent", ("base document", "digest", "runs"))
+def test_a_difference_that_does_not_come_to_the_same_changes_nothing(bent):
+    """Given a difference whose base was changed under the same version, or that is spoiled, it is neither taken nor refused."""
+    state = _state()
+    entry = state.claim_of(("configure", "q2", _changed(state.doc, 2, timeoutMs=77), {}, False, 1))
+    if bent == "base document":  # by an order that gives no version
+        assert state.apply(2, ("apply", "r", {"httpRoutes": [route(5, timeoutMs=9)]}, True, None))[0] == OK
+    elif bent == "digest":
+        entry = (*entry[:-1], "0" * 64)
+    else:
+        entry = (*entry[:-2], entry[-2] | {"lists": {"httpRoutes": [[0, 999]]}}, entry[-1])
+    before, generation = _plain(state.doc), state.generation
+    assert state.apply(3, _logged(entry))[0] == UNCLEAR
+    assert _plain(state.doc) == before and state.generation == generation and not state.taken.knows(2, entry[2])
+    assert state.claim_of(("configure", "q3", _changed(state.doc, 2, timeoutMs=77), {}, False, 1))[0] == "revise"
+
+
+def test_of_two_on_one_base_the_second_is_stale():
+    """Given two wholes on one base, made into differences at two cores, the first that is delivered counts."""
+    state = _state()
+    first = state.claim_of(("configure", "a", _changed(state.doc, 2, timeoutMs=77), {}, False, 1))
+    second = state.claim_of(("configure", "b", _changed(state.doc, 3, timeoutMs=78), {}, False, 1))
+    assert state.apply(2, _logged(first))[0] == OK and state.apply(3, _logged(second))[0] == STALE
+    assert state.version == 2
+
+
+STEPS = draw.lists(
+    draw.tuples(
+        draw.integers(0, 11),
+        draw.sampled_from(
+            ({"timeoutMs": 5}, {"timeoutMs": 5.0}, {"timeoutMs": 0}, {"prefix": "/p3/"}, {"host": "other"})
+        ),
+        draw.sampled_from(("alter", "drop", "add", "reverse")),
+        draw.booleans(),
+    ),
+    max_size=8,
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(STEPS)
+def test_any_sequence_of_wholes_ends_alike_by_differences_and_by_wholes(steps):
+    """Given wholes of every kind, some refused, what is ordered in their place gives each node the verdict, reasons and state of the whole."""
+    state, other, number = _state(12), _state(12), 1
+    for place, more, kind, is_far in steps:
+        number += 1
+        wanted = _plain(state.doc) | {"version": number}
+        routes = wanted["httpRoutes"]
+        if kind == "add":
+            routes.append(route(40 + number, **more))
+        elif kind == "drop" and routes:
+            del routes[place % len(routes)]
+        elif kind == "reverse":
+            routes.reverse()
+        elif routes:
+            routes[place % len(routes)] |= more
+        base = state.version + (5 if is_far else 0)
+        change = ("configure", f"q{number}", wanted, {}, False, base)
+        entry = state.claim_of(change)
+        result, expected = state.apply(number, _logged(entry)), other.apply(number, _logged(change))
+        assert (result[0], result[1] if result[0] == OK else result[1][:MOST_FAULTS]) == (
+            expected[0],
+            expected[1] if expected[0] == OK else expected[1][:MOST_FAULTS],
+        )
+        assert _plain(state.image()) == _plain(other.image()) and state.catalogue == other.catalogue
+
+
+def test_a_fleet_logs_and_feeds_the_difference():
+    """Given a whole of 1,500 routes sent again with one altered, at each core in turn, no core keeps more than 2 kB for each,
+    and all edges have it; after a kill of all cores and edges the last one stands."""
+    town = _town(520)
+    document = whole(6, 1500)
+    assert _configure(town, "core-1", "whole", document, 5)[0] == 200
+    sizes = {core.node: core.source.size for core in town.machines("core")}
+    for place, core in enumerate(("core-1", "core-2", "core-3")):
+        document = _changed(document, 7 + place, timeoutMs=70 + place)
+        status, answer = _configure(town, core, f"q{place}", document, 6 + place)
+        assert status == 200 and answer["version"] == 7 + place
+    town.run(1)
+    assert {core.state.version for core in town.machines("core")} == {9}
+    for core in town.machines("core"):
+        assert core.source.size - sizes[core.node] < 6000
+    assert {msgspec.json.encode(edge.state.doc, order="sorted") for edge in town.machines("edge")} == {
+        msgspec.json.encode(document, order="sorted")
+    }
+    for box in [box.name for box in town.boxes.values() if box.role in ("core", "edge")]:
+        town.kill(box)
+        town.start(box)
+    assert town.run_until(lambda: {core.state.version for core in town.machines("core")} == {9}, 10)
+    assert {msgspec.json.encode(core.state.doc, order="sorted") for core in town.machines("core")} == {
+        msgspec.json.encode(document, order="sorted")
+    }
