--- a/harness/breaches.py
+++ b/harness/breaches.py
@@ -756,8 +756,8 @@
     (
         "MIXED",
         "bodies of servers are unpacked on their way",
-        "auto_decompress=False, cookie_jar",
-        "auto_decompress=True, cookie_jar",
+        "auto_decompress=False",
+        "auto_decompress=True",
         FORWARD,
         "packed_body",
     ),
@@ -1326,8 +1326,8 @@
     (
         "BUDGET",
         "a request goes to any number of servers",
-        "return usable if len(row.sent_to) < row.route.tries else",
-        "return usable if True else",
+        "if len(row.sent_to) < row.route.tries:\n        return usable",
+        "if True:\n        return usable",
         TRANSIT,
         "at_no_more_servers",
     ),
@@ -1366,7 +1366,7 @@
     (
         "HELD",
         "a silent server is left for none",
-        "not self.choose.has_other(row, now) or ",
+        "            or not self.choose.has_other(row, now)\n",
         "",
         TRANSIT,
         "silent_server",
@@ -1374,8 +1374,8 @@
     (
         "HELD",
         "a silent server is left when no try is left",
-        "not self.resend.is_able(row) or ",
-        "",
+        "            not self.resend.is_able(row)\n            or not self.choose",
+        "            not self.choose",
         TRANSIT,
         "last_resume",
     ),
--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -149,11 +149,9 @@
 
 def _allowed(row, usable):
     """As many servers as the route allows: then only those that it went to (§16.5)."""
-    return (
-        usable
-        if len(row.sent_to) < row.route.tries
-        else [(name, server) for name, server in usable if name in row.sent_to]
-    )
+    if len(row.sent_to) < row.route.tries:
+        return usable
+    return [(name, server) for name, server in usable if name in row.sent_to]
 
 
 def _last(row):
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -49,9 +49,7 @@
             row.last_event_id,
         )
         url = f"http://{server['address']}{row.path}"
-        is_kept = row.may_repeat and bool(
-            row.request.request_id
-        )  # its id tells its answer from one that comes late (§16.5)
+        is_kept = row.may_repeat and bool(row.request.request_id)  # the id tells its answer from a late one (§16.5)
         return [("forward", row.tid, row.method, url, headers, row.body, min(CONNECT, left), left, is_kept)]
 
     def _host(self, row):
--- a/sumachook/transport/forwarder.py
+++ b/sumachook/transport/forwarder.py
@@ -30,8 +30,10 @@
 
 def _has_end(answer) -> bool:
     """Whether its end can be told from a cut: a body that only the connection's end closes may be any part of the whole."""
-    is_chunked = answer.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
-    return is_chunked or "Content-Length" in answer.headers or answer.method == "HEAD" or answer.status in BODILESS
+    if answer.method == "HEAD" or answer.status in BODILESS:
+        return True
+    codings = [coding.lower() for coding in answer.headers.getall("Transfer-Encoding", ())]
+    return codings == ["chunked"] if codings else "Content-Length" in answer.headers
 
 
 def _is_passable(answer) -> bool:
--- a/tests/forward_stories.py
+++ b/tests/forward_stories.py
@@ -520,6 +520,14 @@
     writer.write(b"HTTP/1.1 404 None\r\nX-Request-Id: %s\r\nX-Server-Seal: s\r\n\r\nhalf" % request.id.encode())
 
 
+async def _unknown_coding(server, request, reader, writer):
+    writer.write(chunked(request).replace(b": chunked", b": xchunked") + chunk(b"half") + b"0\r\n\r\n")
+
+
+async def _two_codings(server, request, reader, writer):
+    writer.write(chunked(request, b"Transfer-Encoding: gzip\r\n") + chunk(b"half") + b"0\r\n\r\n")
+
+
 async def _two_lengths(server, request, reader, writer):
     writer.write(sealed(request, b"half", b"Content-Length: 9\r\n"))
 
@@ -564,6 +572,8 @@
     _seal_is_no_text,
     _stream_of_no_known_end,
     _no_end_of_a_failure,
+    _unknown_coding,
+    _two_codings,
     _short_length,
     _short_chunks,
     _torn_chunk,
