Feed: an edge that finds no core asks the next after 0.6 s at most

It waited up to 1 s after several that did not answer, so that one whose links healed came back later than before the feed by questions (0.5 s). Not measured again with this change.

--- a/sumachook/changefeed/follower.py
+++ b/sumachook/changefeed/follower.py
@@ -46,7 +46,7 @@
     heard = Rising("_heard")
     SILENCE = timedelta(seconds=1)  # without a proof for so long, another core is asked
     ANSWER = timedelta(seconds=0.4)  # a fresh core that is asked answers at once
-    MOST_PATIENCE = 2.5
+    MOST_PATIENCE = 1.5
     BEHIND = timedelta(seconds=0.5)  # others hold changes that our core does not give us
     CUT_AFTER = timedelta(seconds=3)
     LATE_PULSE = timedelta(seconds=1)
--- a/tests/feed_stories.py
+++ b/tests/feed_stories.py
@@ -267,7 +267,7 @@
     follower, cores = _follower(), _Cores(_follower())
     cores.follower, cores.silent = follower, set(cores.cores)
     cores.run(timedelta(0), 8)
-    assert {address for address, _ in cores.told} == set(cores.cores) and 6 <= len(cores.told) <= 12
+    assert {address for address, _ in cores.told} == set(cores.cores) and 12 <= len(cores.told) <= 15
 
 
 @pytest.mark.parametrize("seed", range(6))
