--- a/harness/breaches.py
+++ b/harness/breaches.py
@@ -1167,7 +1167,7 @@
         '"duties": dict(self.duties)',
         '"duties": self.duties',
         "sumachook/catalog",
-        "does_not_change",
+        "image_is_of_its_moment",
     ),
     ("LOST", "a shut front lets in", "if table.is_shut:", "if False:", LEAVING, "once_the_front_is_shut"),
     (
