Orders: an evacuation is not proposed after its caller may have gone on to another core

Found by the model (overtaken, walk 175 of three cores): an order to evacuate waited up to two seconds at a core without a view for a read that came back; its caller had gone on after a second of silence, was acknowledged elsewhere and had the order taken back, and the late read gave the old call a 'seen' above that. A turn of an area is now read for again only where the read is back within the caller's second, and one whose read comes later is answered as unclear. Two stories, seen failing first.

--- a/sumachook/nodes/desk.py
+++ b/sumachook/nodes/desk.py
@@ -10,6 +10,9 @@
 STATUS = {orders.OK: 200, orders.REFUSED: 422, orders.STALE: 409}
 RESEND = timedelta(seconds=0.4)
 READ_AGAIN, TIME_TO_WAIT = timedelta(seconds=0.2), timedelta(seconds=2)
+CALLER_WAITS = timedelta(seconds=1)  # after so much silence a caller sends its order to another core
+READ_TAKES = timedelta(seconds=0.5)  # at most
+TURNS = ("evacuate", "restore")  # orders that a later one takes back
 MOST_ORDERS = 128
 RETRY_AFTER_UNCLEAR = 0.2
 
@@ -73,9 +76,15 @@
 
     def read_again(self, order: Order, now) -> bool:
         """Whether it waits for the next leader; not where its caller would do better to ask another core."""
-        order.read_at = now + READ_AGAIN if order.answer_by - now > TIME_TO_WAIT else None
+        has_time = order.answer_by - now > TIME_TO_WAIT
+        may_wait = order.change[0] not in TURNS or not self._is_late(order, now + READ_AGAIN + READ_TAKES)
+        order.read_at = now + READ_AGAIN if has_time and may_wait else None
         return order.read_at is not None
 
+    def _is_late(self, order: Order, now) -> bool:
+        """Whether its caller may have been answered elsewhere by now, and may have ordered the opposite since."""
+        return order.change[0] in TURNS and now - order.started_at > CALLER_WAITS
+
     def remove(self, order: Order):
         self.orders.pop(order.number, None)
 
@@ -91,6 +100,9 @@
         order = self.order_of(token)
         if order is None:
             return
+        if self._is_late(order, now):
+            order.answer_by = now
+            return
         order.seen = self.state.number
         order.entry = ("order", *Attempt(self.origin, order.number, order.seen), self._content(order.change))
         order.propose_at = (
--- a/tests/order_stories.py
+++ b/tests/order_stories.py
@@ -534,3 +534,29 @@
     """Given eight operators, half of their answers lost, and kills around answers and requests, nobody is told what is not so."""
     _, sent, acknowledged, _, faults = play(seed, 16.0)
     assert faults == [] and sent > 3 and acknowledged > 1
+
+
+def test_a_turn_whose_read_came_back_after_its_caller_went_on_is_not_proposed():
+    """Given an evacuation at a core without a view, and a caller that after a second of silence was served elsewhere and took it back:
+    the read that comes back then does not let the evacuation out any more; a configuration, whose base decides, may go."""
+    second = timedelta(seconds=1)
+    for change, is_proposed in (
+        (("evacuate", "", "hall"), False),
+        (("configure", "", {"version": 1}, {}, False, 0), True),
+    ):
+        desk = Desk("core-1", State())
+        desk.accept("caller", change, second)
+        (order,) = desk.orders.values()
+        desk.readable(desk.token(order), second * 2.1)
+        out = desk.pulse((), {}, second * 2.2)
+        assert any(effect[0] == "propose" for effect in out) == is_proposed
+        assert any(effect[0] == "reply" and effect[2] == 503 for effect in out) != is_proposed
+
+
+def test_a_turn_waits_for_the_next_leader_no_longer_than_its_caller():
+    """Given a core without a view, an evacuation is read for again only where the read is back within its caller's second."""
+    second = timedelta(seconds=1)
+    desk = Desk("core-1", State())
+    desk.accept("caller", ("evacuate", "", "hall"), second)
+    (order,) = desk.orders.values()
+    assert desk.read_again(order, second * 1.2) and not desk.read_again(order, second * 1.4)
