--- /dev/null
+++ b/harness/replacements.py
@@ -0,0 +1,88 @@
+"""python -m harness.replacements: how long the control side takes to detect a loss, learn and agree, in virtual time.
+
+For three and five seats, the leader lost or another, an empty disk at the old address (started 0.3 s after the loss), a new machine
+elsewhere (started 0.3 s after the loss; a seat may be away for 1.5 s) and a planned leave with a newcomer that stands ready; with a small
+state and with one of 3 MB that stands in snapshots.
+"""
+
+import argparse
+from random import Random
+
+from tests.consensus_stories import _add, _apply, _cores, _holds, _time, _town, _wipe
+from tests.scene import box_of, compact_after, leader
+
+LIMIT = 10
+LARGE = 300  # results of 10 KB
+
+
+def _fleet(seed, seats, is_large):
+    town = _town(seed, seats)
+    for number in range(4, seats + 1):
+        _add(town, number)
+    assert town.run_until(lambda: _holds(town, seats), 8)
+    if is_large:
+        compact_after(town, 10)
+        for core in town.machines("core"):
+            core.state.requests = {
+                f"r{number}": ("refused", (("x", f"{Random(number).getrandbits(40000):x}"),)) for number in range(LARGE)
+            }
+        for number in range(12):
+            _apply(town, f"more-{number}")
+    return town
+
+
+def _full(town, seats, node):
+    return _holds(town, seats) and node in leader(town).consensus.members
+
+
+def _replaced(town, seats, lost, how):
+    """Seconds from the start of what replaces it until it is a full seat; of a planned leave until the process ends and all is whole."""
+    if how == "empty disk":
+        _wipe(town, lost)
+        town.run(0.3)
+        town.start(lost)
+        node = town.boxes[lost].machine.node
+    elif how == "new machine":
+        town.vanish(lost)
+        town.run(0.3)
+        node = _add(town, 20).machine.node
+    else:
+        node = _add(town, 20).machine.node
+        town.run(3)
+        town.stop(lost)
+    return _time(
+        town, lambda: _full(town, seats, node) and (how != "planned" or town.boxes[lost].machine is None), LIMIT
+    )
+
+
+def measure(seats, is_large, is_leader, how, seeds):
+    """The seconds of each seed; None where it took longer than the limit."""
+    found = []
+    for seed in seeds:
+        town = _fleet(seed, seats, is_large)
+        head = box_of(town, leader(town)).name
+        lost = head if is_leader else next(box.name for box in _cores(town) if box.name != head)
+        found.append(_replaced(town, seats, lost, how))
+    return found
+
+
+def main():
+    """Prints the table."""
+    parser = argparse.ArgumentParser(prog="python -m harness.replacements", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5, choices=range(1, 101), metavar="N", help="runs of each kind")
+    given = parser.parse_args()
+    print("| seats | state | lost | how | median s | worst s |\n|---|---|---|---|---|---|")
+    for seats in (3, 5):
+        for is_large in (False, True):
+            for is_leader in (True, False):
+                for how in ("empty disk", "new machine", "planned"):
+                    found = measure(seats, is_large, is_leader, how, range(400, 400 + given.seeds))
+                    times = sorted(LIMIT if took is None else took for took in found)
+                    words = (
+                        f"{seats} | {'3 MB' if is_large else 'small'} | {'leader' if is_leader else 'member'} | {how}"
+                    )
+                    print(f"| {words} | {times[len(times) // 2]:.2f} | {times[-1]:.2f} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/replica_stories.py
+++ b/tests/replica_stories.py
@@ -88,9 +88,9 @@
     """Given a candidate with the longer log and a voter with the higher view, the voter is asked to take over."""
     replica, later = _member(), NOW + SECOND
     _tick(replica, later)
+    replica.log.extend([b'["x"]', b'["y"]'])
     replica.candidate.start(later, set())
     replica.handle(events.CandidacySynced(replica.state.candidacy), later)
-    replica.log.extend([b'["x"]', b'["y"]'])
     newer = messages.Promise(replica.state.candidacy, ViewId(4, "b"), 0, 3, b"12345678", 1)
     _receive(replica, "b", newer, later)
     out = _tick(replica, later + GATHER)
@@ -407,3 +407,56 @@
     assert {effect.address for effect in sent} == {"a:1", "b:1"}
     own = messages.Prepare(replica.state.candidacy, ("a", "b", "c", "d"), NO_VIEW)
     assert replica.handle(events.Received("d", "c:1", own), NOW + SECOND) == [] and replica.role is Role.PREPARING
+
+
+# votes, the commit rule and the roster
+
+
+def test_a_candidate_with_a_worse_log_is_not_accepted():
+    later = NOW + LEASE_GUARD * 2
+    for installed, end, is_accepted in ((VIEW, 2, True), (VIEW, 1, False), (OLD, 9, False), (ViewId(5, "b"), 1, True)):
+        replica = _member()
+        _tick(replica, later)
+        out = _receive(replica, "b", messages.Canvass(ViewId(9, "b"), installed, end), later)
+        assert bool(_sent(out, messages.CanvassAccepted)) == is_accepted, (installed, end)
+
+
+def _propose(leader, change, now=NOW):
+    (store,) = _stores(leader.handle(events.ProposalMade(change), now))
+    leader.handle(store.done, now)
+
+
+def _appended(leader, sender, address, end, now=NOW):
+    message = messages.Appended(leader.view, end)
+    return leader.handle(events.Received(sender, address, message), now)
+
+
+def test_a_change_of_the_roster_is_committed_by_a_quorum_of_the_roster_that_it_makes():
+    """Given a view of two of three and a fourth voter, all members are not enough: three of the four must have synced it."""
+    leader = _leader()
+    _propose(leader, ("seat-in", "d", "d:1"))
+    _appended(leader, "b", "b:1", 3)
+    assert leader.state.committed == 2
+    _appended(leader, "d", "d:1", 3)
+    assert leader.state.committed == 3
+
+
+def test_one_that_is_replaced_stays_a_voter_until_the_other_is_in_the_view():
+    leader = _leader()
+    _propose(leader, ("seat-replace", "a", "d", "d:1"))
+    _appended(leader, "b", "b:1", 3)
+    assert leader.state.committed == 3 and set(leader.roster) == {"a", "b", "c", "d"}
+    for step in range(1, 6):
+        leader.state.heard_at |= dict.fromkeys("bd", NOW + SECOND * step / 20)
+        _tick(leader, NOW + SECOND * step / 20)
+    assert set(leader.roster) == {"a", "b", "c", "d"} and leader.log.end == 3
+
+
+def test_a_leader_without_a_lease_answers_no_read_of_a_member():
+    leader = _leader()
+    (answer,) = _sent(_receive(leader, "b", messages.ReadIndex(7)), messages.ReadIndexAnswer)
+    assert not answer.is_valid
+    number, sent_at = _next_round(leader, NOW)
+    _ack(leader, "b", number, sent_at)
+    (answer,) = _sent(_receive(leader, "b", messages.ReadIndex(8), sent_at), messages.ReadIndexAnswer)
+    assert answer.is_valid and answer.committed == 2
