--- a/sumachook/transport/http_caller.py
+++ b/sumachook/transport/http_caller.py
@@ -94,9 +94,8 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             **options,
         )
-        session._retry_connection = (
-            False  # aiohttp would send GET, PUT and their like a second time, unseen, also on a fresh connection
-        )
+        # aiohttp would send GET, PUT and their like a second time, unseen, also on a fresh connection
+        session._retry_connection = False
         return session
 
     async def _note_created(self, session: aiohttp.ClientSession, context: Any, params: Any) -> None:
