Consensus: after a start of all voters a view stands at once, not after the lease guard

Cause: a replica that was just started may have acknowledged a round before, so it promised nothing for 0.8 s. Change: where every voter has accepted the canvass none of them leads, and no lease from before a start stands. A voter that is bound from before its start alone says so with the number of its run, and promises to who names that run; one that has acknowledged anything since, or was started again, doesn't. Answers bring back the canvass's token, so that none of an earlier canvass counts.

--- a/sumachook/consensus/candidate.py
+++ b/sumachook/consensus/candidate.py
@@ -8,7 +8,7 @@
 from sumachook.consensus.events import CandidacySynced
 from sumachook.consensus.messages import Canvass, CanvassAccepted, Prepare, Promise, TakeOver
 from sumachook.consensus.penalties import Penalties
-from sumachook.consensus.state import ReplicaState
+from sumachook.consensus.state import NONCE_BITS, ReplicaState
 from sumachook.consensus.storage import Record, promise_record
 from sumachook.consensus.timing import CANVASS_INTERVAL, CHUNK_BYTES, GATHER, PREPARE_INTERVAL, PREPARE_LIMIT
 from sumachook.consensus.views import NO_VIEW, Role, ViewId
@@ -25,6 +25,9 @@
         "penalties",
         "installer",
         "accepted",
+        "starts",
+        "token",
+        "is_unanimous",
         "canvassed_at",
         "promises",
         "suspected",
@@ -38,6 +41,8 @@
         self.state, self.penalties = state, penalties
         self.installer: Installer
         self.accepted: set[str] = set()
+        self.starts: dict[str, int] = {}  # the runs of those that accepted, but may be bound from before their start
+        self.token, self.is_unanimous = 0, False
         self.promises: dict[str, Promise] = {}
         self.suspected: set[str] = set()
         self.released: ViewId = NO_VIEW
@@ -56,7 +61,7 @@
         if now < state.retry_at or state.is_leaving:
             return []
         state.role, state.candidacy = Role.CANVASSING, state.next_view()
-        self.accepted = set()
+        self.accepted, self.starts, self.token = set(), {}, state.random.getrandbits(NONCE_BITS)
         self.suspected = {state.leader} - {None, state.name}  # type: ignore[assignment]
         for name in self.suspected:
             state.heard_at[name] = state.leader_heard_at
@@ -64,29 +69,48 @@
 
     def _canvass(self, now: timedelta) -> list[Effect]:
         state, self.canvassed_at = self.state, now
-        return state.send_to_voters(Canvass(state.candidacy, state.view, state.log.end))
+        return state.send_to_voters(Canvass(state.candidacy, state.view, state.log.end, self.token))
 
     def on_canvass_accepted(self, sender: str, message: CanvassAccepted, now: timedelta) -> list[Effect]:
         """Goes on to collect promises once a quorum has accepted and no lease binds this replica."""
         state = self.state
         if state.role is not Role.CANVASSING or message.view != state.candidacy or not state.hears_no_leader(now):
             return []
-        self.accepted.add(sender)
+        if message.token != self.token:
+            return []
+        self.starts.pop(sender, None)
+        if message.start:
+            self.starts[sender] = message.start
+        else:
+            self.accepted.add(sender)
+        if self._has_all(now):
+            return self.start(now, self.suspected, is_unanimous=True)
         is_free = state.guard.permits(state.name, NO_VIEW, now)
         if not is_free or not state.roster.has_quorum({state.name, *self.accepted}):
             return []
         return self.start(now, self.suspected)
 
+    def _has_all(self, now: timedelta) -> bool:
+        """Whether every voter has accepted: none of them leads, so no lease from before a start stands (§4.3)."""
+        guard = self.state.guard
+        is_free = guard.permits(self.state.name, NO_VIEW, now, guard.run)
+        return is_free and set(self.state.other_voters) <= self.accepted | set(self.starts)
+
     # collecting promises
 
     def start(
-        self, now: timedelta, suspected: set[str], first_record: Record | None = None, released: ViewId = NO_VIEW
+        self,
+        now: timedelta,
+        suspected: set[str],
+        first_record: Record | None = None,
+        released: ViewId = NO_VIEW,
+        is_unanimous: bool = False,
     ) -> list[Effect]:
         """Draws a higher view number and promises it to itself first."""
         state = self.state
         state.role, self.started_at, self.majority_at, self.promises = Role.PREPARING, now, None, {}
         state.candidacy = state.promised = state.next_view()
-        self.suspected, self.released = set(suspected), released
+        self.suspected, self.released, self.is_unanimous = set(suspected), released, is_unanimous
         records = ((first_record,) if first_record else ()) + (promise_record(state.candidacy),)
         return [state.store(records, CandidacySynced(state.candidacy))]
 
@@ -103,8 +127,13 @@
     def _send_prepares(self, now: timedelta) -> list[Effect]:
         """To all that have not answered."""
         state, self.sent_at = self.state, now
-        message = Prepare(state.candidacy, tuple(state.roster.addresses), self.released)
-        return [Send(address, message) for name, address in state.other_voters.items() if name not in self.promises]
+        voters = tuple(state.roster.addresses)
+        starts = self.starts if self.is_unanimous else {}
+        return [
+            Send(address, Prepare(state.candidacy, voters, self.released, starts.get(name, 0)))
+            for name, address in state.other_voters.items()
+            if name not in self.promises
+        ]
 
     def on_promise(self, sender: str, message: Promise, now: timedelta) -> list[Effect]:
         """Notes the promise of another voter."""
--- a/sumachook/consensus/lease.py
+++ b/sumachook/consensus/lease.py
@@ -63,20 +63,22 @@
     been seen since passes the guard then.
     """
 
-    __slots__ = ("until", "view")
+    __slots__ = ("until", "view", "run")
 
     def __init__(self) -> None:
         self.until: timedelta | None = None
         self.view = NO_VIEW
+        self.run = 0  # the number of this run while nothing was acknowledged since its start, else 0
 
-    def start(self, now: timedelta) -> None:
-        """After a start with a disk that is not blank."""
-        self.until, self.view = now + LEASE_GUARD, NO_VIEW
+    def start(self, now: timedelta, run: int) -> None:
+        """After a start with a disk that is not blank; `run` is a number of this run alone, not 0."""
+        self.until, self.view, self.run = now + LEASE_GUARD, NO_VIEW, run
 
     def acknowledge(self, view: ViewId, now: timedelta) -> None:
         """A round of this view's leader is being acknowledged."""
         if not self._is_unknown(now):
             self.view = view
+        self.run = 0
         self.until = now + LEASE_GUARD if self.until is None else max(self.until, now + LEASE_GUARD)
 
     def recognize(self, view: ViewId) -> None:
@@ -88,9 +90,12 @@
         if view == self.view and view != NO_VIEW:
             self.until = None
 
-    def permits(self, candidate: str, released: ViewId, now: timedelta) -> bool:
-        """Whether a view may be promised to this candidate, which names a lease as given up."""
-        if self.until is None or now >= self.until:
+    def permits(self, candidate: str, released: ViewId, now: timedelta, run: int = 0) -> bool:
+        """Whether a view may be promised to this candidate, which names a lease as given up.
+
+        `run` is not 0 where all voters, this one in that run, have said that none leads.
+        """
+        if self.until is None or now >= self.until or (run and run == self.run):
             return True
         return self.view != NO_VIEW and (candidate == self.view.replica or released == self.view)
 
--- a/sumachook/consensus/messages.py
+++ b/sumachook/consensus/messages.py
@@ -18,25 +18,37 @@
 
 
 class Canvass(Message, frozen=True):
-    """Pre-vote: would the receiver promise this view to the sender, whose log ends there?"""
+    """Pre-vote: would the receiver promise this view to the sender, whose log ends there? Answers repeat `token`."""
 
     view: ViewId
     installed: ViewId
     end: int
+    token: int
 
 
 class CanvassAccepted(Message, frozen=True):
-    """The receiver of a `Canvass` hears no leader and holds no better log."""
+    """The receiver of a `Canvass` neither leads nor hears a leader, and holds no better log.
+
+    `start` is 0, or the number of this run of a replica that has acknowledged nothing since its start, but may have
+    before: it promises nothing yet unless all voters have answered.
+    """
 
     view: ViewId
+    token: int
+    start: int
 
 
 class Prepare(Message, frozen=True):
-    """Asks for the promise to refuse every lower view; `released` is a view whose leader gave its lease up."""
+    """Asks for the promise to refuse every lower view; `released` is a view whose leader gave its lease up.
+
+    `start` is not 0 where every voter has accepted the canvass, so that no lease from before a start can stand: the
+    number of the receiver's run that it told then.
+    """
 
     view: ViewId
     voters: tuple[str, ...]
     released: ViewId
+    start: int = 0
 
 
 class Promise(Message, frozen=True):
--- a/sumachook/consensus/state.py
+++ b/sumachook/consensus/state.py
@@ -89,7 +89,7 @@
         self.leaving_at: dict[str, timedelta] = {}
         self.record_count = 0
         if not self.is_blank or self.promised != NO_VIEW:
-            self.guard.start(now)
+            self.guard.start(now, random.getrandbits(NONCE_BITS) + 1)
 
     # what it knows
 
--- a/sumachook/consensus/voter.py
+++ b/sumachook/consensus/voter.py
@@ -26,11 +26,11 @@
         hears_other = sender != state.leader and not state.hears_no_leader(now)  # a leader that asks leads no more
         if state.role is Role.LEADING or hears_other or not self._knows(sender, now):
             return []
-        if not state.guard.permits(sender, NO_VIEW, now):
+        start = 0 if state.guard.permits(sender, NO_VIEW, now) else state.guard.run
+        is_bound = not start and not state.guard.permits(sender, NO_VIEW, now)
+        if is_bound or (state.view, state.log.end) > (message.installed, message.end):
             return []
-        if (state.view, state.log.end) > (message.installed, message.end):
-            return []
-        return [Send(address, CanvassAccepted(message.view))]
+        return [Send(address, CanvassAccepted(message.view, message.token, start))]
 
     def on_prepare(self, sender: str, address: str, message: Prepare, now: timedelta) -> list[Effect]:
         """Promises the view, once that is durable, unless a higher one was promised or a lease binds this replica."""
@@ -39,7 +39,7 @@
             return []
         if state.name not in message.voters or not self._knows(sender, now):
             return []
-        if not state.guard.permits(sender, message.released, now):
+        if not state.guard.permits(sender, message.released, now, message.start):
             return []
         if view > state.promised:  # sent once more it wins its sender no more time
             state.leader_heard_at = now
--- a/sumachook/transport/shapes.py
+++ b/sumachook/transport/shapes.py
@@ -15,9 +15,9 @@
     "roll": "news:m",
     # consensus
     "standing": "replica:s address:s is_blank:b",
-    "canvass": "view:d installed:d end:i",
-    "canvass_accepted": "view:d",
-    "prepare": "view:d voters:d released:d",
+    "canvass": "view:d installed:d end:i token:i",
+    "canvass_accepted": "view:d token:i start:i",
+    "prepare": "view:d voters:d released:d start:i",
     "promise": "view:d installed:d delivered:i end:i digest:r first:i",
     "take_over": "view:d released:d newcomers:d",
     "install": "view:d members:d first:i end:i previous:r entries:e",
--- a/tests/replica_stories.py
+++ b/tests/replica_stories.py
@@ -460,3 +460,62 @@
     _ack(leader, "b", number, sent_at)
     (answer,) = _sent(_receive(leader, "b", messages.ReadIndex(8), sent_at), messages.ReadIndexAnswer)
     assert answer.is_valid and answer.committed == 2
+
+
+# elections right after a start
+
+
+def _canvassing(now=NOW):
+    """c, just started, asks the other voters beforehand; gives it and what it asks."""
+    replica, soon = _replica(now=now), now + SECOND * 0.35
+    (canvass, _) = _sent(_tick(replica, soon), messages.Canvass)
+    return replica, canvass, soon
+
+
+def _accept(canvass, start=0, **changes):
+    values = {"view": canvass.view, "token": canvass.token, "start": start} | changes
+    return messages.CanvassAccepted(**values)
+
+
+def test_where_every_voter_was_just_started_and_none_leads_a_view_need_not_wait_for_leases():
+    """Given three voters that are bound from before their start alone, the candidate prepares once all have accepted, not before,
+    and each is named the run that it told."""
+    replica, canvass, soon = _canvassing()
+    assert _receive(replica, "a", _accept(canvass, 71), soon) == [] and replica.role is Role.CANVASSING
+    assert _receive(replica, "b", _accept(canvass, 72, token=canvass.token + 1), soon) == []
+    (store,) = _receive(replica, "b", _accept(canvass, 72), soon)
+    sent = {effect.address: effect.message.start for effect in replica.handle(store.done, soon)}
+    assert sent == {"a:1": 71, "b:1": 72}
+
+
+def test_a_candidate_that_not_every_voter_accepted_names_no_run():
+    """Given a majority that is bound by nothing, the candidate need not ask the rest, and nobody's binding is lifted."""
+    replica, _, _ = _canvassing()
+    late = NOW + LEASE_GUARD * 1.2
+    (canvass, _) = _sent(_tick(replica, late), messages.Canvass)
+    (store,) = _receive(replica, "a", _accept(canvass), late)
+    assert {effect.message.start for effect in replica.handle(store.done, late)} == {0}
+
+
+def test_who_was_just_started_tells_its_run_and_promises_to_who_names_it():
+    """Given a voter that may have acknowledged a round before its start, it accepts a canvass with its run, and promises nothing to a
+    candidate that names none or another."""
+    replica = _replica()
+    canvass = messages.Canvass(ViewId(9, "b"), VIEW, 2, 5)
+    (accepted,) = _sent(_receive(replica, "b", canvass), messages.CanvassAccepted)
+    assert accepted.token == 5 and accepted.start
+    view, voters = ViewId(9, "b"), ("a", "b", "c")
+    for start in (0, accepted.start + 1):
+        assert _receive(replica, "b", messages.Prepare(view, voters, NO_VIEW, start)) == []
+    assert len(_stores(_receive(replica, "b", messages.Prepare(view, voters, NO_VIEW, accepted.start)))) == 1
+
+
+def test_who_has_acknowledged_a_round_since_it_told_its_run_promises_nothing():
+    """Given a leader that came up after the answer and counts on this voter's acknowledgement, a late prepare finds it bound."""
+    replica = _replica()
+    canvass = messages.Canvass(ViewId(9, "b"), VIEW, 2, 5)
+    (accepted,) = _sent(_receive(replica, "b", canvass), messages.CanvassAccepted)
+    assert _sent(_receive(replica, "a", _heartbeat()), messages.HeartbeatAck)
+    late = messages.Prepare(ViewId(9, "b"), ("a", "b", "c"), NO_VIEW, accepted.start)
+    assert _receive(replica, "b", late) == []
+    assert _sent(_receive(replica, "b", canvass), messages.CanvassAccepted) == []
