--- a/harness/consensus_breaches.py
+++ b/harness/consensus_breaches.py
@@ -67,7 +67,7 @@
     _breach(
         "who acknowledged a round promises a view to anybody",
         "voter",
-        "if not state.guard.permits(sender, message.released, now):",
+        "if not state.guard.permits(sender, message.released, now, message.start):",
         "if False:",
         REPLICA,
         "who_acknowledged_a_round",
@@ -75,11 +75,27 @@
     _breach(
         "no guard after a start",
         "state",
-        "            self.guard.start(now)\n",
+        "            self.guard.start(now, random.getrandbits(NONCE_BITS) + 1)\n",
         "            pass\n",
         REPLICA,
         "started_anew_may_have",
     ),
+    _breach(
+        "a view need not wait for leases though a voter did not answer",
+        "candidate",
+        "return is_free and set(self.state.other_voters) <= self.accepted | set(self.starts)",
+        "return is_free",
+        REPLICA,
+        "every_voter_was_just_started",
+    ),
+    _breach(
+        "who acknowledged a round since it told its run promises all the same",
+        "lease",
+        "        self.run = 0\n        self.until = now",
+        "        self.until = now",
+        REPLICA,
+        "since_it_told_its_run",
+    ),
     _breach(
         "after a start any leader passes the guard",
         "lease",
@@ -163,8 +179,8 @@
     _breach(
         "a candidate with a worse log is accepted",
         "voter",
-        "if (state.view, state.log.end) > (message.installed, message.end):",
-        "if False:",
+        "if is_bound or (state.view, state.log.end) > (message.installed, message.end):",
+        "if is_bound:",
         REPLICA,
         "worse_log",
     ),
