Consensus: a leader that is no voter any more hands over

Nothing acknowledged was lost, but the view was never that of the roster. It now asks a member that is a voter to lead.

--- a/harness/consensus_breaches.py
+++ b/harness/consensus_breaches.py
@@ -224,6 +224,14 @@
         REPLICA,
         "answers_no_read",
     ),
+    _breach(
+        "a leader that is no voter any more goes on",
+        "departure",
+        "return not state.is_voter and state.log.last_roster_change <= state.committed",
+        "return False",
+        REPLICA,
+        "no_voter_any_more",
+    ),
     _breach(
         "the log is bounded in entries only",
         "state",
--- a/sumachook/consensus/departure.py
+++ b/sumachook/consensus/departure.py
@@ -34,11 +34,11 @@
 
     def tick(self, now: timedelta) -> list[Effect]:
         """Hands over leading, or tells the leader again."""
-        state = self.state
-        if self.begun_at is None or self.is_over:
-            return []
-        if state.role is Role.LEADING:
+        state, is_leaving = self.state, self.begun_at is not None and not self.is_over
+        if state.role is Role.LEADING and (is_leaving or self._is_removed()):
             return self._hand_over(now)
+        if not is_leaving:
+            return []
         if self.tell_at is not None and now < self.tell_at:
             return []
         self.tell_at = now + LEAVING_INTERVAL
@@ -47,10 +47,15 @@
             return []
         return [Send(address, ReplicaLeaving(state.name))]
 
+    def _is_removed(self) -> bool:
+        """Whether a leader has ended a replacement of itself that another began."""
+        state = self.state
+        return not state.is_voter and state.log.last_roster_change <= state.committed
+
     def _hand_over(self, now: timedelta) -> list[Effect]:
         """Gives the lease up and asks the best member to lead, so that nobody waits for a silence."""
         state, acked = self.state, self.leader.progress.acked
-        heard = [name for name in state.members if name != state.name and state.hears(name, now)]
+        heard = [name for name in state.members if name in state.other_voters and state.hears(name, now)]
         is_settled = self.leader.is_idle() and state.committed == state.log.end
         if not heard or not (is_settled or now - (self.begun_at or now) > HANDOVER_LIMIT):
             return []
--- a/tests/replica_stories.py
+++ b/tests/replica_stories.py
@@ -519,3 +519,16 @@
     late = messages.Prepare(ViewId(9, "b"), ("a", "b", "c"), NO_VIEW, accepted.start)
     assert _receive(replica, "b", late) == []
     assert _sent(_receive(replica, "b", canvass), messages.CanvassAccepted) == []
+
+
+def test_a_leader_that_is_no_voter_any_more_hands_over():
+    """Given a leader that ends a replacement of itself, which another began, a member that is a voter is asked to lead."""
+    leader = _leader()
+    for end, change in ((3, ("seat-replace", "c", "d", "d:1")), (4, ("seat-out", "c"))):
+        _propose(leader, change)
+        _appended(leader, "b", "b:1", end)
+        _appended(leader, "d", "d:1", end)
+    assert leader.state.committed == 4 and "c" not in leader.roster
+    out = _tick(leader, NOW + SECOND / 20)
+    assert [effect.address for effect in out if isinstance(effect, effects.Send)] == ["b:1"]
+    assert _sent(out, messages.TakeOver)[0].released == leader.view and leader.role is Role.IDLE
