--- a/tests/replica_stories.py
+++ b/tests/replica_stories.py
@@ -417,7 +417,7 @@
     for installed, end, is_accepted in ((VIEW, 2, True), (VIEW, 1, False), (OLD, 9, False), (ViewId(5, "b"), 1, True)):
         replica = _member()
         _tick(replica, later)
-        out = _receive(replica, "b", messages.Canvass(ViewId(9, "b"), installed, end), later)
+        out = _receive(replica, "b", messages.Canvass(ViewId(9, "b"), installed, end, 7), later)
         assert bool(_sent(out, messages.CanvassAccepted)) == is_accepted, (installed, end)
 
 
