Consensus: a removed member that is gone is put out of the view before its removal commits

A leaving member that had been replaced ended before it synced its own removal; the view waited for its sync, and it was not put out of the view while the removal was not committed.

--- a/sumachook/consensus/view_watch.py
+++ b/sumachook/consensus/view_watch.py
@@ -50,8 +50,8 @@
             if name == state.name:
                 continue
             if name not in state.roster.addresses:
-                if state.log.last_roster_change > state.committed:
-                    continue
+                if state.log.last_roster_change > state.committed and state.hears(name, now):
+                    continue  # it may still sync its own removal; one that is gone never will
                 return self._start_without({name}, "A removed replica is put out of the view.", now)
             if self._may_leave(name, now):
                 return self._start_without({name}, "A leaving replica is put out of the view.", now)
