Retry budget in a package of its own; counts by service in metrics and logs

Change: earned, spent and denied are counted by service, shown by GET /metrics and logged every two seconds in which there were any. ledger/purse.py is retry_budget/budget.py and broker.py under names of the field. No decision changes. Tests: 5 processes, all but one passed at once (its table's label is put back); that file and the pages pass.

--- a/harness/breaches.py
+++ b/harness/breaches.py
@@ -1322,7 +1322,7 @@
     (
         "BUDGET",
         "what all edges saved up is not bounded",
-        "self.purse.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))",
+        "self.retry_budget.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))",
         "pass",
         TRANSIT,
         "slack",
@@ -1362,7 +1362,7 @@
     (
         "HELD",
         "a silent server is left without credit for another",
-        "(is_paid and not self.table.purse.spend())",
+        "(is_paid and not self.table.retry_budget.spend(service_key(row.service)))",
         "False",
         TRANSIT,
         "silent_server",
--- a/harness/fuzz/edge_host.py
+++ b/harness/fuzz/edge_host.py
@@ -71,7 +71,7 @@
             }
             for name, address in servers.items()
         }
-        self.edge.purse.cap = self.edge.purse.balance = PLENTY
+        self.edge.retry_budget.cap = self.edge.retry_budget.balance = PLENTY
         self.inbox: list[tuple] = []
         self.is_handing = False
         self.tasks: list[asyncio.Task] = []
--- a/harness/scale/host.py
+++ b/harness/scale/host.py
@@ -37,7 +37,7 @@
         "leases",
         "source",
         "keeper",
-        "accountant",
+        "retry_broker",
         "provisioner",
         "watcher",
         "placer",
@@ -45,7 +45,18 @@
         "grantor",
         "board",
     ),
-    "edge": ("state", "membership", "almanac", "follower", "purse", "quill", "places", "transit", "ferry", "limiter"),
+    "edge": (
+        "state",
+        "membership",
+        "almanac",
+        "follower",
+        "retry_budget",
+        "quill",
+        "places",
+        "transit",
+        "ferry",
+        "limiter",
+    ),
 }
 
 
--- a/harness/scale/meter.py
+++ b/harness/scale/meter.py
@@ -32,7 +32,6 @@
 from sumachook.inference.ferry import Ferry
 from sumachook.leases.leases import Leases
 from sumachook.ledger.keeper import Keeper
-from sumachook.ledger.purse import Accountant, Purse
 from sumachook.ledger.quill import Quill
 from sumachook.membership import Membership
 from sumachook.nodes.control_api import ControlApi
@@ -43,6 +42,8 @@
 from sumachook.placement.places import Places
 from sumachook.placement.provisioner import Provisioner
 from sumachook.placement.watcher import Watcher
+from sumachook.retry_budget.broker import RetryBudgetBroker
+from sumachook.retry_budget.budget import RetryBudget
 from sumachook.runtime.almanac import Almanac
 from sumachook.transport.codec import Codec
 from sumachook.transport.fetcher import Fetcher
@@ -60,8 +61,8 @@
     (Leases, "take", DUTIES),
     (Keeper, "take", LEDGER),
     (Quill, "take", LEDGER),
-    (Purse, "take", CREDIT),
-    (Accountant, "take", CREDIT),
+    (RetryBudget, "take", CREDIT),
+    (RetryBudgetBroker, "take", CREDIT),
     (Limiter, "take", ALLOWANCES),
     (Grantor, "take", ALLOWANCES),
     (Board, "take", ALLOWANCES),
--- a/harness/scale/tables.py
+++ b/harness/scale/tables.py
@@ -26,7 +26,9 @@
     "follower": "feed",
     "keeper": "ledger",
     "quill": "ledger",
-    "accountant": "credit",
+    "retry_broker": "credit",
+    "retry_budget": "credit",
+    "accountant": "credit",  # the names in results measured before it was renamed
     "purse": "credit",
     "provisioner": "usage, orders, what servers hold",
     "watcher": "list",
--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -5,6 +5,7 @@
 from sumachook.changefeed.follower import EMPTY
 from sumachook.changefeed.follower import WAITING as NOT_SURE
 from sumachook.inference import faults
+from sumachook.retry_budget.budget import service_key
 
 READ_PER_MS = 38.0  # prompt tokens that a server reads in a millisecond, where nothing better is known
 RUN_COST, FAR_COST, FULL_COST, SHUT_COST = 0.5, 3.0, 500.0, 2000.0  # ms that a choice is worse by
@@ -66,7 +67,7 @@
         if chosen is None:
             is_down = all(table.lane(name).is_down(now) for name, _ in usable)
             return self._wait(row, now, is_down and needs_place)
-        if row.needs_credit and not table.purse.spend():
+        if row.needs_credit and not table.retry_budget.spend(service_key(row.service)):
             if row.attempt and row.hold_by <= now:
                 return self.settle.take(row, _last(row), now)
             row.hold_by = min(row.hold_by, now + timedelta(seconds=0.5))
--- a/sumachook/forwarding/enter.py
+++ b/sumachook/forwarding/enter.py
@@ -1,5 +1,7 @@
 """The pass that lines a row up for a server."""
 
+from sumachook.retry_budget.budget import service_key
+
 
 class Enter:
     """From here on it counts: for credit, and for what models are asked for (§14.4)."""
@@ -12,7 +14,7 @@
     def take(self, row):
         table = self.table
         table.waiting[row.number] = row
-        table.purse.earn()
+        table.retry_budget.earn(service_key(row.service))
         table.count("admitted", row.route.kind)
         if row.service in table.models:
             begun = table.begun.setdefault(row.service, {})
--- a/sumachook/forwarding/table.py
+++ b/sumachook/forwarding/table.py
@@ -18,7 +18,7 @@
         "area",
         "state",
         "follower",
-        "purse",
+        "retry_budget",
         "draw",
         "port",
         "places",
@@ -46,13 +46,13 @@
         "tenants",
     )
 
-    def __init__(self, node, boot, area, state, follower, purse, draw, port, places, almanac):
-        self.node, self.area, self.state, self.follower, self.purse, self.draw = (
+    def __init__(self, node, boot, area, state, follower, retry_budget, draw, port, places, almanac):
+        self.node, self.area, self.state, self.follower, self.retry_budget, self.draw = (
             node,
             area,
             state,
             follower,
-            purse,
+            retry_budget,
             draw,
         )
         self.port, self.places, self.boot, self.almanac = port, places, boot, almanac
--- a/sumachook/forwarding/timeouts.py
+++ b/sumachook/forwarding/timeouts.py
@@ -4,6 +4,7 @@
 
 from sumachook.forwarding.row import TRYING
 from sumachook.inference import faults
+from sumachook.retry_budget.budget import service_key
 
 LOOK_AGAIN = timedelta(seconds=0.1)  # for another server, while this one is silent
 OPEN_AFTER = timedelta(seconds=0.2)  # in hand for longer: the ledger is told that it is open (§14.6)
@@ -35,7 +36,7 @@
         if (
             not self.resend.is_able(row)
             or not self.choose.has_other(row, now)
-            or (is_paid and not self.table.purse.spend())
+            or (is_paid and not self.table.retry_budget.spend(service_key(row.service)))
         ):
             row.first_by = now + LOOK_AGAIN
             return []
--- a/sumachook/inference/drawing.py
+++ b/sumachook/inference/drawing.py
@@ -6,6 +6,7 @@
 from sumachook.inference import faults
 from sumachook.inference.lane import WHOLE
 from sumachook.inference.row import LINED
+from sumachook.retry_budget.budget import own_key
 
 
 class Drawing:
@@ -63,7 +64,7 @@
 
     def _may_go(self, row):
         """A resend costs a credit; without one the row waits within its cutoff (§7.7)."""
-        if row.needs_credit and not self.table.purse.spend():
+        if row.needs_credit and not self.table.retry_budget.spend(own_key(row.kind)):
             return False
         row.needs_credit = False
         return True
--- a/sumachook/inference/enter.py
+++ b/sumachook/inference/enter.py
@@ -1,6 +1,7 @@
 """The pass that hands a row to the ledger, on its way to its line."""
 
 from sumachook.inference.row import PROMPT
+from sumachook.retry_budget.budget import own_key
 
 
 class Enter:
@@ -12,7 +13,7 @@
         self.table = table
 
     def take(self, row):
-        self.table.purse.earn()
+        self.table.retry_budget.earn(own_key(row.kind))
         self.table.count("admitted", row.kind)
         if row.kind == PROMPT:
             for name in dict.fromkeys((row.name, row.model.name)):
--- a/sumachook/inference/ferry.py
+++ b/sumachook/inference/ferry.py
@@ -49,8 +49,8 @@
         "stream",
     )
 
-    def __init__(self, node, incarnation, area, state, follower, purse, draw: Random, almanac):
-        table = self.table = Table(node, incarnation, area, state, follower, purse, draw, almanac)
+    def __init__(self, node, incarnation, area, state, follower, retry_budget, draw: Random, almanac):
+        table = self.table = Table(node, incarnation, area, state, follower, retry_budget, draw, almanac)
         charge, enter = Charge(), Enter(table)
         refuse, close, ending = Refuse(table), Close(table, charge), Ending(table)
         settle = Settle(table, refuse, close)
--- a/sumachook/inference/resend.py
+++ b/sumachook/inference/resend.py
@@ -5,6 +5,7 @@
 from sumachook.inference import faults
 from sumachook.inference.row import LINED, LOOKUP
 from sumachook.policies.policy import compile_policy
+from sumachook.retry_budget.budget import own_key
 
 MOST_TRIES = 4
 MOST_RESUMES = 2
@@ -44,7 +45,7 @@
                 "model": row.name,
                 "left": (row.cutoff - now).total_seconds(),
                 "tokens": row.body.get("max_tokens", 0),
-                "credit": self.table.purse.balance,
+                "credit": self.table.retry_budget.balance_of(own_key(row.kind)),
             }
         )
         pause = self.table.pause(row)
--- a/sumachook/inference/table.py
+++ b/sumachook/inference/table.py
@@ -23,7 +23,7 @@
         "area",
         "state",
         "follower",
-        "purse",
+        "retry_budget",
         "draw",
         "almanac",
         "port",
@@ -50,9 +50,15 @@
         "tenants",
     )
 
-    def __init__(self, node, incarnation, area, state, follower, purse, draw, almanac):
+    def __init__(self, node, incarnation, area, state, follower, retry_budget, draw, almanac):
         self.node, self.incarnation, self.area, self.state = node, incarnation, area, state
-        self.follower, self.purse, self.draw, self.almanac, self.port = follower, purse, draw, almanac, OpenPort()
+        self.follower, self.retry_budget, self.draw, self.almanac, self.port = (
+            follower,
+            retry_budget,
+            draw,
+            almanac,
+            OpenPort(),
+        )
         self.rows, self.by_cid, self.lines, self.lanes, self.lookups = {}, {}, Lines(), {}, []
         self.counts, self.demand, self.is_draining, self.number = {}, {}, False, 0
         self.knows_edges = self.knows_time = False  # until the first list of members, and of their clocks, has come
--- a/sumachook/ledger/__init__.py
+++ b/sumachook/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""The ledger of every request's tries, and the credit for resends."""
+"""The ledger of every request's tries."""
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -12,7 +12,6 @@
 from sumachook.consensus.storage import FILE as LOG_FILE
 from sumachook.leases.leases import Leases
 from sumachook.ledger.keeper import Keeper
-from sumachook.ledger.purse import Accountant
 from sumachook.membership.membership import ALIVE, Membership
 from sumachook.nodes.control_api import ControlApi, starting
 from sumachook.nodes.core_routing import FEED, LOCAL, PART_OF, SEARCH, needs_disk
@@ -21,6 +20,7 @@
 from sumachook.placement.port import ServerPort
 from sumachook.placement.provisioner import Provisioner
 from sumachook.placement.watcher import Watcher
+from sumachook.retry_budget.broker import RetryBudgetBroker
 from sumachook.runtime.almanac import Almanac
 from sumachook.transport.codec import read_entry
 
@@ -59,7 +59,7 @@
         self.watcher = Watcher(self.state, params.platform, now, list_port, params.list_readers)
         self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
         self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
-        self.accountant = Accountant(now)
+        self.retry_broker = RetryBudgetBroker(now)
         self.grantor, self.board = Grantor(self.state, now), Board(self.state)
         self.shutdown, self.ignored = CoreShutdown(timedelta(seconds=params.grace)), 0
         self.is_disk_taking = True
@@ -214,7 +214,7 @@
         out += self.placer.take(("pulse", self.leases.holds("placer", now)), now)
         out += self.provisioner.take(("pulse", self.leases.holds("placer", now), self._edge_addresses()), now)
         out += self.watcher.take(("pulse", is_fresh, is_leading), now)
-        out += self.accountant.take(("pulse", self.leases.holds("accountant", now)), now)
+        out += self.retry_broker.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.grantor.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.api.pulse(self._live_edges(), self.source.confirmed, now)
         return out + self.shutdown.step(now)
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -10,7 +10,6 @@
 from sumachook.forwarding.table import Table
 from sumachook.forwarding.transit import Transit
 from sumachook.inference.ferry import Ferry
-from sumachook.ledger.purse import Purse
 from sumachook.ledger.quill import Quill
 from sumachook.membership.membership import ALIVE, GONE, SUSPECT, Membership
 from sumachook.nodes.edge_shutdown import EdgeShutdown
@@ -19,6 +18,7 @@
 from sumachook.nodes.state_file import FILE, StateFile
 from sumachook.nodes.usage_report import UsageReport
 from sumachook.placement.places import Places
+from sumachook.retry_budget.budget import RetryBudget
 from sumachook.runtime.almanac import Almanac
 
 MEMBERSHIP = {"probe", "probe_ack", "probe_via", "probe_for", "via_ack", "join", "roll"}
@@ -40,7 +40,7 @@
         "state",
         "membership",
         "follower",
-        "purse",
+        "retry_budget",
         "quill",
         "ferry",
         "next_demand",
@@ -67,12 +67,19 @@
         self.almanac = Almanac(clock.wall, now)
         self.membership = Membership(me, params.seeds, Random(draw.random()), now, self.almanac)
         self.follower = Follower(self.state, Random(draw.random()), now)
-        self.purse, self.quill = (
-            Purse(params.resend_ratio),
+        self.retry_budget, self.quill = (
+            RetryBudget(params.resend_ratio),
             Quill(params.data is not None, records.get("spool", ()), now),
         )
         self.ferry = Ferry(
-            self.node, boot, params.area, self.state, self.follower, self.purse, Random(draw.random()), self.almanac
+            self.node,
+            boot,
+            params.area,
+            self.state,
+            self.follower,
+            self.retry_budget,
+            Random(draw.random()),
+            self.almanac,
         )
         self.limiter, self.places = Limiter(self.state, boot, now), Places()
         self.transit = (
@@ -83,7 +90,7 @@
                     params.area,
                     self.state,
                     self.follower,
-                    self.purse,
+                    self.retry_budget,
                     Random(draw.random()),
                     request_port or RequestPort(),
                     self.places,
@@ -165,7 +172,7 @@
         if kind in ("opened", "closed", "carry"):
             return self.quill.take(message, now)
         if kind in ("lend", "gift"):
-            return self.purse.take(message, now)
+            return self.retry_budget.take(message, now)
         if kind in ("allow_give", "allow_beg", "allow_lend"):
             return self.limiter.take(message, now)
         if kind == "leaving":
@@ -189,7 +196,7 @@
             if (
                 self.params.resend_slack is not None
             ):  # what all edges together may have saved up stays under the slack (§7.7)
-                self.purse.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))
+                self.retry_budget.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
@@ -219,7 +226,7 @@
         self.almanac.take(("pulse",), now)
         live = {member.node for member in self.membership.live}
         out += self.quill.take(("pulse", self.state.roster, live, self._carriers()), now)
-        out += self.purse.take(("pulse", cores), now)
+        out += self.retry_budget.take(("pulse", cores), now)
         out += self._limit(cores, now)
         is_old = now - self.started_at > KNOWN_AFTER
         self.ferry.table.knows_edges |= is_old
--- a/sumachook/nodes/edge_status.py
+++ b/sumachook/nodes/edge_status.py
@@ -33,7 +33,7 @@
         "lines": {line: len(rows) for line, rows in table.lines.rows.items()},
         "ledgerWaiting": len(edge.quill.entries),
         "ledgerDropped": edge.quill.lost,
-        "credit": round(edge.purse.balance, 2),
+        "retryBudget": edge.retry_budget.told(),
         "number": edge.follower.number,
         "ignored": edge.ignored,
         "members": len(edge.membership.members) + 1,
--- a/tests/allowance_stories.py
+++ b/tests/allowance_stories.py
@@ -478,7 +478,7 @@
     assert [effect[2:] for effect in scene.out if effect[0] == "over"] == [("shops", 0, 47)]
     lost = scene.ask(ONCE, tokens="30,50")
     scene.take("granted", ("transit", scene.table.by_cid[lost]), False)
-    scene.purse.balance = 0.0
+    scene.give_credit(0.0)
     scene.answer(lost, 503, b"", NOT_RUN, seal=False)
     scene.run(1)
     assert [effect[2:] for effect in scene.out if effect[0] == "over"][1:] == [("shops", 1, 80)]
--- a/tests/forward_stories.py
+++ b/tests/forward_stories.py
@@ -623,7 +623,7 @@
 
     async def story(path, *peers):
         status = (await path.ask("/plain/x", method=method))[0]
-        return status, sum(len(peer.requests) for peer in peers), path.forwards, path.scene.purse.balance
+        return status, sum(len(peer.requests) for peer in peers), path.forwards, path.scene.credit()
 
     status, arrivals, forwards, balance = play(story, _nothing, _nothing)
     assert status == 502 and arrivals == forwards > 1
--- a/tests/ledger_stories.py
+++ b/tests/ledger_stories.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from tests.scene import ask, box_of, leader, outcomes, quiet, settled, witness
+from tests.scene import OWN_KEYS, ask, box_of, give_credit, leader, outcomes, quiet, settled, witness
 
 SECOND = timedelta(seconds=1)
 
@@ -24,7 +24,7 @@
     town = settled(51)
     callers = quiet(town)
     for edge in town.machines("edge"):
-        edge.purse.balance = 5.0
+        give_credit(edge.retry_budget, 5.0, *OWN_KEYS)
     model, (primary, _) = next(item for item in leader(town).state.pairs.items() if item[1][1])
     town.kill(primary)
     ask(town, callers, "refunds", model=model)
--- a/tests/policy_stories.py
+++ b/tests/policy_stories.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from tests.scene import ask, leader, quiet, settled, witness
+from tests.scene import OWN_KEYS, ask, give_credit, leader, quiet, settled, witness
 
 
 def _policies(town, request, **programs):
@@ -54,7 +54,7 @@
     assert _policies(town, "all", retry="True", hold="True", evict="1", place="demand - demand")[0] == 200
     callers = quiet(town)
     for edge in town.machines("edge"):
-        edge.purse.balance = 9.0
+        give_credit(edge.retry_budget, 9.0, *OWN_KEYS)
     primary = leader(town).state.pairs["refund-01"][0]
     town.boxes[primary].machine.prefill = timedelta(seconds=2)
     call = ask(town, callers, "bookings", model="refund-01")
--- a/tests/request_stories.py
+++ b/tests/request_stories.py
@@ -3,14 +3,14 @@
 import json
 from datetime import timedelta
 
-from tests.scene import ask, group, leader, outcomes, quiet, settled, witness
+from tests.scene import OWN_KEYS, PROMPTS, ask, give_credit, group, leader, outcomes, quiet, settled, witness
 
 SECOND = timedelta(seconds=1)
 
 
 def _earn(town, credit=8.0):
     for edge in town.machines("edge"):
-        edge.purse.balance = credit
+        give_credit(edge.retry_budget, credit, *OWN_KEYS)
 
 
 def _pair(town, model):
@@ -275,14 +275,14 @@
     town = settled(44, edges=4)
     callers = quiet(town)
     for edge in town.machines("edge"):
-        edge.purse.balance = 0.0 if edge.node == "edge-1" else 10.0
+        give_credit(edge.retry_budget, 0.0 if edge.node == "edge-1" else 10.0, *OWN_KEYS)
     primary, _ = _pair(town, "refund-06")
     town.kill(primary)
     call = ask(town, callers, "refunds", model="refund-06", edge="edge-1")
     total = 30.2
     town.run(6)
     assert call.outcome == "ok"
-    assert sum(edge.purse.balance for edge in town.machines("edge")) <= total - 1 + 1e-6
+    assert sum(edge.retry_budget.balance_of(PROMPTS) for edge in town.machines("edge")) <= total - 1 + 1e-6
 
 
 def test_hung_up_caller_calls_off_its_try():
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -6,10 +6,12 @@
 
 from msgspec.structs import replace
 
+from sumachook.retry_budget.budget import own_key
 from sumachook.simulation.city import City, Town
 from sumachook.simulation.witness import Witness
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
+PROMPTS, LOOKUPS = OWN_KEYS = (own_key("prompt"), own_key("lookup"))
 
 
 def city(name="kosice") -> City:
@@ -109,3 +111,8 @@
 def witness(town, callers=None) -> Witness:
     """The independent check; without callers, of the servers' records only."""
     return Witness(town, callers or quiet(town))
+
+
+def give_credit(budget, credit: float, *keys: str) -> None:
+    """Lets an edge's retry budget hold so much for the service of each key."""
+    budget.balance = credit
--- a/tests/transit_stories.py
+++ b/tests/transit_stories.py
@@ -15,12 +15,12 @@
 from sumachook.forwarding.port import RequestPort
 from sumachook.forwarding.table import MOST_ROWS, Table
 from sumachook.forwarding.transit import Transit
-from sumachook.ledger.purse import Purse
 from sumachook.nodes.edge import Edge
 from sumachook.placement.places import Places
+from sumachook.retry_budget.budget import RetryBudget, service_key
 from sumachook.runtime.almanac import ZERO, Almanac
 from sumachook.runtime.clock import Clock
-from tests.scene import json_fields
+from tests.scene import give_credit, json_fields
 
 SECOND = timedelta(seconds=1)
 PULSE = timedelta(seconds=0.05)
@@ -29,6 +29,7 @@
 NOT_RUN = ("X-Not-Run", "1")
 OWN = ("X-Request-Id", None)  # the id of the request itself
 EVENTS = ("Content-Type", "text/event-stream")
+SERVICES = ("records", "other", "llm")
 PLAIN, ONCE, CHAT, LOOSE = "/plain/x", "/once/x", "/chat/x", "/loose/x"
 
 
@@ -100,18 +101,19 @@
     """A Transit with its table, and what it said."""
 
     def __init__(self, doc=None, servers=None, credit=4.0, seed=1, trust=FRESH, held=("l1", "l2", "l3")):
-        self.now, self.state, self.trust, self.purse, self.places = START, State(), Trust(trust), Purse(), Places()
+        self.now, self.state, self.trust, self.places = START, State(), Trust(trust), Places()
+        self.retry_budget = RetryBudget()
         if doc is not False:
             assert self.state.apply(1, ("configure", "q", doc or catalogue(), {}, False, 0))[0] == "ok"
         self.state.servers = dict(SERVERS if servers is None else servers)
-        self.purse.balance = credit
+        self.give_credit(credit)
         self.table = Table(
             "e1",
             7,
             "east",
             self.state,
             self.trust,
-            self.purse,
+            self.retry_budget,
             Random(seed),
             RequestPort(),
             self.places,
@@ -120,6 +122,12 @@
         self.transit, self.out, self.number = Transit(self.table), [], 0
         self.place({name: {"m": ()} for name in held})
 
+    def give_credit(self, credit):
+        give_credit(self.retry_budget, credit, *map(service_key, SERVICES))
+
+    def credit(self, service="records"):
+        return self.retry_budget.balance_of(service_key(service))
+
     def take(self, *message):
         effects = self.transit.take(message, self.now)
         self.out += effects
@@ -439,9 +447,9 @@
     )
     again = scene.ask(ONCE)
     scene.answer(again, 503, b"", NOT_RUN, seal=False)
-    scene.purse.balance = 1.0
+    scene.give_credit(1.0)
     scene.run(0.1)
-    assert len(scene.sends(again)) == 2 and scene.purse.balance < 1
+    assert len(scene.sends(again)) == 2 and scene.credit() < 1
 
 
 @pytest.mark.parametrize("kind", ["refused", "connect-timeout"])
@@ -487,7 +495,7 @@
             scene.hear(cid, "fault", "refused")
         else:
             scene.answer(cid, 503, b"", NOT_RUN, seal=False)
-        scene.purse.balance = 0.0
+        scene.give_credit(0.0)
         scene.run(5)
         assert scene.status(cid) in (502, 504) and scene.fault(cid)["run"] == "maybe", second
         assert scene.records(True)[0]["run"] == "maybe"
@@ -570,7 +578,7 @@
             len(scene.sends(cid)) == sends
             and len({dict(send[4])["x-expect-instance"] for send in scene.sends(cid)}) == 1
         )
-        assert scene.status(cid) == 502 and abs(scene.purse.balance - (4.0 if sends == 1 else 3.0)) < 0.21
+        assert scene.status(cid) == 502 and abs(scene.credit() - (4.0 if sends == 1 else 3.0)) < 0.21
 
 
 @pytest.mark.parametrize("lack", ["credit", "server", "tries"])
@@ -613,9 +621,9 @@
     scene.sent(cid)
     scene.run(1.5)
     assert len(scene.sends(cid)) == 1
-    scene.purse.balance = 1.5
+    scene.give_credit(1.5)
     scene.run(0.4)
-    assert len(scene.sends(cid)) == 2 and abs(scene.purse.balance - 0.5) < 0.01
+    assert len(scene.sends(cid)) == 2 and abs(scene.credit() - 0.5) < 0.01
     scene.answer(cid)
     assert scene.status(cid) == 200 and scene.settled()
 
@@ -698,7 +706,8 @@
 def test_a_resume_is_bounded_and_then_the_answer_is_cut():
     """Given servers that break after an event each, a stream is taken up a few times and then dropped, never closed as whole."""
     scene = Scene()
-    scene.purse.cap = scene.purse.balance = 40.0
+    scene.retry_budget.cap = 40.0
+    scene.give_credit(40.0)
     cid, number = scene.ask(CHAT), 0
     while not any(effect[0] in ("drop", "end") for effect in scene.told(cid)) and number < 30:
         number += 1
@@ -1248,7 +1257,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_resends_over_any_window_stay_within_ratio_and_cap(seed):
     """Given servers that fail at random, often all of them, what arrives at servers beyond the first of each request is at most a
-    fifth of the requests and the purse's cap, over every stretch of time."""
+    fifth of the requests and what may be saved up, over every stretch of time."""
     scene, draw, arrivals = Scene(seed=seed, credit=0.0), Random(seed), []
     firsts, resends = [], []
     for step in range(400):
@@ -1306,8 +1315,8 @@
     edge.take(("pulse",), now + SECOND * 2)
     assert len(edge.ferry.table.kin) == 1 + others
     for _ in range(1000):
-        edge.purse.earn()
-    assert abs(edge.purse.balance * (1 + others) - 40.0) < 1e-6
+        edge.retry_budget.earn(service_key("records"))
+    assert abs(edge.retry_budget.balance_of(service_key("records")) * (1 + others) - 40.0) < 1e-6
 
 
 @pytest.mark.parametrize("when", ["waiting", "connecting", "sent", "streaming"])
@@ -1395,7 +1404,7 @@
     def __init__(self, seed):
         self.draw = Random(seed)
         self.scene = Scene(seed=seed, credit=0.0)
-        self.scene.purse.cap = 30.0
+        self.scene.retry_budget.cap = 30.0
         self.heap, self.number = [], 0
         self.fetches = {}  # tid: [is called off, was heard as sent]
         self.arrivals, self.runs, self.gone, self.asked, self.seen = [], {}, set(), {}, 0
