--- a/tests/retry_budget_stories.py
+++ b/tests/retry_budget_stories.py
@@ -1,9 +1,153 @@
-"""The retry budget: credit earned, spent, denied and moved, by service (§7.7)."""
+"""The retry budget: credit earned, spent, denied and moved, by service, and summed over all edges (§7.7)."""
 
+from bisect import bisect_left
 from datetime import timedelta
+from random import Random
 
+from sumachook.catalog.params import Params
+from sumachook.nodes.edge import Edge
 from sumachook.retry_budget.broker import RetryBudgetBroker
-from sumachook.retry_budget.budget import CAP, RetryBudget
+from sumachook.retry_budget.budget import CAP, RetryBudget, service_key
+from sumachook.runtime.clock import Clock
+from tests.transit_stories import CHAT, NOT_RUN, PLAIN, PULSE, Scene, server
+
+SECOND = timedelta(seconds=1)
+WINDOW = SECOND * 10
+RATIO = 0.2
+
+
+class Edges:
+    """Edges with budgets that a broker moves credit between; every server of `records` sheds, those of `llm` are well."""
+
+    def __init__(self, count: int, slack: float, records: tuple[str, ...]):
+        servers = {name: server("records") for name in records} | {"l1": server("llm")}
+        self.scenes = [Scene(None, servers, credit=0.0, seed=seed, held=("l1",)) for seed in range(count)]
+        for scene in self.scenes:
+            scene.retry_budget.cap = 0.8 * slack / count
+        self.broker = RetryBudgetBroker(self.now)
+        self.answered, self.firsts, self.repeats = set(), [], []
+
+    @property
+    def now(self) -> timedelta:
+        return self.scenes[0].now
+
+    def run(self, seconds: float, is_shedding: bool, chats: int, plains: int):
+        """Each pulse, so many requests for each service come to every edge."""
+        until = self.now + SECOND * seconds
+        while self.now < until:
+            for number, scene in enumerate(self.scenes):
+                scene.now += PULSE
+                scene.take("pulse")
+                for _ in range(chats):
+                    scene.answer(scene.ask(CHAT))
+                for _ in range(plains):
+                    scene.ask(PLAIN)
+                    self.firsts.append(scene.now)
+                self._serve(number, scene, is_shedding)
+            self._move_credit()
+        return self
+
+    def _serve(self, number, scene, is_shedding):
+        """Answers each try at `records` once, also those that an answer brings about."""
+        while tries := [row for row in scene.table.rows.values() if row.tid and (number, row.tid) not in self.answered]:
+            for row in tries:
+                self.answered.add((number, row.tid))
+                if row.arrivals:
+                    self.repeats.append(scene.now)
+                if is_shedding:
+                    scene.answer(row.cid, 503, b"", NOT_RUN, seal=False)
+                else:
+                    scene.answer(row.cid)
+
+    def _move_credit(self):
+        """Reports go to the broker, loans to those who lend, gifts to those who want."""
+        budgets = {f"e{number}": scene.retry_budget for number, scene in enumerate(self.scenes)}
+        for name, budget in budgets.items():
+            for effect in budget.take(("pulse", ("broker",)), self.now):
+                if effect[0] == "tell":
+                    self.broker.take(("heard", name, name, effect[2]), self.now)
+        for _, donor, lend in self.broker.take(("pulse", 1), self.now):
+            for _, receiver, gift in budgets[donor].take(("heard", "broker", "broker", lend), self.now):
+                budgets[receiver].take(("heard", donor, donor, gift), self.now)
+
+    def most_over(self, slack: float) -> float:
+        """By how much the repeats of the worst window pass what the requests for the service in that window allow."""
+        worst = -slack
+        for place, begin in enumerate(self.repeats):
+            repeats = bisect_left(self.repeats, begin + WINDOW) - place
+            requests = bisect_left(self.firsts, begin + WINDOW) - bisect_left(self.firsts, begin)
+            worst = max(worst, repeats - RATIO * requests - slack)
+        return worst
+
+
+def _over_after_shedding(records, chats):
+    """(repeats in all, by how much the worst window passes its bound) of twelve edges with a slack of 50."""
+    edges = Edges(12, 50.0, records).run(12, False, chats, plains=1).run(15, True, chats, plains=1)
+    return len(edges.repeats), edges.most_over(50.0)
+
+
+def test_resends_of_a_fleet_with_one_service_stay_within_the_budget():
+    """Given twelve edges and requests for one service only, whose servers shed all that they get, the resends, summed over the edges, stay
+    within a fifth of the requests and the slack, in every ten seconds."""
+    for records in (("r1",), ("r1", "r2", "r3")):
+        repeats, over = _over_after_shedding(records, chats=0)
+        assert repeats > 100 and over <= 0, records
+
+
+def test_resends_at_a_service_are_paid_by_its_own_requests():
+    """Given the same fleet where three of four requests are for another service, which is well, the resends at the service that sheds stay
+    within a fifth of the requests for that service and the slack all the same."""
+    for records in (("r1",), ("r1", "r2", "r3")):
+        repeats, over = _over_after_shedding(records, chats=3)
+        assert repeats > 100 and over <= 0, (records, over)
+
+
+def test_what_any_number_of_edges_saves_up_stays_under_the_slack():
+    """Given a slack of 50 resends, what edges that know each other may have saved up for a service stays below it, also where there are
+    more edges than that; and some of them can still pay for a resend."""
+    for edges in (10, 60, 400):
+        addresses = {f"e{number}": f"10.0.2.{number}:7" for number in range(edges)}
+        saved = [_saved_by(name, addresses) for name in addresses]
+        assert sum(saved) <= 50.0 and sum(balance >= 1 for balance in saved) >= 10, edges
+
+
+def _saved_by(name, addresses):
+    """What one of these edges has saved up after many requests for one service."""
+    own = Params(
+        node=name,
+        address=addresses[name],
+        door="10.0.2.0:8",
+        area="east",
+        seeds=("10.0.3.1:3",),
+        front="10.0.2.0:9",
+        resend_slack=50.0,
+    )
+    edge, now = Edge(own, {}, 1, Clock(), Random(1)), Clock().mono()
+    news = tuple(
+        (other, address, "edge", "east", 1, "alive", address, 1)
+        for other, address in addresses.items()
+        if other != name
+    )
+    edge.membership.take(("heard", *news[0][:2], ("roll", news)), now)
+    edge.take(("pulse",), now + SECOND * 2)
+    assert len(edge.ferry.table.kin) == len(addresses)
+    for _ in range(400):
+        edge.retry_budget.earn(service_key("records"))
+    return edge.retry_budget.balance_of(service_key("records"))
+
+
+def test_a_request_goes_back_to_the_server_that_shed_it_only_after_its_rest():
+    """Given a server without another beside it that sheds a request and asks for 0.3 s, the request is not sent there again before that
+    time is over; then it is, once, and is served."""
+    scene = Scene(None, {"r1": server("records")}, credit=4.0)
+    cid = scene.ask(PLAIN)
+    scene.answer(cid, 503, b"", NOT_RUN, ("Retry-After", "0.3"), seal=False)
+    scene.run(0.25)
+    assert len(scene.sends(cid)) == 1 and not scene.told(cid)
+    scene.run(0.15)
+    assert len(scene.sends(cid)) == 2
+    scene.answer(cid)
+    assert scene.status(cid) == 200 and scene.settled()
 
 
 def test_credit_moves_and_is_never_made():
