Retry budget: what any number of edges saves up stays under the slack; borrowed credit expires

And only edges with two credits lent, which an edge of a large fleet never holds (430 x 0.8 / 195 = 1.76).

Change: where shares would be below one, the first edges have a credit each and the others live on loans; an edge with a credit lends; what was lent is gone after a second unless used, also where the cap came down.

--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -18,7 +18,7 @@
 from sumachook.nodes.state_file import FILE, StateFile
 from sumachook.nodes.usage_report import UsageReport
 from sumachook.placement.places import Places
-from sumachook.retry_budget.budget import RetryBudget
+from sumachook.retry_budget.budget import RetryBudget, share_of_savings
 from sumachook.runtime.almanac import Almanac
 
 MEMBERSHIP = {"probe", "probe_ack", "probe_via", "probe_for", "via_ack", "join", "roll"}
@@ -27,7 +27,6 @@
 KNOWN_AFTER = timedelta(seconds=3)
 KIN_FOR = timedelta(seconds=60)
 ASK_PLACES = timedelta(seconds=0.1)
-SLACK_PART = 0.8
 
 
 class Edge:
@@ -193,10 +192,9 @@
         self.ferry.table.kin = tuple(sorted({self.node, *live, *late}))
         if self.transit:
             self.transit.table.edges = len(self.ferry.table.kin)
-            if (
-                self.params.resend_slack is not None
-            ):  # what all edges together may have saved up stays under the slack (§7.7)
-                self.retry_budget.cap = max(1.0, SLACK_PART * self.params.resend_slack / len(self.ferry.table.kin))
+            if self.params.resend_slack is not None:  # so that all edges together save up less than the slack (§7.7)
+                kin = self.ferry.table.kin
+                self.retry_budget.cap = share_of_savings(self.params.resend_slack, kin.index(self.node), len(kin))
 
     def _carriers(self):
         """Addresses of other edges, those of other areas first (§11.5)."""
--- a/sumachook/retry_budget/broker.py
+++ b/sumachook/retry_budget/broker.py
@@ -5,7 +5,7 @@
 
 ROUND_EVERY = timedelta(seconds=0.5)
 REPORT_COUNTS_FOR = timedelta(seconds=2)
-LEAST_TO_SPARE = 2.0  # an edge that lends keeps a credit for itself
+LEAST_TO_SPARE = 1.0  # the price of a resend; less than that helps nobody
 
 
 class CreditReport(NamedTuple):
@@ -59,6 +59,6 @@
         out = []
         for (balance, _, donor), (_, receiver, wanted) in zip(donors, needy, strict=False):
             self.loan_number += 1
-            amount = float(min(wanted, -balance / 2))
+            amount = float(min(wanted, max(LEAST_TO_SPARE, -balance / 2)))
             out.append(("tell", donor, ("retry_lend", key, f"{fence}-{self.loan_number}", amount, receiver)))
         return out
--- a/sumachook/retry_budget/budget.py
+++ b/sumachook/retry_budget/budget.py
@@ -8,6 +8,8 @@
 ROUNDING = 0.001  # sums of fractions of a credit may fall short of a whole one by this
 REPORT_EVERY = timedelta(seconds=0.5)
 LOG_EVERY = timedelta(seconds=2)
+SAVED_PART = 0.8  # of the slack; the rest is for edges that don't know each other yet
+BORROWED_FOR = timedelta(seconds=1)  # credit above what an edge may save up is for a request that waits now
 KNOWN_FOR = timedelta(minutes=1)  # a loan after its use, and a bucket after its last request
 
 
@@ -21,6 +23,23 @@
     return "o:" + kind
 
 
+def share_of_savings(slack: float, rank: int, edges: int) -> float:
+    """Credits that the edge of this rank (from 0) among so many may save up for a service.
+
+    All shares together are at most eight tenths of the slack. They are even, but where they would be less than the
+    whole credit that a resend costs, the first edges have one each and the others none: those live on loans.
+
+    >>> share_of_savings(50.0, 3, 10)
+    4.0
+    >>> [share_of_savings(50.0, rank, 400) for rank in (0, 39, 40, 399)]
+    [1.0, 1.0, 0.0, 0.0]
+    """
+    total = SAVED_PART * slack
+    if total >= edges:
+        return total / edges
+    return 1.0 if rank < int(total) else 0.0
+
+
 class RetryBucket:
     """The credit for resends at one service.
 
@@ -28,10 +47,11 @@
     (credits), `spent` and `denied` (resends) count since the start.
     """
 
-    __slots__ = ("balance", "wanted", "earned", "spent", "denied", "is_used")
+    __slots__ = ("balance", "wanted", "earned", "spent", "denied", "is_used", "borrowed_until")
 
     def __init__(self):
         self.balance, self.wanted, self.earned, self.spent, self.denied, self.is_used = 0.0, 0, 0.0, 0, 0, True
+        self.borrowed_until = timedelta(0)
 
 
 class RetryBudget:
@@ -67,7 +87,8 @@
         """Notes a first try at the service of this key."""
         bucket = self.bucket(key)
         bucket.earned += self.ratio
-        bucket.balance = min(self.cap, bucket.balance + self.ratio)
+        if bucket.balance < self.cap:
+            bucket.balance = min(self.cap, bucket.balance + self.ratio)
 
     def spend(self, key: str) -> bool:
         """Whether a resend at the service of this key is paid for, now."""
@@ -100,6 +121,7 @@
         """("pulse", addresses of brokers) reports; lend and gift move credit, never making any."""
         if message[0] == "pulse":
             self._forget(now)
+            self._trim(now)
             return self._log(now) + self._report(message[1], now)
         kind, key, loan, amount, *target = message[3]
         if loan in self.loans:
@@ -108,7 +130,8 @@
             return self._lend(key, loan, amount, target[0], now)
         self.loans[loan] = now
         bucket = self.bucket(key)
-        bucket.balance = min(self.cap, bucket.balance + amount)
+        bucket.balance = min(max(self.cap, 1.0), bucket.balance + amount)
+        bucket.borrowed_until = now + BORROWED_FOR
         return []
 
     def _lend(self, key, loan, amount, target, now):
@@ -119,6 +142,12 @@
         self.bucket(key).balance -= given
         return [("tell", target, ("retry_gift", key, loan, given))]
 
+    def _trim(self, now):
+        """Takes away what is above the cap: it was borrowed and not used, or the cap came down."""
+        for bucket in self.buckets.values():
+            if bucket.balance > self.cap and now >= bucket.borrowed_until:
+                bucket.balance = self.cap
+
     def _report(self, brokers, now):
         """Tells what is to spare and what is wanted; an edge that has neither says nothing."""
         if now < self.next_report:
@@ -127,7 +156,7 @@
         balances = {}
         for key, bucket in self.buckets.items():
             if bucket.wanted or bucket.balance >= 1:
-                balances[key] = (round(bucket.balance, 3), min(bucket.wanted, math.ceil(self.cap)))
+                balances[key] = (round(bucket.balance, 3), min(bucket.wanted, max(1, math.ceil(self.cap))))
             bucket.wanted = 0
         return [("tell", broker, ("retry_credit", balances)) for broker in brokers] if balances else []
 
