A request goes back to a server that shed it only after that server's rest

Change: a server that turned a request away is not asked for it again before its rest (its Retry-After, or 0.1 s doubling to 1 s while all it says is 'full'). If the rest ends after the fifth of the request's time that it may wait for room, it is answered at once with the time to come back.

--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -11,7 +11,9 @@
 RUN_COST, FAR_COST, FULL_COST, SHUT_COST = 0.5, 3.0, 500.0, 2000.0  # ms that a choice is worse by
 KEPT_FOR = timedelta(seconds=20)
 WANT_AGAIN = timedelta(seconds=0.3)
-HOLD_PART = 0.45  # of a request's time that it may wait for a place
+HOLD_PART = 0.45  # of a request's time that it may wait for a place that is being made
+REST_PART = 0.2  # of a request's time that it may wait for room at servers that are there
+COME_BACK = 0.2  # seconds, the least that a client is told to wait
 
 
 class Choose:
@@ -65,6 +67,8 @@
             if price is not None and (cost is None or price < cost):
                 chosen, cost = name, price
         if chosen is None:
+            if all(self._is_resting(row, name, now) for name, _ in usable):
+                return self._wait_for_rest(row, min(table.lane(name).full_until for name, _ in usable), now)
             is_down = all(table.lane(name).is_down(now) for name, _ in usable)
             return self._wait(row, now, is_down and needs_place)
         if row.needs_credit and not table.retry_budget.spend(service_key(row.service)):
@@ -89,7 +93,7 @@
     def _cost(self, row, name, server, now):
         """Milliseconds that this choice is likely to cost, or None where the server may not be given more now."""
         table, lane = self.table, self.table.lane(name)
-        if not self._has_room(row, name, server, now):
+        if not self._has_room(row, name, server, now) or self._is_resting(row, name, now):
             return None
         cost = FAR_COST * (server["area"] != table.area) + FULL_COST * lane.is_full(now) + SHUT_COST * lane.is_shut(now)
         cost += SHUT_COST * 4 * (name in row.avoid) + table.draw.random()
@@ -99,6 +103,10 @@
         slots = max(1, server.get("slots", 1))
         return cost + 20.0 * lane.in_use + 200.0 * max(0, lane.in_use * table.edges / 2 - slots) / slots
 
+    def _is_resting(self, row, name, now) -> bool:
+        """Whether the server turned this row away and its rest is not over: a resend would most likely be turned away too."""
+        return name in row.avoid and self.table.lane(name).is_full(now)
+
     def _has_room(self, row, name, server, now) -> bool:
         """Whether the server may be given one more now."""
         table, lane = self.table, self.table.lane(name)
@@ -130,14 +138,21 @@
             tokens -= count
         return max(0, tokens)
 
+    def _wait_for_rest(self, row, until, now):
+        """Holds the row until a server that turned it away may be asked again; gives it up at once if that is too late."""
+        if until > row.arrived_at + (row.cutoff - row.arrived_at) * REST_PART:
+            row.retry_after = max(COME_BACK, (until - now).total_seconds())
+            return self.settle.take(row, _last(row), now)
+        return []
+
     def _wait(self, row, now, is_wanted):
         """Holds the row while a place may come; refuses it as soon as its time will not do (§14.4)."""
         table = self.table
         model = table.models.get(row.service, {}).get(row.request.model)
         load = timedelta(milliseconds=model.load_ms) if model and is_wanted else timedelta(0)
         hold_by = row.arrived_at + (row.cutoff - row.arrived_at) * HOLD_PART
-        if now >= hold_by or (not is_wanted and now - row.arrived_at > (row.cutoff - row.arrived_at) * 0.2):
-            row.retry_after = max(0.2, load.total_seconds())
+        if now >= hold_by or (not is_wanted and now - row.arrived_at > (row.cutoff - row.arrived_at) * REST_PART):
+            row.retry_after = max(COME_BACK, load.total_seconds())
             return self.settle.take(row, _last(row), now)
         if is_wanted and (row.wanted_at is None or now - row.wanted_at >= WANT_AGAIN):
             row.wanted_at = now
