--- a/sumachook/ledger/keeper.py
+++ b/sumachook/ledger/keeper.py
@@ -203,7 +203,7 @@
     def _sweep(self, live, now):
         """Open rows whose edge is no more are closed as lost; that is how they get into the day's log."""
         gone = []
-        for request, row in self.open_rows.items():
+        for row in self.open_rows.values():
             writer = (row["edge"], row["incarnation"])
             if live.get(writer[0]) == writer[1]:
                 self.away_since.pop(writer, None)
@@ -261,6 +261,7 @@
 
 
 def test_key_is_kept_until_it_did_not_run():
+    """Given a key in use, a second request with it is told so until the first one is closed as not run."""
     keeper, zero = _keeper(), timedelta(0)
     keeper.take(("heard", "e", "e:1", ("open", ((_row("r1", key="k"), ()),))), zero)
     (answer,) = keeper.take(("heard", "e", "e:1", ("open", ((_row("r2", key="k"), ()),))), zero)
@@ -271,6 +272,7 @@
 
 
 def test_rows_of_a_gone_edge_are_lost_until_its_word_comes():
+    """Given an edge that is no more, its open rows are closed as lost, and set right when its own record comes after all."""
     keeper, second = _keeper(), timedelta(seconds=1)
     keeper.take(("heard", "e", "e:1", ("open", ((_row("r1"), ()),))), second)
     keeper.take(("pulse", {"e": 2}, {"a": "a:1"}), second)
--- a/sumachook/ledger/quill.py
+++ b/sumachook/ledger/quill.py
@@ -103,7 +103,7 @@
 
     def _pulse(self, carriers, now):
         out = []
-        for key, entry in list(self.entries.items()):
+        for entry in list(self.entries.values()):
             order = self._owners(entry.record)
             if len(order) == 3 and order[2] not in entry.sent:
                 missing = [seat for seat in order[:2] if seat not in entry.acks]
--- a/sumachook/ledger/ranges.py
+++ b/sumachook/ledger/ranges.py
@@ -17,4 +17,5 @@
 
 
 def range_key(record: dict) -> str:
+    """What decides who keeps a record: the caller and its key, so that repeats of a key meet, or else the request."""
     return f"{record['caller']}|{record['key']}" if record.get("key") else record["request"]
--- a/sumachook/retry_budget/broker.py
+++ b/sumachook/retry_budget/broker.py
@@ -1,7 +1,7 @@
 """Moves retry credit from edges that have some to spare to edges that want it; part of the accountant duty's holder."""
 
 from datetime import timedelta
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 ROUND_EVERY = timedelta(seconds=0.5)
 REPORT_COUNTS_FOR = timedelta(seconds=2)
@@ -21,11 +21,11 @@
 
     __slots__ = ("reports", "next_round", "loan_number")
 
-    def __init__(self, now: timedelta):
+    def __init__(self, now: timedelta) -> None:
         self.reports: dict[str, CreditReport] = {}
         self.next_round, self.loan_number = now, 0
 
-    def take(self, message: tuple, now: timedelta) -> list:
+    def take(self, message: tuple[Any, ...], now: timedelta) -> list[tuple[Any, ...]]:
         """("pulse", fence) holds a round, where the fence is not 0; ("heard", edge, address, report) notes a report."""
         if message[0] == "pulse":
             return self._round(message[1], now)
@@ -33,7 +33,7 @@
         self.reports[edge] = CreditReport(address, balances, now)
         return []
 
-    def _round(self, fence, now):
+    def _round(self, fence: int, now: timedelta) -> list[tuple[Any, ...]]:
         if not fence or now < self.next_round:
             return []
         self.next_round = now + ROUND_EVERY
@@ -43,7 +43,7 @@
         keys = {key for report in self.reports.values() for key, (_, wanted) in report.balances.items() if wanted}
         return [effect for key in sorted(keys) for effect in self._match(key, fence)]
 
-    def _match(self, key, fence):
+    def _match(self, key: str, fence: int) -> list[tuple[Any, ...]]:
         """One loan for each edge that wants credit at this service, from those that have most of it."""
         known = [
             (edge, report.address, *report.balances[key])
@@ -56,7 +56,7 @@
             for edge, address, balance, wanted in known
             if balance >= LEAST_TO_SPARE and not wanted
         )
-        out = []
+        out: list[tuple[Any, ...]] = []
         for (balance, _, donor), (_, receiver, wanted) in zip(donors, needy, strict=False):
             self.loan_number += 1
             amount = float(min(wanted, max(LEAST_TO_SPARE, -balance / 2)))
--- a/sumachook/retry_budget/budget.py
+++ b/sumachook/retry_budget/budget.py
@@ -2,6 +2,7 @@
 
 import math
 from datetime import timedelta
+from typing import Any
 
 RATIO = 0.2
 CAP = 2.0  # what may be saved up for one service, where no slack is given
@@ -49,7 +50,7 @@
 
     __slots__ = ("balance", "wanted", "earned", "spent", "denied", "is_used", "borrowed_until")
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.balance, self.wanted, self.earned, self.spent, self.denied, self.is_used = 0.0, 0, 0.0, 0, 0, True
         self.borrowed_until = timedelta(0)
 
@@ -105,7 +106,7 @@
         """Credit that resends at the service of this key may use."""
         return self.buckets[key].balance if key in self.buckets else 0.0
 
-    def told(self) -> dict:
+    def told(self) -> dict[str, dict[str, float]]:
         """What `GET /metrics` shows of each bucket."""
         return {
             key: {
@@ -117,7 +118,7 @@
             for key, bucket in sorted(self.buckets.items())
         }
 
-    def take(self, message: tuple, now) -> list:
+    def take(self, message: tuple[Any, ...], now: timedelta) -> list[tuple[Any, ...]]:
         """("pulse", addresses of brokers) reports; lend and gift move credit, never making any."""
         if message[0] == "pulse":
             self._forget(now)
@@ -134,7 +135,7 @@
         bucket.borrowed_until = now + BORROWED_FOR
         return []
 
-    def _lend(self, key, loan, amount, target, now):
+    def _lend(self, key: str, loan: str, amount: float, target: str, now: timedelta) -> list[tuple[Any, ...]]:
         given = min(amount, self.balance_of(key))
         if given < 1:
             return []
@@ -142,25 +143,25 @@
         self.bucket(key).balance -= given
         return [("tell", target, ("retry_gift", key, loan, given))]
 
-    def _trim(self, now):
+    def _trim(self, now: timedelta) -> None:
         """Takes away what is above the cap: it was borrowed and not used, or the cap came down."""
         for bucket in self.buckets.values():
             if bucket.balance > self.cap and now >= bucket.borrowed_until:
                 bucket.balance = self.cap
 
-    def _report(self, brokers, now):
+    def _report(self, brokers: tuple[str, ...], now: timedelta) -> list[tuple[Any, ...]]:
         """Tells what is to spare and what is wanted; an edge that has neither says nothing."""
         if now < self.next_report:
             return []
         self.next_report = now + REPORT_EVERY
-        balances = {}
+        balances: dict[str, tuple[float, int]] = {}
         for key, bucket in self.buckets.items():
             if bucket.wanted or bucket.balance >= 1:
                 balances[key] = (round(bucket.balance, 3), min(bucket.wanted, max(1, math.ceil(self.cap))))
             bucket.wanted = 0
         return [("tell", broker, ("retry_credit", balances)) for broker in brokers] if balances else []
 
-    def _log(self, now):
+    def _log(self, now: timedelta) -> list[tuple[Any, ...]]:
         """One line for the resends since the last one, if there were any: who paid for them is told by service."""
         if now < self.next_log:
             return []
@@ -178,7 +179,7 @@
                 }
         return [("log", "info", "retry-budget", "Resends paid for and denied.", fields)] if fields else []
 
-    def _forget(self, now):
+    def _forget(self, now: timedelta) -> None:
         """Drops loans that no late copy can repeat any more, and buckets of services that are asked for no longer."""
         if now < self.next_sweep:
             return
