--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -267,7 +267,7 @@
 
 
 def test_silence_is_suspected_then_removed_and_return_is_seen():
-    """Given a member that is cut off, it is suspected, then gone, and live again under a higher incarnation after it returns."""
+    """Given a member that is cut off, it is suspected, then gone, and live again under a higher incarnation later."""
     machines, second = _pair(), timedelta(seconds=1)
     _run(machines, timedelta(0), second * 3)
     assert set(machines["b"].members) == {"a", "c"}
