Breaches of the retry budget: savings, rests, borrowed credit; a story of a rest that is too long

'Credit is saved up without end' was not caught at first: since a cap that comes down now trims what is above it, taking out the bound on earning alone changes little; the breach takes out both, and is caught.

--- a/harness/breaches.py
+++ b/harness/breaches.py
@@ -296,8 +296,9 @@
     (
         7,
         "credit is saved up without end",
-        "bucket.balance = min(self.cap, bucket.balance + self.ratio)",
-        "bucket.balance = bucket.balance + self.ratio",
+        "        if bucket.balance < self.cap:\n"
+        "            bucket.balance = min(self.cap, bucket.balance + self.ratio)\n",
+        "        bucket.balance, bucket.borrowed_until = bucket.balance + self.ratio, timedelta.max\n",
         REQUESTS,
         "burst_of_faults",
     ),
@@ -1344,6 +1345,22 @@
         BUDGETS,
         "any_number_of_edges",
     ),
+    (
+        "BUDGET",
+        "a request goes back at once to the server that shed it",
+        "return name in row.avoid and self.table.lane(name).is_full(now)",
+        "return False",
+        BUDGETS,
+        "only_after_its_rest",
+    ),
+    (
+        "HELD",
+        "a request waits for a rest that is too long for it",
+        "if until > row.arrived_at + (row.cutoff - row.arrived_at) * REST_PART:",
+        "if False:",
+        BUDGETS,
+        "ends_the_request_at_once",
+    ),
     (
         "BUDGET",
         "what was borrowed is kept",
--- a/tests/retry_budget_stories.py
+++ b/tests/retry_budget_stories.py
@@ -153,6 +153,16 @@
     assert scene.status(cid) == 200 and scene.settled()
 
 
+def test_a_rest_that_is_too_long_ends_the_request_at_once():
+    """Given a server without another beside it that sheds a request and asks for more time than the request may wait, the client hears at
+    once that it did not run, and when to come back."""
+    scene = Scene(None, {"r1": server("records")}, credit=4.0)
+    cid = scene.ask(PLAIN)
+    scene.answer(cid, 503, b"", NOT_RUN, ("Retry-After", "2"), seal=False)
+    assert scene.status(cid) == 503 and scene.fault(cid)["run"] == "no" and scene.retry_after(cid) == 2.0
+    assert len(scene.sends(cid)) == 1 and scene.settled()
+
+
 def test_what_an_edge_borrowed_and_did_not_use_is_taken_away_again():
     """Given an edge that may save up nothing, as there are more edges than the slack has credits, it pays a resend with what is lent to it;
     credit that it doesn't use within a second is gone, so that no edge saves up by borrowing."""
