Stories of forwarded requests in four files: scene, requests, streams, storm

tests/transit_stories.py had 1,600 lines, and five other files took its scene from it. Breaches name the new files.

--- a/harness/breaches.py
+++ b/harness/breaches.py
@@ -26,7 +26,7 @@
     for name in ("transit", "forward", "provision", "duty", "configure", "leaving", "door", "fetch")
 )
 ORDERS, LIMITS = "tests/order_stories.py", "tests/limit_stories.py"
-BUDGETS = "tests/retry_budget_stories.py"
+BUDGETS, STREAMS = "tests/retry_budget_stories.py", "tests/transit_stream_stories.py"
 
 # 0: the order of changes, 13: allowances (§15), a word: a rule of the platform's pages (§14)
 # (rule, what is taken out, the guard's text, what stands in its place, where it should be seen, by name)
@@ -1374,7 +1374,7 @@
         "a request goes to any number of servers",
         "if len(row.sent_to) < row.route.tries:\n        return usable",
         "if True:\n        return usable",
-        TRANSIT,
+        STREAMS,
         "at_no_more_servers",
     ),
     (
@@ -1438,7 +1438,7 @@
         "a resume that does not go on is joined",
         "if row.reached_client and not _goes_on(row.last_event_id, events):",
         "if False:",
-        TRANSIT,
+        STREAMS,
         "never_joined",
     ),
     (
@@ -1446,7 +1446,7 @@
         "a resume may repeat the last event",
         "return int(first) > int(last) if",
         "return int(first) >= int(last) if",
-        TRANSIT,
+        STREAMS,
         "never_joined",
     ),
     (
@@ -1454,7 +1454,7 @@
         "a cut stream is closed in good order",
         '[*out, ("drop", row.cid)]',
         '[*out, ("end", row.cid)]',
-        TRANSIT,
+        STREAMS,
         "without_a_closing_mark",
     ),
     (
@@ -1470,7 +1470,7 @@
         "an end within an event counts as the end",
         "if row.buffer or not row.reached_client:",
         "if False:",
-        TRANSIT,
+        STREAMS,
         "without_a_closing_mark",
     ),
     (
@@ -1478,7 +1478,7 @@
         "a stream that may not be resumed is",
         "return bool(row.route.resumable and row.last_event_id",
         "return bool(row.last_event_id",
-        TRANSIT,
+        STREAMS,
         "without_a_closing_mark",
     ),
     (
@@ -1486,7 +1486,7 @@
         "half an event is passed on",
         "end = max(row.buffer.rfind(mark) + len(mark) if mark in row.buffer else 0 for mark in EVENT_END)",
         "end = len(row.buffer)",
-        TRANSIT,
+        STREAMS,
         "only_whole",
     ),
     (
@@ -1494,7 +1494,7 @@
         "a stream is taken up without end",
         "row.route.resumable and row.last_event_id and row.resumes < MOST_RESUMES",
         "row.route.resumable and row.last_event_id",
-        TRANSIT,
+        STREAMS,
         "resume_is_bounded",
     ),
     (
@@ -1502,7 +1502,7 @@
         "a whole body is joined to a stream",
         '        if row.reached_client:\n            return self.resend.take(row, faults.CUT.because("no stream',
         '        if False:\n            return self.resend.take(row, faults.CUT.because("no stream',
-        TRANSIT,
+        STREAMS,
         "resume_that_is_turned_away",
     ),
     (
@@ -1510,7 +1510,7 @@
         "a refused resume is joined to a stream",
         "if status >= 300 and row.reached_client:",
         "if False:",
-        TRANSIT,
+        STREAMS,
         "resume_that_is_refused",
     ),
     (
--- a/tests/allowance_stories.py
+++ b/tests/allowance_stories.py
@@ -10,7 +10,7 @@
 from sumachook.changefeed.follower import FRESH, WAITING
 from sumachook.inference import faults
 from tests.allowance_scene import SECOND, Offices, tenant
-from tests.transit_stories import CHAT, NOT_RUN, ONCE, Scene, catalogue
+from tests.transit_scene import CHAT, NOT_RUN, ONCE, Scene, catalogue
 
 EDGES = [f"edge-{place}" for place in range(1, 9)]
 
--- a/tests/cold_server_stories.py
+++ b/tests/cold_server_stories.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from tests.transit_stories import CHAT, PULSE, Scene, catalogue, server
+from tests.transit_scene import CHAT, PULSE, Scene, catalogue, server
 
 SECOND = timedelta(seconds=1)
 COLD_PER_S, OVERSHOOT, SLACK = 20.0, 1.5, 5.0
--- a/tests/forward_stories.py
+++ b/tests/forward_stories.py
@@ -13,7 +13,7 @@
 from sumachook.transport.forwarder import Forwarder
 from sumachook.transport.front import Front
 from sumachook.transport.ports import split_address
-from tests.transit_stories import START, Scene, catalogue, event, route, server
+from tests.transit_scene import START, Scene, catalogue, event, route, server
 
 BOUND = 8.0  # seconds for one story, far more than it takes
 SOON = 2.5  # seconds, well under the time of a route
--- a/tests/leaving_stories.py
+++ b/tests/leaving_stories.py
@@ -16,7 +16,7 @@
 from sumachook.transport.door import TURNS
 from sumachook.transport.ports import NodePort, split_address
 from tests.forward_stories import BOUND, SOON, head, play, sealed, well
-from tests.transit_stories import catalogue, server
+from tests.transit_scene import catalogue, server
 
 SECOND, PULSE = timedelta(seconds=1), timedelta(seconds=0.05)
 GRACE = 8.0
--- a/tests/retry_budget_stories.py
+++ b/tests/retry_budget_stories.py
@@ -9,7 +9,7 @@
 from sumachook.retry_budget.broker import RetryBudgetBroker
 from sumachook.retry_budget.budget import CAP, RetryBudget, service_key, share_of_savings
 from sumachook.runtime.clock import Clock
-from tests.transit_stories import CHAT, NOT_RUN, PLAIN, PULSE, START, Scene, server
+from tests.transit_scene import CHAT, NOT_RUN, PLAIN, PULSE, START, Scene, server
 
 SECOND = timedelta(seconds=1)
 WINDOW = SECOND * 10
--- /dev/null
+++ b/tests/transit_scene.py
@@ -0,0 +1,244 @@
+"""What the stories of forwarded requests begin with: a Transit machine with its table, and requests, servers and answers for it (§14.4)."""
+
+from datetime import timedelta
+from random import Random
+
+import msgspec
+
+from sumachook.catalog.state import State
+from sumachook.changefeed.follower import FRESH
+from sumachook.forwarding.port import RequestPort
+from sumachook.forwarding.table import Table
+from sumachook.forwarding.transit import Transit
+from sumachook.placement.places import Places
+from sumachook.retry_budget.budget import RetryBudget, service_key
+from sumachook.runtime.almanac import ZERO, Almanac
+from tests.scene import give_credit, json_fields
+
+SECOND = timedelta(seconds=1)
+PULSE = timedelta(seconds=0.05)
+START = timedelta(seconds=100)
+SEAL = ("X-Server-Seal", "s.1")
+NOT_RUN = ("X-Not-Run", "1")
+OWN = ("X-Request-Id", None)  # the id of the request itself
+EVENTS = ("Content-Type", "text/event-stream")
+SERVICES = ("records", "other", "llm")
+PLAIN, ONCE, CHAT, LOOSE = "/plain/x", "/once/x", "/chat/x", "/loose/x"
+
+
+class Trust:
+    """A follower of which only its word counts."""
+
+    def __init__(self, word):
+        self.word = word
+
+    def trust(self, now):
+        return self.word
+
+
+def route(name, kind, service="records", **more):
+    return {
+        "name": name,
+        "host": "a.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 4000,
+        "targetMs": 400,
+        "tries": 3,
+        "split": [{"service": service, "weight": 1}],
+        **json_fields(more),
+    }
+
+
+def catalogue(version=1, routes=None, **more):
+    engine = {
+        "slots": 8,
+        "memoryMb": 100.0,
+        "models": [{"name": name, "sizeMb": 10.0, "loadMs": 600, "adapters": 2} for name in ("m", "n")],
+    }
+    standing = [
+        route("plain", "repeatable"),
+        route("once", "once"),
+        route("loose", "stream"),
+        route("chat", "stream", "llm", resumable=True),
+    ]
+    return {
+        "name": "c",
+        "areas": ["east", "west"],
+        "version": version,
+        "httpRoutes": standing if routes is None else routes,
+        "services": [
+            {"name": "records", "connections": 300},
+            {"name": "other"},
+            {"name": "llm", "connections": 300, "engine": engine},
+        ],
+        **more,
+    }
+
+
+def server(service, area="east", address="10.0.0.1:80", leaving=False):
+    return {"kind": "service", "service": service, "address": address, "area": area, "leaving": leaving, "slots": 8}
+
+
+SERVERS = {
+    "r1": server("records"),
+    "r2": server("records"),
+    "r3": server("records"),
+    "l1": server("llm"),
+    "l2": server("llm"),
+    "l3": server("llm"),
+}
+
+
+class Scene:
+    """A Transit with its table, and what it said."""
+
+    def __init__(self, doc=None, servers=None, credit=4.0, seed=1, trust=FRESH, held=("l1", "l2", "l3")):
+        self.now, self.state, self.trust, self.places = START, State(), Trust(trust), Places()
+        self.retry_budget = RetryBudget(cap=4.0)
+        if doc is not False:
+            assert self.state.apply(1, ("configure", "q", doc or catalogue(), {}, False, 0))[0] == "ok"
+        self.state.servers = dict(SERVERS if servers is None else servers)
+        self.give_credit(credit)
+        self.table = Table(
+            "e1",
+            7,
+            "east",
+            self.state,
+            self.trust,
+            self.retry_budget,
+            Random(seed),
+            RequestPort(),
+            self.places,
+            Almanac(lambda: ZERO, START),
+        )
+        self.transit, self.out, self.number = Transit(self.table), [], 0
+        self.place({name: {"m": ()} for name in held})
+
+    def give_credit(self, credit):
+        give_credit(self.retry_budget, credit, *map(service_key, SERVICES))
+
+    def credit(self, service="records"):
+        return self.retry_budget.balance_of(service_key(service))
+
+    def take(self, *message):
+        effects = self.transit.take(message, self.now)
+        self.out += effects
+        return effects
+
+    def place(self, servers):
+        self.places.take(
+            ("heard", "core-1", "10.0.0.9:1", ("places", 1, 1, self.places.number + 1, True, servers)), self.now
+        )
+        return self.take("places")
+
+    def configure(self, doc):
+        assert (
+            self.state.apply(self.state.number + 1, ("configure", "q", doc, {}, False, self.state.version))[0] == "ok"
+        )
+
+    def ask(self, path=PLAIN, method="POST", headers=(), body=b"{}", host="a.example", **own):
+        """A request that comes in; gives its cid. The id of the client's try is the cid as well."""
+        self.number += 1
+        cid = f"q{self.number}"
+        names = {
+            "deadline": "X-Deadline-Ms",
+            "model": "X-Model",
+            "tokens": "X-Token-Counts",
+            "parts": "X-Prompt-Parts",
+            "last": "Last-Event-ID",
+        }
+        if path.startswith("/chat/"):
+            own = {"model": "m", **own}
+        pairs = [
+            ("Host", host),
+            ("X-Request-Id", cid),
+            *headers,
+            *((names[what], str(value)) for what, value in own.items()),
+        ]
+        self.take("http", cid, method, path, tuple(pairs), body)
+        return cid
+
+    def after(self, seconds):
+        self.now += timedelta(seconds=seconds)
+        return self
+
+    def run(self, seconds):
+        """Pulses, until so many seconds have passed."""
+        until, begun = self.now + timedelta(seconds=seconds), len(self.out)
+        while self.now < until:
+            self.now += PULSE
+            self.take("pulse")
+        return self.out[begun:]
+
+    def sends(self, cid=None):
+        """What was forwarded, of one request or of all."""
+        found = [effect for effect in self.out if effect[0] == "forward"]
+        return found if cid is None else [effect for effect in found if ("X-Request-Id", cid) in effect[4]]
+
+    def goal(self, cid, place=-1):
+        """The server that a try of a request is meant for."""
+        return dict(self.sends(cid)[place][4])["x-expect-instance"]
+
+    def told(self, cid):
+        return [
+            effect for effect in self.out if effect[0] in ("reply", "head", "chunk", "end", "drop") and effect[1] == cid
+        ]
+
+    def reply(self, cid):
+        (effect,) = self.told(cid)
+        assert effect[0] == "reply", effect
+        return effect
+
+    def status(self, cid):
+        return self.reply(cid)[2]
+
+    def fault(self, cid):
+        return msgspec.json.decode(self.reply(cid)[4])["fault"]
+
+    def retry_after(self, cid):
+        return float(dict(self.reply(cid)[3])["Retry-After"])
+
+    def hear(self, cid, *what):
+        """What the last try of a request brings."""
+        return self.take("fetched", self.sends(cid)[-1][1], *what)
+
+    def sent(self, cid):
+        return self.hear(cid, "sent")
+
+    def head(self, cid, status=200, *pairs, seal=True):
+        return self.hear(cid, "head", status, (("X-Request-Id", cid), *([SEAL] if seal else []), *pairs))
+
+    def answer(self, cid, status=200, body=b"done", *pairs, **more):
+        self.sent(cid)
+        before = len(self.out)
+        self.head(cid, status, *pairs, **more)
+        if self.table.by_cid.get(cid) is not None and self.out[before:] == []:
+            self.hear(cid, "chunk", body)
+            self.hear(cid, "end")
+
+    def stream(self, cid, *numbers):
+        self.sent(cid)
+        self.head(cid, 200, EVENTS)
+        self.events(cid, *numbers)
+
+    def events(self, cid, *numbers):
+        return self.hear(cid, "chunk", b"".join(event(number) for number in numbers))
+
+    def body(self, cid):
+        return b"".join(effect[2] for effect in self.told(cid) if effect[0] == "chunk")
+
+    def records(self, is_close):
+        return [effect[1] for effect in self.out if effect[0] == "behind" and effect[2] is is_close]
+
+    def settled(self):
+        """Nothing is in hand and nothing is counted as though it were."""
+        table = self.table
+        assert not (table.rows or table.by_cid or table.waiting or table.wants), (table.rows, table.waiting)
+        assert not any(table.running.values())
+        assert all(lane.in_use == 0 and lane.pending_tokens == 0 for lane in table.lanes.values())
+        return True
+
+
+def event(number, size=1):
+    return b"id: %d\ndata: %s\n\n" % (number, b"t%d" % number * size)
--- /dev/null
+++ b/tests/transit_storm_stories.py
@@ -0,0 +1,220 @@
+"""A Transit machine in a storm of servers and clients that do all that they may do (§14.4)."""
+
+import heapq
+import re
+from datetime import timedelta
+from random import Random
+
+import msgspec
+import pytest
+
+from sumachook.changefeed.follower import CUT, FRESH, WAITING
+from tests.transit_scene import CHAT, EVENTS, LOOSE, NOT_RUN, ONCE, PLAIN, PULSE, SEAL, SERVERS, Scene, event
+
+
+class Storm:
+    """A Transit among servers that do all that servers may do, and clients that hang up; the records of both are kept apart."""
+
+    COUNT = 6  # events of a stream
+
+    def __init__(self, seed):
+        self.draw = Random(seed)
+        self.scene = Scene(seed=seed, credit=0.0)
+        self.scene.retry_budget.cap = 30.0
+        self.heap, self.number = [], 0
+        self.fetches = {}  # tid: [is called off, was heard as sent]
+        self.arrivals, self.runs, self.gone, self.asked, self.seen = [], {}, set(), {}, 0
+        self.trouble = 0.0
+
+    def later(self, seconds, work, *given):
+        self.number += 1
+        heapq.heappush(self.heap, (self.scene.now + timedelta(seconds=seconds), self.number, work, given))
+
+    def play(self, rounds):
+        for number in range(rounds):
+            self.trouble = self.draw.choice((0.0, 0.2, 0.6, 0.9)) if number % 40 == 0 else self.trouble
+            for _ in range(self.draw.randrange(3)):
+                self.ask()
+            if self.draw.random() < 0.05:
+                self.change()
+            self.step()
+        self.trouble = 0.0
+        for _ in range(200):
+            self.step()
+        return self
+
+    def step(self):
+        scene = self.scene
+        until = scene.now + PULSE
+        while self.heap and self.heap[0][0] <= until:
+            scene.now, _, work, given = heapq.heappop(self.heap)
+            work(*given)
+            self.watch()
+        scene.now = until
+        scene.take("pulse")
+        self.watch()
+
+    def ask(self):
+        path = self.draw.choice((PLAIN, ONCE, LOOSE, CHAT, CHAT))
+        own = {"deadline": self.draw.choice((300, 1000, 3000, 9000))}
+        if path == CHAT:
+            own |= {"model": self.draw.choice(("m", "m", "m/a1", "n")), "tokens": "30,8", "parts": "5c:20,91:10"}
+        cid = self.scene.ask(path, **own)
+        self.asked[cid] = path
+        if self.draw.random() < 0.08:
+            self.later(self.draw.random(), self.hang_up, cid)
+        self.watch()
+
+    def hang_up(self, cid):
+        if not any(effect[0] in ("reply", "end", "drop") for effect in self.scene.told(cid)):
+            self.gone.add(cid)
+        self.scene.take("gone", cid)
+
+    def change(self):
+        scene, draw = self.scene, self.draw
+        name = draw.choice(sorted(SERVERS))
+        what = draw.randrange(4)
+        if what == 0:
+            scene.place(
+                {
+                    server: {"m": ("a1",), "n": ()} if draw.random() < 0.5 else {"m": ()}
+                    for server in ("l1", "l2", "l3")
+                    if draw.random() < 0.7
+                }
+            )
+        elif what == 1:
+            scene.state.servers[name] = {**scene.state.servers.get(name, SERVERS[name]), "leaving": draw.random() < 0.5}
+        elif what == 2:
+            scene.state.servers.pop(name) if name in scene.state.servers else scene.state.servers.update(
+                {name: SERVERS[name]}
+            )
+        else:
+            scene.trust.word = draw.choice((FRESH, FRESH, CUT, WAITING))
+        self.watch()
+
+    def watch(self):
+        """Acts on what the machine said since the last look."""
+        while self.seen < len(self.scene.out):
+            effect = self.scene.out[self.seen]
+            self.seen += 1
+            if effect[0] == "unfetch" and effect[1] in self.fetches:
+                self.fetches[effect[1]][0] = True
+            elif effect[0] == "forward":
+                self.fetches[effect[1]] = [False, False]
+                assert not self.scene.state.servers[dict(effect[4])["x-expect-instance"]]["leaving"]
+                self.later(self.draw.random() * 0.02, self.connect, effect)
+
+    def tell(self, tid, *what):
+        if not self.fetches[tid][0]:
+            self.scene.take("fetched", tid, *what)
+
+    def connect(self, effect):
+        tid = effect[1]
+        if self.fetches[tid][0]:
+            return  # called off before its connection stood: no byte went out
+        luck = self.draw.random()
+        if luck < self.trouble * 0.3:
+            return (
+                self.tell(tid, "fault", "refused")
+                if luck < self.trouble * 0.2
+                else self.later(0.4, self.tell, tid, "fault", "connect-timeout")
+            )
+        self.tell(tid, "sent")
+        self.later(self.draw.random() * 0.1, self.arrive, effect)
+
+    def arrive(self, effect):
+        """The server has the request, whether or not the edge still waits for it."""
+        tid, headers = effect[1], dict(effect[4])
+        cid, name, draw = headers["X-Request-Id"], headers["x-expect-instance"], self.draw
+        self.arrivals.append((cid, name))
+        is_trouble = draw.random() < self.trouble
+        answer = (
+            draw.choice(("full", "moved", "reset", "silent", "half", "500", "bare503", "strange", "other", "slow"))
+            if is_trouble
+            else "well"
+        )
+        own = (("X-Request-Id", cid), SEAL)
+        if answer in ("full", "moved"):
+            return self.tell(tid, "head", 503 if answer == "full" else 421, (("X-Request-Id", cid), NOT_RUN))
+        if draw.random() < 0.3 and answer in ("reset", "silent"):
+            return (
+                self.tell(tid, "fault", "reset") if answer == "reset" else None
+            )  # it took the request and never ran it
+        self.runs[cid] = self.runs.get(cid, 0) + 1
+        at = draw.random() * 0.1
+        if answer == "reset":
+            self.later(at, self.tell, tid, "fault", "reset")
+        elif answer in ("500", "bare503"):
+            self.later(at, self.tell, tid, "head", 500 if answer == "500" else 503, own)
+            self.later(at + 0.01, self.tell, tid, "end")
+        elif answer == "strange":
+            self.later(at, self.tell, tid, "head", 200, (("X-Request-Id", cid),))
+            self.later(at + 0.01, self.tell, tid, "chunk", b"strange")
+            self.later(at + 0.02, self.tell, tid, "end")
+        elif answer == "other":
+            self.later(at, self.tell, tid, "head", draw.choice((200, 503)), (("X-Request-Id", "zz"), SEAL, NOT_RUN))
+        elif answer != "silent":
+            self.serve(tid, cid, own, headers, at + (1.5 if answer == "slow" else 0.0), answer == "half")
+
+    def serve(self, tid, cid, own, headers, at, is_half):
+        if self.asked[cid] in (CHAT, LOOSE):
+            first = int(headers.get("last-event-id", 0)) + 1
+            raw = b"".join(event(number, 3) for number in range(first, self.COUNT + 1))
+            own = (*own, EVENTS)
+        else:
+            raw = b"whole " + cid.encode()
+        self.later(at, self.tell, tid, "head", 200, own)
+        place = 0
+        stop = self.draw.randrange(len(raw) + 1) if is_half else len(raw)
+        while place < stop:
+            size = min(self.draw.randrange(1, 40), stop - place)
+            at += self.draw.random() * 0.05
+            self.later(at, self.tell, tid, "chunk", raw[place : place + size])
+            place += size
+        self.later(at + 0.01, self.tell, tid, *(("fault", "reset") if is_half else ("end",)))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_storm(seed):
+    """Given random servers, places, leavings and clients that hang up, seen from outside: nothing that may not runs twice, nothing
+    that ran or will run is refused as not run, no event is missing or doubled or joined, no cut answer looks whole, and when all
+    is over nothing is in hand and the ledger has closed each request once."""
+    storm = Storm(seed).play(300)
+    scene, outcomes = storm.scene, {}
+    for cid, path in storm.asked.items():
+        told, runs = scene.told(cid), storm.runs.get(cid, 0)
+        assert path in (PLAIN, CHAT) or runs <= 1, (cid, path)
+        servers = {name for asked, name in storm.arrivals if asked == cid}
+        assert len(servers) <= 3
+        ends = [effect[0] for effect in told if effect[0] in ("reply", "end", "drop")]
+        assert len(ends) == (0 if cid in storm.gone else 1) and (not ends or told[-1][0] == ends[0]), (cid, told)
+        if ends == ["reply"]:
+            status, body = told[0][2], told[0][4]
+            outcomes[status] = outcomes.get(status, 0) + 1
+            if status == 200:
+                assert body == b"whole " + cid.encode() and SEAL in told[0][3] and ("X-Request-Id", cid) in told[0][3]
+            elif status == 503:
+                assert (
+                    runs == 0
+                    and msgspec.json.decode(body)["fault"]["run"] == "no"
+                    and "Retry-After" in dict(told[0][3])
+                ), (cid, path)
+            else:
+                assert status in (500, 502, 504), told
+        else:
+            outcomes[(ends or ["gone"])[0]] = outcomes.get((ends or ["gone"])[0], 0) + 1
+            numbers = [int(found) for found in re.findall(rb"id: (\d+)\n", scene.body(cid))]
+            assert scene.body(cid) == b"".join(event(number, 3) for number in range(1, len(numbers) + 1)), (
+                cid,
+                numbers,
+            )
+            assert ends != ["end"] or len(numbers) == storm.COUNT, (cid, numbers)
+    assert scene.settled()
+    closed, opened = (
+        [record["tag"] for record in scene.records(True)],
+        [record["tag"] for record in scene.records(False)],
+    )
+    assert sorted(closed) == sorted(storm.asked) and len(set(opened)) == len(opened) and set(opened) <= set(closed)
+    for record in scene.records(True):
+        assert record["run"] != "no" or storm.runs.get(record["tag"], 0) == 0, record
+    assert {200, 503, "end", "drop"} <= set(outcomes) and {502, 504} & set(outcomes), outcomes
