--- a/tests/transit_stories.py
+++ b/tests/transit_stories.py
@@ -393,6 +393,19 @@
     assert scene.body(cid) == b"".join(map(event, (1, 2, 3, 4))) and scene.told(cid)[-1][0] == "end"
 
 
+def test_a_silent_server_is_not_left_for_one_that_rests():
+    """Given a repeatable request at a silent server, and beside it only one that shed the request and asks for 3 s, it stays where it is:
+    leaving would take it back to the silent one, against credit, and call off what may be running there."""
+    scene = Scene(None, {"r1": server("records"), "r2": server("records")}, credit=4.0)
+    cid = scene.ask(PLAIN)
+    first = scene.goal(cid)
+    scene.answer(cid, 503, b"", NOT_RUN, ("Retry-After", "3"), seal=False)
+    silent = scene.goal(cid)
+    scene.sent(cid)
+    scene.run(2.5)
+    assert [dict(send[4])["x-expect-instance"] for send in scene.sends(cid)] == [first, silent]
+
+
 def test_a_silent_server_is_left_as_soon_as_there_is_credit():
     """Given a repeatable request at a silent server without credit, it goes on elsewhere when credit comes, and pays once."""
     scene = Scene(credit=0.0)
