--- /dev/null
+++ b/harness/breach.py
@@ -0,0 +1,57 @@
+"""One guard of the product that `harness.breaches` takes out, and the stories that should see it missing."""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+LONGEST = 400  # seconds that the stories may take
+VERDICTS = {0: "not caught", 1: "caught"}  # by pytest's exit code
+
+
+class Breach(NamedTuple):
+    """What is taken out, and where that should be seen.
+
+    `rule`: a number of the brief's rules, or a word for a rule of the platform's pages; `what`: the fault that it makes, in words;
+    `guard`: a text that stands once in the product, or once in `file` where that is given; `instead`: what stands in its place;
+    `where`: the file of the stories; `stories`: pytest's expression for their names.
+    """
+
+    rule: int | str
+    what: str
+    guard: str
+    instead: str
+    where: str
+    stories: str
+    file: str = ""
+
+    def verdict(self) -> str:
+        """Tries it in a scratch copy: 'caught', 'not caught', or why it could not be tried."""
+        with tempfile.TemporaryDirectory(prefix="breach-") as folder:
+            copy = Path(folder) / "copy"
+            shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns(".git", "__pycache__", ".pytest_cache", "target"))
+            times = {path: path.read_text().count(self.guard) for path in self._files(copy)}
+            if sum(times.values()) != 1:
+                return f"the guard's text stands {sum(times.values())} times, not once"
+            (path,) = (path for path, count in times.items() if count)
+            path.write_text(path.read_text().replace(self.guard, self.instead))
+            return self._run_stories(copy)
+
+    def _files(self, copy):
+        return [path for path in (copy / "sumachook").rglob("*.py") if str(path).endswith(self.file)]
+
+    def _run_stories(self, copy):
+        options = ["-q", "-x", "-n", "0", "-p", "no:cacheprovider"]
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", *options, self.where, "-k", self.stories],
+            cwd=copy,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+            capture_output=True,
+            text=True,
+            timeout=LONGEST,
+        )
+        return VERDICTS.get(done.returncode, f"pytest ended with {done.returncode}")
--- a/harness/consensus_breaches.py
+++ b/harness/consensus_breaches.py
@@ -1,10 +1,12 @@
 """The guards of the consensus protocol, one at a time, for `harness.breaches` (rule 0: the order of changes)."""
 
+from harness.breach import Breach
+
 REPLICA, FLEET = (f"tests/{name}_stories.py" for name in ("replica", "consensus"))
 
 
-def _breach(what: str, file: str, guard: str, instead: str, where: str, stories: str) -> tuple:
-    return (0, what, (f"consensus/{file}.py", guard), instead, where, stories)
+def _breach(what: str, file: str, guard: str, instead: str, where: str, stories: str) -> Breach:
+    return Breach(0, what, guard, instead, where, stories, file=f"consensus/{file}.py")
 
 
 CONSENSUS_BREACHES = (
--- a/harness/model_breaches.py
+++ b/harness/model_breaches.py
@@ -1,10 +1,12 @@
 """Guards that the model checker sees missing within its budget in CI, for `harness.breaches`."""
 
+from harness.breach import Breach
+
 MODEL = "tests/model_stories.py"
 
 
-def _breach(model_rule: str, what: str, file: str, guard: str, instead: str, stories: str = "walks") -> tuple:
-    return ("MODEL", f"{model_rule}: {what}", (file, guard), instead, MODEL, stories)
+def _breach(model_rule: str, what: str, file: str, guard: str, instead: str, stories: str = "walks") -> Breach:
+    return Breach("MODEL", f"{model_rule}: {what}", guard, instead, MODEL, stories, file)
 
 
 MODEL_BREACHES = (
@@ -107,12 +109,13 @@
         "self.taken.record(version, content)",
         "pass",
     ),
-    (
+    Breach(
         "MODEL",
         "overtaken: an evacuation goes out however late the read before it comes back",
-        ("nodes/desk.py", "        if self._is_late(order, now):\n"),
+        "        if self._is_late(order, now):\n",
         "        if False:\n",
         "tests/order_stories.py",
         "turn_whose_read",
+        file="nodes/desk.py",
     ),
 )
