A cold server's allowance is parted among the edges; a silent server keeps its row

Cause: each edge began with a whole request for a cold server, so 67 edges sent 67 within a second where 35 are allowed. And Choose.has_other counted a server that had shed the request and rests, which _cost would not draw. Change: where there are more edges than requests that may be saved up, each edge sends within windows of its own, one after the other in the agreed time by rank (ColdAllowance); the bounds come from the settings (cold-overshoot, cold-slack). has_other and _cost ask one predicate, _may_take. The story of the cold server now gives each edge its rank, as each edge of a fleet has one; its bound is the same.

--- a/harness/platform_breaches.py
+++ b/harness/platform_breaches.py
@@ -4,6 +4,7 @@
 
 STORAGE = "tests/storage_stories.py"
 TRANSIT = "tests/transit_stories.py"
+COLD = "tests/cold_server_stories.py"
 FORWARD = "tests/forward_stories.py"
 PROVISION = "tests/provision_stories.py"
 DUTY = "tests/duty_stories.py"
@@ -890,15 +891,15 @@
     Breach(
         "FAILBACK",
         "each edge takes all that a cold server bears",
-        "service.cold_per_s / table.edges, now",
-        "service.cold_per_s, now",
+        "lane.may_enter_cold(rate / self.edges, now)",
+        "lane.may_enter_cold(rate, now)",
         TRANSIT,
         "share_a_second",
     ),
     Breach(
         "FAILBACK",
         "what goes to a cold server is not counted",
-        "            lane.enter_cold()",
+        "            table.enter_cold(lane, row.service, now)",
         "            pass",
         TRANSIT,
         "share_a_second",
@@ -911,6 +912,30 @@
         TRANSIT,
         "saved_up",
     ),
+    Breach(
+        "FAILBACK",
+        "each edge begins with a whole request for a cold server",
+        "return self.edges > self._saved(rate)",
+        "return False",
+        COLD,
+        "all_edges_together",
+    ),
+    Breach(
+        "FAILBACK",
+        "the windows of all edges at a cold server are open at once",
+        "agreed.total_seconds() - self.rank / rate",
+        "agreed.total_seconds()",
+        COLD,
+        "all_edges_together",
+    ),
+    Breach(
+        "BUDGET",
+        "a silent server is left for one that rests",
+        "self._has_room(row, name, server, now) and not self._is_resting(row, name, now)",
+        "self._has_room(row, name, server, now)",
+        TRANSIT,
+        "left_for_one_that_rests",
+    ),
     Breach(
         "FAILBACK",
         "a server's word that it is cold does not count",
--- a/sumachook/catalog/params.py
+++ b/sumachook/catalog/params.py
@@ -9,6 +9,8 @@
 from sumachook.catalog.catalogue import Name
 from sumachook.catalog.check import check
 
+COLD_OVERSHOOT, COLD_SLACK = 1.5, 5.0  # what a cold server bears beyond its rate, where the settings don't say it
+
 
 class Params(msgspec.Struct, rename="camel", forbid_unknown_fields=True, frozen=True):
     """Addresses, area, three seeds; `read_params` checks them (§1.6). In seconds: `seatAway`, how long a seat may be away;
@@ -37,6 +39,8 @@
     resend_slack: Annotated[float, Meta(ge=0, le=100000)] | None = (
         None  # resends over the ratio, all edges together (§7.7)
     )
+    cold_overshoot: Annotated[float, Meta(ge=1, le=100)] = COLD_OVERSHOOT  # times a cold server's rate (§7.5)
+    cold_slack: Annotated[float, Meta(ge=0, le=100000)] = COLD_SLACK  # requests a second beyond that
     grace: Annotated[float, Meta(ge=1, le=600)] = 8.0  # seconds from the signal to leave to the one that kills (§14.7)
     wanted_seats: Annotated[int, Meta(ge=3, le=9)] = 3
     confirm_within: Annotated[float, Meta(ge=0, le=60)] = 2.0
--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -88,12 +88,12 @@
         if row.service in table.models and row.request.model:
             holders = table.places.holders(row.request.model, row.request.adapter)
             usable = [(name, server) for name, server in usable if name in holders]
-        return any(name != row.server and self._has_room(row, name, server, now) for name, server in usable)
+        return any(name != row.server and self._may_take(row, name, server, now) for name, server in usable)
 
     def _cost(self, row, name, server, now):
         """Milliseconds that this choice is likely to cost, or None where the server may not be given more now."""
         table, lane = self.table, self.table.lane(name)
-        if not self._has_room(row, name, server, now) or self._is_resting(row, name, now):
+        if not self._may_take(row, name, server, now):
             return None
         cost = FAR_COST * (server["area"] != table.area) + FULL_COST * lane.is_full(now) + SHUT_COST * lane.is_shut(now)
         cost += SHUT_COST * 4 * (name in row.avoid) + table.draw.random()
@@ -103,6 +103,10 @@
         slots = max(1, server.get("slots", 1))
         return cost + 20.0 * lane.in_use + 200.0 * max(0, lane.in_use * table.edges / 2 - slots) / slots
 
+    def _may_take(self, row, name, server, now) -> bool:
+        """Whether the server may be given this row now; whoever asks for another server and whoever draws one ask this."""
+        return self._has_room(row, name, server, now) and not self._is_resting(row, name, now)
+
     def _is_resting(self, row, name, now) -> bool:
         """Whether the server turned this row away and its rest is not over: a resend would most likely be turned away too."""
         return name in row.avoid and self.table.lane(name).is_full(now)
@@ -116,9 +120,7 @@
             limit //= 2  # it runs where places are free (§15.2)
         if lane.in_use >= limit or lane.is_down(now):
             return False
-        return not self._is_cold(name, server, service, now) or lane.may_enter_cold(
-            service.cold_per_s / table.edges, now
-        )
+        return not self._is_cold(name, server, service, now) or table.may_enter_cold(lane, service.cold_per_s, now)
 
     def _is_cold(self, name, server, service, now):
         if not service or not service.cold_per_s:
--- a/sumachook/forwarding/lane.py
+++ b/sumachook/forwarding/lane.py
@@ -28,6 +28,7 @@
         "kept",
         "tokens_at",
         "tokens",
+        "cold_window",
         "down_until",
         "down_rest",
     )
@@ -38,6 +39,7 @@
         self.down_until, self.down_rest = None, FIRST_REST
         self.kept = {}  # (model, adapter, parts up to here): when last sent there
         self.tokens_at, self.tokens = None, 0.0  # of the bound on a cold server
+        self.cold_window = None  # the last one that was used (ColdAllowance)
 
     def is_shut(self, now) -> bool:
         return self.shut_until is not None and (now < self.shut_until or self.is_probing)
@@ -87,5 +89,7 @@
         self.tokens_at = now
         return self.tokens >= 1.0
 
-    def enter_cold(self):
+    def enter_cold(self, window=None):
+        """Counts a request to a cold server: one token of the bucket, and this edge's window where it has one."""
         self.tokens -= 1.0
+        self.cold_window = window
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -29,7 +29,7 @@
         row.pending_tokens = row.request.prompt_tokens
         lane.begin(row.pending_tokens)
         if table.cold.get(name, now) > now:
-            lane.enter_cold()
+            table.enter_cold(lane, row.service, now)
         table.begin(row, 1)
         known = ()
         for part, _ in row.request.parts[:-1]:
--- a/sumachook/forwarding/table.py
+++ b/sumachook/forwarding/table.py
@@ -2,9 +2,12 @@
 
 from datetime import timedelta
 
+from sumachook.catalog.params import COLD_OVERSHOOT, COLD_SLACK
 from sumachook.changefeed.follower import CUT
+from sumachook.forwarding.cold_allowance import ColdAllowance
 from sumachook.forwarding.lane import Lane
 from sumachook.forwarding.routes import Routes
+from sumachook.runtime.almanac import ZERO
 
 MOST_ROWS = 4000
 FIRST_PAUSE, LONGEST_PAUSE = timedelta(seconds=1), timedelta(seconds=30)
@@ -44,6 +47,7 @@
         "is_shut",
         "parked",
         "tenants",
+        "cold_allowance",
     )
 
     def __init__(self, node, boot, area, state, follower, retry_budget, draw, port, places, almanac):
@@ -62,6 +66,7 @@
         self.is_draining, self.is_shut, self.number, self.edges, self.shunned = False, False, 0, 1, {}
         self.routes, self.services, self.models, self.generation = Routes({}), {}, {}, -1
         self.wants, self.cold, self.tenants = {}, {}, {}  # tenants: by route
+        self.cold_allowance = ColdAllowance(COLD_OVERSHOOT, COLD_SLACK)
 
     def refresh(self):
         """What the catalogue gives, worked out once a generation."""
@@ -107,6 +112,24 @@
             self.lanes[name] = Lane()
         return self.lanes[name]
 
+    def may_enter_cold(self, lane, rate, now) -> bool:
+        """Whether a cold server that bears `rate` requests a second may be sent one of this edge's now (§7.5)."""
+        if not self._cold_parts.needs_window(rate):
+            return lane.may_enter_cold(rate / self.edges, now)
+        window = self._cold_parts.window(rate, self.almanac.time(now) - ZERO)
+        return window is not None and window != lane.cold_window
+
+    def enter_cold(self, lane, service, now):
+        """Counts a request of this edge that goes to a cold server."""
+        rate = self.services[service].cold_per_s if service in self.services else 0.0
+        has_window = bool(rate) and self._cold_parts.needs_window(rate)
+        lane.enter_cold(self._cold_parts.window(rate, self.almanac.time(now) - ZERO) if has_window else None)
+
+    @property
+    def _cold_parts(self):
+        self.cold_allowance.edges = self.edges
+        return self.cold_allowance
+
     def is_usable(self, name, server, trust, now):
         """§8.3: who is cut off from the cores stays in its own area, since an evacuation may have passed it by."""
         is_near = trust != CUT or server["area"] == self.area
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -6,6 +6,7 @@
 from sumachook.allowances.limiter import Limiter
 from sumachook.catalog.state import State
 from sumachook.changefeed.follower import Follower
+from sumachook.forwarding.cold_allowance import ColdAllowance
 from sumachook.forwarding.port import RequestPort
 from sumachook.forwarding.table import Table
 from sumachook.forwarding.transit import Transit
@@ -99,6 +100,8 @@
             if params.front
             else None
         )
+        if self.transit:
+            self.transit.table.cold_allowance = ColdAllowance(params.cold_overshoot, params.cold_slack)
         self.usage_report, self.shutdown = UsageReport(now), EdgeShutdown(timedelta(seconds=params.grace), now)
         self.asked_places_at, self.next_demand, self.ignored, self.was_alone = now, now, 0, False
         self.told_limits = None
@@ -192,6 +195,7 @@
         self.ferry.table.kin = tuple(sorted({self.node, *live, *late}))
         if self.transit:
             self.transit.table.edges = len(self.ferry.table.kin)
+            self.transit.table.cold_allowance.rank = self.ferry.table.kin.index(self.node)
             if self.params.resend_slack is not None:  # so that all edges together save up less than the slack (§7.7)
                 kin = self.ferry.table.kin
                 self.retry_budget.cap = share_of_savings(self.params.resend_slack, kin.index(self.node), len(kin))
--- a/tests/cold_server_stories.py
+++ b/tests/cold_server_stories.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import pytest
+
 from tests.transit_scene import CHAT, PULSE, Scene, catalogue, server
 
 SECOND = timedelta(seconds=1)
@@ -15,8 +17,8 @@
     doc = catalogue()
     doc["services"][2] |= {"coldPerS": COLD_PER_S, "coldMs": 3000}
     scenes = [Scene(doc, {"l1": server("llm")}, seed=seed, held=("l1",)) for seed in range(EDGES)]
-    for scene in scenes:
-        scene.table.edges = EDGES
+    for rank, scene in enumerate(scenes):
+        scene.table.edges, scene.table.cold_allowance.rank = EDGES, rank
         scene.take("cold", {"l1": 3000})
         scene.ask(CHAT)
         until = scene.now + SECOND - PULSE
@@ -24,3 +26,41 @@
             scene.run(PULSE.total_seconds())
     sent = sum(len(scene.sends()) for scene in scenes)
     assert 0 < sent <= COLD_PER_S * OVERSHOOT + SLACK
+
+
+@pytest.mark.parametrize("rest", [0.0, 3.0, 10.0])
+def test_what_edges_did_not_send_to_a_cold_server_is_not_saved_up_beyond_the_slack(rest):
+    """Given 67 edges and a cold server that nobody asked for a while, when all ask without pause, what reaches it within any second stays
+    within the bound, and over three seconds it is given what its rate allows."""
+    doc = catalogue()
+    doc["services"][2] |= {"coldPerS": COLD_PER_S, "coldMs": 60000}
+    sent_at = []
+    for rank in range(EDGES):
+        scene = Scene(doc, {"l1": server("llm")}, seed=rank, held=("l1",))
+        scene.table.edges, scene.table.cold_allowance.rank = EDGES, rank
+        scene.take("cold", {"l1": 60000})
+        scene.run(rest)
+        for turn in range(round(3 * SECOND / PULSE)):
+            before = len(scene.sends())
+            scene.ask(CHAT)
+            scene.run(PULSE.total_seconds())
+            sent_at += [turn] * (len(scene.sends()) - before)
+    window = round(SECOND / PULSE)
+    most = max(sum(begin <= turn < begin + window for turn in sent_at) for begin in range(3 * window))
+    assert most <= COLD_PER_S * OVERSHOOT + SLACK
+    assert len(sent_at) >= 0.9 * COLD_PER_S * 3
+
+
+def test_an_edge_whose_window_is_not_open_prefers_a_server_that_is_warm():
+    """Given 67 edges, a cold server and a warm one that hold the model, each edge's request is sent at once, and the cold one gets no more than it bears."""
+    doc = catalogue()
+    doc["services"][2] |= {"coldPerS": COLD_PER_S, "coldMs": 3000}
+    scenes = [
+        Scene(doc, {"l1": server("llm"), "l2": server("llm")}, seed=seed, held=("l1", "l2")) for seed in range(EDGES)
+    ]
+    for rank, scene in enumerate(scenes):
+        scene.table.edges, scene.table.cold_allowance.rank = EDGES, rank
+        scene.take("cold", {"l1": 3000})
+        scene.ask(CHAT)
+    to = [dict(send[4])["x-expect-instance"] for scene in scenes for send in scene.sends()]
+    assert len(to) == EDGES and to.count("l1") <= COLD_PER_S * OVERSHOOT + SLACK
