Pulses come as often as what an edge has in hand asks for

Change: a machine says its pulse interval: 50 ms while something waits for a pulse, 100 ms while requests are at servers, 200 ms otherwise; a message that gives it something to wait for brings the next pulse forward.

--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -16,6 +16,7 @@
 from sumachook.nodes.control_api import ControlApi, starting
 from sumachook.nodes.core_routing import FEED, LOCAL, PART_OF, SEARCH, needs_disk
 from sumachook.nodes.core_shutdown import CoreShutdown
+from sumachook.nodes.pulse import PULSE
 from sumachook.placement.placer import Placer
 from sumachook.placement.port import ServerPort
 from sumachook.placement.provisioner import Provisioner
@@ -91,6 +92,11 @@
                     out.append(effect)
         return out
 
+    @property
+    def pulse_interval(self) -> timedelta:
+        """A core has a view, duties and orders to keep all the time."""
+        return PULSE
+
     def _dispatch(self, message, now):
         kind = message[0]
         if not self.is_disk_taking and kind == "read":
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from sumachook.nodes.disk_writer import DiskWriter
+from sumachook.nodes.pulse import PULSE
 from sumachook.nodes.replies import reply
 from sumachook.runtime.supervisor import Supervisor
 from sumachook.storage.layout import LOG
@@ -15,7 +16,7 @@
 from sumachook.transport.front import Front
 from sumachook.transport.ports import NodePort
 
-PULSE, LAST_WORDS = timedelta(seconds=0.05), timedelta(seconds=0.2)
+LAST_WORDS = timedelta(seconds=0.2)
 
 
 class Daemon:
@@ -37,6 +38,7 @@
         "front",
         "forwarder",
         "last_packed",
+        "pressed",
     )
 
     def __init__(
@@ -50,6 +52,7 @@
         self.codec = Codec(cluster, machine.node, address, machine.boot) if address else None
         self.disk = DiskWriter(folder, self._hear, log, clock.mono, LOG) if folder else None
         self.leaving, self.last_packed = None, (None, b"")
+        self.pressed = asyncio.Event()  # something waits for the next pulse
 
     async def run(self) -> int:
         self.leaving = asyncio.Event()
@@ -76,12 +79,30 @@
             "error", "daemon", "A task fell and is started again.", {"task": name, "falls": falls, "error": repr(error)}
         )
 
+    @property
+    def _pulse_interval(self) -> timedelta:
+        """What the machine asks for; one that says nothing of it gets every pulse."""
+        return getattr(self.machine, "pulse_interval", PULSE)
+
     async def _pulse(self):
         while True:
             if self.disk:
                 self.disk.look()
             self._hear(("pulse",))
-            await asyncio.sleep(PULSE.total_seconds())
+            await self._rest()
+
+    async def _rest(self):
+        """Until the next pulse: as long as the machine has nothing that waits for one, or until a message gives it something."""
+        loop, least = asyncio.get_running_loop(), PULSE.total_seconds()
+        begun_at, rest = loop.time(), self._pulse_interval.total_seconds()
+        if rest > least:
+            self.pressed.clear()
+            try:
+                async with asyncio.timeout(rest):
+                    await self.pressed.wait()
+            except TimeoutError:
+                return
+        await asyncio.sleep(max(0.0, least - (loop.time() - begun_at)))
 
     def _hear(self, message):
         """Messages are taken one after the other, also those that an effect gives rise to."""
@@ -95,6 +116,8 @@
                     self._do(effect)
         finally:
             self.is_handing = False
+        if not self.pressed.is_set() and self._pulse_interval <= PULSE:
+            self.pressed.set()
 
     def _take(self, message):
         """A message that a machine cannot take is dropped and told of; the process goes on."""
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -15,6 +15,7 @@
 from sumachook.membership.membership import ALIVE, GONE, SUSPECT, Membership
 from sumachook.nodes.edge_shutdown import EdgeShutdown
 from sumachook.nodes.edge_status import condition, metrics
+from sumachook.nodes.pulse import IDLE_PULSE, IN_HAND_PULSE, PULSE
 from sumachook.nodes.replies import reply
 from sumachook.nodes.state_file import FILE, StateFile
 from sumachook.nodes.usage_report import UsageReport
@@ -132,6 +133,18 @@
                     out.append(effect)
         return out
 
+    @property
+    def pulse_interval(self) -> timedelta:
+        """The longest time until the next pulse, by what this edge has in hand now (§1.3)."""
+        if self.shutdown.has_begun or self.ferry.table.rows or not self.places.is_known:
+            return PULSE
+        if self.transit is None:
+            return IDLE_PULSE
+        table = self.transit.table
+        if table.waiting or table.parked:
+            return PULSE
+        return IN_HAND_PULSE if table.rows else IDLE_PULSE
+
     def _dispatch(self, message, now):
         kind = message[0]
         if kind == "inner":
