Ledger: what is written behind goes by its edge, and all that is held goes out together

Cause: docs/CAPACITY.md: of a core's processor time under all requests three quarters are the ledger and its sockets, since each forwarded request costs its edge four parcels. Records were spread over all pairs of keepers by request and went out one pulse's worth at a time. Change: a forwarded request's keepers are its edge's two; records are held until the first of them is due and go out together; one that ended well and in time may be held for a second, the others for 0.3 s as before.

--- a/sumachook/ledger/quill.py
+++ b/sumachook/ledger/quill.py
@@ -8,6 +8,8 @@
 MOST_WAITING = 20000
 MOST_SPOOLED = 40000  # rows in the file; twice what may wait, so that a rewrite is rare
 RESEND = timedelta(seconds=0.3)
+BEHIND_SOON = timedelta(seconds=0.3)  # written behind: what is in hand for long, and what ended late or badly
+BEHIND = timedelta(seconds=1)  # what ended well and in time
 MOST_A_PARCEL = 100
 CARRY_AFTER = timedelta(seconds=0.8)
 CARRY_EVERY = timedelta(seconds=2)
@@ -17,7 +19,18 @@
 class Entry:
     """One record on its way to two keepers."""
 
-    __slots__ = ("record", "is_close", "is_safe", "acks", "asked_at", "started_at", "settled", "sent", "carry_at")
+    __slots__ = (
+        "record",
+        "is_close",
+        "is_safe",
+        "acks",
+        "asked_at",
+        "started_at",
+        "settled",
+        "sent",
+        "carry_at",
+        "is_held",
+    )
 
     def __init__(self, record, is_close, is_safe, now):
         self.record, self.is_close, self.is_safe, self.started_at = record, is_close, is_safe, now
@@ -28,6 +41,7 @@
             is_close,
             now + CARRY_AFTER,
         )
+        self.is_held = False  # it goes out with others
 
 
 class Quill:
@@ -80,14 +94,16 @@
         return self._send(entry, self._owners(record)[:2])
 
     def _write_behind(self, record, is_close, now):
-        """§14.6: nobody waits for it; it goes out with all that came in the same third of a second, one parcel a keeper."""
+        """§14.6: nobody waits for it; once the first of those that are held is due, all go out, one parcel a keeper."""
         request = record["request"]
         opened = self.entries.get((request, False))
-        if is_close and opened is not None and now - opened.started_at < timedelta(0):
+        if is_close and opened is not None and opened.is_held:
             del self.entries[(request, False)]  # it ended before its opening went out
-        entry = self.entries[(request, is_close)] = Entry(record, is_close, True, now + RESEND)
-        entry.settled, entry.asked_at = True, now
-        entry.sent.update(self._owners(record)[:2])
+        is_well = record["state"] == "done" and not record.get("late")
+        entry = self.entries[(request, is_close)] = Entry(
+            record, is_close, True, now + (BEHIND if is_well else BEHIND_SOON)
+        )
+        entry.settled = entry.is_held = True
         if len(self.entries) > MOST_WAITING:
             self.lost += 1
             del self.entries[next(iter(self.entries))]
@@ -102,9 +118,9 @@
         return [("tell", self.roster[seat], (kind, ((entry.record, hint),))) for seat in seats]
 
     def _pulse(self, carriers, now):
-        out = []
+        out = self._send_held(now)
         for entry in list(self.entries.values()):
-            if now < entry.started_at:  # it goes out with the others of its parcel
+            if entry.is_held:
                 continue
             order = self._owners(entry.record)
             if len(order) == 3 and order[2] not in entry.sent:
@@ -125,9 +141,21 @@
                     out.append(("unrecorded", request, faults.NO_QUORUM))
         return _merged(out) + self._carry(carriers, now) + self._spool(now)
 
+    def _send_held(self, now):
+        """All that is held, once the first of it is due."""
+        held = [entry for entry in self.entries.values() if entry.is_held]
+        if not any(now >= entry.started_at for entry in held):
+            return []
+        out = []
+        for entry in held:
+            entry.is_held, entry.started_at, entry.asked_at = False, now, now
+            entry.carry_at = now + CARRY_AFTER
+            out += self._send(entry, self._owners(entry.record)[:2])
+        return out
+
     def _carry(self, carriers, now):
         """§11.5: what no two keepers take is given to two other edges as well; whoever reaches the keepers hands it in."""
-        late = [entry for entry in self.entries.values() if now >= entry.carry_at][:MOST_CARRIED]
+        late = [entry for entry in self.entries.values() if now >= entry.carry_at and not entry.is_held][:MOST_CARRIED]
         for entry in late:
             entry.carry_at = now + CARRY_EVERY
         parcel = ("carry", tuple((entry.record, entry.is_close) for entry in late))
--- a/sumachook/ledger/ranges.py
+++ b/sumachook/ledger/ranges.py
@@ -17,5 +17,13 @@
 
 
 def range_key(record: dict) -> str:
-    """What decides who keeps a record: the caller and its key, so that repeats of a key meet, or else the request."""
-    return f"{record['caller']}|{record['key']}" if record.get("key") else record["request"]
+    """What decides who keeps a record: the caller and its key, so that repeats of a key meet, or else the request.
+
+    What was forwarded goes by its edge: it is written behind, and all that an edge has for its two keepers goes in one parcel.
+
+    >>> range_key({"request": "e1.7.3", "key": ""}), range_key({"request": "e1.7.3", "key": "", "kind": "forward", "edge": "e1"})
+    ('e1.7.3', 'e1')
+    """
+    if record.get("key"):
+        return f"{record['caller']}|{record['key']}"
+    return record["edge"] if record.get("kind") == "forward" else record["request"]
