Outlier ejection: what all edges see of a failing server is put together

Change: edges tell the placer's holder how their tries ended; it ejects a server that fails far more than the others of its service, for 2 s doubling to 8, a third of a service at most (design 7.5). Beside it a request for a model looks at the servers that hold it, no longer at all servers.

--- a/harness/platform_breaches.py
+++ b/harness/platform_breaches.py
@@ -5,6 +5,7 @@
 STORAGE = "tests/storage_stories.py"
 TRANSIT = "tests/transit_stories.py"
 COLD = "tests/cold_server_stories.py"
+OUTLIERS = "tests/outlier_stories.py"
 FORWARD = "tests/forward_stories.py"
 PROVISION = "tests/provision_stories.py"
 DUTY = "tests/duty_stories.py"
@@ -936,6 +937,38 @@
         TRANSIT,
         "left_for_one_that_rests",
     ),
+    Breach(
+        "OUTLIER",
+        "each edge keeps what it saw of failing servers to itself",
+        "own.bad < LEAST_FAILURES or share < LEAST_SHARE",
+        "True",
+        OUTLIERS,
+        "no_edge_saw_it_fail_twice",
+    ),
+    Breach(
+        "OUTLIER",
+        "what fails everywhere is ejected",
+        "return share >= TIMES_THE_OTHERS * bad / max(good + bad, 1.0)",
+        "return True",
+        OUTLIERS,
+        "may_happen_anywhere",
+    ),
+    Breach(
+        "OUTLIER",
+        "any number of servers is ejected at once",
+        "suspects[: max(0, len(of_service) // MOST_PART - kept_off)]",
+        "suspects",
+        OUTLIERS,
+        "more_than_a_third",
+    ),
+    Breach(
+        "OUTLIER",
+        "an ejected server is drawn as any other",
+        "EJECTED_COST * table.is_ejected(name, now)",
+        "0",
+        OUTLIERS,
+        "while_another_can_take_it",
+    ),
     Breach(
         "FAILBACK",
         "a server's word that it is cold does not count",
--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -8,7 +8,7 @@
 from sumachook.retry_budget.budget import service_key
 
 READ_PER_MS = 38.0  # prompt tokens that a server reads in a millisecond, where nothing better is known
-RUN_COST, FAR_COST, FULL_COST, SHUT_COST = 0.5, 3.0, 500.0, 2000.0  # ms that a choice is worse by
+RUN_COST, FAR_COST, FULL_COST, SHUT_COST, EJECTED_COST = 0.5, 3.0, 500.0, 2000.0, 4000.0  # ms that a choice is worse by
 KEPT_FOR = timedelta(seconds=20)
 WANT_AGAIN = timedelta(seconds=0.3)
 HOLD_PART = 0.45  # of a request's time that it may wait for a place that is being made
@@ -46,11 +46,20 @@
                     row, faults.NOT_READY.because("its route changed while this node was away"), now
                 )
                 continue
-            if row.service not in servers:
-                servers[row.service] = table.usable(row.service, trust, now)
-            out += self._choose(row, servers[row.service], now)
+            out += self._choose(row, self._candidates(row, servers, trust, now), now)
         return out
 
+    def _candidates(self, row, known, trust, now):
+        """(name, server) of what the row may go to, by its model's places first; those of a whole service are kept in `known`."""
+        table = self.table
+        if row.service in table.models and row.request.model:
+            return table.usable_of(
+                table.places.holders(row.request.model, row.request.adapter), row.service, trust, now
+            )
+        if row.service not in known:
+            known[row.service] = table.usable(row.service, trust, now)
+        return known[row.service]
+
     def _still_leads_there(self, row):
         """What a node let in that just woke goes on only where the catalogue that it knows now leads it as well (§8.3)."""
         row.is_unsure = False
@@ -60,9 +69,6 @@
         table, needs_place = self.table, row.service in self.table.models and row.request.model
         if needs_place and row.request.model not in table.models[row.service]:
             return self.settle.take(row, faults.NO_MODEL.because(f"no model {row.request.model[:80]!r}"), now)
-        if needs_place:
-            holders = table.places.holders(row.request.model, row.request.adapter)
-            usable = [(name, server) for name, server in usable if name in holders]
         usable = _allowed(row, usable)
         if not usable:
             return self._wait(row, now, needs_place)
@@ -86,13 +92,10 @@
 
     def has_other(self, row, now) -> bool:
         """Whether the row could be sent to a server other than the one it is at."""
-        table, trust = self.table, self.table.follower.trust(now)
+        trust = self.table.follower.trust(now)
         if trust in (EMPTY, NOT_SURE):
             return False
-        usable = _allowed(row, table.usable(row.service, trust, now))
-        if row.service in table.models and row.request.model:
-            holders = table.places.holders(row.request.model, row.request.adapter)
-            usable = [(name, server) for name, server in usable if name in holders]
+        usable = _allowed(row, self._candidates(row, {}, trust, now))
         return any(name != row.server and self._may_take(row, name, server, now) for name, server in usable)
 
     def _cost(self, row, name, server, now):
@@ -101,7 +104,7 @@
         if not self._may_take(row, name, server, now):
             return None
         cost = FAR_COST * (server["area"] != table.area) + FULL_COST * lane.is_full(now) + SHUT_COST * lane.is_shut(now)
-        cost += SHUT_COST * 4 * (name in row.avoid) + table.draw.random()
+        cost += SHUT_COST * 4 * (name in row.avoid) + EJECTED_COST * table.is_ejected(name, now) + table.draw.random()
         if row.service in table.models:
             pending = lane.pending_tokens * max(1, table.edges // 2)
             return cost + (pending + self._unread(row, lane, now)) / READ_PER_MS + RUN_COST * lane.in_use
--- a/sumachook/forwarding/finish.py
+++ b/sumachook/forwarding/finish.py
@@ -26,8 +26,10 @@
             lane.is_probing = False
             if fault is None:
                 lane.note(True, now)
+                self.table.tally.note(row.server, True)
         else:
             lane.note(False, now)
+            self.table.tally.note(row.server, False)
         row.tries.append(
             (row.server, fault.name if fault is not None else "", round((now - row.try_at).total_seconds(), 3))
         )
--- a/sumachook/forwarding/table.py
+++ b/sumachook/forwarding/table.py
@@ -7,6 +7,7 @@
 from sumachook.forwarding.cold_allowance import ColdAllowance
 from sumachook.forwarding.lane import Lane
 from sumachook.forwarding.routes import Routes
+from sumachook.outliers.tally import OutcomeTally
 from sumachook.runtime.almanac import ZERO
 
 MOST_ROWS = 4000
@@ -49,6 +50,8 @@
         "tenants",
         "cold_allowance",
         "lined_up",
+        "tally",
+        "ejected",
         "is_freed",
     )
 
@@ -68,6 +71,7 @@
         self.is_draining, self.is_shut, self.number, self.edges, self.shunned = False, False, 0, 1, {}
         self.routes, self.services, self.models, self.generation = Routes({}), {}, {}, -1
         self.wants, self.cold, self.tenants = {}, {}, {}  # tenants: by route
+        self.tally, self.ejected = OutcomeTally(timedelta(0)), {}  # {server: until when it is kept off}
         self.lined_up, self.is_freed = (
             set(),
             False,
@@ -136,6 +140,10 @@
         self.cold_allowance.edges = self.edges
         return self.cold_allowance
 
+    def is_ejected(self, name, now) -> bool:
+        """Whether the edges together keep off this server; it is drawn only where no other can take the request (§7.5)."""
+        return name in self.ejected and now < self.ejected[name]
+
     def is_usable(self, name, server, trust, now):
         """§8.3: who is cut off from the cores stays in its own area, since an evacuation may have passed it by."""
         is_near = trust != CUT or server["area"] == self.area
@@ -153,6 +161,17 @@
             if server.get("service") == service and self.is_usable(name, server, trust, now)
         ]
 
+    def usable_of(self, names, service, trust, now):
+        """Those of the named servers that are of the service and may be sent requests."""
+        servers = self.state.servers
+        return [
+            (name, servers[name])
+            for name in names
+            if name in servers
+            and servers[name].get("service") == service
+            and self.is_usable(name, servers[name], trust, now)
+        ]
+
     def begin(self, row, delta):
         """Counts what runs, by service, name and server, for the placer."""
         if row.service not in self.models:
--- a/sumachook/forwarding/transit.py
+++ b/sumachook/forwarding/transit.py
@@ -25,7 +25,7 @@
     """Takes (message, now) and runs the passes: admit, choose, send, relay, resend, settle (§14.4).
 
     In: ("http", cid, method, raw path, header pairs, body), ("gone", cid), ("fetched", tid, ...), ("pulse",), ("drain",), ("places",),
-    ("shut",), ("cut-short",), ("leaving", servers), ("cold", {server: ms}), ("granted" | "denied", ("transit", number), ...).
+    ("shut",), ("cut-short",), ("leaving", servers), ("cold", {server: ms}), ("eject", {server: ms}), ("granted" | "denied", ("transit", number), ...).
     Out: ("reply" | "head" | "chunk" | "end" | "drop", cid, ...), ("forward" | "unfetch", tid, ...), ("want", needs), ("log", ...),
     ("claim" | "over", ("transit", number), tenant, ...) for the tenant's allowance (§15.4).
     """
@@ -63,6 +63,9 @@
         elif kind == "leaving":
             self.table.shunned |= dict.fromkeys(message[1], now + SHUN)
             out = []
+        elif kind == "eject":
+            self.table.ejected |= {name: now + ms * MILLI for name, ms in message[1].items()}
+            out = []
         elif kind == "cold":
             self.table.cold |= {name: now + ms * MILLI for name, ms in message[1].items()}
             out = []
@@ -102,6 +105,7 @@
         table = self.table
         table.lanes = {name: lane for name, lane in table.lanes.items() if name in table.state.servers or lane.in_use}
         table.cold = {name: until for name, until in table.cold.items() if until > now}
+        table.ejected = {name: until for name, until in table.ejected.items() if until > now}
         table.shunned = {name: until for name, until in table.shunned.items() if until > now}
         if now - self.swept_at < FORGET_KEPT / 6:
             return
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -17,6 +17,7 @@
 from sumachook.nodes.core_routing import FEED, LOCAL, PART_OF, SEARCH, needs_disk
 from sumachook.nodes.core_shutdown import CoreShutdown
 from sumachook.nodes.pulse import PULSE
+from sumachook.outliers.judge import OutlierJudge
 from sumachook.placement.placer import Placer
 from sumachook.placement.port import ServerPort
 from sumachook.placement.provisioner import Provisioner
@@ -61,6 +62,7 @@
         self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, boot)
         self.keeper = Keeper(self.node, self.almanac, params.retention, records.get("ledger", ()), now)
         self.retry_broker = RetryBudgetBroker(now)
+        self.outlier_judge = OutlierJudge(self.state)
         self.grantor, self.board = Grantor(self.state, now), Board(self.state)
         self.shutdown, self.ignored = CoreShutdown(timedelta(seconds=params.grace)), 0
         self.is_disk_taking = True
@@ -86,7 +88,7 @@
                     work.append(effect)
                 elif effect[0] == "word":
                     out += self._tell_edges(("leaving", effect[1]))
-                elif effect[0] == "cold":
+                elif effect[0] in ("cold", "eject"):
                     out += self._tell_edges(effect)
                 elif effect[0] not in ("view", "member", "objected"):
                     out.append(effect)
@@ -220,6 +222,7 @@
         out += self.placer.take(("pulse", self.leases.holds("placer", now)), now)
         out += self.provisioner.take(("pulse", self.leases.holds("placer", now), self._edge_addresses()), now)
         out += self.watcher.take(("pulse", is_fresh, is_leading), now)
+        out += self.outlier_judge.take(("pulse", self.leases.holds("placer", now)), now)
         out += self.retry_broker.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.grantor.take(("pulse", self.leases.holds("accountant", now)), now)
         out += self.api.pulse(self._live_edges(), self.source.confirmed, now)
--- a/sumachook/nodes/core_routing.py
+++ b/sumachook/nodes/core_routing.py
@@ -20,6 +20,7 @@
     "retry_credit": "retry_broker",
     "allow_report": "board",
     "demand": "placer",
+    "outcomes": "outlier_judge",
 }
 
 
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -194,7 +194,7 @@
             return [effect for path in self._paths() for effect in path.take(message[3], now)]
         if kind == "places":
             return self.places.take(message, now) + (self.transit.take(("places",), now) if self.transit else [])
-        if kind == "cold":
+        if kind in ("cold", "eject"):
             return self.transit.take(message[3], now) if self.transit else []
         self.ignored += 1
         return []
@@ -261,6 +261,9 @@
                 if usage is not None
                 else []
             )
+            outcomes = self.transit.table.tally.due(now)
+            if outcomes is not None:
+                out += [("tell", address, ("outcomes", outcomes)) for address in self._holders_of("placer")]
             if not self.places.is_known and now - self.asked_places_at > ASK_PLACES:
                 self.asked_places_at = now
                 out += [("tell", address, ("places_ask", -1)) for address in self._holders_of("placer")]
--- a/sumachook/transport/shapes.py
+++ b/sumachook/transport/shapes.py
@@ -75,6 +75,8 @@
     # any
     "leaving": "servers:d",
     "cold": "servers:d",
+    "outcomes": "servers:d",
+    "eject": "servers:d",
     "find": "asker:s request:s",
     "found": "asker:s record:d",
 }
