Placement weighs waits by how long loads take, and goes back to a server's own disk

Cause: the costs of siting were guesses of a load of 0.6 s. Change: harm, patience and costs are in the time of a load as the catalogue states it; loads from own disks cost what such loads took. Stories at 0.6, 4.1 and 12 s; the one of places that are asked for fails on the code before.

--- a/sumachook/placement/provisioner.py
+++ b/sumachook/placement/provisioner.py
@@ -67,8 +67,10 @@
     DARK_READ, BUSY_READ, LAG = MS * 500, MS * 100, MS * 300
     FIRST_WHOLE = MS * 700
     PULSE = MS * 50
-    HEIR_HARM = 0.8  # what a place of a model that is likely to be asked for next may cost others
-    HOT_HARM = 0.25  # of its own rate: what a further place of a hot model may cost others
+    HEIR_LOADS = (
+        1.3  # of the time of a load: what a place of a model that is likely to be asked for next may cost others
+    )
+    HOT_LOADS = 0.42  # of that time and its own rate: what a further place of a hot model may cost others
 
     def __init__(self, state, port, node, now, life=0):
         self.state, self.port, self.node, self.life = state, port, node, life
@@ -229,6 +231,7 @@
                 now,
                 self.heirs.get(service, ()),
                 now - self.demand.since(now),
+                self.spans,
             )
             for service, room in self.rooms.items()
         }
@@ -291,7 +294,11 @@
         if siting.coming(model) - is_preparing >= max(siting.desired.get(model, 0), is_heir):
             return []
         return self._load_model(
-            siting, model, False, now, max(siting.rate(model) * self.HOT_HARM, self.HEIR_HARM if is_heir else 0.0)
+            siting,
+            model,
+            False,
+            now,
+            siting.load_seconds(model) * max(siting.rate(model) * self.HOT_LOADS, self.HEIR_LOADS if is_heir else 0.0),
         )
 
     def _doubt_standing(self, service, standing, model, adapter, now):
--- a/sumachook/placement/siting.py
+++ b/sumachook/placement/siting.py
@@ -24,18 +24,30 @@
         "heirs",
         "age",
         "order",
+        "spans",
     )
 
-    STORED, OWN = 0.6, 0.25
-    SOLE, SHARED, RUNS, WANTED = 2.0, 0.4, 1.5, 5.0
+    RUNS, WANTED = 1.5, 5.0
+    SOLE_LOADS, SHARED_LOADS = (
+        3.3,
+        0.67,
+    )  # of the time of a load: what a model's only place, and one of several, is worth
+    OWN_PART = 0.42  # of the time of a load from the store: one from a server's own disk, where none was seen yet
     ADAPTER = 0.1
-    BEARABLE, GROWING, URGENT, WAITING = 1.5, 3.0, 2.0, 0.3
-    PRIOR, YOUNG = 0.5, timedelta(seconds=20)
-    HEIR = 1.2  # what is likely to be asked for next has a place before anybody asks
+    BEARABLE, GROWING, URGENT, WAITING = (
+        1.5,
+        1.8,
+        0.72,
+        0.3,
+    )  # growing with each load's time waited, and with its square
+    PRIOR_LOADS, YOUNG = 0.8, timedelta(seconds=20)
+    HEIR_LOADS = 2.0  # what is likely to be asked for next has a place before anybody asks
     HELD_UP = 0.05  # an adapter that is asked for waits while its server loads a model
 
-    def __init__(self, service, room, servers, demand, wanted, desired, now, heirs=(), age=timedelta(days=1)):
-        self.age, self.order = age, None
+    def __init__(
+        self, service, room, servers, demand, wanted, desired, now, heirs=(), age=timedelta(days=1), spans=None
+    ):
+        self.age, self.order, self.spans = age, None, spans
         self.heirs = frozenset(heirs)
         self.service, self.room, self.servers, self.demand = service, room, servers, demand
         self.wanted, self.desired, self.now, self.memo = wanted, desired, now, {}
@@ -62,11 +74,30 @@
             return 0.0
         if self.order is None:
             self.order = {name: place for place, name in enumerate(self.room.models)}
-        return self.PRIOR * (1 - self.order[model] / len(self.order)) * (1 - self.age / self.YOUNG)
+        return (
+            self.PRIOR_LOADS
+            * self.load_seconds(model)
+            * (1 - self.order[model] / len(self.order))
+            * (1 - self.age / self.YOUNG)
+        )
 
     def ahead(self, name) -> float:
         return self.demand.ahead(self.service, name, self.now)
 
+    def load_seconds(self, model, is_own=False) -> float:
+        """How long a load takes: as the catalogue says, and from a server's own disk as those that were seen."""
+        stated = timedelta(milliseconds=self.room.models[model].load_ms)
+        span = stated
+        if is_own:
+            span = (
+                stated * self.OWN_PART
+                if self.spans is None
+                else self.spans.seen(
+                    (self.service, "load", False, False, self.room.models[model].load_ms), stated * self.OWN_PART
+                )
+            )
+        return span.total_seconds()
+
     def harm(self, server, model):
         """Seconds waited, a second, if `model` leaves this server; None if it must stay."""
         if model not in self.room.models:
@@ -77,9 +108,10 @@
             return None
         places = max(1, self.standing.get(model, 1))
         rate, runs = self.rate(model), self.demand.running.get((self.service, model), 0)
-        harm = self.SOLE * rate if places == 1 else self.SHARED * rate / places
+        load = self.load_seconds(model)
+        harm = load * rate * (self.SOLE_LOADS if places == 1 else self.SHARED_LOADS / places)
         if 1 < places <= self.desired.get(model, 1):
-            harm += self.SHARED * rate
+            harm += load * rate * self.SHARED_LOADS
         here = self.demand.runs_at(self.service, model, server.name)
         here = runs / places if here is None else here
         if here:  # an unload waits for them
@@ -87,7 +119,7 @@
         if places == 1:
             harm += self.prior(model)
         if model in self.heirs and places == 1:
-            harm += self.HEIR
+            harm += load * self.HEIR_LOADS
         last = self.demand.last_begun.get((self.service, model))
         if last is not None and self.now - last < timedelta(seconds=1):
             harm += 0.2
@@ -142,7 +174,7 @@
                 continue
             if not is_spare:
                 cost += sum(self.WANTED for name in names if self.standing.get(name, 0) == 1 and self.rate(name) > rate)
-            cost += (self.OWN if is_own else self.STORED) + 0.05 * len(names)
+            cost += self.load_seconds(model, is_own) + 0.05 * len(names)
             cost += 0.3 * areas.get(server.area, 0) * min(1.0, rate)
             cost += 0.02 * self.crowd(server) + self.HELD_UP * min(20.0, self.adapter_crowd(server))
             if best is None or (cost, server.name) < (best[0], best[1].name):
@@ -151,12 +183,13 @@
 
     def patience(self, model, waiting, age) -> float:
         """How much a wanted model may cost others: a place of what is much asked for is given up for a rare one only after a long wait."""
-        waited = age.total_seconds()
+        load = self.load_seconds(model)
+        loads_waited = age.total_seconds() / max(load, 0.001)
         return (
             self.BEARABLE
-            + self.GROWING * waited
-            + self.URGENT * waited**2
-            + self.SOLE * (self.rate(model) + self.WAITING * waiting)
+            + self.GROWING * loads_waited
+            + self.URGENT * loads_waited**2
+            + load * self.SOLE_LOADS * (self.rate(model) + self.WAITING * waiting)
         )
 
     def crowd(self, server) -> float:
--- a/sumachook/placement/spans.py
+++ b/sumachook/placement/spans.py
@@ -29,6 +29,10 @@
     def guess(self, kind, first: timedelta) -> timedelta:
         return self.known.setdefault(kind, first)
 
+    def seen(self, kind, first: timedelta) -> timedelta:
+        """What those of its kind took, or the first guess, which is not kept."""
+        return self.known.get(kind, first)
+
     def learn(self, kind, took: timedelta, asks: int):
         guess, step = self.known.get(kind, took), self.steps.get(kind, self.FIRST_STEP)
         self.steps[kind] = max(self.LAST_STEP, step / 2)
--- a/tests/provision_stories.py
+++ b/tests/provision_stories.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace as Item
 
 import msgspec
+import pytest
 
 from sumachook.placement.account import account_for_places
 from sumachook.placement.places import Places
@@ -659,3 +660,40 @@
     assert blank.is_known and blank.holders("m0") == ("i-0",) and old.holders("m9") == ("i-9",)
     yard.run(timedelta(seconds=1.5))
     assert old.holders("m0") and blank.holders("m4")
+
+
+@pytest.mark.parametrize("load_ms", [600.0, 4100.0, 12000.0])
+def test_what_a_server_has_on_its_own_disk_is_loaded_there_again(load_ms):
+    """Given a model that one server held before, when it is wanted again it comes from that server's disk, though others are as free,
+    however long loads take."""
+    yard = Yard(servers=4, models=12, memory_mb=140.0, load_ms=load_ms, held={0: ("m0", "m2")})
+    yard.run(timedelta(seconds=1))
+    for model in ("m4", "m6"):  # m0 and m2 give way where they stood, or m4 and m6 go elsewhere
+        yard.want(model, left=60000.0)
+        yard.live(load_ms / 1000 + 2, {model: (0, 1)}, (model,))
+    yard.want("m8", "m10", left=60000.0)
+    yard.live(load_ms / 1000 * 2 + 2, {}, ("m8", "m10"))
+    gone = [model for model in ("m0", "m2") if not yard.holders(model)]
+    stored = len(yard.records("stored"))
+    yard.want(*gone, left=60000.0)
+    yard.live(load_ms / 1000 + 2, {}, gone)
+    assert all(yard.holders(model) for model in gone) and len(yard.records("stored")) == stored
+
+
+@pytest.mark.parametrize("load_ms", [600.0, 4100.0, 12000.0])
+def test_a_model_that_is_asked_for_keeps_its_place_for_as_long_as_a_load_takes(load_ms):
+    """Given full servers whose models are asked for twice a second, a rare want that finds no idle model takes none of their places within
+    the time of a load: each of them would then wait as long for many more requests."""
+    yard = Yard(
+        servers=2, models=8, memory_mb=140.0, load_ms=load_ms, held={0: ("m0", "m2"), 1: ("m4", "m6")}, loads_per_s=20
+    )
+    busy = {"m0": (1, 1), "m2": (1, 1), "m4": (1, 1), "m6": (1, 1)}
+    yard.live(8, busy)
+    start, steps = yard.now, 0
+    while yard.now - start < MS * (load_ms - 100):
+        if steps % 5 == 0:
+            yard.use(busy)
+        yard.want("m1", left=60000.0)
+        yard.run(MS * 100)
+        steps += 1
+    assert not [what for _, _, what in yard.records("order") if what[0] == "unload"]
