--- a/sumachook/forwarding/choose.py
+++ b/sumachook/forwarding/choose.py
@@ -13,7 +13,7 @@
 WANT_AGAIN = timedelta(seconds=0.3)
 HOLD_PART = 0.45  # of a request's time that it may wait for a place that is being made
 REST_PART = 0.2  # of a request's time that it may wait for room at servers that are there
-COME_BACK = 0.2  # seconds, the least that a client is told to wait
+LEAST_COME_BACK = 0.2  # seconds, the least that a client is told to wait where the end of its wait is known
 
 
 class Choose:
@@ -150,8 +150,8 @@
 
     def _wait_for_rest(self, row, until, now):
         """Holds the row until a server that turned it away may be asked again; gives it up at once if that is too late."""
-        if until > row.arrived_at + (row.cutoff - row.arrived_at) * REST_PART:
-            row.retry_after = max(COME_BACK, (until - now).total_seconds())
+        if until > _room_by(row):
+            row.retry_after = max(LEAST_COME_BACK, (until - now).total_seconds())
             return self.settle.take(row, _last(row), now)
         return []
 
@@ -161,8 +161,8 @@
         model = table.models.get(row.service, {}).get(row.request.model)
         load = timedelta(milliseconds=model.load_ms) if model and is_wanted else timedelta(0)
         hold_by = row.arrived_at + (row.cutoff - row.arrived_at) * HOLD_PART
-        if now >= hold_by or (not is_wanted and now - row.arrived_at > (row.cutoff - row.arrived_at) * REST_PART):
-            row.retry_after = max(COME_BACK, load.total_seconds())
+        if now >= hold_by or (not is_wanted and now > _room_by(row)):
+            row.retry_after = max(LEAST_COME_BACK, load.total_seconds())
             return self.settle.take(row, _last(row), now)
         if is_wanted and (row.wanted_at is None or now - row.wanted_at >= WANT_AGAIN):
             row.wanted_at = now
@@ -173,6 +173,11 @@
         return []
 
 
+def _room_by(row):
+    """Until when the row may wait for room at servers that are there."""
+    return row.arrived_at + (row.cutoff - row.arrived_at) * REST_PART
+
+
 def _allowed(row, usable):
     """As many servers as the route allows: then only those that it went to (§16.5)."""
     if len(row.sent_to) < row.route.tries:
--- a/sumachook/forwarding/resend.py
+++ b/sumachook/forwarding/resend.py
@@ -3,11 +3,11 @@
 from datetime import timedelta
 
 from sumachook.forwarding.row import STREAMING, TRYING, WAITING
+from sumachook.forwarding.settle import COME_BACK
 from sumachook.inference import faults
 
 MOST_RESUMES = 3
 LONGEST_PAUSE = timedelta(seconds=0.2)
-COME_BACK = 0.3  # seconds, where the server states nothing
 
 
 class Resend:
