A place is for half of what an engine runs at once, as configured

Cause: 24 requests running a place was the figure of one deployment's engines (64 slots); engines of 12 slots were twice full before a second place was asked for. Change: half of the configured slots. The story of any width is new; the one named after two dozen running tells of the rate and is named so.

--- a/sumachook/placement/spread.py
+++ b/sumachook/placement/spread.py
@@ -2,12 +2,13 @@
 
 from math import ceil
 
-RUNNING_A_PLACE, RATE_A_PLACE, BUSY_RATE, BUSY_SHARE, KEPT_RATE, HOT_SHARE = 24, 22.0, 1.0, 0.04, 0.3, 0.1
+RATE_A_PLACE, BUSY_RATE, BUSY_SHARE, KEPT_RATE, HOT_SHARE = 22.0, 1.0, 0.04, 0.3, 0.1
+SLOTS_PART = 0.5  # of the requests that an engine runs at once: so many of one model are a place's worth
 RISING, ASKED_SHARE = 1.2, 0.02  # what is ahead against what is, from which a model counts as rising
 
 
 def desired_places(siting, now) -> dict:
-    """{model: places} of what is asked for: one per 24 running or 22 a second, two for the busiest, one for what is asked for steadily.
+    """{model: places} of what is asked for: one for each half of an engine's slots running or 22 a second, two for the busiest, one for what is asked for steadily.
 
     The busiest are bounded, so that their second places take at most six tenths of all room.
     """
@@ -25,10 +26,17 @@
         running = siting.demand.running.get((siting.service, model), 0)
         least = 2 if model in busiest and rate >= max(BUSY_RATE, BUSY_SHARE * total) else 1
         most = max(least, len(opened) // 2)
-        desired[model] = min(len(opened), most, max(least, ceil(running / RUNNING_A_PLACE), ceil(rate / RATE_A_PLACE)))
+        desired[model] = min(
+            len(opened), most, max(least, ceil(running / running_a_place(siting)), ceil(rate / RATE_A_PLACE))
+        )
     return desired
 
 
+def running_a_place(siting) -> float:
+    """How many requests of a model may run at one place before it should have another: half of what an engine runs at once, as configured."""
+    return max(1.0, SLOTS_PART * siting.room.engine.slots)
+
+
 def hot_models(siting) -> tuple:
     """Of those that stand on fewer places than they should: where too much runs on each, or a tenth of everything hangs on one (or will soon)."""
     total = sum(siting.rate(model) for model in siting.desired)
@@ -39,7 +47,7 @@
         share = BUSY_SHARE if ahead > RISING * rate else HOT_SHARE
         is_single = stands <= 1 and ahead >= max(BUSY_RATE, share * total)
         if 0 < siting.coming(model) < places and (
-            running > RUNNING_A_PLACE * stands or ahead > RATE_A_PLACE * stands or is_single
+            running > running_a_place(siting) * stands or ahead > RATE_A_PLACE * stands or is_single
         ):
             hot.append(model)
     return tuple(sorted(hot, key=lambda model: (-siting.rate(model), model)))
--- a/tests/provision_stories.py
+++ b/tests/provision_stories.py
@@ -393,7 +393,7 @@
     assert yard.records("breach") == [] and len(yard.records("stored")) <= 4
 
 
-def test_a_very_busy_model_gets_a_place_for_each_two_dozen_running():
+def test_a_very_busy_model_gets_places_by_its_rate():
     yard = Yard(held={0: ("m0", "m1", "m2"), 1: ("m3", "m4", "m5")})
     yard.live(8, {"m0": (30, 60)})
     assert len(yard.holders("m0")) == 3
@@ -697,3 +697,13 @@
         yard.run(MS * 100)
         steps += 1
     assert not [what for _, _, what in yard.records("order") if what[0] == "unload"]
+
+
+@pytest.mark.parametrize("slots", [12, 24, 48])
+def test_a_place_is_for_half_of_what_an_engine_runs_at_once(slots):
+    """Given engines of any width, a model of which as many run as one and a half engines hold gets three places, and no more."""
+    yard = Yard(servers=8, models=8, memory_mb=140.0, held={0: ("m0",)})
+    yard.engine.slots = slots
+    yard.run(timedelta(seconds=1))
+    yard.live(12, {"m0": (2, round(1.5 * slots), {"i-0": round(1.5 * slots)})})
+    assert len(yard.holders("m0")) == 3
