--- a/sumachook/ledger/quill.py
+++ b/sumachook/ledger/quill.py
@@ -47,13 +47,13 @@
 class Quill:
     """Takes (message, now) (§11.1).
 
-    In: ("open", record, isSafe), ("close", record), ("behind", record, isClose), ("pulse", roster, liveSeats, carriers), ("disk", whether it takes records),
+    In: ("open", record, isSafe), ("close", record), ("behind", record, isClose), ("pulse", roster, liveSeats, carriers), ("disk", whether it takes records), ("leave",),
     ("heard", seat, address, message).
     Out: ("tell", address, message), ("recorded", request), ("unrecorded", request, fault), ("duplicate", request, first);
     with a disk also ("disk" | "rewrite", "spool", records, None) for what waits too long for its keepers.
     """
 
-    __slots__ = ("entries", "roster", "live", "lost", "has_disk", "spooled", "rows_in_file")
+    __slots__ = ("entries", "roster", "live", "lost", "has_disk", "spooled", "rows_in_file", "is_leaving")
 
     HINT_AFTER = timedelta(seconds=0.15)
     SAFE_WAIT = timedelta(seconds=0.4)
@@ -62,7 +62,7 @@
 
     def __init__(self, has_disk: bool, spool, now):
         self.entries, self.roster, self.live, self.lost, self.has_disk, self.spooled = {}, {}, set(), 0, has_disk, set()
-        self.rows_in_file = len(spool)
+        self.rows_in_file, self.is_leaving = len(spool), False
         for _, record, is_close in spool:  # what an earlier run of this node could not hand in
             entry = self.entries[(record["request"], is_close)] = Entry(record, is_close, True, now)
             entry.settled = True
@@ -74,6 +74,11 @@
             return self._start(message, now)
         if kind == "behind":
             return self._write_behind(message[1], message[2], now)
+        if kind == "leave":
+            self.is_leaving = True
+            for entry in self.entries.values():
+                entry.started_at = min(entry.started_at, now) if entry.is_held else entry.started_at
+            return []
         if kind == "disk":
             self.has_disk = message[1]
             return []
@@ -99,16 +104,20 @@
         opened = self.entries.get((request, False))
         if is_close and opened is not None and opened.is_held:
             del self.entries[(request, False)]  # it ended before its opening went out
-        is_well = record["state"] == "done" and not record.get("late")
-        entry = self.entries[(request, is_close)] = Entry(
-            record, is_close, True, now + (BEHIND if is_well else BEHIND_SOON)
-        )
+        entry = self.entries[(request, is_close)] = Entry(record, is_close, True, now + self._hold(record))
         entry.settled = entry.is_held = True
         if len(self.entries) > MOST_WAITING:
             self.lost += 1
             del self.entries[next(iter(self.entries))]
         return []
 
+    def _hold(self, record):
+        """How long a record that is written behind may wait for others; a node that leaves has no time for that."""
+        if self.is_leaving:
+            return timedelta(0)
+        is_well = record["state"] == "done" and not record.get("late")
+        return BEHIND if is_well else BEHIND_SOON
+
     def _owners(self, record):
         return keepers_of(range_key(record), tuple(sorted(self.roster)))
 
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -172,6 +172,7 @@
             self.shutdown.begin(now)
             for path in self._paths():
                 path.take(("drain",), now)
+            self.quill.take(("leave",), now)
             note = ("log", "info", "edge", "Leaving, no new requests.", {"inHand": len(self.ferry.table.rows)})
             return [note, *self.membership.take(("leave",), now)]
         return []
