--- /dev/null
+++ b/tests/platform_adapters/test_adapter_events.py
@@ -0,0 +1,48 @@
+"""What reaches a node's machine through the platform's adapters."""
+
+import sys
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from sumachook.host.effects import Send
+from sumachook.ledger.events import RecordsSynced, RewriteSynced
+from sumachook.ledger.messages import RecordsOpened
+from sumachook.storage.events import DiskStateChanged
+
+sys.path.append(str(Path(__file__).parent.parent.parent / "platform"))  # at the end, as when a node is run
+
+from node_adapter import NodeAdapter  # noqa: E402
+from operator_adapter import OperatorAdapter  # noqa: E402
+
+DISK_EVENTS = [
+    RecordsSynced(Send("127.0.0.1:1", RecordsOpened(()))),
+    RewriteSynced(),
+    DiskStateChanged(is_available=False, reason="full"),
+]
+
+
+class RecordingMachine:
+    """Keeps what it is given."""
+
+    node, restart_epoch, tick_interval = "core-1", 1, timedelta(seconds=0.05)
+
+    def __init__(self):
+        self.events = []
+
+    def take(self, event, now):
+        """Keeps the event."""
+        self.events.append(event)
+        return []
+
+
+@pytest.mark.parametrize("adapter_type", [NodeAdapter, OperatorAdapter])
+@pytest.mark.parametrize("event", DISK_EVENTS, ids=lambda event: type(event).__name__)
+def test_events_of_the_disk_reach_the_machine(adapter_type, event, tmp_path):
+    """Given an adapter, when its host says that records are durable or that the disk is full, the machine is told."""
+    machine = RecordingMachine()
+    more = (("hall-a",),) if adapter_type is OperatorAdapter else ()
+    adapter = adapter_type(machine, str(tmp_path / "settings.toml"), *more)
+    adapter.take(event, timedelta(0))
+    assert machine.events == [event]
