--- a/harness/experiments/chaos.py
+++ b/harness/experiments/chaos.py
@@ -16,9 +16,11 @@
 from msgspec.structs import replace
 
 from harness.run_checks import find_unchecked, seed_range
-from sumachook.consensus.effects import Readable, Unreadable
+from sumachook.consensus.effects import Deliver, Readable, Unreadable
+from sumachook.consensus.events import ReadRequested
 from sumachook.consensus.timing import FRESH_FOR
 from sumachook.nodes.core import Core
+from sumachook.nodes.event_dispatcher import EventDispatcher
 from sumachook.simulation.deployment import Deployment, DeploymentSpec
 from tests.deployment_fixtures import EXAMPLES, leader
 
@@ -67,7 +69,7 @@
         self.read_number += 1
         token = f"chaos-{self.read_number}"
         self.reads[token] = [name for _, name in self.acked]
-        self.deployment._hand(box, ("read", token))
+        self.deployment._hand(box, ReadRequested(token))
 
     def end_read(self, core, token, is_readable):
         names = self.reads.pop(token, None)
@@ -90,15 +92,20 @@
     __slots__ = ()
     history, max_log_entries = ChangeHistory(), None
 
-    def _dispatch_typed(self, message, now):
-        if isinstance(message, Readable | Unreadable) and str(message.token).startswith("chaos-"):
-            self.history.end_read(self, message.token, isinstance(message, Readable))
-            return []
-        return super()._dispatch_typed(message, now)
+    def event_handlers(self):
+        handlers = super().event_handlers()
+        noted = {each: partial(self._end_read, handlers[each]) for each in (Readable, Unreadable)}
+        return handlers | noted | {Deliver: partial(self._note_delivery, handlers[Deliver])}
 
-    def _deliver(self, number, entry, now):
-        self.history.note_delivery(self, number, entry)
-        return super()._deliver(number, entry, now)
+    def _end_read(self, handle, effect, now):
+        if not str(effect.token).startswith("chaos-"):
+            return handle(effect, now)
+        self.history.end_read(self, effect.token, isinstance(effect, Readable))
+        return []
+
+    def _note_delivery(self, handle, effect, now):
+        self.history.note_delivery(self, effect.number, effect.entry)
+        return handle(effect, now)
 
 
 def _routes(core):
@@ -393,6 +400,7 @@
 
 def _as_logged(core):
     core.__class__ = Logged
+    core.dispatcher = EventDispatcher(core.event_handlers())
     if Logged.max_log_entries is not None:
         state = core.consensus.state
         state.options = replace(state.options, max_log_entries=Logged.max_log_entries)
--- a/harness/experiments/digest.py
+++ b/harness/experiments/digest.py
@@ -7,14 +7,41 @@
 from enum import StrEnum
 from hashlib import sha256
 
+from msgspec.structs import astuple
+
 from harness.experiments.storms import play
+from sumachook.consensus.events import DiskSynced
 from sumachook.consensus.views import ViewId
-from sumachook.host.tuples import tuple_of_effect
+from sumachook.control_state.effects import ProposeChange
+from sumachook.host import effects
 from sumachook.ledger.events import RecordsSynced, RewriteSynced
+from sumachook.nodes.core import IdentityStored
 from sumachook.simulation.fleet import Fleet
 from sumachook.transport.node_message import NodeMessage, kind_of
 
 SEEDS = (41, 42, 43, 44)
+# The tags under which effects have always entered the digest.
+EFFECT_TAGS = {
+    effects.Send: "tell",
+    effects.SendDatagram: "cast",
+    effects.Reply: "reply",
+    effects.BeginResponse: "head",
+    effects.SendChunk: "chunk",
+    effects.EndResponse: "end",
+    effects.AbortResponse: "drop",
+    effects.Fetch: "fetch",
+    effects.ForwardRequest: "forward",
+    effects.CancelCall: "unfetch",
+    effects.AppendRecords: "disk",
+    effects.RewriteRecords: "rewrite",
+    effects.AppendDayLog: "journal",
+    effects.Log: "log",
+    effects.ApplyClientLimits: "limits",
+    effects.CloseProxyServer: "shut",
+    effects.WakeAfter: "wake",
+    effects.Exit: "leave",
+    ProposeChange: "propose",
+}
 
 
 class EmptyDigestError(Exception):
@@ -32,8 +59,9 @@
     >>> as_plain(SendDatagram("127.0.0.1:1", Join(())))
     ('cast', '127.0.0.1:1', ('join', ()))
     """
-    effect = tuple_of_effect(effect)
-    return tuple(map(_plain_part, effect)) if isinstance(effect, tuple) else effect
+    if type(effect) not in EFFECT_TAGS:
+        return effect
+    return (EFFECT_TAGS[type(effect)], *map(_plain_part, astuple(effect)))
 
 
 def _plain_part(part):
@@ -44,6 +72,10 @@
             return ("keeper-synced", as_plain(acknowledgement))
         case RewriteSynced():
             return ("keeper-synced", None)
+        case DiskSynced():
+            return ("consensus", part)
+        case IdentityStored():
+            return ("seat-ready",)
         case tuple():
             return tuple(part)
     return part
--- a/harness/experiments/order_callers.py
+++ b/harness/experiments/order_callers.py
@@ -9,6 +9,9 @@
 import msgspec
 
 from harness.experiments.order_history import OK, REFUSED, Order, OrderHistory, Read, Turn, kind_of, marks_of
+from sumachook.calls.run_status import CallFailure
+from sumachook.host.effects import Fetch
+from sumachook.host.events import CallFailed, ResponseReceived, Tick
 
 SILENCE = timedelta(seconds=1)
 ACKNOWLEDGE = timedelta(seconds=4)
@@ -88,11 +91,11 @@
     def __post_init__(self):
         self.operators = [Operator(number, self.history.first_version) for number in range(OPERATORS)]
 
-    def take(self, message: tuple, now) -> list:
-        if message[0] == "pulse":
+    def take(self, event, now) -> list:
+        if isinstance(event, Tick):
             return self._tick(now)
-        if message[0] == "fetched" and message[2] in ("done", "fault"):
-            return self._answered(message, now)
+        if isinstance(event, ResponseReceived | CallFailed):
+            return self._answered(event, now)
         return []
 
     # sending ----------------------------------------------------------------------
@@ -125,7 +128,8 @@
             document = reordered(document)
         body = b"" if document is None else msgspec.json.encode(document)
         method = "GET" if document is None else "POST"
-        return [("fetch", call.tid, method, f"http://{http_address}{call.path}", {}, body, SILENCE, SILENCE, "whole")]
+        url = f"http://{http_address}{call.path}"
+        return [Fetch(call.tid, method, url, {}, body, SILENCE, SILENCE, "whole")]
 
     # choosing ---------------------------------------------------------------------
 
@@ -172,12 +176,15 @@
 
     # answers ----------------------------------------------------------------------
 
-    def _answered(self, message, now):
-        operator, call = self.under_way.pop(message[1])
+    def _answered(self, event, now):
+        operator, call = self.under_way.pop(event.call_id)
         call.tid = None
-        status, headers, body = message[3:6] if message[2] == "done" else (0, {}, b"")
-        if message[2] == "fault" and message[3] == "timeout":
-            self.on_answer(call.http_address, call, 0)
+        status, headers, body = 0, {}, b""
+        match event:
+            case ResponseReceived():
+                status, headers, body = event.status, event.headers, event.body
+            case CallFailed(failure=CallFailure.TIMEOUT):
+                self.on_answer(call.http_address, call, 0)
         if status == 307 and call.redirects < MOST_REDIRECTS:
             call.redirects += 1
             return self._fetch(operator, call, headers["location"].removeprefix("http://").partition("/")[0], now)
--- a/harness/experiments/scale/edge_with_fake_traffic.py
+++ b/harness/experiments/scale/edge_with_fake_traffic.py
@@ -13,7 +13,6 @@
     ResponseHeadReceived,
     Tick,
 )
-from sumachook.host.tuples import effect_of, tuple_of_event
 from sumachook.nodes.inbox import Inbox
 from sumachook.transport.codec import Codec
 from sumachook.transport.node_transport import NodeTransport
@@ -60,7 +59,7 @@
         self.inbox.put(ProxyRequestReceived(("front", self.number), "POST", path, headers, b"{}"))
 
     def _take(self, event):
-        return [effect_of(effect) for effect in self.machine.take(tuple_of_event(event), self.clock.mono())]
+        return self.machine.take(event, self.clock.mono())
 
     def _do(self, effect):
         match effect:
--- a/harness/experiments/scale/failures.py
+++ b/harness/experiments/scale/failures.py
@@ -10,6 +10,7 @@
 from harness.experiments.scale.simulated_fleet import SimulatedFleet
 from harness.experiments.scale.site import Site
 from harness.experiments.scale.size import REGIONS, Size
+from sumachook.control_state.effects import ProposeChange
 from sumachook.membership.member import MemberStatus
 from sumachook.membership.membership import Membership
 
@@ -62,7 +63,7 @@
         leader = self.fleet.leader()
         box = next(box for box in self.fleet.boxes_of("core") if box.machine is leader)
         for effect in leader.take(
-            ("propose", ("configure", "v1", self.fleet.site.catalogue(1), {}, False, 0)), self.fleet.now
+            ProposeChange(("configure", "v1", self.fleet.site.catalogue(1), {}, False, 0)), self.fleet.now
         ):
             self.fleet._do(box, effect)
 
--- a/harness/experiments/scale/fake_model_server.py
+++ b/harness/experiments/scale/fake_model_server.py
@@ -1,5 +1,7 @@
 """A fake engine server in the in-memory fleet."""
 
+from sumachook.host.effects import Reply
+from sumachook.host.events import HttpRequestReceived
 from sumachook.simulation.fake_engine_server import FakeEngineServer
 
 
@@ -11,9 +13,8 @@
     def __init__(self, engine: FakeEngineServer):
         self.engine = engine
 
-    def take(self, message: tuple, now) -> list:
-        if message[0] != "http":
+    def take(self, event, now) -> list:
+        if not isinstance(event, HttpRequestReceived):
             return []
-        _, cid, method, path, _, body = message
-        status, answer = self.engine.take(method, path, body, now)
-        return [("reply", cid, status, {}, answer)]
+        status, answer = self.engine.take(event.method, event.path, event.body, now)
+        return [Reply(event.call_id, status, {}, answer)]
--- a/harness/experiments/scale/meter.py
+++ b/harness/experiments/scale/meter.py
@@ -26,7 +26,7 @@
 from sumachook.consensus import Replica
 from sumachook.control_state.state import State
 from sumachook.forwarding.pipeline import ProxyPipeline
-from sumachook.host.events import MessageReceived
+from sumachook.host.events import MessageReceived, ResponseReceived
 from sumachook.inference.pipeline import InferencePipeline
 from sumachook.leases import Leases
 from sumachook.ledger.replica_store import ReplicaStore
@@ -35,6 +35,7 @@
 from sumachook.nodes.control_api import ControlApi
 from sumachook.nodes.core import Core
 from sumachook.nodes.edge import Edge
+from sumachook.placement.call_ids import INVENTORY_READER
 from sumachook.placement.inventory_reader import InventoryReader
 from sumachook.placement.placer import Placer
 from sumachook.placement.places import Places
@@ -81,6 +82,7 @@
     (Edge, "take", NODE),
 )
 PAGE = os.sysconf("SC_PAGE_SIZE")
+RESPONSE_LINE_BYTES = 60
 REQUEST_LINE_BYTES = 90  # about, of what a request has beside method, URL, header values and body
 
 
@@ -114,17 +116,17 @@
 
         def counted_fetch(http_client, effect):
             size = len(effect.method) + len(effect.url) + len(effect.body) + sum(map(len, effect.headers.values()))
-            self._count(self.sent, LIST if effect.call_id[0] == "watcher" else REPORTS, size + REQUEST_LINE_BYTES)
+            self._count(
+                self.sent, LIST if effect.call_id[0] == INVENTORY_READER else REPORTS, size + REQUEST_LINE_BYTES
+            )
             fetch(http_client, effect)
 
-        def counted_hear(core, message, now):
-            if isinstance(message, tuple) and message[0] == "fetched" and message[2] == "done":
-                self._count(
-                    self.heard,
-                    LIST if message[1][0] == "watcher" else REPORTS,
-                    len(message[5]) + sum(map(len, message[4].values())) + 60,
-                )
-            return hear(core, message, now)
+        def counted_hear(core, event, now):
+            if isinstance(event, ResponseReceived):
+                mechanism = LIST if event.call_id[0] == INVENTORY_READER else REPORTS
+                size = len(event.body) + sum(map(len, event.headers.values())) + RESPONSE_LINE_BYTES
+                self._count(self.heard, mechanism, size)
+            return hear(core, event, now)
 
         Codec.pack = self._timed(counted_pack, lambda words: mechanism_of(wire_kind(words[1])))
         node_transport.read_frame = self._timed(
--- a/harness/experiments/scale/simulated_fleet.py
+++ b/harness/experiments/scale/simulated_fleet.py
@@ -11,6 +11,7 @@
 from harness.experiments.scale.site import CLUSTER, PLATFORM, SERVICE, Site
 from sumachook.configuration.catalogue import read_catalogue
 from sumachook.configuration.node_settings import read_node_settings
+from sumachook.control_state.effects import ProposeChange
 from sumachook.membership.member import LIVE_STATUSES, Member
 from sumachook.nodes.core import Core
 from sumachook.nodes.edge import Edge
@@ -176,5 +177,7 @@
         if leader is not None:
             doc = {"version": version, "httpRoutes": [self.site.route(100 + version)]}
             box = next(box for box in self.boxes_of("core") if box.machine is leader)
-            for effect in leader.take(("propose", ("configure", f"v{version}", doc, {}, True, version - 1)), self.now):
+            for effect in leader.take(
+                ProposeChange(("configure", f"v{version}", doc, {}, True, version - 1)), self.now
+            ):
                 self._do(box, effect)
--- a/harness/fuzzing/edge_host.py
+++ b/harness/fuzzing/edge_host.py
@@ -17,7 +17,6 @@
     SendChunk,
 )
 from sumachook.host.events import Event, Tick
-from sumachook.host.tuples import effect_of, tuple_of_event
 from sumachook.nodes.edge import Edge
 from sumachook.nodes.inbox import Inbox
 from sumachook.retry_budget.budget import service_key
@@ -126,7 +125,7 @@
         self.inbox.put(Tick())
 
     def _take(self, event: Event) -> list[Effect]:
-        return [effect_of(effect) for effect in self.edge.take(tuple_of_event(event), self.clock.mono())]
+        return self.edge.take(event, self.clock.mono())
 
     def _do(self, effect: Effect) -> None:
         match effect:
--- a/harness/model_checking/control_deployment.py
+++ b/harness/model_checking/control_deployment.py
@@ -7,12 +7,11 @@
 from harness.model_checking.operators import Operators
 from sumachook.changefeed.events import FollowerTick
 from sumachook.changefeed.follower import Follower
+from sumachook.changefeed.messages import FOLLOWER_MESSAGES
 from sumachook.control_state.state import State
 from sumachook.host.effects import Send
-from sumachook.host.tuples import event_of
-from sumachook.nodes.edge import FEED
+from sumachook.host.events import MessageReceived, Tick
 from sumachook.simulation.deployment import Deployment, DeploymentSpec
-from sumachook.transport.node_message import wire_kind
 
 ZONES = ("hall-a", "hall-b", "hall-c")
 MOST_SEEDS = 3
@@ -50,12 +49,12 @@
         self.node, self.addresses_of, self.invariants = node, addresses_of, invariants
         self.follower = Follower(State(), random, now)
 
-    def take(self, message: tuple, now) -> list:
-        """One message of the fleet."""
-        if message[0] == "pulse":
+    def take(self, event, now) -> list:
+        """One event of the fleet."""
+        if isinstance(event, Tick):
             out = self.follower.take(FollowerTick(self.addresses_of(), 0), now)
-        elif message[0] == "heard" and wire_kind(message[3]) in FEED:
-            out = self.follower.take(event_of(message), now)
+        elif isinstance(event, MessageReceived) and isinstance(event.message, FOLLOWER_MESSAGES):
+            out = self.follower.take(event, now)
         else:
             return []
         self.invariants.followed_to(self.node, self.follower.number, self.follower.state, now)
--- a/harness/model_checking/operators.py
+++ b/harness/model_checking/operators.py
@@ -4,7 +4,11 @@
 
 import msgspec
 
+from sumachook.host.effects import CancelCall, Fetch
+from sumachook.host.events import CallFailed, ResponseReceived, Tick
+
 WAIT = timedelta(seconds=8)
+CONNECT_TIMEOUT = timedelta(seconds=1)
 MOST_REDIRECTS = 2
 TURNS = ("evacuate", "restore")
 PART_OF_A_SECOND = 0.3  # the pause before the next target after an answer that does not settle it
@@ -71,12 +75,15 @@
         if order not in self.orders:
             self.orders.append(order)
 
-    def take(self, message: tuple, now) -> list:
-        """One message of the fleet; gives the requests to be made."""
-        if message[0] == "pulse":
-            return self._send_due(now)
-        if message[0] == "fetched" and message[2] in ("done", "fault"):
-            return self._answered(message, now)
+    def take(self, event, now) -> list:
+        """One event of the fleet; gives the requests to be made."""
+        match event:
+            case Tick():
+                return self._send_due(now)
+            case ResponseReceived(number, status, headers, body):
+                return self._answered(number, status, headers, body, now)
+            case CallFailed(number):
+                return self._answered(number, 0, {}, b"", now)
         return []
 
     def _send_due(self, now):
@@ -99,7 +106,7 @@
         numbers = [number for number, attempt in self.attempts.items() if attempt.order is order]
         for number in numbers:
             del self.attempts[number]
-        return [("unfetch", number) for number in numbers]
+        return [CancelCall(number) for number in numbers]
 
     def _request(self, order, http_address, now, redirects):
         self.number += 1
@@ -110,26 +117,14 @@
         if order.document is not None:  # each request bears an id of its own, as the platform's do: content decides
             body = msgspec.json.encode({**order.document, "request": f"{order.key}.{self.number}"})
         method = "GET" if order.document is None else "POST"
-        return [
-            (
-                "fetch",
-                self.number,
-                method,
-                f"http://{http_address}{order.path}",
-                {},
-                body,
-                timedelta(seconds=1),
-                WAIT,
-                "whole",
-            )
-        ]
-
-    def _answered(self, message, now):
-        attempt = self.attempts.pop(message[1], None)
+        url = f"http://{http_address}{order.path}"
+        return [Fetch(self.number, method, url, {}, body, CONNECT_TIMEOUT, WAIT, "whole")]
+
+    def _answered(self, number, status, headers, body, now):
+        attempt = self.attempts.pop(number, None)
         if attempt is None:
             return []
         order = attempt.order
-        status, headers, body = (message[3], message[4], message[5]) if message[2] == "done" else (0, {}, b"")
         if status == 307 and attempt.redirects < MOST_REDIRECTS and "location" in headers:
             http_address = headers["location"].removeprefix("http://").partition("/")[0]
             return self._request(order, http_address, now, attempt.redirects + 1)
--- a/harness/mutations/routing.py
+++ b/harness/mutations/routing.py
@@ -156,7 +156,7 @@
     Mutation(
         "BUDGET",
         "what all edges saved up is not bounded",
-        "self.retry_budget.cap = share_of_savings(self.settings.resend_slack, peers.index(self.node), len(peers))",
+        "self.retry_budget.cap = share_of_savings(self.settings.resend_slack, rank, len(peers))",
         "pass",
         PROXY_PIPELINE,
         "slack",
--- a/harness/mutations/storage.py
+++ b/harness/mutations/storage.py
@@ -157,8 +157,8 @@
     Mutation(
         "DISK",
         "a core whose disk is full goes on as if it were not",
-        "        self.is_disk_taking = False\n        return [for_host",
-        "        return [for_host",
+        "        self.is_disk_taking = False\n        return effects",
+        "        return effects",
         "tests/nodes/test_disk_faults.py",
         "stands_aside or stays_bounded",
     ),
@@ -173,8 +173,8 @@
     Mutation(
         "DISK",
         "a core whose disk is full keeps its duties",
-        "        released = self.leases.take(lease_events.Quit(), now)\n        changes",
-        "        released = []\n        changes",
+        "        released = self.leases.take(lease_events.Quit(), now)\n        effects",
+        "        released = []\n        effects",
         "tests/nodes/test_disk_faults.py",
         "duties_back",
     ),
--- a/sumachook/changefeed/messages.py
+++ b/sumachook/changefeed/messages.py
@@ -56,3 +56,8 @@
 
     node: str
     number: int
+
+
+# What an edge's `Follower` takes, and what a core's `Source` does.
+FOLLOWER_MESSAGES: tuple[type[NodeMessage], ...] = (Snapshot, SnapshotPart, ChangeBatch, FeedHeartbeat)
+SOURCE_MESSAGES: tuple[type[NodeMessage], ...] = (Follow, Confirm, Confirmed)
--- a/sumachook/host/effects.py
+++ b/sumachook/host/effects.py
@@ -146,3 +146,28 @@
     """End the process with this exit code once the last messages are out."""
 
     code: int
+
+
+# What a host carries out; other effects are for another part of the same node.
+HOST_EFFECTS: frozenset[type[Effect]] = frozenset(
+    {
+        Send,
+        SendDatagram,
+        Reply,
+        BeginResponse,
+        SendChunk,
+        EndResponse,
+        AbortResponse,
+        Fetch,
+        ForwardRequest,
+        CancelCall,
+        AppendRecords,
+        RewriteRecords,
+        AppendDayLog,
+        Log,
+        ApplyClientLimits,
+        CloseProxyServer,
+        WakeAfter,
+        Exit,
+    }
+)
--- a/sumachook/leases/messages.py
+++ b/sumachook/leases/messages.py
@@ -35,3 +35,7 @@
     role: str
     fence: int
     sent: float
+
+
+# What a core's `Leases` take from other cores.
+LEASE_MESSAGES: tuple[type[NodeMessage], ...] = (ClaimLease, ClaimVote, RenewLease, LeaseRenewed)
--- a/sumachook/ledger/messages.py
+++ b/sumachook/ledger/messages.py
@@ -99,3 +99,8 @@
 
     asker: str
     record: Record | None
+
+
+# What a core's `ReplicaStore` takes, and what an edge's `LedgerWriter` does.
+STORE_MESSAGES: tuple[type[NodeMessage], ...] = (OpenRecords, CloseRecords, HandOffRecords, RecordsHandedOff)
+WRITER_MESSAGES: tuple[type[NodeMessage], ...] = (RecordsOpened, RecordsClosed, RelayRecords)
--- a/sumachook/membership/messages.py
+++ b/sumachook/membership/messages.py
@@ -55,3 +55,15 @@
     """All members that the sender knows of, itself among them."""
 
     updates: tuple[MemberUpdate, ...]
+
+
+# What a node's `Membership` takes from other nodes.
+MEMBERSHIP_MESSAGES: tuple[type[NodeMessage], ...] = (
+    Ping,
+    PingAck,
+    IndirectPingRequest,
+    IndirectPing,
+    IndirectPingAck,
+    Join,
+    MemberList,
+)
--- a/sumachook/nodes/configuration_changes.py
+++ b/sumachook/nodes/configuration_changes.py
@@ -1,28 +1,38 @@
-"""Operators' orders at a core, from the call to its answer."""
+"""Operators' changes at a core, from the call to its answer."""
 
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import Any
 
+from sumachook.consensus.events import ReadRequested
 from sumachook.control_state.change_attempts import Attempt
 from sumachook.control_state.changes import Configure, Evacuate, OperatorCall, OperatorChange, Restore
+from sumachook.control_state.effects import ProposeChange
 from sumachook.control_state.results import ChangeResult, Outcome
+from sumachook.control_state.state import State
+from sumachook.host.effects import Reply
+from sumachook.host.events import CallId
 from sumachook.nodes.replies import fault_reply, reply
 
 STATUS = {Outcome.ACCEPTED: 200, Outcome.REJECTED: 422, Outcome.STALE: 409}
-RESEND = timedelta(seconds=0.4)
-READ_AGAIN, TIME_TO_WAIT = timedelta(seconds=0.2), timedelta(seconds=2)
-CALLER_WAITS = timedelta(seconds=1)  # after so much silence a caller sends its order to another core
-READ_TAKES = timedelta(seconds=0.5)  # at most
+FIRST_RESEND_DELAY = timedelta(seconds=0.4)  # of a proposal; doubled each time
+READ_RETRY_DELAY = timedelta(seconds=0.2)
+MIN_TIME_FOR_RETRY = timedelta(seconds=2)  # that must be left for a read to be asked for again
+CALLER_TIMEOUT = timedelta(seconds=1)  # after so much silence a caller sends its change to another core
+MAX_READ_TIME = timedelta(seconds=0.5)
 REVERSIBLE = (Evacuate, Restore)  # changes that a later one takes back
-MOST_ORDERS = 128
-RETRY_AFTER_UNCLEAR = 0.2
+MAX_ORDERS = 128
+RETRY_AFTER_UNCLEAR_S = 0.2
+RETRY_AFTER_OVERLOAD_S = 2
+RETRY_AFTER_UNACKNOWLEDGED_S = 5
 
 
 @dataclass(slots=True)
 class Order:
     """One call of an operator and how far it has come."""
 
-    cid: object
+    call_id: CallId
     number: int
     change: OperatorChange
     started_at: timedelta
@@ -31,73 +41,77 @@
     seen: int | None = None  # the last delivered entry when the linearizable read came back; None before
     entry: OperatorCall | None = None  # what is proposed
     propose_at: timedelta | None = None
-    pause: timedelta = RESEND
+    resend_delay: timedelta = FIRST_RESEND_DELAY
     was_proposed: bool = False
     delivered_as: int = 0
     result: ChangeResult | None = None
     version: int = 0
-    delivered_at: timedelta | None = None
+    delivered_at: timedelta = timedelta(0)  # of the entry that decided
 
 
 @dataclass(slots=True)
 class ConfigurationChanges:
-    """Takes calls and gives effects: ("read", token), ("propose", entry), ("reply", ...).
+    """Takes operators' calls; gives `ReadRequested`, `ProposeChange` and the `Reply` to each call.
 
-    An order is read for first: only once a linearizable read came back, and its caller is still there, is it proposed, with the number
-    of the last entry that was delivered by then (`Attempt.seen`). It is answered by the delivery of its own entry, and by nothing else.
-    This core alone proposes it, and not after its answer, nor after its caller went away.
+    A linearizable read comes first: only once that came back, and its caller is still there, is a change proposed, with
+    the number of the last entry that was delivered by then (`Attempt.seen`). It is answered by the delivery of its own
+    entry, and by nothing else. This core alone proposes it, and not after its answer, nor after its caller went away.
     """
 
     origin: str
-    state: object
+    state: State
     confirm_within: timedelta = timedelta(seconds=2)
     answer_within: timedelta = timedelta(seconds=6)
-    orders: dict = field(default_factory=dict)
+    orders: dict[int, Order] = field(default_factory=dict)
     last_number: int = 0
 
     # the call ---------------------------------------------------------------------
 
-    def accept(self, cid, change: OperatorChange, now) -> list:
+    def accept(self, call_id: CallId, change: OperatorChange, now: timedelta) -> Sequence[ReadRequested | Reply]:
         """A call that is well-formed; what it asks for is judged at delivery."""
-        if len(self.orders) >= MOST_ORDERS:
-            return [fault_reply(cid, 503, "too-many", f"{MOST_ORDERS} orders wait", 2, applied="no")]
+        if len(self.orders) >= MAX_ORDERS:
+            reason = f"{MAX_ORDERS} orders wait"
+            return [fault_reply(call_id, 503, "too-many", reason, RETRY_AFTER_OVERLOAD_S, applied="no")]
         self.last_number += 1
-        order = Order(cid, self.last_number, change, now, now + self.answer_within)
+        order = Order(call_id, self.last_number, change, now, now + self.answer_within)
         self.orders[self.last_number] = order
-        return [("read", self.token(order))]
+        return [ReadRequested(self.token(order))]
 
     def token(self, order: Order) -> str:
+        """The name of the read that an order waits for."""
         return f"order-{order.number}"
 
-    def order_of(self, token: str):
+    def order_of(self, token: str) -> Order | None:
         """The order that waits for this read, or None."""
         name, _, number = token.partition("-")
         order = self.orders.get(int(number)) if name == "order" else None
         return order if order is not None and order.seen is None else None
 
-    def read_again(self, order: Order, now) -> bool:
+    def read_again(self, order: Order, now: timedelta) -> bool:
         """Whether it waits for the next leader; not where its caller would do better to ask another core."""
-        has_time = order.answer_by - now > TIME_TO_WAIT
-        may_wait = not isinstance(order.change, REVERSIBLE) or not self._is_late(order, now + READ_AGAIN + READ_TAKES)
-        order.read_at = now + READ_AGAIN if has_time and may_wait else None
+        has_time = order.answer_by - now > MIN_TIME_FOR_RETRY
+        read_by = now + READ_RETRY_DELAY + MAX_READ_TIME
+        may_wait = not isinstance(order.change, REVERSIBLE) or not self._is_late(order, read_by)
+        order.read_at = now + READ_RETRY_DELAY if has_time and may_wait else None
         return order.read_at is not None
 
-    def _is_late(self, order: Order, now) -> bool:
+    def _is_late(self, order: Order, now: timedelta) -> bool:
         """Whether its caller may have been answered elsewhere by now, and may have ordered the opposite since."""
-        return isinstance(order.change, REVERSIBLE) and now - order.started_at > CALLER_WAITS
+        return isinstance(order.change, REVERSIBLE) and now - order.started_at > CALLER_TIMEOUT
 
-    def remove(self, order: Order):
+    def remove(self, order: Order) -> None:
+        """Forgets an order that was answered."""
         self.orders.pop(order.number, None)
 
-    def gone(self, cid):
-        """The caller went away: the order is not proposed any more."""
-        for order in [order for order in self.orders.values() if order.cid == cid]:
+    def handle_disconnect(self, call_id: CallId) -> None:
+        """The caller went away: its change is not proposed any more."""
+        for order in [order for order in self.orders.values() if order.call_id == call_id]:
             self.remove(order)
 
     # the proposal -----------------------------------------------------------------
 
-    def readable(self, token: str, now):
-        """The state holds all that was acknowledged before the call came; the order is proposed at the next pulse."""
+    def readable(self, token: str, now: timedelta) -> None:
+        """The state holds all that was acknowledged before the call came; the change is proposed at the next tick."""
         order = self.order_of(token)
         if order is None:
             return
@@ -106,45 +120,52 @@
             return
         order.seen = self.state.number
         order.entry = OperatorCall(self.origin, order.number, order.seen, self._content(order.change))
-        order.propose_at = (
-            now  # by the next pulse it is known whether the caller hung up while its call lay in a buffer
-        )
+        # by the next tick it is known whether the caller hung up while its call lay in a buffer
+        order.propose_at = now
 
     def _content(self, change: OperatorChange) -> OperatorChange:
         """What goes into the log: of a configuration whose verdict can be told from its digest, the digest."""
         return self.state.compact_form(change) if isinstance(change, Configure) else change
 
-    def _propose(self, order, now):
+    def _propose(self, order: Order, now: timedelta) -> ProposeChange:
         order.was_proposed = True
-        order.propose_at, order.pause = now + order.pause, order.pause * 2
-        return [("propose", order.entry)]
+        order.propose_at = now + order.resend_delay
+        order.resend_delay *= 2
+        return ProposeChange(order.entry)
 
-    def delivered(self, number: int, attempt: Attempt, result: ChangeResult, version: int, now):
+    def delivered(self, number: int, attempt: Attempt, result: ChangeResult, version: int, now: timedelta) -> None:
         """The entry of an attempt was delivered; the first delivery decides, copies change nothing."""
         order = self.orders.get(attempt.number) if attempt.origin == self.origin else None
         if order is not None and order.result is None:
-            order.delivered_as, order.result, order.version, order.delivered_at = number, result, version, now
+            order.delivered_as = number
+            order.result = result
+            order.version = version
+            order.delivered_at = now
 
     # the answer -------------------------------------------------------------------
 
-    def tick(self, live, confirmed: dict, now) -> list:
-        out = self.settle(live, confirmed, now)
+    def tick(
+        self, live: Sequence[str], confirmed: Mapping[str, int], now: timedelta
+    ) -> list[ReadRequested | ProposeChange | Reply]:
+        """Answers, reads and proposals that are due; `live` are the live edges by name."""
+        effects: list[ReadRequested | ProposeChange | Reply] = [*self.settle(live, confirmed, now)]
         for order in list(self.orders.values()):
             if order.result is not None:
                 continue
             if now >= order.answer_by:
                 self.remove(order)
-                out.append(self._answer_unclear(order))
+                effects.append(self._answer_unclear(order))
             elif order.seen is None and order.read_at is not None and now >= order.read_at:
                 order.read_at = None
-                out.append(("read", self.token(order)))
+                effects.append(ReadRequested(self.token(order)))
             elif order.propose_at is not None and now >= order.propose_at:
-                out += self._propose(order, now)
-        return out
+                effects.append(self._propose(order, now))
+        return effects
 
-    def settle(self, live, confirmed: dict, now) -> list:
+    def settle(self, live: Sequence[str], confirmed: Mapping[str, int], now: timedelta) -> list[Reply]:
         """Answers what all live edges have confirmed, what was not taken, and what waited long enough for the edges."""
-        out, reached = [], min((confirmed.get(node, 0) for node in live), default=None)
+        replies = []
+        reached = min((confirmed.get(node, 0) for node in live), default=None)
         for order in list(self.orders.values()):
             if order.result is None:
                 continue
@@ -152,40 +173,40 @@
             is_due = now >= min(order.delivered_at + self.confirm_within, order.answer_by)
             if is_reached or is_due or order.result.outcome is not Outcome.ACCEPTED:
                 self.remove(order)
-                late = [node for node in live if confirmed.get(node, 0) < order.delivered_as]
-                out.append(self._answer(order, live, late))
-        return out
+                replies.append(self._answer(order, order.result, live, confirmed))
+        return replies
 
-    def _answer(self, order, live, late):
-        outcome, revision, issues = order.result
-        if outcome is Outcome.UNKNOWN:
+    def _answer(self, order: Order, result: ChangeResult, live: Sequence[str], confirmed: Mapping[str, int]) -> Reply:
+        request = order.change.request
+        if result.outcome is Outcome.UNKNOWN:
+            reason = result.issues[0].reason
             return fault_reply(
-                order.cid,
-                503,
-                "unclear",
-                issues[0].reason,
-                RETRY_AFTER_UNCLEAR,
-                applied="maybe",
-                request=order.change.request,
+                order.call_id, 503, "unclear", reason, RETRY_AFTER_UNCLEAR_S, applied="maybe", request=request
             )
-        body = {
-            "result": outcome.value,
-            "request": order.change.request,
+        body: dict[str, Any] = {
+            "result": result.outcome.value,
+            "request": request,
             "number": order.delivered_as,
             "version": order.version,
         }
-        if outcome is Outcome.ACCEPTED:
-            body |= {
-                "generation": revision,
-                "confirmed": [node for node in live if node not in late],
-                "unconfirmed": late,
-            }
+        if result.outcome is Outcome.ACCEPTED:
+            unconfirmed = [node for node in live if confirmed.get(node, 0) < order.delivered_as]
+            body["generation"] = result.revision
+            body["confirmed"] = [node for node in live if node not in unconfirmed]
+            body["unconfirmed"] = unconfirmed
         else:
-            body["faults"] = [{"path": path, "reason": reason} for path, reason in issues]
-        return reply(order.cid, STATUS[outcome], body)
+            body["faults"] = [{"path": path, "reason": reason} for path, reason in result.issues]
+        return reply(order.call_id, STATUS[result.outcome], body)
 
-    def _answer_unclear(self, order):
+    def _answer_unclear(self, order: Order) -> Reply:
         """It may be delivered yet, if it was proposed; to send it again is safe."""
         reason = "no working view acknowledged it; repeat it to learn or finish it"
-        applied = "maybe" if order.was_proposed else "no"
-        return fault_reply(order.cid, 503, "not-acknowledged", reason, 5, applied=applied, request=order.change.request)
+        return fault_reply(
+            order.call_id,
+            503,
+            "not-acknowledged",
+            reason,
+            RETRY_AFTER_UNACKNOWLEDGED_S,
+            applied="maybe" if order.was_proposed else "no",
+            request=order.change.request,
+        )
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -1,13 +1,19 @@
-"""The HTTP interface of a core: operators' orders and reads, its condition, its metrics."""
+"""The HTTP interface of a core: operators' changes and reads, its condition, its metrics."""
 
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
+from typing import TYPE_CHECKING, Any
 from urllib.parse import unquote
 
 import msgspec
 
 from sumachook.configuration.catalogue import merge, read_catalogue
+from sumachook.consensus.effects import Readable, Unreadable
+from sumachook.consensus.views import Role
 from sumachook.control_state.changes import tag_of
 from sumachook.fault import Fault
+from sumachook.host.effects import Effect, Reply
+from sumachook.host.events import CallId, ClientDisconnected, HttpRequestReceived
 from sumachook.membership.member import MemberStatus
 from sumachook.nodes import change_request, show
 from sumachook.nodes.configuration_changes import ConfigurationChanges
@@ -16,153 +22,181 @@
 from sumachook.nodes.replies import fault_reply, redirect, reply
 from sumachook.placement.forecast import forecast_moves
 
-PROMPT = timedelta(seconds=0.25)
-MOST_FORWARDED = (
-    256 << 10
-)  # bytes of an order that a member hands to its leader; a longer one's caller is handed on instead
+if TYPE_CHECKING:
+    from sumachook.nodes.core import Core
 
+# Word that comes later means that the leader did not answer: its caller is better off with another core.
+REDIRECT_WITHIN = timedelta(seconds=0.25)
+# Of a change that a member hands to its leader; the caller of a longer one is redirected instead.
+MAX_FORWARDED_BYTES = 256 << 10
+RETRY_AFTER_S = 0.2
 
-def starting(cid):
+
+def starting(call_id: CallId) -> Reply:
     """The answer of a core whose identity is not on its disk yet."""
-    return fault_reply(cid, 503, "starting", "this core has just started; ask another", 0.2, applied="no")
+    reason = "this core has just started; ask another"
+    return fault_reply(call_id, 503, "starting", reason, RETRY_AFTER_S, applied="no")
 
 
 class ControlApi:
     """Answers the HTTP calls of one core.
 
-    Reads of the configuration, and orders before they are proposed, ask the consensus layer for a linearizable read: ("read", token)
-    goes out, `readable` or `unreadable` comes back. A core that cannot read hands the caller on to its leader, or answers 503.
+    Reads of the configuration, and changes before they are proposed, ask the consensus layer for a linearizable read:
+    `ReadRequested` goes out, `Readable` or `Unreadable` comes back. A core that cannot read redirects the caller to its
+    leader, or answers 503.
     """
 
     __slots__ = ("core", "configuration_changes", "reads", "searches")
 
-    def __init__(self, core):
+    def __init__(self, core: "Core") -> None:
         settings = core.settings
-        limits = (timedelta(seconds=settings.confirm_within), timedelta(seconds=settings.order_within))
-        self.core, self.reads, self.searches = core, Reads(), LedgerSearch(core.replica_store)
-        self.configuration_changes = ConfigurationChanges(f"{core.node}.{core.restart_epoch}", core.state, *limits)
+        self.core = core
+        self.reads = Reads()
+        self.searches = LedgerSearch(core.replica_store)
+        self.configuration_changes = ConfigurationChanges(
+            f"{core.node}.{core.restart_epoch}",
+            core.state,
+            timedelta(seconds=settings.confirm_within),
+            timedelta(seconds=settings.order_within),
+        )
 
     # calls ------------------------------------------------------------------------
 
-    def http(self, message, now) -> list:
-        _, cid, method, path, headers, body = message
-        if path == "/condition":
-            return [self._condition(cid, now)]
-        if path == "/metrics":
-            return [reply(cid, 200, self._metrics(now))]
+    def http(self, event: HttpRequestReceived, now: timedelta) -> Sequence[Any]:
+        """The effects of one call."""
+        if event.path == "/condition":
+            return [self._condition(event.call_id, now)]
+        if event.path == "/metrics":
+            return [reply(event.call_id, 200, self._metrics(now))]
+        if not self._is_authorized(event.headers):
+            return [fault_reply(event.call_id, 401, "unknown-operator", "Authorization: Bearer KEY")]
+        if event.method == "POST":
+            return self._post(event, now)
+        if event.method == "GET":
+            return self._get(event, now)
+        return [_not_found(event)]
+
+    def _is_authorized(self, headers: Mapping[str, str]) -> bool:
         key = self.core.settings.operator_key
-        if key and headers.get("authorization") != f"Bearer {key}":
-            return [fault_reply(cid, 401, "unknown-operator", "Authorization: Bearer KEY")]
-        if method == "POST" and path in change_request.PATHS:
-            return self._order(cid, path, body, now)
-        if method == "POST" and path in ("/plan", "/check"):
-            return [self._weigh(cid, path, body)]
-        if method == "GET" and path.startswith("/show/"):
-            return self._show(cid, path, now)
-        if method == "GET" and path.startswith("/ledger/"):
-            return self.searches.begin(cid, unquote(path[8:]), self.core.other_cores(), now)
-        return [fault_reply(cid, 404, "not-found", f"{method} {path}")]
-
-    def gone(self, cid):
+        return not key or headers.get("authorization") == f"Bearer {key}"
+
+    def _post(self, event: HttpRequestReceived, now: timedelta) -> Sequence[Any]:
+        if event.path in change_request.PATHS:
+            return self._change(event, now)
+        if event.path in ("/plan", "/check"):
+            return [self._forecast(event)]
+        return [_not_found(event)]
+
+    def _get(self, event: HttpRequestReceived, now: timedelta) -> Sequence[Any]:
+        path = event.path
+        if path.startswith("/show/"):
+            return self._show(event.call_id, path, now)
+        if path.startswith("/ledger/"):
+            request = unquote(path.removeprefix("/ledger/"))
+            return self.searches.begin(event.call_id, request, self.core.other_cores(), now)
+        return [_not_found(event)]
+
+    def handle_disconnect(self, event: ClientDisconnected, now: timedelta) -> list[Any]:
         """The caller went away."""
-        self.configuration_changes.gone(cid)
-        self.reads.gone(cid)
-        self.searches.gone(cid)
+        self.configuration_changes.handle_disconnect(event.call_id)
+        self.reads.handle_disconnect(event.call_id)
+        self.searches.handle_disconnect(event.call_id)
+        return []
 
-    def tick(self, live, confirmed, now) -> list:
-        out = self.configuration_changes.tick(live, confirmed, now) + self.searches.tick(now)
-        return out + [self._no_view(read.cid) for read in self.reads.overdue(now)]
+    def tick(self, live: Sequence[str], confirmed: Mapping[str, int], now: timedelta) -> list[Effect | Any]:
+        """What is due now; `live` are the live edges, `confirmed` how far each has followed the change feed."""
+        effects: list[Any] = [*self.configuration_changes.tick(live, confirmed, now), *self.searches.tick(now)]
+        return effects + [self._no_view(read.call_id) for read in self.reads.overdue(now)]
 
     # linearizable reads -----------------------------------------------------------
 
-    def readable(self, token: str, now) -> list:
-        read = self.reads.finish(token)
+    def handle_readable(self, effect: Readable, now: timedelta) -> list[Any]:
+        """The state may answer this read."""
+        read = self.reads.finish(effect.token)
         if read is not None:
-            return [reply(read.cid, 200, show.show(show.CATALOGUE, self.core, now))]
-        self.configuration_changes.readable(token, now)
+            return [reply(read.call_id, 200, show.show(show.CATALOGUE, self.core, now))]
+        self.configuration_changes.readable(effect.token, now)
         return []
 
-    def unreadable(self, token: str, leader: str | None, now) -> list:
-        """This core cannot vouch for its state; `leader` is the node address of one that may.
-
-        A word that comes late means that the leader did not answer: its caller is better off with another core.
-        """
-        read, order = self.reads.finish(token), self.configuration_changes.order_of(token)
+    def handle_unreadable(self, effect: Unreadable, now: timedelta) -> list[Any]:
+        """This core cannot vouch for its state; the address is that of a core that may."""
+        read = self.reads.finish(effect.token)
         if read is not None:
-            return [self._hand_on(read.cid, read.path, leader if now - read.started_at < PROMPT else None)]
+            leader = effect.address if now - read.started_at < REDIRECT_WITHIN else None
+            return [self._redirect(read.call_id, read.path, leader)]
+        order = self.configuration_changes.order_of(effect.token)
         if order is None:
             return []
-        http_address = self._http_address_of(leader if now - order.started_at < PROMPT else None)
+        http_address = self._http_address_of(effect.address if now - order.started_at < REDIRECT_WITHIN else None)
         if not http_address and self.configuration_changes.read_again(order, now):
             return []
         self.configuration_changes.remove(order)
-        return [
-            redirect(order.cid, http_address, f"/operator/{tag_of(order.change)}")
-            if http_address
-            else self._no_view(order.cid)
-        ]
+        if not http_address:
+            return [self._no_view(order.call_id)]
+        return [redirect(order.call_id, http_address, f"/operator/{tag_of(order.change)}")]
 
-    def _hand_on(self, cid, path, leader):
+    def _redirect(self, call_id: CallId, path: str, leader: str | None) -> Reply:
         http_address = self._http_address_of(leader)
-        return redirect(cid, http_address, path) if http_address else self._no_view(cid)
+        return redirect(call_id, http_address, path) if http_address else self._no_view(call_id)
 
-    def _http_address_of(self, leader):
-        """The control address of the leader, if it is known and seems alive; a caller sent to a dead one would lose a second there."""
+    def _http_address_of(self, leader: str | None) -> str:
+        """The leader's HTTP address, if it is known and seems alive; a caller sent to a dead one would lose a second."""
         alive = (
-            member
+            member.http_address
             for member in self.core.membership.live
             if member.address == leader and member.status == MemberStatus.ALIVE
         )
-        return next((member.http_address for member in alive), "")
+        return next(alive, "")
 
-    def _no_view(self, cid):
-        return fault_reply(cid, 503, "no-view", "this core is in no working view; ask another", 0.2, applied="no")
+    def _no_view(self, call_id: CallId) -> Reply:
+        reason = "this core is in no working view; ask another"
+        return fault_reply(call_id, 503, "no-view", reason, RETRY_AFTER_S, applied="no")
 
-    # orders and questions ---------------------------------------------------------
+    # changes and questions --------------------------------------------------------
 
-    def _order(self, cid, path, body, now):
-        change = change_request.read_order(path, body)
+    def _change(self, event: HttpRequestReceived, now: timedelta) -> Sequence[Any]:
+        change = change_request.read_order(event.path, event.body)
         if isinstance(change, Fault):
-            return [fault_reply(cid, 400, change.name, change.reason, applied="no")]
+            return [fault_reply(event.call_id, 400, change.name, change.reason, applied="no")]
         consensus = self.core.consensus
-        if len(body) > MOST_FORWARDED and consensus.role != "leading":
-            return [self._hand_on(cid, path, consensus.voting_members.get(consensus.leader_name))]
-        return self.configuration_changes.accept(cid, change, now)
-
-    def _show(self, cid, path, now):
-        what = path.removeprefix("/show/")
-        if what == show.CATALOGUE:
-            return self.reads.begin(cid, path, now) or [self._no_view(cid)]
-        shown = show.show(what, self.core, now)
-        return [reply(cid, 200, shown) if shown else fault_reply(cid, 404, "not-found", show.names())]
-
-    def _weigh(self, cid, path, body):
-        """plan and check: say what would be, change nothing."""
+        if len(event.body) > MAX_FORWARDED_BYTES and consensus.role is not Role.LEADING:
+            leader = consensus.leader_name
+            address = consensus.voting_members.get(leader) if leader is not None else None
+            return [self._redirect(event.call_id, event.path, address)]
+        return self.configuration_changes.accept(event.call_id, change, now)
+
+    def _show(self, call_id: CallId, path: str, now: timedelta) -> Sequence[Any]:
+        view = path.removeprefix("/show/")
+        if view == show.CATALOGUE:
+            return self.reads.begin(call_id, path, now) or [self._no_view(call_id)]
+        document = show.show(view, self.core, now)
+        if document is None:
+            return [fault_reply(call_id, 404, "not-found", show.names())]
+        return [reply(call_id, 200, document)]
+
+    def _forecast(self, event: HttpRequestReceived) -> Reply:
+        """Says what a configuration would do, or what is wrong with it; changes nothing."""
         state = self.core.state
         try:
-            doc = msgspec.json.decode(body)
-            wanted = merge(state.doc or {}, doc["doc"]) if doc.get("part") else doc["doc"]
+            request = msgspec.json.decode(event.body)
+            document = request["doc"]
+            wanted = merge(state.doc or {}, document) if request.get("part") else document
         except (msgspec.DecodeError, RecursionError, KeyError, TypeError, AttributeError) as error:
-            return fault_reply(cid, 400, "not JSON", str(error))
-        catalogue, found = read_catalogue(wanted)
+            return fault_reply(event.call_id, 400, "not JSON", str(error))
+        catalogue, issues = read_catalogue(wanted)
         if catalogue is None:
-            return reply(
-                cid,
-                422,
-                {"result": "refused", "faults": [{"path": place, "reason": reason} for place, reason in found]},
-            )
-        return reply(
-            cid,
-            200,
-            {"result": "ok"} if path == "/check" else forecast_moves(catalogue, state, self.core.placer.demand),
-        )
+            faults = [{"path": path, "reason": reason} for path, reason in issues]
+            return reply(event.call_id, 422, {"result": "refused", "faults": faults})
+        if event.path == "/check":
+            return reply(event.call_id, 200, {"result": "ok"})
+        return reply(event.call_id, 200, forecast_moves(catalogue, state, self.core.placer.demand))
 
     # the node itself --------------------------------------------------------------
 
-    def _condition(self, cid, now):
+    def _condition(self, call_id: CallId, now: timedelta) -> Reply:
         core = self.core
         is_fresh = core.is_fresh(now)
-        doc = {
+        document = {
             "node": core.node,
             "role": "core",
             "area": core.settings.zone,
@@ -174,9 +208,9 @@
             "diskTakesRecords": core.is_disk_taking,
             "ready": is_fresh and not core.shutdown.has_begun,
         }
-        return reply(cid, 200 if doc["ready"] else 503, doc)
+        return reply(call_id, 200 if document["ready"] else 503, document)
 
-    def _metrics(self, now):
+    def _metrics(self, now: timedelta) -> dict[str, Any]:
         core = self.core
         return {
             "node": core.node,
@@ -192,3 +226,7 @@
             "storeCredit": round(core.placer.budget, 2),
             "allowances": core.quota_lease_issuer.describe(now),
         }
+
+
+def _not_found(event: HttpRequestReceived) -> Reply:
+    return fault_reply(event.call_id, 404, "not-found", f"{event.method} {event.path}")
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -1,333 +1,239 @@
-"""A core: seat of the ordered state, feed, duties and ledger, made of its machines."""
+"""A core: a replica of the control state, with the singleton roles, the change feed and the ledger that build on it."""
 
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 from random import Random
+from typing import Any
 
-from sumachook.changefeed.events import EntryDelivered, ServeRequested, SnapshotRestored
+from sumachook.changefeed.events import ServeRequested
 from sumachook.changefeed.source import Source
-from sumachook.consensus import Options, Replica, effects
+from sumachook.configuration.node_settings import NodeSettings
+from sumachook.consensus import Options, Replica
 from sumachook.consensus import events as consensus_events
+from sumachook.consensus.effects import Departed
 from sumachook.consensus.storage import FILE as LOG_FILE
-from sumachook.control_state.change_attempts import Attempt
-from sumachook.control_state.changes import OperatorCall, read_change, tag_of
+from sumachook.consensus.views import Role
 from sumachook.control_state.effects import ProposeChange
 from sumachook.control_state.state import State
-from sumachook.host.events import SeedsChanged, StopRequested, Tick
-from sumachook.host.tuples import event_of
+from sumachook.host.effects import AppendRecords, Effect, Log
+from sumachook.host.events import Event, HttpRequestReceived, StopRequested
 from sumachook.leases import Leases
 from sumachook.leases import events as lease_events
-from sumachook.ledger.events import RecordsSynced, RewriteSynced, StoreTick
 from sumachook.ledger.replica_store import ReplicaStore
-from sumachook.membership import events as membership_events
-from sumachook.membership.effects import IncarnationRaised, MemberChanged
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.membership import Membership
 from sumachook.nodes.control_api import ControlApi, starting
-from sumachook.nodes.core_routing import FEED, LOCAL, PART_OF, SEARCH, TYPED_PARTS, for_host, needs_disk
+from sumachook.nodes.core_peers import CorePeers
+from sumachook.nodes.core_routing import CoreRouting
 from sumachook.nodes.core_shutdown import CoreShutdown
+from sumachook.nodes.core_tick import CoreTick
+from sumachook.nodes.event_dispatcher import EventDispatcher, Handler
+from sumachook.nodes.state_delivery import StateDelivery
 from sumachook.nodes.tick_intervals import TICK
-from sumachook.outliers import events as outlier_events
 from sumachook.outliers.detector import OutlierDetector
-from sumachook.outliers.effects import ServersEjected
-from sumachook.outliers.messages import EjectServers
-from sumachook.placement.effects import BroadcastToEdges
-from sumachook.placement.events import InventoryTick, LeaseTick, StateChanged
 from sumachook.placement.inventory_reader import InventoryReader
+from sumachook.placement.list_port import ListPort
 from sumachook.placement.placer import Placer
 from sumachook.placement.port import ServerPort
 from sumachook.placement.provisioner import Provisioner
-from sumachook.quotas.events import IssuerTick, LeaseRequestReceived
 from sumachook.quotas.lease_issuer import QuotaLeaseIssuer
 from sumachook.quotas.usage import QuotaUsage
 from sumachook.retry_budget.broker import RetryBudgetBroker
-from sumachook.retry_budget.events import BrokerTick
+from sumachook.runtime.clock import NodeClock
 from sumachook.runtime.cluster_clock import ClusterClock
 from sumachook.storage.events import DiskStateChanged
-from sumachook.transport.node_message import wire_kind
 
+Records = Mapping[str, Sequence[Any]]
+VOTER_RECORD = "seat"  # the kind of the record that names the voter a data folder belongs to
 
-def voter_of(records: dict) -> str:
-    """The seat that a data folder belongs to, or "" for a blank one."""
-    return next((record[1] for record in records.get(LOG_FILE, ()) if record[0] == "seat"), "")
+
+class IdentityStored(Event, frozen=True):
+    """The name of this voter is durable: from now on the core may promise something."""
+
+
+def voter_of(records: Mapping[str, Iterable[Sequence[Any]]]) -> str:
+    """The name of the voter that a data folder belongs to, or "" for a blank one."""
+    return next((str(record[1]) for record in records.get(LOG_FILE, ()) if record[0] == VOTER_RECORD), "")
 
 
 class Core:
-    """Takes (message, now) from its host and gives back what the host must do (docs/design/processes.md)."""
+    """The state machine of a core: `take` gets an event and the time, and gives the effects that its host carries out.
+
+    Parameters
+    ----------
+    settings
+        What the process was started with.
+    records
+        What its data folder holds, by file. A blank folder makes a new voter: what a voter promised and its name are
+        kept and lost together (docs/design/consensus.md).
+    restart_epoch
+        Higher at each start of the same node.
+    clock
+        The clocks of the process; time-outs go by the `now` of `take`.
+    random
+        The source of all its random draws.
+    list_port, server_port
+        How the platform's list and the servers are spoken to; as this project's own by default.
+    """
 
     def __init__(
-        self, settings, records: dict, restart_epoch: int, clock, random: Random, list_port=None, server_port=None
-    ):
+        self,
+        settings: NodeSettings,
+        records: Records,
+        restart_epoch: int,
+        clock: NodeClock,
+        random: Random,
+        list_port: ListPort | None = None,
+        server_port: ServerPort | None = None,
+    ) -> None:
         now = clock.mono()
-        self.settings, self.restart_epoch = settings, restart_epoch
+        self.settings = settings
+        self.restart_epoch = restart_epoch
+        self.is_disk_taking = True
         voter = voter_of(records)
-        self.is_new = (
-            not voter
-        )  # a blank folder is a new identity; what it promised and who it is go together (docs/design/consensus.md)
-        self.node = f"{settings.node}-{random.getrandbits(32):08x}" if self.is_new else voter
+        self.is_new = not voter
         self.is_ready = not self.is_new
+        self.node = voter or f"{settings.node}-{random.getrandbits(32):08x}"
         self.state = State()
+        self.cluster_clock = ClusterClock(clock.wall, now)
+        self._create_replica(records.get(LOG_FILE, ()), random, now)
+        self._create_membership(random, now)
+        self._create_roles(random, list_port, server_port, now)
+        self.source = Source(self.state, self.other_cores, now, self.cluster_clock, self.is_fresh)
+        stored = records.get("ledger", ())
+        self.replica_store = ReplicaStore(self.node, self.cluster_clock, settings.retention, stored, now)
+        self.shutdown = CoreShutdown(timedelta(seconds=settings.grace))
+        self.api = ControlApi(self)
+        self.state_delivery = StateDelivery(self)
+        self.ticks = CoreTick(self)
+        self.routing = CoreRouting(self)
+        self.dispatcher = EventDispatcher(self.event_handlers())
+
+    def _create_replica(self, log: Sequence[Any], random: Random, now: timedelta) -> None:
+        settings = self.settings
         options = Options(replace_after=timedelta(seconds=settings.voter_away), wanted_voters=settings.wanted_voters)
-        log, seed = records.get(LOG_FILE, ()), Random(random.random())
         self.consensus = Replica(
-            self.node, settings.address, settings.founding, seed, self.state.snapshot, log, options, now
+            self.node,
+            settings.address,
+            settings.founding,
+            Random(random.random()),
+            self.state.snapshot,
+            log,
+            options,
+            now,
         )
         number, snapshot = self.consensus.snapshot()
         if snapshot is not None:
             self.state.restore(snapshot)
         self.state.number = number
+
+    def _create_membership(self, random: Random, now: timedelta) -> None:
+        settings = self.settings
         local_update = MemberUpdate(
             node=self.node,
             address=settings.address,
             role="core",
             zone=settings.zone,
-            incarnation=restart_epoch,
+            incarnation=self.restart_epoch,
             status=MemberStatus.ALIVE,
             http_address=settings.http_address,
-            restart_epoch=restart_epoch,
+            restart_epoch=self.restart_epoch,
         )
-        self.cluster_clock = ClusterClock(clock.wall, now)
         self.membership = Membership(local_update, settings.seeds, Random(random.random()), now, self.cluster_clock)
-        self.leases = Leases(
-            self.node, self.state, Random(random.random()), now, settings.fenced, timedelta(seconds=settings.turn_gap)
-        )
-        self.source = Source(self.state, self.other_cores, now, self.cluster_clock, self.is_fresh)
-        self.placer = Placer(self.state, now)
-        self.inventory_reader = InventoryReader(self.state, settings.platform, now, list_port, settings.list_readers)
-        self.provisioner = Provisioner(self.state, server_port or ServerPort(), self.node, now, restart_epoch)
-        self.replica_store = ReplicaStore(
-            self.node, self.cluster_clock, settings.retention, records.get("ledger", ()), now
-        )
+        self.peers = CorePeers(self.node, self.restart_epoch, self.membership, self.state)
+
+    def _create_roles(
+        self, random: Random, list_port: ListPort | None, server_port: ServerPort | None, now: timedelta
+    ) -> None:
+        """The leases of the singleton roles, and what their holders do."""
+        settings, state = self.settings, self.state
+        turn_gap = timedelta(seconds=settings.turn_gap)
+        self.leases = Leases(self.node, state, Random(random.random()), now, settings.fenced, turn_gap)
+        self.placer = Placer(state, now)
+        self.inventory_reader = InventoryReader(state, settings.platform, now, list_port, settings.list_readers)
+        self.provisioner = Provisioner(state, server_port or ServerPort(), self.node, now, self.restart_epoch)
+        self.outlier_detector = OutlierDetector(state)
         self.retry_broker = RetryBudgetBroker(now)
-        self.outlier_detector = OutlierDetector(self.state)
-        self.quota_lease_issuer, self.quota_usage = QuotaLeaseIssuer(self.state, now), QuotaUsage(self.state)
-        self.shutdown, self.ignored = CoreShutdown(timedelta(seconds=settings.grace)), 0
-        self.is_disk_taking = True
-        self.api = ControlApi(self)
-
-    def take(self, message: tuple, now) -> list:
-        if isinstance(message, DiskStateChanged):
-            return self._handle_disk_state(message, now)
+        self.quota_lease_issuer = QuotaLeaseIssuer(state, now)
+        self.quota_usage = QuotaUsage(state)
+
+    def event_handlers(self) -> dict[type, Handler]:
+        """The handler of each class of events, and of effects that one part gives another."""
+        return self.routing.event_handlers()
+
+    def take(self, event: object, now: timedelta) -> list[Effect]:
+        """The effects of one event; raises `UnhandledEventError` for one that no core takes."""
+        if not self.is_ready and not isinstance(event, DiskStateChanged):
+            return self._start(event)
+        served_number = self.state.number
+        effects = self.dispatcher.deliver(event, now)
+        while served_number < self.state.number:  # what was delivered at once goes out in one batch
+            served_number = self.state.number
+            effects += self.dispatcher.deliver(ServeRequested(), now)
+        return effects
+
+    def _start(self, event: object) -> list[Effect]:
+        """A new voter takes part in nothing until its name is durable."""
+        effects: list[Effect] = []
+        if isinstance(event, HttpRequestReceived):
+            effects.append(starting(event.call_id))
         if self.is_new:
             self.is_new = False
-            refusal = [starting(message[1])] if message[0] == "http" else []
-            return [*refusal, ("disk", LOG_FILE, (("seat", self.node),), ("seat-ready",))]
-        if not self.is_ready:
-            self.is_ready = message[0] == "seat-ready"
-            return [starting(message[1])] if message[0] == "http" else []
-        out, work, number = [], [message], self.state.number
-        while work or number < self.state.number:
-            if not work:  # what was delivered goes out at once, in one parcel
-                number = self.state.number
-                work.append(ServeRequested())
-            for effect in map(for_host, self._dispatch(work.pop(0), now)):
-                if not isinstance(effect, tuple) or effect[0] in LOCAL:
-                    work.append(effect)
-                elif effect[0] != "view":
-                    out.append(effect)
-        return out
+            effects.append(AppendRecords(LOG_FILE, ((VOTER_RECORD, self.node),), IdentityStored()))
+        self.is_ready = isinstance(event, IdentityStored)
+        return effects
 
     @property
     def tick_interval(self) -> timedelta:
-        """A core has a view, duties and orders to keep all the time."""
+        """A core has a view, leases and operators' changes to keep all the time."""
         return TICK
 
-    def _dispatch_typed(self, message, now):
-        """Effects of one part that another part takes, by their type."""
-        match message:
-            case MemberChanged() | IncarnationRaised():
-                return []
-            case effects.Deliver(number, entry):
-                return self._deliver(number, entry, now)
-            case effects.Restore(number, state):
-                return self._restore(number, state, now)
-            case effects.Compact():
-                return self.consensus.take(consensus_events.LogCompacted(), now) if self.is_disk_taking else []
-            case effects.Readable(token):
-                return self.api.readable(token, now)
-            case effects.Unreadable(token, address):
-                return self.api.unreadable(token, address, now)
-            case effects.Departed():
-                self.shutdown.note_departed()
-                return []
-            case effects.Refuse() | effects.ViewChanged():
-                return []  # a refused proposal is made again by who made it
-            case BroadcastToEdges(message=broadcast):
-                return self._tell_edges(broadcast)
-            case ServeRequested():
-                return self.source.take(message, now) + self._settle_orders(now)
-            case RecordsSynced() | RewriteSynced():
-                return self.replica_store.take(message, now)
-        raise TypeError(f"no part takes this: {message!r}")
+    @property
+    def ignored(self) -> int:
+        """Messages of other nodes that could not be read, or that no part of a core takes."""
+        return self.routing.ignored_messages
 
-    def _dispatch(self, message, now):
-        if not isinstance(message, tuple):
-            return self._dispatch_typed(message, now)
-        kind = message[0]
-        if not self.is_disk_taking and kind == "read":
-            return [effects.Unreadable(message[1], None)]
-        if not self.is_disk_taking and needs_disk(message):
-            return []
-        if kind == "heard":
-            return self._heard(message, now)
-        if kind == "pulse":
-            return self._tick(now)
-        if kind == "propose":
-            return self.consensus.take(consensus_events.ProposalMade(message[1]), now)
-        if kind == "consensus":
-            return self.consensus.take(message[1], now)
-        if kind == "read":
-            return self.consensus.take(consensus_events.ReadRequested(message[1]), now)
-        if kind == "woken" or (kind == "fetched" and message[1][0] == "provision"):
-            return self.provisioner.take(event_of(message), now)
-        if kind == "fetched" and message[2] in ("done", "fault"):
-            return (self.placer if message[1][0] == "placer" else self.inventory_reader).take(event_of(message), now)
-        if kind == "http":
-            return self.api.http(message, now)
-        if kind == "gone":
-            self.api.gone(message[1])
-            return []
-        if kind == "seeds":
-            return self.membership.take(SeedsChanged(message[1]), now)
-        if kind == "garbage":
-            self.ignored += 1
-            return []
-        if kind == "stop":
-            return self._stop(now)
-        if kind == "resign":
-            return self.consensus.take(consensus_events.LeaveRequested(), now)
-        return []
+    def is_fresh(self, now: timedelta) -> bool:
+        """Whether this core is in a working view and can keep what it promises there."""
+        return self.is_disk_taking and self.consensus.is_fresh(now)
+
+    def other_cores(self) -> list[str]:
+        """Addresses of the other voters."""
+        return self.peers.other_voters()
 
-    def _stop(self, now):
+    # leaving ----------------------------------------------------------------------
+
+    def handle_stop(self, event: StopRequested, now: timedelta) -> list[Any]:
+        """The process was told to end: leases, then the voter's place in the view are given up."""
         if self.shutdown.has_begun:
             return []
         self.shutdown.begin(now)
-        note = ("log", "info", "core", "Leaving, duties and seat are given back.", {})
-        # the seat comes last: who leads orders what was given back before it hands over
+        note = Log("info", "core", "Leaving, duties and seat are given back.", {})
         released = self.leases.take(lease_events.Quit(), now)
-        announced = self.membership.take(StopRequested(), now)
-        return [note, *released, *announced, ("resign",)]
+        announced = self.membership.take(event, now)
+        # the view comes last: who leads orders what was given up before it hands over
+        return [note, *released, *announced, consensus_events.LeaveRequested()]
+
+    def handle_departed(self, effect: Departed, now: timedelta) -> list[Any]:
+        """The process may end: what this replica holds is safe without it."""
+        self.shutdown.note_departed()
+        return []
 
     # a disk that takes no records (docs/design/storage.md) --------------------------------------------
 
-    def _handle_disk_state(self, message, now):
-        """While the disk takes no records this core is in no view, holds no duty and keeps no rows; it goes on running."""
-        if message.is_available:
+    def handle_disk_state(self, event: DiskStateChanged, now: timedelta) -> list[Any]:
+        """While the disk takes no records this core is in no view, holds no lease and stores no ledger records."""
+        if event.is_available:
             self.is_disk_taking = True
             return [] if self.shutdown.has_begun else self.leases.take(lease_events.Resume(), now)
         released = self.leases.take(lease_events.Quit(), now)
-        changes = [effect.change for effect in released if isinstance(effect, ProposeChange)]
-        out = [effect for effect in released if not isinstance(effect, ProposeChange)]
-        if self.consensus.role == "leading":
-            out += self.consensus.take(
-                consensus_events.StepBackRequested(), now
-            )  # the others need not wait for its silence
+        effects: list[Any] = [effect for effect in released if not isinstance(effect, ProposeChange)]
+        if self.consensus.role is Role.LEADING:
+            # the others need not wait for its silence
+            effects += self.consensus.take(consensus_events.StepBackRequested(), now)
         else:
-            for change in changes:
-                out += self.consensus.take(consensus_events.ProposalMade(change), now)
+            for effect in released:
+                if isinstance(effect, ProposeChange):
+                    effects += self.consensus.take(consensus_events.ProposalMade(effect.change), now)
         self.is_disk_taking = False
-        return [for_host(effect) for effect in out]
-
-    def is_fresh(self, now) -> bool:
-        """Whether this core is in a working view and can keep what it promises there."""
-        return self.is_disk_taking and self.consensus.is_fresh(now)
-
-    # messages ----------------------------------------------------------------------
-
-    def _heard(self, message, now):
-        kind = wire_kind(message[3])
-        if kind in PART_OF:
-            part = PART_OF[kind]
-            return getattr(self, part).take(event_of(message) if part in TYPED_PARTS else message, now)
-        if kind in FEED:
-            return self.source.take(event_of(message), now) + (self._settle_orders(now) if kind != "follow" else [])
-        if kind in SEARCH:
-            return self.api.searches.heard(message[2], message[3], now)
-        if (
-            kind == "allow_ask"
-        ):  # the lease is looked at now: this may have lain in a buffer since the last pulse (docs/design/quotas.md)
-            return self.quota_lease_issuer.take(
-                LeaseRequestReceived(*message[1:], self.leases.holds("accountant", now)), now
-            )
-        self.ignored += 1
-        return []
-
-    def _restore(self, number, state, now):
-        self.state.restore(state)
-        self.state.number = number
-        self.placer.take(StateChanged(), now)
-        self.provisioner.take(StateChanged(), now)
-        return self.source.take(SnapshotRestored(number), now)
-
-    def _deliver(self, number, entry, now):
-        change = read_change(entry)
-        result = self.state.apply(number, change)
-        out = self.source.take(EntryDelivered(number, entry), now)
-        self.placer.take(StateChanged(), now)
-        out += self.provisioner.take(StateChanged(), now)
-        if isinstance(change, OperatorCall):
-            attempt = Attempt(change.origin, change.number, change.seen)
-            self.api.configuration_changes.delivered(number, attempt, result, self.state.version, now)
-            told = {"number": number, "kind": tag_of(change.change), "result": result.outcome.value}
-            out.append(("log", "info", "core", "Order delivered.", told))
-        return out
-
-    def _tick(self, now):
-        is_fresh, is_leading = self.is_fresh(now), self.is_disk_taking and self.consensus.role == "leading"
-        out = self.membership.take(membership_events.Tick(self.state.number if is_fresh else 0), now)
-        if self.is_disk_taking:
-            out += self.consensus.take(consensus_events.Tick(self._core_addresses()), now)
-            out += self.replica_store.take(StoreTick(self._live_restart_epochs(), self.state.voting_members), now)
-        self.cluster_clock.on_tick(now)
-        out += self.leases.take(lease_events.Tick(is_fresh, is_leading), now)
-        out += self.source.take(Tick(), now)
-        out += self.placer.take(LeaseTick(self.leases.holds("placer", now)), now)
-        out += self.provisioner.take(LeaseTick(self.leases.holds("placer", now), self._edge_addresses()), now)
-        out += self.inventory_reader.take(InventoryTick(is_fresh, is_leading), now)
-        out += self._eject_outliers(now)
-        out += self.retry_broker.take(BrokerTick(self.leases.holds("accountant", now)), now)
-        out += self.quota_lease_issuer.take(IssuerTick(self.leases.holds("accountant", now)), now)
-        out += self.api.tick(self._live_edges(), self.source.confirmed, now)
-        return out + self.shutdown.step(now)
-
-    def _eject_outliers(self, now):
-        out = []
-        for effect in self.outlier_detector.take(outlier_events.Tick(self.leases.holds("placer", now)), now):
-            match effect:
-                case ServersEjected():
-                    out += self._tell_edges(EjectServers(effect.durations_ms))
-                case _:
-                    out.append(effect)
-        return out
-
-    def _settle_orders(self, now):
-        return (
-            self.api.configuration_changes.settle(self._live_edges(), self.source.confirmed, now)
-            if self.api.configuration_changes.orders
-            else []
-        )
-
-    def _edge_addresses(self):
-        return tuple(member.address for member in self.membership.live if member.role == "edge")
-
-    def _tell_edges(self, message):
-        return [("tell", address, message) for address in self._edge_addresses()]
-
-    def _core_addresses(self):
-        return (*self.membership.seeds, *(member.address for member in self.membership.live if member.role == "core"))
-
-    def _live_restart_epochs(self):
-        restart_epochs = {member.node: member.restart_epoch for member in self.membership.live}
-        return restart_epochs | {self.node: self.restart_epoch}
-
-    def _live_edges(self):
-        return sorted(
-            [
-                member.node
-                for member in self.membership.live
-                if member.status == MemberStatus.ALIVE and member.role == "edge"
-            ]
-        )
-
-    def other_cores(self):
-        """Addresses of the other voters."""
-        return [address for voter, address in self.state.voting_members.items() if voter != self.node]
+        return effects
--- a/sumachook/nodes/core_routing.py
+++ b/sumachook/nodes/core_routing.py
@@ -1,56 +1,166 @@
-"""Which part of a core takes a message of another node."""
-
-from sumachook.consensus.events import DiskSynced
-from sumachook.consensus.messages import TYPES as CONSENSUS
-from sumachook.host.effects import AppendRecords, RewriteRecords
-from sumachook.host.tuples import tuple_of_effect
-from sumachook.nodes.edge import MEMBERSHIP
-from sumachook.transport.node_message import wire_kind
-
-LEASES = ("bid", "vote", "renew", "renewed")
-FEED = frozenset({"follow", "confirm", "confirmed"})
-LEDGER = frozenset({"open", "close", "hand", "handed"})
-PLACES = ("want", "usage", "places_ask")
-SEARCH = frozenset({"find", "found"})
-# effects of one part that are messages for another part of the same core
-LOCAL = frozenset("propose resign read".split())
-
-PART_OF = {
-    **dict.fromkeys(MEMBERSHIP, "membership"),
-    **dict.fromkeys(CONSENSUS, "consensus"),
-    **dict.fromkeys(LEASES, "leases"),
-    **dict.fromkeys(LEDGER, "replica_store"),
-    **dict.fromkeys(PLACES, "provisioner"),
-    "retry_credit": "retry_broker",
-    "allow_report": "quota_usage",
-    "demand": "placer",
-    "outcomes": "outlier_detector",
-}
-
-# parts that take typed events (`host/events.py`) and no tuples
-TYPED_PARTS: frozenset[str] = frozenset(
-    {
-        "consensus",
-        "leases",
-        "membership",
-        "outlier_detector",
-        "placer",
-        "provisioner",
-        "quota_usage",
-        "replica_store",
-        "retry_broker",
-    }
-)
-
-
-def needs_disk(message: tuple) -> bool:
-    """What would have to be written, or promised, before it is answered (docs/design/storage.md)."""
-    kind = message[0]
-    return kind == "propose" or (kind == "heard" and wire_kind(message[3]) in CONSENSUS.keys() | LEDGER)
-
-
-def for_host(effect):
-    """The effect as hosts take it; what a replica wants to be given once its records are durable comes back to the core."""
-    if isinstance(effect, AppendRecords | RewriteRecords) and isinstance(effect.done, DiskSynced):
-        return tuple_of_effect(type(effect)(effect.file, effect.records, ("consensus", effect.done)))
-    return tuple_of_effect(effect)
+"""Which part of a core takes an event, a message of another node, or an effect of another part."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from sumachook.changefeed.events import ServeRequested
+from sumachook.changefeed.messages import Confirm, Confirmed, Follow
+from sumachook.consensus import effects as consensus_effects
+from sumachook.consensus import events as consensus_events
+from sumachook.consensus.messages import TYPES as CONSENSUS_TYPES
+from sumachook.control_state.effects import ProposeChange
+from sumachook.host import events
+from sumachook.host.effects import Effect, Send
+from sumachook.leases.messages import LEASE_MESSAGES
+from sumachook.ledger.events import RecordsSynced, RewriteSynced
+from sumachook.ledger.messages import STORE_MESSAGES, FindRecord, RecordFound
+from sumachook.membership.effects import IncarnationRaised, MemberChanged
+from sumachook.membership.messages import MEMBERSHIP_MESSAGES
+from sumachook.nodes.event_dispatcher import Handler, ignore
+from sumachook.outliers.effects import ServersEjected
+from sumachook.outliers.messages import EjectServers, OutcomeReport
+from sumachook.placement import call_ids
+from sumachook.placement.effects import BroadcastToEdges
+from sumachook.placement.messages import DemandReport, ModelUsage, PlacementRequest, PlacementSnapshotRequest
+from sumachook.quotas.events import LeaseRequestReceived
+from sumachook.quotas.messages import LeaseRequest, UsageReport
+from sumachook.retry_budget.messages import CreditReport
+from sumachook.storage.events import DiskStateChanged
+from sumachook.transport.node_message import NodeMessage
+
+if TYPE_CHECKING:
+    from sumachook.nodes.core import Core
+
+CONSENSUS_MESSAGES = tuple(CONSENSUS_TYPES.values())
+# What has to be written, or is a promise, before it is answered; dropped while the disk takes no records.
+DISK_MESSAGES = frozenset({*CONSENSUS_MESSAGES, *STORE_MESSAGES})
+DISK_SYNCED_EVENTS = tuple(consensus_events.DiskSynced.__subclasses__())
+
+
+class CoreRouting:
+    """Hands events and messages to the parts of a core; decides nothing."""
+
+    __slots__ = ("core", "message_handlers", "ignored_messages", "_call_handlers")
+
+    def __init__(self, core: "Core") -> None:
+        self.core = core
+        self.message_handlers = self._message_handlers()
+        self.ignored_messages = 0
+        self._call_handlers: dict[str, Handler] = {
+            call_ids.PROVISIONER: core.provisioner.take,
+            call_ids.PLACER: core.placer.take,
+            call_ids.INVENTORY_READER: core.inventory_reader.take,
+        }
+
+    def event_handlers(self) -> dict[type, Handler]:
+        """The handler of each class of events, and of effects that one part gives another."""
+        core = self.core
+        return {
+            events.Tick: core.ticks.take,
+            events.StopRequested: core.handle_stop,
+            events.SettingsReloadRequested: ignore,
+            events.SeedsChanged: core.membership.take,
+            events.DelayElapsed: core.provisioner.take,
+            events.MessageReceived: self._handle_message,
+            events.UnreadableMessageReceived: self._handle_unreadable_message,
+            events.HttpRequestReceived: core.api.http,
+            events.ClientDisconnected: core.api.handle_disconnect,
+            events.RequestSent: self._handle_call,
+            events.ResponseReceived: self._handle_call,
+            events.CallFailed: self._handle_call,
+            DiskStateChanged: core.handle_disk_state,
+            **self._consensus_handlers(),
+            **dict.fromkeys((RecordsSynced, RewriteSynced), core.replica_store.take),
+            ServeRequested: core.state_delivery.handle_serve,
+            MemberChanged: ignore,
+            IncarnationRaised: ignore,
+            BroadcastToEdges: self._handle_broadcast,
+            ServersEjected: self._handle_servers_ejected,
+        }
+
+    def _consensus_handlers(self) -> dict[type, Handler]:
+        """What the parts of a core ask of the replica, and what it gives them."""
+        core = self.core
+        return {
+            ProposeChange: self._handle_propose_change,
+            consensus_events.ReadRequested: self._handle_read_requested,
+            consensus_events.LeaveRequested: core.consensus.take,
+            **dict.fromkeys(DISK_SYNCED_EVENTS, core.consensus.take),
+            consensus_effects.Deliver: core.state_delivery.handle_deliver,
+            consensus_effects.Restore: core.state_delivery.handle_restore,
+            consensus_effects.Compact: core.state_delivery.handle_compact,
+            consensus_effects.Readable: core.api.handle_readable,
+            consensus_effects.Unreadable: core.api.handle_unreadable,
+            consensus_effects.Departed: core.handle_departed,
+            consensus_effects.Refuse: ignore,  # a refused proposal is made again by who made it
+            consensus_effects.ViewChanged: ignore,
+        }
+
+    def _message_handlers(self) -> dict[type, Handler]:
+        core = self.core
+        return {
+            **dict.fromkeys(MEMBERSHIP_MESSAGES, core.membership.take),
+            **dict.fromkeys(CONSENSUS_MESSAGES, core.consensus.take),
+            **dict.fromkeys(LEASE_MESSAGES, core.leases.take),
+            **dict.fromkeys(STORE_MESSAGES, core.replica_store.take),
+            **dict.fromkeys((FindRecord, RecordFound), core.api.searches.take),
+            Follow: core.source.take,
+            **dict.fromkeys((Confirm, Confirmed), self._handle_confirmation),
+            **dict.fromkeys((PlacementRequest, ModelUsage, PlacementSnapshotRequest), core.provisioner.take),
+            DemandReport: core.placer.take,
+            OutcomeReport: core.outlier_detector.take,
+            CreditReport: core.retry_broker.take,
+            LeaseRequest: self._handle_lease_request,
+            UsageReport: core.quota_usage.take,
+        }
+
+    # messages of other nodes ------------------------------------------------------
+
+    def _handle_message(self, event: events.MessageReceived, now: timedelta) -> Any:
+        message_type = type(event.message)
+        if not self.core.is_disk_taking and message_type in DISK_MESSAGES:
+            return []
+        handle = self.message_handlers.get(message_type)
+        if handle is None:
+            self.ignored_messages += 1
+            return []
+        return handle(event, now)
+
+    def _handle_unreadable_message(self, event: events.UnreadableMessageReceived, now: timedelta) -> list[Any]:
+        self.ignored_messages += 1
+        return []
+
+    def _handle_confirmation(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
+        return [*self.core.source.take(event, now), *self.core.state_delivery.settle_changes(now)]
+
+    def _handle_lease_request(self, event: events.MessageReceived, now: timedelta) -> list[Effect]:
+        """The role's lease is looked at now: the message may have lain in a buffer since the last tick."""
+        fence = self.core.leases.holds("accountant", now)
+        request = LeaseRequestReceived(event.sender, event.address, event.message, fence)
+        return self.core.quota_lease_issuer.take(request, now)
+
+    # calls ------------------------------------------------------------------------
+
+    def _handle_call(self, event: events.CallEvent, now: timedelta) -> Any:
+        return self._call_handlers[event.call_id.part](event, now)
+
+    # effects of one part for another ----------------------------------------------
+
+    def _handle_propose_change(self, effect: ProposeChange, now: timedelta) -> list[Effect]:
+        if not self.core.is_disk_taking:
+            return []
+        return self.core.consensus.take(consensus_events.ProposalMade(effect.change), now)
+
+    def _handle_read_requested(self, event: consensus_events.ReadRequested, now: timedelta) -> list[Effect]:
+        if not self.core.is_disk_taking:
+            return [consensus_effects.Unreadable(event.token, None)]
+        return self.core.consensus.take(event, now)
+
+    def _handle_broadcast(self, effect: BroadcastToEdges, now: timedelta) -> list[Effect]:
+        return self._send_to_edges(effect.message)
+
+    def _handle_servers_ejected(self, effect: ServersEjected, now: timedelta) -> list[Effect]:
+        return self._send_to_edges(EjectServers(effect.durations_ms))
+
+    def _send_to_edges(self, message: NodeMessage) -> list[Effect]:
+        return [Send(address, message) for address in self.core.peers.edge_addresses()]
--- a/sumachook/nodes/core_shutdown.py
+++ b/sumachook/nodes/core_shutdown.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from sumachook.host.effects import Effect, Exit
+
 SHORTEST = timedelta(seconds=0.5)  # for duties that are given back
 LONGEST, SHARE_OF_GRACE = timedelta(seconds=3), 0.5  # for the seat to be taken over
 
@@ -11,7 +13,7 @@
 
     __slots__ = ("longest", "stop_at", "may_end_at", "has_departed")
 
-    def __init__(self, grace: timedelta):
+    def __init__(self, grace: timedelta) -> None:
         self.longest = min(LONGEST, grace * SHARE_OF_GRACE)
         self.stop_at: timedelta | None = None
         self.may_end_at: timedelta | None = None
@@ -30,7 +32,7 @@
         """The seat is given up."""
         self.has_departed = True
 
-    def step(self, now: timedelta) -> list:
-        """("leave", 0) at the end; nothing before the signal."""
-        is_over = self.has_begun and now >= (self.may_end_at if self.has_departed else self.stop_at)
-        return [("leave", 0)] if is_over else []
+    def step(self, now: timedelta) -> list[Effect]:
+        """`Exit` at the end; nothing before the signal."""
+        end = self.may_end_at if self.has_departed else self.stop_at
+        return [Exit(0)] if end is not None and now >= end else []
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -2,44 +2,57 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Any
 
 from sumachook.host import effects, events
-from sumachook.host.tuples import effect_of, tuple_of_event
+from sumachook.host.machine import NodeMachine, StateMachine
 from sumachook.nodes.disk_writer import DiskWriter
+from sumachook.nodes.inbox import Inbox
 from sumachook.nodes.replies import reply
 from sumachook.nodes.tick_intervals import TICK
+from sumachook.requests.call_ids import FORWARDING
+from sumachook.runtime.clock import NodeClock
 from sumachook.runtime.supervisor import Supervisor
+from sumachook.storage.folder import DataFolder
 from sumachook.storage.layout import LOG
 from sumachook.transport.codec import Codec
 from sumachook.transport.http_client import HttpClient
-from sumachook.transport.http_server import HttpServer
+from sumachook.transport.http_server import HttpServer, ResponseEffect
+from sumachook.transport.node_messenger import NodeMessenger
 from sumachook.transport.node_transport import NodeTransport
 from sumachook.transport.proxy_server import ProxyServer
 from sumachook.transport.streaming_client import StreamingClient
 
 LAST_MESSAGES = timedelta(seconds=0.2)  # for what was sent last to leave the process before it ends
-FORWARDED = "transit"  # first part of the ids of forwarded calls
+RESPONSE_EFFECTS = (
+    effects.Reply,
+    effects.BeginResponse,
+    effects.SendChunk,
+    effects.EndResponse,
+    effects.AbortResponse,
+)
+WRITE_EFFECTS = (effects.AppendRecords, effects.RewriteRecords, effects.AppendDayLog)
 
 
 class Daemon:
     """Gives events to one state machine and carries out the effects that it gives back.
 
-    `http_address` serves operators and health checks; `address`, if given, is that of the node among the others;
-    `proxy_address`, if given, takes clients' requests to be forwarded; `folder`, if given, holds the node's records.
+    `http_address` serves operators and health checks; `address`, if given, is that of the node among the others, and
+    needs a `NodeMachine`; `proxy_address`, if given, takes clients' requests to be forwarded; `folder`, if given, holds
+    the node's records.
     """
 
     def __init__(
         self,
-        machine: Any,
-        clock: Any,
-        log: Callable[..., None],
+        machine: StateMachine,
+        clock: NodeClock,
+        log: Callable[[str, str, str, dict[str, Any]], None],
         http_address: str,
         address: str | None = None,
         cluster: str = "",
-        folder: Any = None,
+        folder: DataFolder | None = None,
         proxy_address: str | None = None,
         max_body_bytes: int | None = None,
     ) -> None:
@@ -47,16 +60,14 @@
         self.clock = clock
         self.log = log
         self.exit_code = 0
-        self.inbox: list[events.Event] = []
-        self.is_busy = False
+        self.inbox: Inbox[Any, effects.Effect] = Inbox(self._take, self._carry_out)
         self.http_server = HttpServer(http_address, self._hear, max_body_bytes)
         self.http_client = HttpClient(self._hear)
         self.proxy_server = ProxyServer(proxy_address, self._hear) if proxy_address else None
         self.streaming_client = StreamingClient(self._hear) if proxy_address else None
         self.node_transport = NodeTransport(address, cluster, self._hear) if address else None
-        self.codec = Codec(cluster, machine.node, address, machine.restart_epoch) if address else None
         self.disk = DiskWriter(folder, self._hear, log, clock.mono, LOG) if folder else None
-        self.last_packed: tuple[Any, bytes] = (None, b"")
+        self.effect_handlers = self._effect_handlers(cluster)
         self.exiting = asyncio.Event()
         self.tick_wanted = asyncio.Event()  # something waits for the next tick
 
@@ -126,81 +137,87 @@
 
     def _hear(self, event: Any) -> None:
         """Takes events one after the other, also those that an effect gives rise to."""
-        self.inbox.append(event)
-        if self.is_busy:
-            return
-        self.is_busy = True
-        try:
-            while self.inbox:
-                for effect in self._take(self.inbox.pop(0)):
-                    self._carry_out(effect_of(effect))
-        finally:
-            self.is_busy = False
+        self.inbox.put(event)
         if not self.tick_wanted.is_set() and self._tick_interval <= TICK:
             self.tick_wanted.set()
 
-    def _take(self, event: Any) -> list[Any]:
+    def _take(self, event: Any) -> Sequence[effects.Effect]:
         """An event that the machine cannot take is dropped and logged; the process goes on."""
         try:
-            return self.machine.take(tuple_of_event(event), self.clock.mono())
+            return self.machine.take(event, self.clock.mono())
         except Exception as error:
-            self.log("error", "daemon", "An event could not be taken.", {"kind": _kind(event), "error": repr(error)})
+            fields = {"kind": _class_name(event), "error": repr(error)}
+            self.log("error", "daemon", "An event could not be taken.", fields)
             if isinstance(event, events.HttpRequestReceived | events.ProxyRequestReceived):
                 return [reply(event.call_id, 500, {"fault": {"class": "inner", "reason": "see the log"}})]
             return []
 
     # effects ----------------------------------------------------------------------------
 
+    def _effect_handlers(self, cluster: str) -> dict[type, Callable[[Any], None]]:
+        """How each effect is carried out, by its class; those of sockets and files that there are not are missing."""
+        handlers: dict[type, Callable[[Any], None]] = {
+            effects.Fetch: self.http_client.fetch,
+            effects.CancelCall: self._cancel_call,
+            effects.Log: self._write_log,
+            effects.WakeAfter: self._wake_after,
+            effects.Exit: self._exit,
+            **dict.fromkeys(RESPONSE_EFFECTS, self._answer),
+        }
+        if self.node_transport is not None:
+            handlers |= self._message_handlers(self.machine, self.node_transport, cluster)
+        if self.proxy_server is not None and self.streaming_client is not None:
+            handlers |= self._proxy_handlers(self.proxy_server, self.streaming_client)
+        if self.disk is not None:
+            handlers |= dict.fromkeys(WRITE_EFFECTS, self.disk.put)
+        return handlers
+
+    @staticmethod
+    def _message_handlers(
+        machine: NodeMachine, transport: NodeTransport, cluster: str
+    ) -> dict[type, Callable[[Any], None]]:
+        codec = Codec(cluster, machine.node, transport.address, machine.restart_epoch)
+        messenger = NodeMessenger(transport, codec)
+        return {effects.Send: messenger.send, effects.SendDatagram: messenger.send_datagram}
+
+    @staticmethod
+    def _proxy_handlers(
+        proxy_server: ProxyServer, streaming_client: StreamingClient
+    ) -> dict[type, Callable[[Any], None]]:
+        return {
+            effects.ForwardRequest: streaming_client.forward,
+            effects.ApplyClientLimits: lambda effect: proxy_server.apply_limits(effect.limits),
+            effects.CloseProxyServer: lambda effect: proxy_server.stop_accepting(),
+        }
+
     def _carry_out(self, effect: effects.Effect) -> None:
-        match effect:
-            case effects.Send():
-                self.node_transport.send(effect.address, self._packed(effect.message))
-            case effects.SendDatagram():
-                self.node_transport.send_datagram(effect.address, self._packed(effect.message))
-            case (
-                effects.Reply()
-                | effects.BeginResponse()
-                | effects.SendChunk()
-                | effects.EndResponse()
-                | effects.AbortResponse()
-            ):
-                # ids of forwarded requests are tuples, those of the node's own HTTP address numbers
-                server = self.proxy_server if isinstance(effect.call_id, tuple) else self.http_server
-                server.answer(effect)
-            case effects.ForwardRequest():
-                self.streaming_client.forward(effect)
-            case effects.Fetch():
-                self.http_client.fetch(effect)
-            case effects.CancelCall():
-                client = self.streaming_client if effect.call_id[0] == FORWARDED else self.http_client
-                client.cancel(effect.call_id)
-            case effects.AppendRecords() | effects.RewriteRecords() | effects.AppendDayLog():
-                self.disk.put(effect)
-            case _:
-                self._carry_out_rarer(effect)
-
-    def _carry_out_rarer(self, effect: effects.Effect) -> None:
-        match effect:
-            case effects.Log(level, component, text, fields):
-                self.log(level, component, text, fields)
-            case effects.ApplyClientLimits(limits):
-                self.proxy_server.apply_limits(limits)
-            case effects.CloseProxyServer():
-                self.proxy_server.stop_accepting()
-            case effects.WakeAfter(delay):
-                asyncio.get_running_loop().call_later(delay.total_seconds(), self._hear, events.DelayElapsed())
-            case effects.Exit(code):
-                self.exit_code = code
-                self.exiting.set()
-
-    def _packed(self, message: Any) -> bytes:
-        """What goes to many nodes in a row is packed once: it is the same object, and messages don't change."""
-        if message is not self.last_packed[0]:
-            self.last_packed = (message, self.codec.pack(message))
-        return self.last_packed[1]
-
-
-def _kind(event: Any) -> str:
-    """The type of an event, and of the message in it, for the log."""
-    inner = event.message if isinstance(event, events.MessageReceived) else event
-    return inner[0] if isinstance(inner, tuple) else type(inner).__name__
+        self.effect_handlers[type(effect)](effect)
+
+    def _answer(self, effect: ResponseEffect) -> None:
+        """Ids of forwarded requests are tuples, those of the node's own HTTP address numbers."""
+        if self.proxy_server is not None and isinstance(effect.call_id, tuple):
+            self.proxy_server.answer(effect)
+        else:
+            self.http_server.answer(effect)
+
+    def _cancel_call(self, effect: effects.CancelCall) -> None:
+        if self.streaming_client is not None and effect.call_id[0] == FORWARDING:
+            self.streaming_client.cancel(effect.call_id)
+        else:
+            self.http_client.cancel(effect.call_id)
+
+    def _write_log(self, effect: effects.Log) -> None:
+        self.log(effect.level, effect.component, effect.text, effect.fields)
+
+    def _wake_after(self, effect: effects.WakeAfter) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(effect.delay.total_seconds(), self._hear, events.DelayElapsed())
+
+    def _exit(self, effect: effects.Exit) -> None:
+        self.exit_code = effect.code
+        self.exiting.set()
+
+
+def _class_name(event: Any) -> str:
+    """The class of an event, or of the message in it, for the log."""
+    return type(event.message if isinstance(event, events.MessageReceived) else event).__name__
--- /dev/null
+++ b/sumachook/nodes/edge_routing.py
@@ -0,0 +1,160 @@
+"""Which part of an edge takes an event, a message of another node, or an effect of another part."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from sumachook.changefeed.effects import ChangesApplied, StateRestored
+from sumachook.changefeed.messages import FOLLOWER_MESSAGES, FeedHeartbeat
+from sumachook.host import events
+from sumachook.host.effects import Effect, Send
+from sumachook.ledger.effects import DuplicateKey, Recorded, Unrecorded
+from sumachook.ledger.events import DiskAvailabilityChanged, RecordDeferred, RequestClosed, RequestOpened
+from sumachook.ledger.messages import WRITER_MESSAGES
+from sumachook.membership.effects import IncarnationRaised, MemberChanged
+from sumachook.membership.messages import MEMBERSHIP_MESSAGES
+from sumachook.nodes.event_dispatcher import Handler, ignore
+from sumachook.outliers.messages import EjectServers
+from sumachook.placement.effects import PlacementsAdded
+from sumachook.placement.messages import PlacementRequest, PlacementUpdate, ServersLeaving, ServersWarmingUp
+from sumachook.quotas.effects import AdmissionDecision, AdmissionDenied, AdmissionGranted
+from sumachook.quotas.events import AdmissionRequested, Pipeline, UsageSettled
+from sumachook.quotas.messages import BorrowRequest, BorrowResponse, LeaseResponse
+from sumachook.requests import events as request_events
+from sumachook.requests.call_ids import is_proxied
+from sumachook.retry_budget.messages import CreditTransfer, LendCredit
+from sumachook.storage.events import DiskStateChanged
+
+if TYPE_CHECKING:
+    from sumachook.nodes.edge import Edge
+
+CALL_EVENTS = (
+    events.RequestSent,
+    events.ResponseHeadReceived,
+    events.ResponseChunkReceived,
+    events.ServerEventReceived,
+    events.ResponseEnded,
+    events.ResponseReceived,
+    events.CallFailed,
+    events.ClientDisconnected,
+)
+
+
+class EdgeRouting:
+    """Hands events and messages to the parts of an edge; decides nothing."""
+
+    __slots__ = ("edge", "message_handlers", "ignored_messages")
+
+    def __init__(self, edge: "Edge") -> None:
+        self.edge = edge
+        self.message_handlers = self._message_handlers()
+        self.ignored_messages = 0
+
+    def event_handlers(self) -> dict[type, Handler]:
+        """The handler of each class of events, and of effects that one part gives another."""
+        edge = self.edge
+        return {
+            events.Tick: edge.ticks.take,
+            events.StopRequested: edge.handle_stop,
+            events.SettingsReloadRequested: ignore,
+            events.SeedsChanged: edge.membership.take,
+            events.DelayElapsed: ignore,
+            events.MessageReceived: self._handle_message,
+            events.UnreadableMessageReceived: self._handle_unreadable_message,
+            events.HttpRequestReceived: edge.handle_http_request,
+            events.ProxyRequestReceived: edge.handle_proxy_request,
+            **dict.fromkeys(CALL_EVENTS, self._handle_call),
+            DiskStateChanged: self._handle_disk_state,
+            MemberChanged: self._handle_member_changed,
+            IncarnationRaised: ignore,
+            PlacementsAdded: ignore,  # the pipeline looks at its requests after each placement update
+            PlacementRequest: self._handle_placement_request,
+            ChangesApplied: self._handle_changes_applied,
+            StateRestored: self._handle_state_restored,
+            **dict.fromkeys((RequestOpened, RequestClosed, RecordDeferred), edge.ledger_writer.take),
+            **dict.fromkeys((Recorded, Unrecorded, DuplicateKey), edge.inference_pipeline.take),
+            **dict.fromkeys((AdmissionRequested, UsageSettled), edge.rate_limiter.take),
+            **dict.fromkeys((AdmissionGranted, AdmissionDenied), self._handle_admission),
+        }
+
+    def _message_handlers(self) -> dict[type, Handler]:
+        edge = self.edge
+        return {
+            **dict.fromkeys(MEMBERSHIP_MESSAGES, edge.membership.take),
+            **dict.fromkeys(FOLLOWER_MESSAGES, edge.follower.take),
+            FeedHeartbeat: self._handle_heartbeat,
+            **dict.fromkeys(WRITER_MESSAGES, edge.ledger_writer.take),
+            **dict.fromkeys((LendCredit, CreditTransfer), edge.retry_budget.take),
+            **dict.fromkeys((LeaseResponse, BorrowRequest, BorrowResponse), edge.rate_limiter.take),
+            PlacementUpdate: self._handle_placement_update,
+            ServersLeaving: self._handle_servers_leaving,
+            ServersWarmingUp: self._handle_servers_warming_up,
+            EjectServers: self._handle_eject_servers,
+        }
+
+    # calls ------------------------------------------------------------------------
+
+    def _handle_call(self, event: Any, now: timedelta) -> list[Any]:
+        edge = self.edge
+        if edge.proxy_pipeline is not None and is_proxied(event.call_id):
+            return edge.proxy_pipeline.take(event, now)
+        return edge.inference_pipeline.take(event, now)
+
+    def _handle_admission(self, decision: AdmissionDecision, now: timedelta) -> list[Any]:
+        edge = self.edge
+        if edge.proxy_pipeline is not None and decision.key.pipeline is Pipeline.PROXY:
+            return edge.proxy_pipeline.take(decision, now)
+        return edge.inference_pipeline.take(decision, now)
+
+    # messages of other nodes ------------------------------------------------------
+
+    def _handle_message(self, event: events.MessageReceived, now: timedelta) -> Any:
+        handle = self.message_handlers.get(type(event.message))
+        if handle is None:
+            self.ignored_messages += 1
+            return []
+        return handle(event, now)
+
+    def _handle_unreadable_message(self, event: events.UnreadableMessageReceived, now: timedelta) -> list[Any]:
+        self.ignored_messages += 1
+        return []
+
+    def _handle_heartbeat(self, event: events.MessageReceived, now: timedelta) -> list[Effect]:
+        self.edge.cluster_clock.record_vote(event.sender, event.message.wall_clock_ms, now)
+        return self.edge.follower.take(event, now)
+
+    def _handle_placement_update(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
+        effects: list[Any] = self.edge.places.take(event, now)
+        return effects + self._tell_proxy_pipeline(request_events.PlacesChanged(), now)
+
+    def _handle_servers_leaving(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
+        leaving = request_events.ServersLeaving(event.message.servers)
+        return [effect for pipeline in self.edge.pipelines for effect in pipeline.take(leaving, now)]
+
+    def _handle_servers_warming_up(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
+        return self._tell_proxy_pipeline(request_events.ServersCold(event.message.servers), now)
+
+    def _handle_eject_servers(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
+        return self._tell_proxy_pipeline(request_events.ServersEjected(event.message.durations_ms), now)
+
+    def _tell_proxy_pipeline(self, event: events.Event, now: timedelta) -> list[Any]:
+        return self.edge.proxy_pipeline.take(event, now) if self.edge.proxy_pipeline is not None else []
+
+    # effects of one part for another ----------------------------------------------
+
+    def _handle_disk_state(self, event: DiskStateChanged, now: timedelta) -> Any:
+        return self.edge.ledger_writer.take(DiskAvailabilityChanged(event.is_available), now)
+
+    def _handle_member_changed(self, effect: MemberChanged, now: timedelta) -> list[Any]:
+        self.edge.update_peers(now)
+        return []
+
+    def _handle_placement_request(self, request: PlacementRequest, now: timedelta) -> list[Effect]:
+        return [Send(address, request) for address in self.edge.peers.holders_of("placer")]
+
+    def _handle_changes_applied(self, effect: ChangesApplied, now: timedelta) -> list[Any]:
+        self.edge.state_file.add(effect.first, effect.entries)
+        return []
+
+    def _handle_state_restored(self, effect: StateRestored, now: timedelta) -> list[Any]:
+        self.edge.state_file.replace()
+        return []
--- a/sumachook/nodes/edge_shutdown.py
+++ b/sumachook/nodes/edge_shutdown.py
@@ -1,63 +1,89 @@
-"""An edge that was told to leave: when its front is shut, when its last words are spoken and when it ends (docs/design/forwarding.md)."""
+"""An edge that was told to leave: when it takes no more connections, and when it exits (docs/design/forwarding.md)."""
 
 from datetime import timedelta
+from typing import Any
 
+from sumachook.forwarding.pipeline import ProxyPipeline
+from sumachook.host.effects import CloseProxyServer, Exit
+from sumachook.inference.pipeline import InferencePipeline
+from sumachook.ledger.writer import LedgerWriter
 from sumachook.requests.events import DrainEnded, ProxyServerClosed
 
-CLOSING = timedelta(seconds=0.8)  # before the end of the grace
-LEAST_OPEN = timedelta(seconds=2.5)  # after the signal
-MOST_OPEN = 0.5  # of the grace
-QUIET_FOR = timedelta(seconds=1)
+FINAL_ANSWERS_BEFORE_END = timedelta(seconds=0.8)  # of the grace period
+MIN_OPEN_TIME = timedelta(seconds=2.5)  # after the signal: until the readiness answer has reached who sends clients
+MAX_OPEN_FRACTION = 0.5  # of the grace period
+QUIET_TIME = timedelta(seconds=1)  # without a request: nobody sends clients any more
+INFERENCE_GRACE_STEP = timedelta(seconds=1)  # between two rounds of final answers
 
 
 class EdgeShutdown:
-    """`begin(now)` is the signal, `note_request(now)` each request of a client, `step(...)` a pulse after the signal."""
+    """`begin` is the signal, `note_request` each request of a client, `step` a tick after the signal."""
 
-    __slots__ = ("grace", "stop_by", "stopped_at", "quiet_since", "is_shut")
+    __slots__ = ("grace", "stop_by", "stopped_at", "quiet_since", "is_proxy_server_closed")
 
-    def __init__(self, grace: timedelta, now: timedelta):
-        self.grace, self.stopped_at, self.quiet_since = grace, now, now
+    def __init__(self, grace: timedelta, now: timedelta) -> None:
+        self.grace = grace
+        self.stopped_at = now
+        self.quiet_since = now
         self.stop_by: timedelta | None = None
-        self.is_shut = False
+        self.is_proxy_server_closed = False
 
     @property
     def has_begun(self) -> bool:
+        """Whether the signal came."""
         return self.stop_by is not None
 
     def begin(self, now: timedelta) -> None:
-        self.stop_by, self.stopped_at, self.quiet_since = now + self.grace - CLOSING, now, now
+        """The signal to leave."""
+        self.stop_by = now + self.grace - FINAL_ANSWERS_BEFORE_END
+        self.stopped_at = now
+        self.quiet_since = now
 
     def note_request(self, now: timedelta) -> None:
+        """A client sent a request to be forwarded."""
         self.quiet_since = now
 
-    def step(self, inference_pipeline, proxy_pipeline, ledger_writer, now: timedelta) -> list:
-        """What is to be done now, ("leave", 0) at the end; nothing before the signal."""
-        if not self.has_begun:
+    def step(
+        self,
+        inference_pipeline: InferencePipeline,
+        proxy_pipeline: ProxyPipeline | None,
+        ledger_writer: LedgerWriter,
+        now: timedelta,
+    ) -> list[Any]:
+        """What is to be done now, `Exit` at the end; nothing before the signal."""
+        if self.stop_by is None:
             return []
-        is_done = (
-            not inference_pipeline.table.requests
-            and not ledger_writer.pending
-            and not inference_pipeline.table.unstamped_records
-        )
+        table = inference_pipeline.table
+        is_done = not table.requests and not ledger_writer.pending and not table.unstamped_records
         if proxy_pipeline is not None:
             return self._step_forwarding(inference_pipeline, proxy_pipeline, is_done, now)
         if not is_done and now < self.stop_by:
             return []
-        if now >= self.stop_by and inference_pipeline.table.requests:
-            self.stop_by = now + timedelta(seconds=1)
+        if now >= self.stop_by and table.requests:
+            self.stop_by = now + INFERENCE_GRACE_STEP
             return inference_pipeline.take(DrainEnded(), now)
-        return [("leave", 0)]
-
-    def _step_forwarding(self, inference_pipeline, proxy_pipeline, is_done: bool, now: timedelta) -> list:
-        """Clients go on coming until the readiness answer has reached whoever sends them; then the front is shut, what is in hand is
-        finished, and shortly before the end of the grace it gets its final answer."""
-        out, since = [], now - self.stopped_at
-        is_quiet = now - self.quiet_since > QUIET_FOR
-        if not self.is_shut and since >= LEAST_OPEN and (is_quiet or since >= MOST_OPEN * self.grace):
-            self.is_shut = True
-            out += [("shut",), *proxy_pipeline.take(ProxyServerClosed(), now)]
-        if now >= self.stop_by:
-            for path in (inference_pipeline, proxy_pipeline):
-                out += path.take(DrainEnded(), now)
-            is_done = is_done or now >= self.stop_by + CLOSING / 3
-        return [*out, ("leave", 0)] if is_done and self.is_shut and not proxy_pipeline.table.requests else out
+        return [Exit(0)]
+
+    def _step_forwarding(
+        self, inference_pipeline: InferencePipeline, proxy_pipeline: ProxyPipeline, is_done: bool, now: timedelta
+    ) -> list[Any]:
+        """Takes clients until the readiness answer has reached whoever sends them; then finishes what is in flight.
+
+        Shortly before the end of the grace period that gets its final answer.
+        """
+        effects: list[Any] = []
+        if self._may_close_proxy_server(now):
+            self.is_proxy_server_closed = True
+            effects += [CloseProxyServer(), *proxy_pipeline.take(ProxyServerClosed(), now)]
+        if self.stop_by is not None and now >= self.stop_by:
+            for pipeline in (inference_pipeline, proxy_pipeline):
+                effects += pipeline.take(DrainEnded(), now)
+            is_done = is_done or now >= self.stop_by + FINAL_ANSWERS_BEFORE_END / 3
+        may_exit = is_done and self.is_proxy_server_closed and not proxy_pipeline.table.requests
+        return [*effects, Exit(0)] if may_exit else effects
+
+    def _may_close_proxy_server(self, now: timedelta) -> bool:
+        open_for = now - self.stopped_at
+        if self.is_proxy_server_closed or open_for < MIN_OPEN_TIME:
+            return False
+        return now - self.quiet_since > QUIET_TIME or open_for >= MAX_OPEN_FRACTION * self.grace
--- a/sumachook/nodes/ledger_search.py
+++ b/sumachook/nodes/ledger_search.py
@@ -1,10 +1,11 @@
 """Finds the record of a request over the replicas of all cores."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from sumachook.host.effects import Send
-from sumachook.host.events import CallId
+from sumachook.host.effects import Effect, Reply, Send
+from sumachook.host.events import CallId, MessageReceived
 from sumachook.ledger.messages import FindRecord, RecordFound
 from sumachook.ledger.records import LOST, OPEN, Record
 from sumachook.ledger.replica_store import ReplicaStore
@@ -30,7 +31,7 @@
     replica_store: ReplicaStore
     searches: dict[str, Search] = field(default_factory=dict)
 
-    def begin(self, call_id: CallId, request: str, cores: list[str], now: timedelta) -> list:
+    def begin(self, call_id: CallId, request: str, cores: list[str], now: timedelta) -> Sequence[Effect]:
         """Answers at once, or asks the cores at these addresses."""
         record = self.replica_store.find(request)
         if record is not None and _is_final(record):
@@ -39,16 +40,17 @@
         self.searches[key] = Search(call_id, record, now, len(cores))
         return [Send(address, FindRecord(key, request)) for address in cores]
 
-    def heard(self, address: str, message: FindRecord | RecordFound, now: timedelta) -> list:
+    def take(self, event: MessageReceived, now: timedelta) -> Sequence[Effect]:
         """Handles a message of another core."""
+        message = event.message
         match message:
             case FindRecord(asker, request):
-                return [Send(address, RecordFound(asker, self.replica_store.find(request)))]
+                return [Send(event.address, RecordFound(asker, self.replica_store.find(request)))]
             case RecordFound(asker, record):
                 return self._on_record_found(asker, record, now)
         raise TypeError(f"no message of a search: {message!r}")
 
-    def _on_record_found(self, asker: str, record: Record | None, now: timedelta) -> list:
+    def _on_record_found(self, asker: str, record: Record | None, now: timedelta) -> Sequence[Effect]:
         search = self.searches.get(asker)
         if search is None:
             return []
@@ -57,7 +59,7 @@
             search.record = record
         return self.tick(now)
 
-    def tick(self, now: timedelta) -> list:
+    def tick(self, now: timedelta) -> list[Reply]:
         """Ends searches that all cores have answered, or that have waited long enough."""
         replies = []
         for key, search in list(self.searches.items()):
@@ -66,7 +68,7 @@
                 replies.append(_answer(search))
         return replies
 
-    def gone(self, call_id: CallId) -> None:
+    def handle_disconnect(self, call_id: CallId) -> None:
         """Forgets the search of a client that disconnected."""
         self.searches.pop(str(call_id), None)
 
@@ -75,7 +77,7 @@
     return record["state"] not in (OPEN, LOST)
 
 
-def _answer(search: Search) -> tuple:
+def _answer(search: Search) -> Reply:
     if search.record:
         return reply(search.call_id, 200, search.record)
     return fault_reply(search.call_id, 404, "unknown", "no keeper that answered holds this request")
--- a/sumachook/nodes/replies.py
+++ b/sumachook/nodes/replies.py
@@ -1,22 +1,30 @@
 """Answers in JSON to callers of a node's HTTP address."""
 
+from typing import Any
+
 import msgspec
 
+from sumachook.host.effects import Reply
+from sumachook.host.events import CallId
+
 JSON = {"Content-Type": "application/json"}
 
 
-def reply(cid, status: int, body, retry_after=None):
-    """The effect that answers the call `cid`; `retry_after` is in seconds."""
+def reply(call_id: CallId, status: int, body: Any, retry_after: float | None = None) -> Reply:
+    """The effect that answers a call with a JSON document; `retry_after` is in seconds."""
     headers = {**JSON, "Retry-After": str(retry_after)} if retry_after else JSON
-    return ("reply", cid, status, headers, msgspec.json.encode(body))
+    return Reply(call_id, status, headers, msgspec.json.encode(body))
 
 
-def fault_reply(cid, status: int, name: str, reason: str, retry_after=None, **more):
+def fault_reply(
+    call_id: CallId, status: int, name: str, reason: str, retry_after: float | None = None, **more: Any
+) -> Reply:
     """An answer that names what is wrong; `more` goes beside class and reason."""
-    return reply(cid, status, {"fault": {"class": name, "reason": reason, **more}}, retry_after)
+    return reply(call_id, status, {"fault": {"class": name, "reason": reason, **more}}, retry_after)
 
 
-def redirect(cid, http_address: str, path: str):
+def redirect(call_id: CallId, http_address: str, path: str) -> Reply:
     """Hands the caller on to the same path at another node."""
     body = {"fault": {"class": "redirected", "reason": f"ask {http_address}", "applied": "no"}}
-    return ("reply", cid, 307, {**JSON, "Location": f"http://{http_address}{path}"}, msgspec.json.encode(body))
+    headers = {**JSON, "Location": f"http://{http_address}{path}"}
+    return Reply(call_id, 307, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/sumachook/nodes/state_delivery.py
@@ -0,0 +1,69 @@
+"""What was ordered becomes the state of a core, and goes on to those who depend on it."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from sumachook.changefeed.events import EntryDelivered, ServeRequested, SnapshotRestored
+from sumachook.consensus import events as consensus_events
+from sumachook.consensus.effects import Compact, Deliver, Restore
+from sumachook.control_state.change_attempts import Attempt
+from sumachook.control_state.changes import OperatorCall, read_change, tag_of
+from sumachook.control_state.results import ChangeResult
+from sumachook.host.effects import Effect, Log
+from sumachook.placement.events import StateChanged
+
+if TYPE_CHECKING:
+    from sumachook.nodes.core import Core
+
+
+class StateDelivery:
+    """Applies committed entries and snapshots; tells the change feed, placement and the operators' calls."""
+
+    __slots__ = ("core",)
+
+    def __init__(self, core: "Core") -> None:
+        self.core = core
+
+    def handle_deliver(self, effect: Deliver, now: timedelta) -> list[Any]:
+        """Applies one committed entry."""
+        core = self.core
+        change = read_change(effect.entry)
+        result = core.state.apply(effect.number, change)
+        effects: list[Any] = core.source.take(EntryDelivered(effect.number, effect.entry), now)
+        core.placer.take(StateChanged(), now)
+        effects += core.provisioner.take(StateChanged(), now)
+        if isinstance(change, OperatorCall):
+            effects.append(self._settle_call(effect.number, change, result, now))
+        return effects
+
+    def _settle_call(self, number: int, call: OperatorCall, result: ChangeResult, now: timedelta) -> Log:
+        attempt = Attempt(call.origin, call.number, call.seen)
+        self.core.api.configuration_changes.delivered(number, attempt, result, self.core.state.version, now)
+        fields = {"number": number, "kind": tag_of(call.change), "result": result.outcome.value}
+        return Log("info", "core", "Order delivered.", fields)
+
+    def handle_restore(self, effect: Restore, now: timedelta) -> list[Any]:
+        """Takes a snapshot in the place of the state."""
+        core = self.core
+        core.state.restore(effect.state)
+        core.state.number = effect.number
+        core.placer.take(StateChanged(), now)
+        core.provisioner.take(StateChanged(), now)
+        return core.source.take(SnapshotRestored(effect.number), now)
+
+    def handle_compact(self, effect: Compact, now: timedelta) -> list[Effect]:
+        """The log is long; without a disk that takes records it stays so."""
+        core = self.core
+        return core.consensus.take(consensus_events.LogCompacted(), now) if core.is_disk_taking else []
+
+    def handle_serve(self, event: ServeRequested, now: timedelta) -> list[Any]:
+        """What was delivered at once goes out in one batch."""
+        return [*self.core.source.take(event, now), *self.settle_changes(now)]
+
+    def settle_changes(self, now: timedelta) -> list[Any]:
+        """Answers operators whose changes have reached the edges."""
+        core = self.core
+        changes = core.api.configuration_changes
+        if not changes.orders:
+            return []
+        return changes.settle(core.peers.alive_edges(), core.source.confirmed, now)
--- a/sumachook/placement/placer.py
+++ b/sumachook/placement/placer.py
@@ -369,7 +369,7 @@
         last_pause = self.refused.get((name, item), Backoff(now, self.RESEND_INTERVAL)).pause
         pause = min(self.MAX_BACKOFF, last_pause * 2)
         self.refused[(name, item)] = Backoff(now + pause, pause)
-        reason = event.status if isinstance(event, ResponseReceived) else event.failure
+        reason = event.status if isinstance(event, ResponseReceived) else CallFailure(event.failure).value
         details = {"server": name, "verb": call_id.verb, "item": item, "answer": str([reason])}
         return [Log("warning", COMPONENT, "An order was not taken.", details)]
 
--- a/sumachook/runtime/clock.py
+++ b/sumachook/runtime/clock.py
@@ -2,6 +2,17 @@
 
 import time
 from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+
+class NodeClock(Protocol):
+    """The clocks that a node is given at its start."""
+
+    def mono(self) -> timedelta:
+        """Monotonic time."""
+
+    def wall(self) -> datetime:
+        """Wall time, in UTC."""
 
 
 class Clock:
--- a/sumachook/simulation/callers.py
+++ b/sumachook/simulation/callers.py
@@ -5,6 +5,20 @@
 
 import msgspec
 
+from sumachook.calls.run_status import CallFailure
+from sumachook.host.effects import CancelCall, Exit, Fetch
+from sumachook.host.events import (
+    CallEvent,
+    CallFailed,
+    RequestSent,
+    ResponseEnded,
+    ResponseHeadReceived,
+    ResponseReceived,
+    ServerEventReceived,
+    StopRequested,
+    Tick,
+)
+
 CONNECT = timedelta(seconds=2)
 PENDING, OK, FAULT, CUT, NONE = "pending", "ok", "fault", "cut", "none"
 
@@ -115,20 +129,20 @@
             group["name"]: now + timedelta(seconds=random.expovariate(group["rate"] * pace)) for group in traffic
         }
 
-    def take(self, message: tuple, now) -> list:
-        kind = message[0]
-        if kind == "pulse":
+    def take(self, event, now) -> list:
+        """The effects of one event."""
+        if isinstance(event, Tick):
             return self._tick(now)
-        if kind == "fetched":
-            return self._fetched(message, now)
-        return [("leave", 0)] if kind == "stop" else []
+        if isinstance(event, CallEvent):
+            return self._handle_call(event, now)
+        return [Exit(0)] if isinstance(event, StopRequested) else []
 
     def _tick(self, now):
         out = []
         if self.stop_after is not None and now - self.start_at > self.stop_after:
             self.is_on = False
             if not self.open:
-                return [("leave", 0)]
+                return [Exit(0)]
         for group in self.groups:
             while self.is_on and now >= self.due[group["name"]]:
                 self.due[group["name"]] += timedelta(seconds=self.random.expovariate(group["rate"] * self.pace))
@@ -137,7 +151,7 @@
             if now - call.sent_at > call.patience * 1.5 + timedelta(seconds=5):
                 del self.open[number]
                 call.outcome, call.ended_at = NONE, now
-                out.append(("unfetch", ("call", number)))
+                out.append(CancelCall(("call", number)))
         return out
 
     def _ask_anew(self, group, now):
@@ -191,31 +205,36 @@
             )
         mode = "events" if not is_lookup and call.is_stream else "whole"
         limit = patience * 1.5 + timedelta(seconds=5)
-        return [
-            ("fetch", ("call", number), method, f"http://{self.edges[edge]}{path}", headers, body, CONNECT, limit, mode)
-        ]
+        url = f"http://{self.edges[edge]}{path}"
+        return [Fetch(("call", number), method, url, headers, body, CONNECT, limit, mode)]
 
     def _model(self, group):
         """A few names are asked for much, each of the others now and then: as 1, 1/2, 1/3 and so on."""
         names = group["models"]
         return self.random.choices(names, [1 / place for place in range(1, len(names) + 1)])[0]
 
-    def _fetched(self, message, now):
-        _, (_, number), outcome, *rest = message
+    def _handle_call(self, event, now):
+        _, number = event.call_id
         call = self.open.get(number)
-        if call is None or outcome == "sent":
-            return []
-        if outcome == "head":
-            call.status, call.request = rest[0], rest[1].get("x-request-id", "")
+        if call is None or isinstance(event, RequestSent):
             return []
-        if outcome == "event":
-            return self._event(call, rest[1], now)
-        if outcome == "done":
-            return self._whole(call, *rest, now)
-        if outcome == "end":
-            return self._end(call, OK if call.is_done else CUT, now)
-        call.fault_class = call.fault_class or rest[0]
-        if rest[0] in ("refused", "connect-timeout"):
+        match event:
+            case ResponseHeadReceived(_, status, headers):
+                call.status, call.request = status, headers.get("x-request-id", "")
+                return []
+            case ServerEventReceived(_, _, data):
+                return self._event(call, data, now)
+            case ResponseReceived(_, status, headers, body):
+                return self._whole(call, status, headers, body, now)
+            case ResponseEnded():
+                return self._end(call, OK if call.is_done else CUT, now)
+            case CallFailed(_, failure):
+                return self._handle_failure(call, failure, now)
+        raise TypeError(f"callers take no such event: {event!r}")
+
+    def _handle_failure(self, call, failure, now):
+        call.fault_class = call.fault_class or failure
+        if CallFailure(failure).was_before_first_byte:
             return self._end(call, NONE, now) + self._move(call, now)
         return self._end(call, CUT if call.status == 200 else NONE, now)
 
--- a/sumachook/simulation/deployment.py
+++ b/sumachook/simulation/deployment.py
@@ -6,6 +6,8 @@
 from random import Random
 
 from sumachook.configuration.node_settings import NodeSettings
+from sumachook.host.effects import Fetch
+from sumachook.host.events import CallFailed, ResponseReceived, Tick
 from sumachook.nodes.core import Core
 from sumachook.nodes.edge import Edge
 from sumachook.simulation.callers import Callers
@@ -151,7 +153,7 @@
         sent_at = self.now
         operator = self.operator()
         number = operator.ask(f"http://{self.boxes[core].http_address}{path}", method, doc, follows)
-        self._hand(self.boxes["operator"], ("pulse",))
+        self._hand(self.boxes["operator"], Tick())
         if step is None:
             self.run_until(lambda: number in operator.answers, wait)
         while step is not None and number not in operator.answers and self.now - sent_at < timedelta(seconds=wait):
@@ -180,21 +182,29 @@
             self.redirects[self.number] = (method, doc, self.MOST_REDIRECTS)
         return self.number
 
-    def take(self, message, now):
-        if message[0] == "pulse":
-            sent, self.waiting = self.waiting, []
-            return [self._fetch(*call) for call in sent]
-        if message[0] != "fetched" or message[2] not in ("done", "fault"):
-            return []
-        number, status = message[1], message[3]
+    def take(self, event, now):
+        """The effects of one event."""
+        match event:
+            case Tick():
+                sent, self.waiting = self.waiting, []
+                return [self._fetch(*call) for call in sent]
+            case ResponseReceived():
+                return self._handle_response(event)
+            case CallFailed(number, failure):
+                self.redirects.pop(number, None)
+                self.answers[number] = (0, failure)
+        return []
+
+    def _handle_response(self, event):
+        number = event.call_id
         method, doc, left = self.redirects.get(number, (None, None, 0))
-        if status == 307 and left:
+        if event.status == 307 and left:
             self.redirects[number] = (method, doc, left - 1)
-            return [self._fetch(number, message[4]["location"], method, doc)]
+            return [self._fetch(number, event.headers["location"], method, doc)]
         self.redirects.pop(number, None)
-        self.answers[number] = (status, json.loads(message[5])) if message[2] == "done" else (0, status)
+        self.answers[number] = (event.status, json.loads(event.body))
         return []
 
     def _fetch(self, number, url, method, doc):
         body = json.dumps(doc).encode() if doc is not None else b""
-        return ("fetch", number, method, url, {}, body, self.WAIT, self.WAIT, "whole")
+        return Fetch(number, method, url, {}, body, self.WAIT, self.WAIT, "whole")
--- a/sumachook/simulation/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -9,7 +9,8 @@
 import msgspec
 from assel import Parser
 
-from sumachook.host.tuples import effect_of, tuple_of_effect
+from sumachook.calls.run_status import CallFailure
+from sumachook.host import effects, events
 from sumachook.simulation.disk import Disk
 from sumachook.simulation.reachability import OBSERVE_EVERY, Reachability
 from sumachook.transport.codec import Codec, read_frame
@@ -251,7 +252,7 @@
 
     def stop(self, name):
         """The platform's short warning."""
-        self._hand(self.boxes[name], ("stop",))
+        self._hand(self.boxes[name], events.StopRequested())
 
     def freeze(self, name):
         self.boxes[name].is_frozen = True
@@ -320,7 +321,7 @@
         if not box.is_frozen:
             if (change := box.disk.queue.state_change(self.now)) is not None:
                 self._hand(box, change)
-            self._hand(box, ("pulse",))
+            self._hand(box, events.Tick())
         self._later(TICK + box.slow, self._tick, box, incarnation)
 
     def _hand(self, box, message):
@@ -379,22 +380,29 @@
     # effects --------------------------------------------------------------------------
 
     def _do(self, box, effect):
-        effect = tuple_of_effect(effect)
-        kind = effect[0]
-        if kind in ("tell", "cast"):
-            self._tell(box, effect[1], effect[2], kind == "cast")
-        elif kind in ("disk", "rewrite", "journal"):
-            self._disk(box, effect)
-        elif kind == "fetch":
-            self._fetch(box, effect)
-        elif kind == "unfetch":
-            self._unfetch(box, effect[1])
-        elif kind in ("reply", "head", "chunk", "end", "drop"):
-            self._answer(box, effect)
-        elif kind == "log":
-            self.logs.append((self.now, box.name, *effect[1:]))
-        elif kind == "leave":
-            self.kill(box.name)
+        match effect:
+            case effects.Send(address, message):
+                self._tell(box, address, message, False)
+            case effects.SendDatagram(address, message):
+                self._tell(box, address, message, True)
+            case effects.AppendRecords() | effects.RewriteRecords() | effects.AppendDayLog():
+                self._disk(box, effect)
+            case effects.Fetch():
+                self._fetch(box, effect)
+            case effects.CancelCall(call_id):
+                self._cancel_call(box, call_id)
+            case (
+                effects.Reply()
+                | effects.BeginResponse()
+                | effects.SendChunk()
+                | effects.EndResponse()
+                | effects.AbortResponse()
+            ):
+                self._answer(box, effect)
+            case effects.Log(level, component, text, fields):
+                self.logs.append((self.now, box.name, level, component, text, fields))
+            case effects.Exit():
+                self.kill(box.name)
 
     def _tell(self, box, address, message, is_cast):
         other = self.by_address.get(address)
@@ -408,13 +416,13 @@
         try:
             frame = read_frame(self.cluster, raw)
         except UnreadableFrameError:
-            self._hand(other, ("garbage",))
+            self._hand(other, events.UnreadableMessageReceived())
             return
-        self._hand(other, ("heard", frame.sender, frame.address, frame.message))
+        self._hand(other, events.MessageReceived(frame.sender, frame.address, frame.message))
 
     def _disk(self, box, effect):
         is_idle = box.disk.queue.is_empty
-        box.disk.begin(effect_of(effect), self.now)
+        box.disk.begin(effect, self.now)
         if is_idle:
             self._later(timedelta(0), self._begin_sync, box, box.incarnation)
 
@@ -441,8 +449,8 @@
     # HTTP ---------------------------------------------------------------------------------
 
     def _fetch(self, box, effect):
-        _, tid, method, url, headers, body, connect, total, mode = effect
-        address, _, path = url.removeprefix("http://").partition("/")
+        tid, method = effect.call_id, effect.method
+        address, _, path = effect.url.removeprefix("http://").partition("/")
         server = self.by_http_address.get(address)
         self.count += 1
         cid = self.count
@@ -450,96 +458,99 @@
             self.tries.append((self.now, tid[2] > 1, tid[0]))
         is_reachable = server is not None and self._reach(box, server) and self._reach(server, box)
         if not is_reachable:
-            self._later(connect, self._fetched, box, box.incarnation, tid, "fault", "connect-timeout")
+            failed = events.CallFailed(tid, CallFailure.CONNECT_TIMEOUT)
+            self._later(effect.connect_timeout, self._tell_client, box, box.incarnation, failed)
             return
         if server.machine is None:
-            self._later(timedelta(seconds=0.002), self._fetched, box, box.incarnation, tid, "fault", "refused")
+            failed = events.CallFailed(tid, CallFailure.REFUSED)
+            self._later(timedelta(seconds=0.002), self._tell_client, box, box.incarnation, failed)
             return
-        exchange = self.exchanges[cid] = Exchange(cid, box, tid, server, mode)
+        exchange = self.exchanges[cid] = Exchange(cid, box, tid, server, effect.mode)
         self.by_tid[(box.name, box.incarnation, tid)] = cid
-        headers = {name.lower(): value for name, value in headers.items()}
-        self._later(
-            timedelta(seconds=0.001), self._connected, exchange, ("http", cid, method, "/" + path, headers, body)
-        )
-        self._later(total, self._expire, exchange)
+        headers = {name.lower(): value for name, value in effect.headers.items()}
+        request = events.HttpRequestReceived(cid, method, "/" + path, headers, effect.body)
+        self._later(timedelta(seconds=0.001), self._connected, exchange, request)
+        self._later(effect.total_timeout, self._expire, exchange)
 
-    def _connected(self, exchange, message):
+    def _connected(self, exchange, request):
         if not exchange.is_open:
             return
         if exchange.server.incarnation != exchange.server_incarnation:
-            self._to_client(exchange, "fault", "refused")
+            self._end_exchange(exchange, events.CallFailed(exchange.tid, CallFailure.REFUSED))
             return
-        self._fetched(exchange.client, exchange.client_incarnation, exchange.tid, "sent")
-        self._send(exchange.client, exchange.server, self._hand_alive, exchange, message)
+        self._tell_client(exchange.client, exchange.client_incarnation, events.RequestSent(exchange.tid))
+        self._send(exchange.client, exchange.server, self._hand_alive, exchange, request)
 
-    def _hand_alive(self, exchange, message):
+    def _hand_alive(self, exchange, event):
         if exchange.server.incarnation == exchange.server_incarnation:
-            if message[0] == "http" and exchange.client.role == "edge":  # it came in now, whenever it is taken up
+            is_request = isinstance(event, events.HttpRequestReceived)
+            if is_request and exchange.client.role == "edge":  # it came in now, whenever it is taken up
                 self.arrivals.setdefault(exchange.server.name, []).append((self.now, exchange.client.name))
-            self._hand(exchange.server, message)
+            self._hand(exchange.server, event)
 
     def _expire(self, exchange):
         if exchange.is_open:
             self._finish(exchange)
-            self._hand_alive(exchange, ("gone", exchange.cid))
-            self._fetched(exchange.client, exchange.client_incarnation, exchange.tid, "fault", "timeout")
+            self._hand_alive(exchange, events.ClientDisconnected(exchange.cid))
+            failed = events.CallFailed(exchange.tid, CallFailure.TIMEOUT)
+            self._tell_client(exchange.client, exchange.client_incarnation, failed)
 
     def _finish(self, exchange):
         exchange.is_open = False
         self.exchanges.pop(exchange.cid, None)
         self.by_tid.pop((exchange.client.name, exchange.client_incarnation, exchange.tid), None)
 
-    def _unfetch(self, box, tid):
+    def _cancel_call(self, box, tid):
         exchange = self.exchanges.get(self.by_tid.get((box.name, box.incarnation, tid)))
         if exchange is not None:
             self._finish(exchange)
-            self._send(box, exchange.server, self._hand_alive, exchange, ("gone", exchange.cid))
+            self._send(box, exchange.server, self._hand_alive, exchange, events.ClientDisconnected(exchange.cid))
 
     def _answer(self, box, effect):
-        exchange = self.exchanges.get(effect[1])
+        exchange = self.exchanges.get(effect.call_id)
         if exchange is not None:
             self._send(box, exchange.client, self._answered, exchange, effect)
 
     def _answered(self, exchange, effect):
         if not exchange.is_open:
             return
-        kind = effect[0]
-        if kind == "reply":
-            headers = {name.lower(): value for name, value in effect[3].items()}
-            self._to_client(exchange, "done", effect[2], headers, effect[4])
-        elif kind == "head":
-            headers = {name.lower(): value for name, value in effect[3].items()}
-            self._fetched(exchange.client, exchange.client_incarnation, exchange.tid, "head", effect[2], headers)
-        elif kind == "chunk":
-            for event in exchange.parser.receive_bytes(effect[2]):
-                self._fetched(exchange.client, exchange.client_incarnation, exchange.tid, "event", event.id, event.data)
-        elif kind == "end":
-            self._to_client(exchange, "end")
-        else:
-            self._to_client(exchange, "fault", "reset")
-
-    def _to_client(self, exchange, *what):
+        tid = exchange.tid
+        match effect:
+            case effects.Reply(_, status, headers, body):
+                self._end_exchange(exchange, events.ResponseReceived(tid, status, _lower(headers), body))
+            case effects.BeginResponse(_, status, headers):
+                head = events.ResponseHeadReceived(tid, status, _lower(headers))
+                self._tell_client(exchange.client, exchange.client_incarnation, head)
+            case effects.SendChunk(_, data):
+                for event in exchange.parser.receive_bytes(data):
+                    received = events.ServerEventReceived(tid, event.id, event.data)
+                    self._tell_client(exchange.client, exchange.client_incarnation, received)
+            case effects.EndResponse():
+                self._end_exchange(exchange, events.ResponseEnded(tid))
+            case _:
+                self._end_exchange(exchange, events.CallFailed(tid, CallFailure.RESET))
+
+    def _end_exchange(self, exchange, event):
+        """The client is told how its call ended."""
         self._finish(exchange)
-        self._fetched(exchange.client, exchange.client_incarnation, exchange.tid, *what)
+        self._tell_client(exchange.client, exchange.client_incarnation, event)
 
-    def _fetched(self, box, incarnation, tid, *what):
+    def _tell_client(self, box, incarnation, event):
         if box.incarnation == incarnation:
-            self._hand(box, ("fetched", tid, *what))
+            self._hand(box, event)
 
     def _break_exchanges(self, box):
         for exchange in list(self.exchanges.values()):
             if exchange.server is box:
                 self._finish(exchange)
+                failed = events.CallFailed(exchange.tid, CallFailure.RESET)
                 self._send(
-                    box,
-                    exchange.client,
-                    self._fetched,
-                    exchange.client,
-                    exchange.client_incarnation,
-                    exchange.tid,
-                    "fault",
-                    "reset",
+                    box, exchange.client, self._tell_client, exchange.client, exchange.client_incarnation, failed
                 )
             elif exchange.client is box:
                 self._finish(exchange)
-                self._send(box, exchange.server, self._hand_alive, exchange, ("gone", exchange.cid))
+                self._send(box, exchange.server, self._hand_alive, exchange, events.ClientDisconnected(exchange.cid))
+
+
+def _lower(headers):
+    return {name.lower(): value for name, value in headers.items()}
--- a/sumachook/simulation/model.py
+++ b/sumachook/simulation/model.py
@@ -6,6 +6,9 @@
 import msgspec
 from assel import Event, send
 
+from sumachook.host.effects import BeginResponse, EndResponse, Exit, Reply, SendChunk
+from sumachook.host.events import ClientDisconnected, HttpRequestReceived, StopRequested, Tick
+
 JSON = {"Content-Type": "application/json"}
 EVENTS = 8
 KEEP_AFTER = timedelta(seconds=5)
@@ -136,18 +139,20 @@
         )
         self.ready_at, self.prefill, self.load_rate, self.cold_at = {}, timedelta(seconds=0.1), load_rate, None
 
-    def take(self, message: tuple, now) -> list:
-        kind = message[0]
-        if kind == "pulse":
-            return self._tick(now)
-        if kind == "gone":
-            return self._gone(message[1], now)
-        if kind == "http":
-            return self._http(message, now)
-        return [("leave", 0)] if kind == "stop" else []
-
-    def _http(self, message, now):
-        _, cid, method, path, headers, body = message
+    def take(self, event, now) -> list:
+        """The effects of one event."""
+        match event:
+            case Tick():
+                return self._tick(now)
+            case ClientDisconnected(call_id):
+                return self._gone(call_id, now)
+            case HttpRequestReceived(call_id, method, path, headers, body):
+                return self._http(call_id, method, path, headers, body, now)
+            case StopRequested():
+                return [Exit(0)]
+        return []
+
+    def _http(self, cid, method, path, headers, body, now):
         if self.is_dark:
             return []
         if path == "/models":
@@ -216,7 +221,7 @@
         if self.held.get(asked) != "loaded" or self.held.get(model) != "loaded":
             return [_reply(cid, 404, {"error": {"message": f"model {asked} is not loaded"}})]
         if self.is_busy or len(self.active) + len(self.waiting) >= self.slots * 3:
-            return [("reply", cid, 429, {**JSON, "Retry-After": "1"}, b'{"error":{"message":"busy"}}')]
+            return [Reply(cid, 429, {**JSON, "Retry-After": "1"}, b'{"error":{"message":"busy"}}')]
         count = min(body.get("max_tokens", 64), 12 + crc32(request.encode()) % 60)
         tag = str(body["messages"][-1].get("content"))
         run = Run(request, cid, model, asked, count, tag)
@@ -297,21 +302,20 @@
         out = []
         if run.events and not run.has_head:
             run.has_head = True
-            out.append(("head", run.cid, 200, {"Content-Type": "text/event-stream"}))
+            out.append(BeginResponse(run.cid, 200, {"Content-Type": "text/event-stream"}))
         for number in range(run.flushed, len(run.events)):
             event_id = f"{run.request}:{number}" if self.has_ids else None
-            out.append(
-                ("chunk", run.cid, send(Event(data=msgspec.json.encode(run.events[number]).decode(), id=event_id)))
-            )
+            data = msgspec.json.encode(run.events[number]).decode()
+            out.append(SendChunk(run.cid, send(Event(data=data, id=event_id))))
         run.flushed = max(run.flushed, len(run.events))
         if (
             self.ends_after is not None and run.flushed >= self.ends_after
         ):  # ends in good order, but with no word of being done
             run.is_done, run.gone_at = True, now
-            word = [("chunk", run.cid, send(Event(data="[DONE]")))] if self.says_done else []
-            return [*out, *word, ("end", run.cid)]
+            word = [SendChunk(run.cid, send(Event(data="[DONE]")))] if self.says_done else []
+            return [*out, *word, EndResponse(run.cid)]
         if run.said > EVENTS:
-            out += [("chunk", run.cid, send(Event(data="[DONE]"))), ("end", run.cid)]
+            out += [SendChunk(run.cid, send(Event(data="[DONE]"))), EndResponse(run.cid)]
             run.is_done, run.gone_at = True, now
         return out
 
@@ -336,4 +340,4 @@
 
 
 def _reply(cid, status, doc):
-    return ("reply", cid, status, JSON, msgspec.json.encode(doc))
+    return Reply(cid, status, JSON, msgspec.json.encode(doc))
--- a/sumachook/simulation/platform.py
+++ b/sumachook/simulation/platform.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from sumachook.host.effects import Exit, Reply
+from sumachook.host.events import HttpRequestReceived, StopRequested
+
 JSON = {"Content-Type": "application/json"}
 
 
@@ -15,23 +18,24 @@
         self.leavings = {}  # {server: [[listed as leaving since, until or None]]}, for the invariant checker
         self.extra = []  # what else the list says, sound or not
 
-    def take(self, message: tuple, now) -> list:
+    def take(self, event, now) -> list:
+        """The effects of one event."""
         self._note(now)
-        if message[0] == "stop":
-            return [("leave", 0)]
-        if message[0] != "http":
+        if isinstance(event, StopRequested):
+            return [Exit(0)]
+        if not isinstance(event, HttpRequestReceived):
             return []
-        _, cid, method, path, _, body = message
+        call_id, method, path, body = event.call_id, event.method, event.path, event.body
         if method == "POST" and path == "/leaving":
             doc = msgspec.json.decode(body)
             if doc["name"] not in self.servers:
-                return [("reply", cid, 404, JSON, b'{"error":"no such server"}')]
+                return [Reply(call_id, 404, JSON, b'{"error":"no such server"}')]
             self.servers[doc["name"]]["leaving"] = doc.get("leaving", True)
         elif method == "POST" and path == "/servers":
             self.servers = {server["name"]: server for server in msgspec.json.decode(body)["servers"]}
         elif path != "/servers":
-            return [("reply", cid, 404, JSON, b'{"error":"not found"}')]
-        return [("reply", cid, 200, JSON, msgspec.json.encode({"servers": [*self.servers.values(), *self.extra]}))]
+            return [Reply(call_id, 404, JSON, b'{"error":"not found"}')]
+        return [Reply(call_id, 200, JSON, msgspec.json.encode({"servers": [*self.servers.values(), *self.extra]}))]
 
     def _note(self, now):
         for name, server in self.servers.items():
--- a/sumachook/simulation/probe.py
+++ b/sumachook/simulation/probe.py
@@ -2,6 +2,9 @@
 
 from datetime import timedelta
 
+from sumachook.host.effects import Fetch
+from sumachook.host.events import CallEvent, ResponseReceived, Tick
+
 EVERY = timedelta(seconds=0.5)
 WAIT = timedelta(seconds=1)
 KNOWN, UNKNOWN = 403, 401
@@ -32,13 +35,14 @@
             self.present.pop(key, None)
             self.absent.pop(key, None)
 
-    def take(self, message: tuple, now) -> list:
-        if message[0] == "fetched":
-            if message[2] == "done" and message[1] in self.waiting:
-                edge, asked_at, key, incarnation, wanted, since = self.waiting.pop(message[1])
-                self.notes.append((edge, asked_at, key, message[3], incarnation, wanted, since))
+    def take(self, event, now) -> list:
+        """The effects of one event."""
+        if isinstance(event, CallEvent):
+            if isinstance(event, ResponseReceived) and event.call_id in self.waiting:
+                edge, asked_at, key, incarnation, wanted, since = self.waiting.pop(event.call_id)
+                self.notes.append((edge, asked_at, key, event.status, incarnation, wanted, since))
             return []
-        if message[0] != "pulse" or now < self.next_at:
+        if not isinstance(event, Tick) or now < self.next_at:
             return []
         self.next_at, out = now + EVERY, []
         wanted = [(key, KNOWN, at) for key, at in self.present.items()] + [
@@ -48,17 +52,7 @@
             for key, status, since in wanted if box.role == "edge" else ():
                 self.number += 1
                 self.waiting[("probe", self.number)] = (box.name, now, key, box.incarnation, status, since)
-                out.append(
-                    (
-                        "fetch",
-                        ("probe", self.number),
-                        "GET",
-                        f"http://{box.http_address}/records/probe",
-                        {"Authorization": f"Bearer {key}"},
-                        b"",
-                        WAIT,
-                        WAIT,
-                        "whole",
-                    )
-                )
+                headers = {"Authorization": f"Bearer {key}"}
+                url = f"http://{box.http_address}/records/probe"
+                out.append(Fetch(("probe", self.number), "GET", url, headers, b"", WAIT, WAIT, "whole"))
         return out
--- a/sumachook/simulation/records.py
+++ b/sumachook/simulation/records.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from sumachook.host.effects import Exit, Reply
+from sumachook.host.events import HttpRequestReceived, StopRequested
+
 JSON = {"Content-Type": "application/json"}
 
 
@@ -13,15 +16,16 @@
     def __init__(self, name: str):
         self.name, self.is_dark, self.is_busy = name, False, False
 
-    def take(self, message: tuple, now) -> list:
-        if message[0] == "stop":
-            return [("leave", 0)]
-        if message[0] != "http" or self.is_dark:
+    def take(self, event, now) -> list:
+        """The effects of one event."""
+        if isinstance(event, StopRequested):
+            return [Exit(0)]
+        if not isinstance(event, HttpRequestReceived) or self.is_dark:
             return []
-        _, cid, method, path, _, _ = message
         if self.is_busy:
-            return [("reply", cid, 503, JSON, b'{"error":"busy"}')]
-        record = path.rpartition("/")[2]
-        if method != "GET" or not path.startswith("/records/") or record.startswith("none"):
-            return [("reply", cid, 404, JSON, b'{"error":"no such record"}')]
-        return [("reply", cid, 200, JSON, msgspec.json.encode({"id": record, "condition": "stamped", "by": self.name}))]
+            return [Reply(event.call_id, 503, JSON, b'{"error":"busy"}')]
+        record = event.path.rpartition("/")[2]
+        if event.method != "GET" or not event.path.startswith("/records/") or record.startswith("none"):
+            return [Reply(event.call_id, 404, JSON, b'{"error":"no such record"}')]
+        body = msgspec.json.encode({"id": record, "condition": "stamped", "by": self.name})
+        return [Reply(event.call_id, 200, JSON, body)]
--- /dev/null
+++ b/sumachook/transport/node_messenger.py
@@ -0,0 +1,35 @@
+"""Sends messages to other nodes: packs them, and gives the bytes to the sockets."""
+
+from sumachook.host.effects import Send, SendDatagram
+from sumachook.transport.codec import Codec
+from sumachook.transport.node_message import NodeMessage
+from sumachook.transport.node_transport import NodeTransport
+
+
+class NodeMessenger:
+    """Carries out `Send` and `SendDatagram`.
+
+    A message that goes to many nodes in a row is packed once: it is the same object, and messages don't change.
+    """
+
+    __slots__ = ("transport", "codec", "_last_message", "_last_bytes")
+
+    def __init__(self, transport: NodeTransport, codec: Codec) -> None:
+        self.transport = transport
+        self.codec = codec
+        self._last_message: NodeMessage | None = None
+        self._last_bytes = b""
+
+    def send(self, effect: Send) -> None:
+        """Sends a message over the connection to a node."""
+        self.transport.send(effect.address, self._packed(effect.message))
+
+    def send_datagram(self, effect: SendDatagram) -> None:
+        """Sends a message in one datagram."""
+        self.transport.send_datagram(effect.address, self._packed(effect.message))
+
+    def _packed(self, message: NodeMessage) -> bytes:
+        if message is not self._last_message:
+            self._last_message = message
+            self._last_bytes = self.codec.pack(message)
+        return self._last_bytes
--- a/sumachook/transport/proxy_server.py
+++ b/sumachook/transport/proxy_server.py
@@ -4,6 +4,7 @@
 
 from sumachook.configuration.limits import Limits
 from sumachook.host.events import CallId, Event, ProxyRequestReceived
+from sumachook.requests.call_ids import PROXY, ProxyCallId
 from sumachook.transport.connection_limits import ConnectionLimits
 from sumachook.transport.http_server import HttpServer, _error_response
 from sumachook.transport.streaming_client import UNSENDABLE
@@ -52,6 +53,6 @@
         return await super()._serve(request)
 
     def _event_of(self, request: web.BaseRequest, body: bytes) -> tuple[CallId, Event]:
-        call_id = ("front", self.last_call_number)
+        call_id = ProxyCallId(PROXY, self.last_call_number)
         headers = tuple(request.headers.items())
         return call_id, ProxyRequestReceived(call_id, request.method, request.raw_path, headers, body)
--- a/tests/compatibility/test_wire_bytes.py
+++ b/tests/compatibility/test_wire_bytes.py
@@ -10,7 +10,8 @@
 
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.forwarding.port import RequestPort
-from sumachook.host.tuples import tuple_of_effect
+from sumachook.host.effects import AbortResponse, BeginResponse, EndResponse, Reply, SendChunk
+from sumachook.host.events import HttpRequestReceived
 from sumachook.inference.refuse import Refuse
 from sumachook.nodes.core import Core
 from sumachook.nodes.edge import Edge
@@ -26,6 +27,7 @@
 from tests.forwarding.forwarding_fixtures import CHAT, NOT_RUN, ONCE, PLAIN
 from tests.forwarding.forwarding_fixtures import Scene as ForwardingScene
 from tests.platform_adapters import test_platform as platform_samples
+from tests.short_forms import effect_of
 
 FIXTURES = Path(__file__).parent.parent / "fixtures" / "wire"
 PARCELS = json.loads((FIXTURES / "parcels.json").read_text())
@@ -106,7 +108,7 @@
 
     def note_effects(self, title: str, effects):
         for effect in effects:
-            answer = _answer_of(tuple_of_effect(effect))
+            answer = _answer_of(effect)
             if answer is not None:
                 self.note_answer(title, *answer)
 
@@ -125,15 +127,17 @@
 
 def _answer_of(effect):
     """(status, headers, body) of what a node tells a client, or None of any other effect."""
-    kind = effect[0]
-    if kind == "reply":
-        return effect[2], effect[3], effect[4]
-    if kind == "head":
-        return effect[2], effect[3], b""
-    if kind == "chunk":
-        return "chunk", (), effect[2]
-    if kind in ("end", "drop"):
-        return kind, (), b""
+    match effect:
+        case Reply(_, status, headers, body):
+            return status, headers, body
+        case BeginResponse(_, status, headers):
+            return status, headers, b""
+        case SendChunk(_, data):
+            return "chunk", (), data
+        case EndResponse():
+            return "end", (), b""
+        case AbortResponse():
+            return "drop", (), b""
     return None
 
 
@@ -149,7 +153,7 @@
         hand_over = deployment._answer
 
         def keep(box, effect):
-            exchange = deployment.exchanges.get(effect[1])
+            exchange = deployment.exchanges.get(effect.call_id)
             if exchange is not None and exchange.client is deployment.boxes["caller"]:
                 self.replies.append(effect)
             hand_over(box, effect)
@@ -212,7 +216,7 @@
     caller.call("alone", "POST", order, {**part, "request": "r5"}, behind)
     core = Core(_settings("core", operator_key="key"), {}, 1, Clock(), Random(1))
     for path in ("/condition", "/show/pairs"):
-        effects = core.take(("http", 1, "GET", path, {}, b""), Clock().mono())
+        effects = core.take(HttpRequestReceived(1, "GET", path, {}, b""), Clock().mono())
         transcript.note_effects(f"not started, no key: GET {path}", effects)
     return transcript.text()
 
@@ -228,10 +232,11 @@
     deployment, transcript = settled(5, edges=1), Transcript()
     edge = deployment.machines("edge")[0]
     for method, path in (("GET", "/condition"), ("GET", "/metrics"), ("GET", "/none"), ("POST", "/v1/none")):
-        effects = edge.take(("http", 1, method, path, {}, b""), deployment.now)
+        effects = edge.take(HttpRequestReceived(1, method, path, {}, b""), deployment.now)
         transcript.note_effects(f"{method} {path}", effects)
     fresh = Edge(_settings("edge", front="127.0.0.1:4"), {}, 1, Clock(), Random(1))
-    transcript.note_effects("not ready", fresh.take(("http", 1, "GET", "/condition", {}, b""), Clock().mono()))
+    condition = HttpRequestReceived(1, "GET", "/condition", {}, b"")
+    transcript.note_effects("not ready", fresh.take(condition, Clock().mono()))
     refuse = Refuse(SimpleNamespace(count=lambda *what: None, random=Random(1)))
     for kind in HTTP_STATUSES:
         transcript.note_effects(f"refused {kind.value}", refuse.take(1, kind.because("why"), "q1", 2, "maybe"))
@@ -261,7 +266,7 @@
         for _, _, method, url, sent, body, connect, left, is_kept in scene.sends(cid):
             transcript.note(f"{title}, to the server", method, url, *_header_lines(sent), "", _text_of(body))
             transcript.note(f"{title}, times", connect, left, is_kept)
-        transcript.note_effects(f"{title}, to the client", scene.told(cid))
+        transcript.note_effects(f"{title}, to the client", map(effect_of, scene.told(cid)))
     return transcript.text()
 
 
@@ -382,7 +387,8 @@
         caller.call("node", "GET", path, core=ahead)
     now = scene.deployment.now
     edge = samples.NodeAdapter(scene.deployment.machines("edge")[0], "/nowhere/settings.toml")
-    transcript.note_effects("an edge's /readiness", edge.take(("http", 1, "GET", "/readiness", {}, b""), now))
+    readiness = HttpRequestReceived(1, "GET", "/readiness", {}, b"")
+    transcript.note_effects("an edge's /readiness", edge.take(readiness, now))
     return transcript.text()
 
 
--- a/tests/consensus/test_losses.py
+++ b/tests/consensus/test_losses.py
@@ -6,9 +6,13 @@
 import pytest
 
 from sumachook.consensus.effects import Readable, Unreadable
+from sumachook.consensus.events import ReadRequested
 from sumachook.consensus.timing import CHUNK_BYTES, FRESH_FOR, MAX_LOG_BYTES, MAX_LOG_ENTRIES
+from sumachook.control_state.effects import ProposeChange
 from sumachook.control_state.fields import CompletedRequest
 from sumachook.control_state.results import rejected
+from sumachook.nodes.core_routing import CoreRouting
+from sumachook.nodes.event_dispatcher import EventDispatcher
 from sumachook.simulation.deployment import Deployment
 from tests.deployment_fixtures import box_of, compact_after, leader, spec
 
@@ -275,7 +279,7 @@
     for step in range(20):
         deployment.run(0.1 + 0.0137 * (step % 7))
         before = leader(deployment).state.number
-        deployment._hand(box_of(deployment, other), ("propose", ("evacuate", f"step-{step}", "hall-a")))
+        deployment._hand(box_of(deployment, other), ProposeChange(("evacuate", f"step-{step}", "hall-a")))
         deployment.run(0.018)
         assert all(core.state.number > before for core in deployment.machines("core")), step
 
@@ -455,7 +459,7 @@
         deployment.run(1)
         assert _apply(deployment, f"without-{step}", at=next(name for name in CORES if name != lone))
         for name in CORES:
-            deployment._hand(deployment.boxes[name], ("read", f"{name}/{step}"))
+            deployment._hand(deployment.boxes[name], ReadRequested(f"{name}/{step}"))
     deployment.heal(links)
     deployment.run(0.6)
     readable = {token for token, is_readable in answers.items() if is_readable}
@@ -476,6 +480,8 @@
             return out
 
         core.consensus = _Noted(core.consensus, note)
+        core.routing = CoreRouting(core)
+        core.dispatcher = EventDispatcher(core.event_handlers())
     return answers
 
 
--- a/tests/control_state/test_configuration_versions.py
+++ b/tests/control_state/test_configuration_versions.py
@@ -1,5 +1,7 @@
 """Configurations by version on a fleet: repeats, races, parts and storms."""
 
+from sumachook.host.effects import Reply
+from sumachook.host.events import MessageReceived
 from sumachook.transport.node_message import wire_kind
 from tests.configuration.test_services import route, whole
 from tests.deployment_fixtures import compact_after, found, leader
@@ -285,8 +287,8 @@
 
     def take(self, message, now):
         effects = self.core.take(message, now)
-        if any(effect[0] == "reply" and b"confirmed" in effect[4] for effect in effects):
-            self.causes.append(wire_kind(message[3]) if message[0] == "heard" else message[0])
+        if any(isinstance(effect, Reply) and b"confirmed" in effect.body for effect in effects):
+            self.causes.append(wire_kind(message.message) if isinstance(message, MessageReceived) else type(message))
         return effects
 
 
--- a/tests/forwarding/forwarding_fixtures.py
+++ b/tests/forwarding/forwarding_fixtures.py
@@ -11,7 +11,6 @@
 from sumachook.forwarding.port import RequestPort
 from sumachook.forwarding.request_table import RequestTable
 from sumachook.host.events import MessageReceived
-from sumachook.host.tuples import event_of, tuple_of_effect
 from sumachook.ledger.events import RecordDeferred
 from sumachook.placement.messages import PlacementRequest, PlacementUpdate
 from sumachook.placement.places import Places
@@ -27,6 +26,7 @@
 from sumachook.retry_budget.budget import RetryBudget, service_key
 from sumachook.runtime.cluster_clock import UNIX_EPOCH, ClusterClock
 from tests.deployment_fixtures import give_credit, json_fields
+from tests.short_forms import event_of, tuple_of_effect
 
 SECOND = timedelta(seconds=1)
 TICK = timedelta(seconds=0.05)
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -8,7 +8,7 @@
 from sumachook.changefeed.trust import Trust
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.forwarding.server_selection import PLACEMENT_WAIT_FRACTION
-from sumachook.host.events import MessageReceived
+from sumachook.host.events import MessageReceived, Tick
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.messages import MemberList
 from sumachook.nodes.edge import Edge
@@ -967,7 +967,7 @@
         name, address = f"x{number}", f"10.0.2.{number}:7"
         update = MemberUpdate(name, address, "edge", "east", 1, MemberStatus.ALIVE, f"10.0.2.{number}:8", 1)
         edge.membership.take(MessageReceived(name, address, MemberList((update,))), now)
-    edge.take(("pulse",), now + SECOND * 2)
+    edge.take(Tick(), now + SECOND * 2)
     assert len(edge.inference_pipeline.table.peers) == 1 + others
     for _ in range(1000):
         edge.retry_budget.earn(service_key("records"))
--- a/tests/harness/test_names.py
+++ b/tests/harness/test_names.py
@@ -4,6 +4,8 @@
 import pkgutil
 import tomllib
 from pathlib import Path
+from random import Random
+from types import SimpleNamespace
 
 import pytest
 
@@ -11,10 +13,16 @@
 from harness.experiments.scale import host, mechanism
 from harness.model_checking import canonical, observe
 from harness.model_checking.control_deployment import ControlDeployment
-from sumachook.nodes import core_routing
+from sumachook.host import effects, events
+from sumachook.host.effects import HOST_EFFECTS
+from sumachook.nodes.daemon import Daemon
+from sumachook.runtime.clock import Clock
 from sumachook.runtime.monotonic_value import MonotonicValue
 from sumachook.runtime.write_once import WriteOnce
 from sumachook.simulation.deployment import Deployment, DeploymentSpec
+from sumachook.simulation.simulated_files import SimulatedFileSystem
+from sumachook.storage.events import DiskStateChanged
+from sumachook.storage.folder import DataFolder
 from sumachook.transport.message_schemas import FIELDS
 from tests.deployment_fixtures import EXAMPLES, leader
 
@@ -50,11 +58,29 @@
     assert len(found) >= 4 and all(exists for _, _, exists in found), found
 
 
-def test_parts_of_a_core_that_take_messages_exist(deployment):
-    """Given the kinds of messages and the part of a core that takes each, the kinds are on the wire and the parts are there."""
-    core = leader(deployment)
-    assert core_routing.PART_OF and set(core_routing.PART_OF) | core_routing.FEED | core_routing.SEARCH <= set(FIELDS)
-    assert [part for part in set(core_routing.PART_OF.values()) if not hasattr(getattr(core, part), "take")] == []
+def test_every_message_on_the_wire_is_taken_by_a_core_or_an_edge_and_no_other_is(deployment):
+    """Given the tables by which cores and edges hand on messages, together they hold each kind on the wire, and nothing else."""
+    machines = [leader(deployment), *deployment.machines("edge")]
+    taken = {kind for machine in machines for kind in machine.routing.message_handlers}
+    assert {str(kind.__struct_config__.tag) for kind in taken} == set(FIELDS)
+
+
+def test_every_event_of_a_host_is_taken_by_a_core_or_an_edge(deployment):
+    """Given all events that hosts and disks give, a core or an edge has a handler for each."""
+    machines = [leader(deployment), *deployment.machines("edge")]
+    taken = {kind for machine in machines for kind in machine.routing.event_handlers()}
+    given = {kind for kind in vars(events).values() if isinstance(kind, type) and issubclass(kind, events.Event)}
+    assert given - {events.Event, events.CallEvent} <= taken and DiskStateChanged in taken
+
+
+def test_every_effect_of_a_host_is_carried_out_by_a_daemon():
+    """Given all effects that hosts carry out, a daemon with every socket and a folder has a handler for each, and for no other."""
+    folder = DataFolder(SimulatedFileSystem(Random(1)))
+    machine = SimpleNamespace(node="n", restart_epoch=1)
+    daemon = Daemon(machine, Clock(), print, "127.0.0.1:1", "127.0.0.1:2", "c", folder, "127.0.0.1:3")
+    assert set(daemon.effect_handlers) == HOST_EFFECTS
+    declared = {kind for kind in vars(effects).values() if isinstance(kind, type) and issubclass(kind, effects.Effect)}
+    assert declared - {effects.Effect} == HOST_EFFECTS
 
 
 def test_parts_whose_memory_is_measured_exist(deployment):
--- a/tests/harness/test_processes.py
+++ b/tests/harness/test_processes.py
@@ -8,6 +8,7 @@
 from harness.local_cluster import processes
 from harness.local_cluster.run_verdict import judge_runs
 from harness.local_cluster.server_record import ServerRecordError, count_prompts, read_server_record
+from sumachook.host.events import HttpRequestReceived
 from sumachook.simulation.model import ModelServer
 
 DOCUMENTED_KEYS = {"runs", "broken", "loads", "warmPeak", "stale", "floods"}
@@ -23,8 +24,8 @@
 
 def _answer(server):
     """(status, document) as it arrives over HTTP."""
-    ((_, _, status, _, body),) = server.take(("http", 9, "GET", "/proof", {}, b""), NOW)
-    return status, msgspec.json.decode(body)
+    (answer,) = server.take(HttpRequestReceived(9, "GET", "/proof", {}, b""), NOW)
+    return answer.status, msgspec.json.decode(answer.body)
 
 
 def _call(tag="a", outcome="ok", run="yes", safe=False):
@@ -61,7 +62,7 @@
     server = _model_server()
     server.ready_at["m"] = NOW
     body = b'{"model":"m","messages":[{"content":"a"}]}'
-    server.take(("http", 1, "POST", "/v1/chat/completions", {"x-request-id": "r"}, body), NOW)
+    server.take(HttpRequestReceived(1, "POST", "/v1/chat/completions", {"x-request-id": "r"}, body), NOW)
     record = read_server_record("model-1", _answer(server))
     assert record.runs == {"a": 1} and record.prompts == 1 and record.warm_peak == {"m": 1}
 
--- a/tests/inference/test_requests.py
+++ b/tests/inference/test_requests.py
@@ -3,6 +3,9 @@
 import json
 from datetime import timedelta
 
+from sumachook.calls.run_status import CallFailure
+from sumachook.host.effects import Reply
+from sumachook.host.events import CallFailed, ClientDisconnected, HttpRequestReceived
 from tests.deployment_fixtures import (
     OWN_KEYS,
     PROMPTS,
@@ -124,8 +127,8 @@
     assert deployment.run_until(lambda: call.first_at is not None, 3)
     edge = deployment.boxes[call.edge]
     exchange = next(item for item in deployment.exchanges.values() if item.client is edge and item.tid[0] == "prompt")
-    deployment._to_client(exchange, "fault", "reset")
-    deployment._hand_alive(exchange, ("gone", exchange.cid))
+    deployment._end_exchange(exchange, CallFailed(exchange.tid, CallFailure.RESET))
+    deployment._hand_alive(exchange, ClientDisconnected(exchange.cid))
     deployment.run(6)
     assert call.outcome == "ok" and call.is_done
     assert (
@@ -146,8 +149,8 @@
         server.skips = 1
     edge = deployment.boxes[call.edge]
     exchange = next(item for item in deployment.exchanges.values() if item.client is edge and item.tid[0] == "prompt")
-    deployment._to_client(exchange, "fault", "reset")
-    deployment._hand_alive(exchange, ("gone", exchange.cid))
+    deployment._end_exchange(exchange, CallFailed(exchange.tid, CallFailure.RESET))
+    deployment._hand_alive(exchange, ClientDisconnected(exchange.cid))
     deployment.run(6)
     assert call.outcome == "cut" and call.fault_class == "cut"
     assert invariant_checker(deployment, callers).faults() == []
@@ -199,10 +202,10 @@
         headers = {name.lower(): value for name, value in headers.items()}
         (answer,) = [
             effect
-            for effect in edge.take(("http", 10**6, method, path, headers, body), deployment.now)
-            if effect[0] == "reply"
+            for effect in edge.take(HttpRequestReceived(10**6, method, path, headers, body), deployment.now)
+            if isinstance(effect, Reply)
         ]
-        assert answer[2] == status and json.loads(answer[4])["fault"]["reason"], (method, path, answer)
+        assert answer.status == status and json.loads(answer.body)["fault"]["reason"], (method, path, answer)
     assert http_address and len(deployment.tries) == before
 
 
@@ -320,7 +323,7 @@
     request = next(
         request for edge in deployment.machines("edge") for request in edge.inference_pipeline.table.requests.values()
     )
-    deployment._unfetch(deployment.boxes["callers"], ("call", call.number))
+    deployment._cancel_call(deployment.boxes["callers"], ("call", call.number))
     deployment.run(1)
     assert not any(edge.inference_pipeline.table.requests for edge in deployment.machines("edge"))
     assert deployment.ask("core-1", "GET", f"/ledger/{request.request_id}")[1]["class"] == "hung-up"
--- a/tests/nodes/test_disk_faults.py
+++ b/tests/nodes/test_disk_faults.py
@@ -14,6 +14,7 @@
 from sumachook.control_state.state import State
 from sumachook.host.effects import AppendDayLog, AppendRecords, RewriteRecords, Send
 from sumachook.host.events import MessageReceived
+from sumachook.host.events import Tick as HostTick
 from sumachook.leases import Leases
 from sumachook.leases.events import Quit, Resume, Tick
 from sumachook.leases.messages import LeaseRenewed, RenewLease
@@ -285,7 +286,7 @@
             "doc": {"routes": [{"name": f"under-way-{step}", "target": "refund-01"}]},
         }
         operator.ask(f"http://{http_address}/operator/apply", "POST", doc)
-        deployment._hand(deployment.boxes["operator"], ("pulse",))
+        deployment._hand(deployment.boxes["operator"], HostTick())
         deployment.run(0.0007 * step)
         for name in CORES:
             deployment.kill(name)
--- a/tests/nodes/test_edge_alone.py
+++ b/tests/nodes/test_edge_alone.py
@@ -7,8 +7,8 @@
 
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.control_state.state import State
-from sumachook.host.effects import Fetch
-from sumachook.host.events import HttpRequestReceived, Tick
+from sumachook.host.effects import Exit, Fetch, Log
+from sumachook.host.events import HttpRequestReceived, StopRequested, Tick
 from sumachook.ledger.effects import Recorded
 from sumachook.nodes.edge import Edge
 from sumachook.runtime.clock import Clock
@@ -21,10 +21,11 @@
         node="e1", address="127.0.0.1:1", http_address="127.0.0.1:2", zone="hall", seeds=("127.0.0.1:3",)
     )
     edge, now = Edge(settings, {}, 1, Clock(), Random(1)), Clock().mono()
-    ((_, _, status, headers, body),) = edge.take(("http", 1, "GET", "/records/1", {}, b""), now)
+    (answer,) = edge.take(HttpRequestReceived(1, "GET", "/records/1", {}, b""), now)
+    status, headers, body = answer.status, answer.headers, answer.body
     assert status == 503 and msgspec.json.decode(body)["fault"]["run"] == "no" and "Retry-After" in headers
-    assert edge.take(("stop",), now)[0][0] == "log"
-    assert edge.take(("pulse",), now + GRACE)[-1] == ("leave", 0)
+    assert isinstance(edge.take(StopRequested(), now)[0], Log)
+    assert edge.take(Tick(), now + GRACE)[-1] == Exit(0)
 
 
 def test_edge_that_knows_no_other_sends_a_warming_server_nothing():
--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -10,20 +10,22 @@
 from harness.local_cluster.loopback import free_address
 from sumachook.changefeed.messages import Follow
 from sumachook.configuration.node_settings import NodeSettings
-from sumachook.host.events import StopRequested
+from sumachook.host.effects import Exit, Reply, Send
+from sumachook.host.events import HttpRequestReceived, StopRequested
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.edge import Edge
-from sumachook.nodes.edge_shutdown import CLOSING, LEAST_OPEN, MOST_OPEN, QUIET_FOR
+from sumachook.nodes.edge_shutdown import FINAL_ANSWERS_BEFORE_END, MAX_OPEN_FRACTION, MIN_OPEN_TIME, QUIET_TIME
 from sumachook.runtime.clock import Clock
 from sumachook.transport.addresses import split_address
 from sumachook.transport.http_server import LOOP_TURNS_BEFORE_HANDLER
 from sumachook.transport.node_transport import NodeTransport
 from tests.forwarding.forwarding_fixtures import catalogue, server
+from tests.short_forms import event_of, tuple_of_effect
 from tests.transport.test_proxy_sockets import BOUND, SOON, head, play, sealed, well
 
 SECOND, TICK = timedelta(seconds=1), timedelta(seconds=0.05)
 GRACE = 8.0
-LAST_CALL = GRACE * SECOND - CLOSING
+LAST_CALL = GRACE * SECOND - FINAL_ANSWERS_BEFORE_END
 
 
 class Leaver:
@@ -46,7 +48,7 @@
         self.tick()
 
     def take(self, *message):
-        effects = self.edge.take(message, self.now)
+        effects = [tuple_of_effect(effect) for effect in self.edge.take(event_of(message), self.now)]
         self.said += [(self.now, effect) for effect in effects]
         return effects
 
@@ -102,11 +104,11 @@
     assert leaver.condition() == 200
     leaver.stop()
     assert leaver.condition() == 503
-    leaver.run(LEAST_OPEN - TICK)
+    leaver.run(MIN_OPEN_TIME - TICK)
     assert not leaver.when("shut") and not leaver.when("leave")
-    leaver.run(LEAST_OPEN + TICK * 2)
+    leaver.run(MIN_OPEN_TIME + TICK * 2)
     assert len(leaver.when("shut")) == len(leaver.when("leave")) == 1
-    assert LEAST_OPEN <= leaver.when("shut")[0] == leaver.when("leave")[0] <= LEAST_OPEN + TICK
+    assert MIN_OPEN_TIME <= leaver.when("shut")[0] == leaver.when("leave")[0] <= MIN_OPEN_TIME + TICK
 
 
 @pytest.mark.parametrize("grace", [8.0, 20.0])
@@ -114,7 +116,7 @@
     """Given clients every 0.3 s, each is answered as ever until half of the grace is over; the front is shut then, and no earlier."""
     leaver = Leaver(grace).stop()
     leaver.run(grace * SECOND / 2 + TICK, asks_every=SECOND * 0.3)
-    half = SECOND * grace * MOST_OPEN
+    half = SECOND * grace * MAX_OPEN_FRACTION
     assert len(leaver.when("shut")) == 1 and half <= leaver.when("shut")[0] <= half + TICK
     answers = [(at - leaver.stop_at, effect) for at, effect in leaver.said if effect[0] == "reply"]
     assert len(answers) > half / SECOND * 3 and {effect[2] for at, effect in answers if at < half} == {404}
@@ -128,7 +130,8 @@
     last_at = max(leaver.when("reply"))
     leaver.run(SECOND * 6)
     assert (
-        last_at + QUIET_FOR < leaver.when("shut")[0] <= last_at + QUIET_FOR + TICK * 2 and len(leaver.when("shut")) == 1
+        last_at + QUIET_TIME < leaver.when("shut")[0] <= last_at + QUIET_TIME + TICK * 2
+        and len(leaver.when("shut")) == 1
     )
 
 
@@ -189,7 +192,10 @@
     )
     assert headers["Connection"] == "close"
     assert leaver.reply(unsent)[1] == 503 and "Retry-After" in leaver.reply(unsent)[2]
-    assert len(leaver.when("leave")) == 1 and LAST_CALL <= leaver.when("leave")[0] <= LAST_CALL + CLOSING / 3 + TICK * 2
+    assert (
+        len(leaver.when("leave")) == 1
+        and LAST_CALL <= leaver.when("leave")[0] <= LAST_CALL + FINAL_ANSWERS_BEFORE_END / 3 + TICK * 2
+    )
 
 
 class Speaker:
@@ -201,10 +207,10 @@
         self.held, self.other = None, other
 
     def take(self, message, now):
-        if message[0] == "http":
-            self.held = message[1]
-        if message[0] == "stop":
-            return [("reply", self.held, 503, {}, b"last words"), ("tell", self.other, Follow(7, 1)), ("leave", 0)]
+        if isinstance(message, HttpRequestReceived):
+            self.held = message.call_id
+        if isinstance(message, StopRequested):
+            return [Reply(self.held, 503, {}, b"last words"), Send(self.other, Follow(7, 1)), Exit(0)]
         return []
 
 
--- a/tests/nodes/test_edge_start.py
+++ b/tests/nodes/test_edge_start.py
@@ -13,7 +13,7 @@
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.control_state.state import State
 from sumachook.host.effects import AppendRecords, RewriteRecords
-from sumachook.host.tuples import effect_of
+from sumachook.host.events import MessageReceived, Tick
 from sumachook.nodes.edge import Edge
 from sumachook.nodes.state_file import FILE, MAX_ENTRIES, StateFile
 from sumachook.transport.codec import as_tuples, pack_entry
@@ -148,11 +148,11 @@
     def hear(message):
         nonlocal now
         now += TICK
-        edge.take(("heard", "c", "127.0.0.1:3", message), now)
+        edge.take(MessageReceived("c", "127.0.0.1:3", message), now)
         disk.take(
             [
                 effect
-                for effect in map(effect_of, edge.take(("pulse",), now))
+                for effect in edge.take(Tick(), now)
                 if isinstance(effect, AppendRecords | RewriteRecords) and effect.file == FILE
             ]
         )
--- a/tests/nodes/test_operator_changes.py
+++ b/tests/nodes/test_operator_changes.py
@@ -10,10 +10,14 @@
 from harness.experiments.order_callers import reordered
 from harness.experiments.order_history import Order, OrderHistory
 from harness.experiments.orders import play
+from sumachook.consensus.events import ReadRequested
 from sumachook.control_state import changes
 from sumachook.control_state.change_attempts import Attempt
+from sumachook.control_state.effects import ProposeChange
 from sumachook.control_state.results import Outcome, accepted, rejected
 from sumachook.control_state.state import State
+from sumachook.host.effects import Reply, Send
+from sumachook.host.events import Tick
 from sumachook.nodes.change_request import MOST_DEPTH, read_order
 from sumachook.nodes.configuration_changes import ConfigurationChanges
 from sumachook.transport.node_message import wire_kind
@@ -151,8 +155,9 @@
 
 
 def _accepted(configuration_changes, change=EVACUATE_HALL_B, cid=1, now=SECOND):
-    ((_, token),) = configuration_changes.accept(cid, change, now)
-    return token
+    (read,) = configuration_changes.accept(cid, change, now)
+    assert isinstance(read, ReadRequested)
+    return read.token
 
 
 def test_order_is_proposed_after_its_read_and_answered_by_its_own_delivery():
@@ -162,11 +167,12 @@
     token = _accepted(configuration_changes)
     assert configuration_changes.tick((), {}, SECOND) == []
     configuration_changes.readable(token, SECOND)
-    ((_, entry),) = configuration_changes.tick((), {}, SECOND)
+    (proposal,) = configuration_changes.tick((), {}, SECOND)
+    entry = proposal.change
     assert entry == _order(1, changes.Evacuate("", "hall-b"), 1)
     assert configuration_changes.tick((), {}, SECOND * 1.1) == [] and configuration_changes.tick(
         (), {}, SECOND * 1.5
-    ) == [("propose", entry)]
+    ) == [ProposeChange(entry)]
     configuration_changes.delivered(
         7, Attempt("core-2.0", 1, 1), accepted(9), 5, SECOND * 1.5
     )  # of an earlier life of this core's process
@@ -176,9 +182,10 @@
         8, Attempt(entry.origin, entry.number, entry.seen), rejected("area", "no area"), 5, SECOND * 1.6
     )
     configuration_changes.delivered(9, Attempt(entry.origin, entry.number, entry.seen), accepted(9), 5, SECOND * 1.6)
-    ((kind, cid, status, _, _),) = configuration_changes.tick((), {}, SECOND * 1.7)
+    (answer,) = configuration_changes.tick((), {}, SECOND * 1.7)
     assert (
-        (kind, cid, status) == ("reply", 1, 422)
+        isinstance(answer, Reply)
+        and (answer.call_id, answer.status) == (1, 422)
         and configuration_changes.orders == {}
         and configuration_changes.tick((), {}, SECOND * 3) == []
     )
@@ -194,7 +201,7 @@
             configuration_changes.readable(token, SECOND)
         if steps > 1:
             assert len(configuration_changes.tick((), {}, SECOND)) == 1
-        configuration_changes.gone(1)
+        configuration_changes.handle_disconnect(1)
         configuration_changes.readable(token, SECOND)
         assert configuration_changes.tick((), {}, SECOND * 2) == [] and configuration_changes.orders == {}
 
@@ -208,27 +215,28 @@
         if is_proposed:
             configuration_changes.readable(token, SECOND)
             configuration_changes.tick((), {}, SECOND)
-        ((_, _, status, _, body),) = [
-            effect for effect in configuration_changes.tick((), {}, SECOND * 2) if effect[0] == "reply"
-        ]
-        assert status == 503 and msgspec.json.decode(body)["fault"]["applied"] == applied
+        (answer,) = [effect for effect in configuration_changes.tick((), {}, SECOND * 2) if isinstance(effect, Reply)]
+        assert answer.status == 503 and msgspec.json.decode(answer.body)["fault"]["applied"] == applied
         assert configuration_changes.tick((), {}, SECOND * 9) == []
     configuration_changes = _desk(answer_within=SECOND)
     configuration_changes.readable(_accepted(configuration_changes), SECOND)
-    ((_, entry),) = configuration_changes.tick((), {}, SECOND)
+    (proposal,) = configuration_changes.tick((), {}, SECOND)
+    entry = proposal.change
     configuration_changes.delivered(7, Attempt(entry.origin, entry.number, entry.seen), accepted(3), 5, SECOND * 1.9)
     assert configuration_changes.tick(("e1",), {}, SECOND * 1.9) == []
-    ((_, _, status, _, body),) = configuration_changes.tick(("e1",), {}, SECOND * 2)
-    assert status == 200 and msgspec.json.decode(body)["unconfirmed"] == ["e1"]
+    (answer,) = configuration_changes.tick(("e1",), {}, SECOND * 2)
+    assert answer.status == 200 and msgspec.json.decode(answer.body)["unconfirmed"] == ["e1"]
 
 
 def test_orders_at_one_core_are_bounded():
     """Given as many orders as a desk holds, the next is turned away as not applied."""
     configuration_changes = _desk()
     for cid in range(128):
-        assert configuration_changes.accept(cid, changes.Evacuate("", "hall-b"), SECOND)[0][0] == "read"
-    ((kind, _, status, _, body),) = configuration_changes.accept(128, changes.Evacuate("", "hall-b"), SECOND)
-    assert (kind, status) == ("reply", 503) and msgspec.json.decode(body)["fault"]["applied"] == "no"
+        (read,) = configuration_changes.accept(cid, changes.Evacuate("", "hall-b"), SECOND)
+        assert isinstance(read, ReadRequested)
+    (answer,) = configuration_changes.accept(128, changes.Evacuate("", "hall-b"), SECOND)
+    assert isinstance(answer, Reply) and answer.status == 503
+    assert msgspec.json.decode(answer.body)["fault"]["applied"] == "no"
 
 
 def test_documents_too_deep_to_be_walked_are_refused_at_once():
@@ -260,7 +268,7 @@
     number = deployment.operator().ask(
         f"http://{deployment.boxes[core].http_address}/operator/{kind}", "POST", json_fields(document), False
     )
-    deployment._hand(deployment.boxes["operator"], ("pulse",))
+    deployment._hand(deployment.boxes["operator"], Tick())
     return number
 
 
@@ -463,7 +471,7 @@
 
 
 def _is_proposal(effect) -> bool:
-    return effect[0] == "tell" and wire_kind(effect[2]) == "propose"
+    return isinstance(effect, Send) and wire_kind(effect.message) == "propose"
 
 
 def test_long_order_at_a_member_is_handed_on_to_the_leader():
@@ -590,8 +598,8 @@
         (order,) = configuration_changes.orders.values()
         configuration_changes.readable(configuration_changes.token(order), second * 2.1)
         out = configuration_changes.tick((), {}, second * 2.2)
-        assert any(effect[0] == "propose" for effect in out) == is_proposed
-        assert any(effect[0] == "reply" and effect[2] == 503 for effect in out) != is_proposed
+        assert any(isinstance(effect, ProposeChange) for effect in out) == is_proposed
+        assert any(isinstance(effect, Reply) and effect.status == 503 for effect in out) != is_proposed
 
 
 def test_a_turn_waits_for_the_next_leader_no_longer_than_its_caller():
--- a/tests/nodes/test_tick_intervals.py
+++ b/tests/nodes/test_tick_intervals.py
@@ -8,7 +8,8 @@
 from random import Random
 
 from sumachook.configuration.node_settings import NodeSettings
-from sumachook.host.events import MessageReceived
+from sumachook.host.effects import ForwardRequest
+from sumachook.host.events import MessageReceived, ProxyRequestReceived, StopRequested, Tick
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.edge import Edge
 from sumachook.nodes.tick_intervals import IDLE_TICK, IN_HAND_TICK, TICK
@@ -42,14 +43,14 @@
 
 def _ask(edge, now, cid, model):
     headers = (("Host", "a.example"), ("X-Request-Id", cid), ("X-Deadline-Ms", "4000"), ("X-Model", model))
-    return edge.take(("request", ("front", cid), "POST", "/chat/x", headers, b"{}"), now)
+    return edge.take(ProxyRequestReceived(("front", cid), "POST", "/chat/x", headers, b"{}"), now)
 
 
 def test_an_edge_asks_for_pulses_by_what_it_has_in_hand():
     """Given an idle edge, then one whose request is at a server, then one whose request waits for a place, pulses are needed ever sooner."""
     edge, now = _edge()
     assert edge.tick_interval == IDLE_TICK
-    assert any(effect[0] == "forward" for effect in _ask(edge, now, "q1", "m"))
+    assert any(isinstance(effect, ForwardRequest) for effect in _ask(edge, now, "q1", "m"))
     assert edge.tick_interval == IN_HAND_TICK
     _ask(edge, now, "q2", "n")  # which stands nowhere
     assert edge.tick_interval == TICK
@@ -61,7 +62,7 @@
     edge.places.is_known = False
     assert edge.tick_interval == TICK
     edge.places.is_known = True
-    edge.take(("stop",), now)
+    edge.take(StopRequested(), now)
     assert edge.tick_interval == TICK
 
 
@@ -74,9 +75,9 @@
         self.tick_interval, self.taken = timedelta(hours=1), asyncio.Queue()
 
     def take(self, message, now):
-        if message[0] == "heard":
+        if isinstance(message, MessageReceived):
             self.tick_interval = TICK
-        self.taken.put_nowait(message[0])
+        self.taken.put_nowait(type(message))
         return []
 
 
@@ -87,10 +88,10 @@
         machine = Sleeper()
         daemon = Daemon(machine, Clock(), lambda *what: None, "127.0.0.1:0")
         task = asyncio.get_running_loop().create_task(daemon._run_ticks())
-        assert await machine.taken.get() == "pulse"
+        assert await machine.taken.get() is Tick
         daemon._hear(MessageReceived("n", "127.0.0.1:1", ("news",)))
-        assert await machine.taken.get() == "heard"
-        assert await asyncio.wait_for(machine.taken.get(), 30) == "pulse"
+        assert await machine.taken.get() is MessageReceived
+        assert await asyncio.wait_for(machine.taken.get(), 30) is Tick
         task.cancel()
 
     asyncio.run(story())
