--- a/tests/platform_adapters/test_platform.py
+++ b/tests/platform_adapters/test_platform.py
@@ -16,7 +16,16 @@
 import pytest
 
 from sumachook.configuration.node_settings import NodeSettings, read_node_settings
-from sumachook.nodes.core import Core
+from sumachook.host.effects import Fetch, Log, Send, SendDatagram
+from sumachook.host.events import (
+    CallFailed,
+    HttpRequestReceived,
+    ResponseReceived,
+    SeedsChanged,
+    SettingsReloadRequested,
+    Tick,
+)
+from sumachook.nodes.core import Core, IdentityStored
 from sumachook.nodes.edge import Edge
 from sumachook.placement.port import ServerReport
 from sumachook.runtime.clock import Clock
@@ -395,26 +404,26 @@
         heard = ()
 
         def take(self, message, now):
-            self.heard += (message,) if message[0] == "seeds" else ()
+            self.heard += (message,) if isinstance(message, SeedsChanged) else ()
             return []
 
     file, machine = tmp_path / "settings.toml", Machine()
     file.write_text(SETTINGS)
     face = NodeAdapter(machine, str(file))
     for turn in range(200):
-        face.take(("pulse",), timedelta(seconds=turn / 20))
+        face.take(Tick(), timedelta(seconds=turn / 20))
     assert machine.heard == ()
     file.write_text(SETTINGS.replace("10.3.0.40", "10.3.0.41"))
     for turn in range(200):
-        face.take(("pulse",), timedelta(seconds=10 + turn / 20))
-    assert machine.heard == (("seeds", ("10.1.0.15:7660", "10.2.0.25:7660", "10.3.0.41:7660")),)
+        face.take(Tick(), timedelta(seconds=10 + turn / 20))
+    assert machine.heard == (SeedsChanged(("10.1.0.15:7660", "10.2.0.25:7660", "10.3.0.41:7660")),)
     file.write_text(SETTINGS[:300])
-    face.take(("reload",), timedelta(0))
+    face.take(SettingsReloadRequested(), timedelta(0))
     file.unlink()
-    face.take(("reload",), timedelta(0))
+    face.take(SettingsReloadRequested(), timedelta(0))
     assert len(machine.heard) == 1
     file.write_text(SETTINGS)
-    face.take(("reload",), timedelta(0))
+    face.take(SettingsReloadRequested(), timedelta(0))
     assert len(machine.heard) == 2
 
 
@@ -432,21 +441,22 @@
     file, machine = tmp_path / "settings.toml", Machine()
     file.write_text(SETTINGS)
     face = NodeAdapter(machine, str(file))
-    assert face.take(("reload",), timedelta(0)) == [] and machine.heard == ()
+    assert face.take(SettingsReloadRequested(), timedelta(0)) == [] and machine.heard == ()
     file.write_text(
         SETTINGS.replace("acknowledge-ms = 4000", "acknowledge-ms = 1000").replace("10.3.0.40", "10.3.0.41")
     )
-    (told,) = face.take(("reload",), timedelta(0))
-    assert told[:3] == ("log", "warning", "settings") and told[4] == {"fields": ("bounds.acknowledge-ms",)}
-    assert machine.heard == (("seeds", ("10.1.0.15:7660", "10.2.0.25:7660", "10.3.0.41:7660")),)
+    (told,) = face.take(SettingsReloadRequested(), timedelta(0))
+    assert (told.level, told.component) == ("warning", "settings") and told.fields == {
+        "fields": ("bounds.acknowledge-ms",)
+    }
+    assert machine.heard == (SeedsChanged(("10.1.0.15:7660", "10.2.0.25:7660", "10.3.0.41:7660")),)
     file.write_text(SETTINGS[:300])
-    (told,) = face.take(("reload",), timedelta(0))
-    assert told[:2] == ("log", "warning") and told[4]["reason"]
+    (told,) = face.take(SettingsReloadRequested(), timedelta(0))
+    assert isinstance(told, Log) and told.level == "warning" and told.fields["reason"]
     file.unlink()
-    (told,) = face.take(("reload",), timedelta(0))
-    assert (
-        told[:2] == ("log", "warning") and told[4]["reason"] == "No such file or directory" and len(machine.heard) == 1
-    )
+    (told,) = face.take(SettingsReloadRequested(), timedelta(0))
+    assert isinstance(told, Log) and told.level == "warning" and len(machine.heard) == 1
+    assert told.fields["reason"] == "No such file or directory"
 
 
 def test_a_signal_before_the_host_listens_ends_no_process(tmp_path):
@@ -473,15 +483,16 @@
         Clock().mono(),
         timedelta(seconds=1),
     )
-    machine.take(("pulse",), now)
-    machine.take(("seat-ready",), now)
-    asked = {effect[1] for effect in machine.take(("seeds", ("127.0.0.1:5", "127.0.0.1:6")), now)}
+    machine.take(Tick(), now)
+    if role == "core":
+        machine.take(IdentityStored(), now)
+    asked = {effect.address for effect in machine.take(SeedsChanged(("127.0.0.1:5", "127.0.0.1:6")), now)}
     assert asked == {"127.0.0.1:5", "127.0.0.1:6"}
     told = [
-        effect[1]
+        effect.address
         for turn in range(100)
-        for effect in machine.take(("pulse",), now + turn * second / 20)
-        if effect[0] in ("tell", "cast")
+        for effect in machine.take(Tick(), now + turn * second / 20)
+        if isinstance(effect, Send | SendDatagram)
     ]
     assert set(told) == {"127.0.0.1:5", "127.0.0.1:6"}
 
@@ -510,7 +521,7 @@
     )
     for text in (changed, "node-name = ", None, changed, SETTINGS):
         file.write_text(text) if text is not None else file.unlink()
-        assert {effect[0] for effect in face.take(("reload",), leaver.now)} <= {"log", "cast"}
+        assert {type(effect) for effect in face.take(SettingsReloadRequested(), leaver.now)} <= {Log, SendDatagram}
         leaver.tick()
     assert not leaver.when("unfetch") and not leaver.when("reply")
     leaver.hear("head", 200, (("X-Request-Id", "q1"), ("X-Server-Seal", "s")))
@@ -641,13 +652,14 @@
         return self.number
 
     def take(self, message, now):
-        if message[0] == "pulse":
-            sent, self.waiting = self.waiting, []
-            return [("fetch", *each, timedelta(seconds=8), timedelta(seconds=8), "whole") for each in sent]
-        if message[0] == "fetched" and message[2] == "done":
-            self.answers[message[1]] = (message[3], message[5])
-        elif message[0] == "fetched" and message[2] == "fault":
-            self.answers[message[1]] = (0, b"")
+        match message:
+            case Tick():
+                sent, self.waiting = self.waiting, []
+                return [Fetch(*each, timedelta(seconds=8), timedelta(seconds=8), "whole") for each in sent]
+            case ResponseReceived(number, status, _, body):
+                self.answers[number] = (status, body)
+            case CallFailed(number):
+                self.answers[number] = (0, b"")
         return []
 
 
@@ -840,10 +852,9 @@
     an error and moves nothing."""
     scene = Scene(307, 7)
     for edge, status in ((scene.deployment.machines("edge")[0], 200), (_blank_edge(), 503)):
-        ((_, cid, answer, _, _),) = NodeAdapter(edge, "/nowhere").take(
-            ("http", 5, "GET", "/readiness", {}, b""), scene.deployment.now
-        )
-        assert (cid, answer) == (5, status)
+        request = HttpRequestReceived(5, "GET", "/readiness", {}, b"")
+        (answer,) = NodeAdapter(edge, "/nowhere").take(request, scene.deployment.now)
+        assert (answer.call_id, answer.status) == (5, status)
     assert 400 <= scene.call("/Configuration.Forget", 7, whole(9))[0] < 500
     assert {state.version for state in scene.states()} == {7}
 
--- a/tests/quotas/test_quotas_in_deployment.py
+++ b/tests/quotas/test_quotas_in_deployment.py
@@ -11,6 +11,8 @@
 from harness.experiments.twins import LOOKUP_SLACK, PROMPT_SLACK
 from sumachook.cli.operator import Show
 from sumachook.configuration.catalogue import merge, read_catalogue
+from sumachook.host.effects import Send
+from sumachook.host.events import HttpRequestReceived, MessageReceived
 from sumachook.simulation.deployment import Deployment
 from sumachook.simulation.deployment_quotas import DeploymentShares
 from sumachook.transport.node_message import wire_kind
@@ -107,7 +109,8 @@
         assert 200 < status_["requestsPerS"] < 400 and shops["refused"] == 0 and shops["admitted"] > 0
     assert cappa.parse(Show, argv=["allowances"]).what == "allowances"
     assert any(
-        edge.take(("http", 1, "GET", "/metrics", {}, b""), deployment.now) for edge in deployment.machines("edge")
+        edge.take(HttpRequestReceived(1, "GET", "/metrics", {}, b""), deployment.now)
+        for edge in deployment.machines("edge")
     )
     assert accountant(deployment).quota_lease_issuer.describe(deployment.now)["status"]["fullFor"] > 1
 
@@ -164,14 +167,14 @@
     asked = [
         message
         for message in deployment.boxes[name].buffer
-        if message[0] == "heard" and wire_kind(message[3]) == "allow_ask"
+        if isinstance(message, MessageReceived) and wire_kind(message.message) == "allow_ask"
     ]
     assert asked
     answers = [
         effect
         for message in asked
         for effect in old.take(message, deployment.now)
-        if effect[0] == "tell" and wire_kind(effect[2]) == "allow_give"
+        if isinstance(effect, Send) and wire_kind(effect.message) == "allow_give"
     ]
     assert answers == []
 
--- a/tests/retry_budget/test_retry_budget.py
+++ b/tests/retry_budget/test_retry_budget.py
@@ -6,7 +6,7 @@
 
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.host.effects import Send
-from sumachook.host.events import MessageReceived
+from sumachook.host.events import MessageReceived, Tick
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.messages import MemberList
 from sumachook.nodes.edge import Edge
@@ -144,7 +144,7 @@
         if other != name
     )
     edge.membership.take(MessageReceived(updates[0].node, updates[0].address, MemberList(updates)), now)
-    edge.take(("pulse",), now + SECOND * 2)
+    edge.take(Tick(), now + SECOND * 2)
     assert len(edge.inference_pipeline.table.peers) == len(addresses)
     for _ in range(400):
         edge.retry_budget.earn(service_key("records"))
--- a/sumachook/host/tuples.py
+++ b/tests/short_forms.py
@@ -1,7 +1,4 @@
-"""Effects and events of parts that still speak in tagged tuples, as their types and back.
-
-Only for packages that are not yet converted; a converted package neither gives nor takes tuples.
-"""
+"""Short forms of events and effects, in which some tests say what they give a machine and expect of it."""
 
 from typing import Any
 
--- a/tests/simulation/test_fleet_links.py
+++ b/tests/simulation/test_fleet_links.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 
 from sumachook.changefeed.messages import Follow
+from sumachook.host.effects import AppendRecords, Send, SendDatagram
+from sumachook.host.events import MessageReceived
 from sumachook.simulation.fleet import Fleet
 from tests.deployment_fixtures import box_of, cut_late, found, leader
 
@@ -16,8 +18,8 @@
         self.heard = []
 
     def take(self, message, now):
-        if message[0] == "heard":
-            self.heard.append((message[3].number, now.total_seconds()))
+        if isinstance(message, MessageReceived):
+            self.heard.append((message.message.number, now.total_seconds()))
         return []
 
 
@@ -29,8 +31,8 @@
     return fleet
 
 
-def _send(fleet, number, sender="a", receiver="b", verb="tell"):
-    fleet._do(fleet.boxes[sender], (verb, f"{receiver}:1", Follow(number, 0)))
+def _send(fleet, number, sender="a", receiver="b", effect_type=Send):
+    fleet._do(fleet.boxes[sender], effect_type(f"{receiver}:1", Follow(number, 0)))
 
 
 def _numbers(fleet, name="b"):
@@ -85,7 +87,7 @@
     fleet = _pair()
     fleet.cut(["a"], ["b"], one_way=True, holds=True)
     _send(fleet, 1)
-    _send(fleet, 2, verb="cast")
+    _send(fleet, 2, effect_type=SendDatagram)
     _send(fleet, 3, sender="b", receiver="a")
     fleet.run(0.2)
     assert _numbers(fleet, "a") == [3] and _numbers(fleet) == []
@@ -157,7 +159,7 @@
     fleet = _pair()
     fleet.boxes["a"].disk.stalled_until = fleet.now + timedelta(seconds=5)
     for number in (1, 2, 3):
-        fleet._do(fleet.boxes["a"], ("disk", "log", ((number,),), None))
+        fleet._do(fleet.boxes["a"], AppendRecords("log", ((number,),)))
     fleet.lose_power("a", writes_kept=2)
     assert fleet.boxes["a"].disk.files == {"log": [(1,), (2,)]}
 
--- a/tests/simulation/test_model_server.py
+++ b/tests/simulation/test_model_server.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+from sumachook.host.effects import EndResponse, Reply, SendChunk
+from sumachook.host.events import ClientDisconnected, HttpRequestReceived, Tick
 from sumachook.simulation.model import ModelServer
 
 
@@ -20,40 +22,35 @@
 def test_old_fences_and_too_much_memory_are_refused_and_noted():
     """Given a load, one under a lower fencing token and one beyond memory are refused, and the latter is noted."""
     server, now = _server(), timedelta(seconds=1)
-    load = ("http", 1, "POST", "/models/load", {"x-sumachook-fence": "4"}, b'{"model":"m"}')
-    assert server.take(load, now)[0][2] == 200
-    assert (
-        server.take(("http", 2, "POST", "/models/load", {"x-sumachook-fence": "3"}, b'{"model":"n"}'), now)[0][2] == 409
-    )
-    assert (
-        server.take(("http", 2, "POST", "/models/load", {"x-sumachook-fence": "4"}, b'{"model":"n"}'), now)[0][2] == 507
-    )
+
+    def load(fence, model):
+        body = b'{"model":"%s"}' % model
+        request = HttpRequestReceived(1, "POST", "/models/load", {"x-sumachook-fence": fence}, body)
+        (answer,) = server.take(request, now)
+        assert isinstance(answer, Reply)
+        return answer.status
+
+    assert load("4", b"m") == 200
+    assert load("3", b"n") == 409
+    assert load("4", b"n") == 507
     assert len(server.record.broken) == 1
 
 
 def test_stream_is_resumed_where_it_stopped():
     """Given a stream whose client went away, a resume goes on behind the last event to its end."""
     server, now, step = _server(held=("m",)), timedelta(seconds=1), timedelta(seconds=0.05)
-    server.take(
-        (
-            "http",
-            1,
-            "POST",
-            "/v1/chat/completions",
-            {"x-request-id": "r"},
-            b'{"model":"m","max_tokens":40,"messages":[{"content":"t"}]}',
-        ),
-        now,
-    )
+    body = b'{"model":"m","max_tokens":40,"messages":[{"content":"t"}]}'
+    server.take(HttpRequestReceived(1, "POST", "/v1/chat/completions", {"x-request-id": "r"}, body), now)
     said = []
-    while not any(effect[0] == "chunk" for effect in said):
+    while not any(isinstance(effect, SendChunk) for effect in said):
         now += step
-        said += server.take(("pulse",), now)
-    server.take(("gone", 1), now)
-    last = sum(effect[0] == "chunk" for effect in said) - 1
-    said = server.take(("http", 2, "GET", "/v1/chat/completions/r", {"last-event-id": f"r:{last}"}, b""), now)
-    while ("end", 2) not in said:
+        said += server.take(Tick(), now)
+    server.take(ClientDisconnected(1), now)
+    last = sum(isinstance(effect, SendChunk) for effect in said) - 1
+    resume = HttpRequestReceived(2, "GET", "/v1/chat/completions/r", {"last-event-id": f"r:{last}"}, b"")
+    said = server.take(resume, now)
+    while EndResponse(2) not in said:
         now += step
-        said += server.take(("pulse",), now)
-    chunks = [effect[2] for effect in said if effect[0] == "chunk"]
+        said += server.take(Tick(), now)
+    chunks = [effect.data for effect in said if isinstance(effect, SendChunk)]
     assert f"id: r:{last + 1}".encode() in chunks[0] and b"[DONE]" in chunks[-1] and server.record.runs == {"t": 1}
--- a/tests/storage/test_storage.py
+++ b/tests/storage/test_storage.py
@@ -9,7 +9,6 @@
 from hypothesis import given, settings, strategies
 
 from sumachook.host.effects import AppendDayLog, AppendRecords, RewriteRecords
-from sumachook.host.tuples import effect_of
 from sumachook.simulation.disk import Disk
 from sumachook.simulation.simulated_files import ProcessEndedError, SimulatedFileSystem
 from sumachook.storage import single_records
@@ -19,6 +18,7 @@
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder
 from sumachook.storage.write_queue import WriteKind, WriteQueue, WriteStep
+from tests.short_forms import effect_of
 
 ZERO = timedelta(0)
 START = Position()
@@ -493,12 +493,12 @@
     """Given 30,000 requests with long tags at one keeper, opened and closed, ledger and day logs stay within their bounds at
     every moment, with what is written beside; open rows are all kept, and of the closed ones the newest."""
     from sumachook.host.events import MessageReceived
-    from sumachook.host.tuples import tuple_of_effect
     from sumachook.ledger.messages import CloseRecords, OpenRecords
     from sumachook.ledger.record_file import MAX_STORED_BYTES
     from sumachook.ledger.records import RecordCopy
     from sumachook.ledger.replica_store import ReplicaStore
     from sumachook.runtime.cluster_clock import UNIX_EPOCH, ClusterClock
+    from tests.short_forms import tuple_of_effect
 
     files = SimulatedFileSystem(Random(1))
     folder, _ = _opened(files)
--- a/tests/transport/test_client_limits.py
+++ b/tests/transport/test_client_limits.py
@@ -6,8 +6,8 @@
 
 from harness.local_cluster.loopback import free_address
 from sumachook.configuration.limits import Limits
-from sumachook.host.effects import Reply
-from sumachook.host.events import ProxyRequestReceived
+from sumachook.host.effects import ApplyClientLimits, Reply
+from sumachook.host.events import ProxyRequestReceived, Tick
 from sumachook.transport.addresses import split_address
 from sumachook.transport.proxy_server import ProxyServer
 
@@ -209,5 +209,6 @@
     ):
         assert edge.state.apply(number, ("configure", "q", doc, {}, False, number - 1))[0] == "ok"
         now += timedelta(seconds=0.05)
-        told += [effect[1].idle_ms for effect in edge.take(("pulse",), now) if effect[0] == "limits"]
+        effects = edge.take(Tick(), now)
+        told += [effect.limits.idle_ms for effect in effects if isinstance(effect, ApplyClientLimits)]
     assert told == [15000.0, 9000.0, 15000.0]
--- a/tests/transport/test_proxy_sockets.py
+++ b/tests/transport/test_proxy_sockets.py
@@ -20,11 +20,11 @@
     SendChunk,
 )
 from sumachook.host.events import Tick
-from sumachook.host.tuples import effect_of, tuple_of_event
 from sumachook.transport.addresses import split_address
 from sumachook.transport.proxy_server import ProxyServer
 from sumachook.transport.streaming_client import StreamingClient
 from tests.forwarding.forwarding_fixtures import START, Scene, catalogue, event, route, server
+from tests.short_forms import effect_of, tuple_of_event
 
 BOUND = 8.0  # seconds for one story, far more than it takes
 SOON = 2.5  # seconds, well under the time of a route
@@ -472,7 +472,7 @@
         ]
         await begun.wait()
         path.scene.configure(catalogue(2, [route("new", "once", timeout_ms=1500)]))
-        path.hear(("pulse",))
+        path.hear(Tick())
         go_on.set()
         answers = [await each for each in asked]
         writer.write(head("/new/x", "GET", 8))
