--- a/harness/mutations/configuration.py
+++ b/harness/mutations/configuration.py
@@ -151,7 +151,12 @@
         "are_bounded",
     ),
     Mutation(
-        "CONFIG", "a document of any depth is walked", "if is_deeper(doc, MOST_DEPTH):", "if False:", ORDERS, "too_deep"
+        "CONFIG",
+        "a document of any depth is walked",
+        "if is_deeper(document, MAX_DEPTH):",
+        "if False:",
+        ORDERS,
+        "too_deep",
     ),
     Mutation(
         "CONFIG",
--- a/sumachook/cli/node.py
+++ b/sumachook/cli/node.py
@@ -1,13 +1,15 @@
 """Commands that run a node: `core`, `edge`."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Annotated
 
 import cappa
 
 from sumachook.cli.files import read_json
-from sumachook.configuration.node_settings import read_node_settings
-from sumachook.nodes.serve import USAGE, fail, serve
+from sumachook.configuration.node_settings import NodeSettings, read_node_settings
+from sumachook.host.machine import NodeMachine
+from sumachook.nodes.serve import USAGE, NodeStart, fail, serve
 
 Text = Annotated[str | None, cappa.Arg(long=True)]
 
@@ -32,7 +34,8 @@
     platform: Annotated[str | None, cappa.Arg(long=True, help="IP:PORT of the platform's list")] = None
     log_level: Annotated[str | None, cappa.Arg(long=True, help="debug, info, warning or error")] = None
 
-    def read(self, role: str):
+    def read(self, role: str) -> NodeSettings:
+        """The settings of a node of this role; ends the command where they can't be used."""
         doc = read_json(self.params) if self.params else {}
         if not isinstance(doc, dict):
             fail(USAGE, f"{self.params}: an object is needed")
@@ -55,29 +58,36 @@
         return params
 
 
-def serve_node(flags: NodeFlags, role: str, make):
+def serve_node(flags: NodeFlags, role: str, make: Callable[[NodeStart], NodeMachine]) -> None:
+    """Runs a node until it leaves."""
     serve(flags.read(role), role, make)
 
 
-def serve_core(command: "Core"):
+def serve_core(command: "Core") -> None:
+    """Runs a core."""
     from sumachook.nodes.core import Core as Machine
 
-    serve_node(command.flags, "core", Machine)
+    serve_node(command.flags, "core", lambda start: Machine(*start))
 
 
-def serve_edge(command: "Edge"):
+def serve_edge(command: "Edge") -> None:
+    """Runs an edge."""
     from sumachook.nodes.edge import Edge as Machine
 
-    serve_node(command.flags, "edge", Machine)
+    serve_node(command.flags, "edge", lambda start: Machine(*start))
 
 
 @cappa.command(name="core", invoke=serve_core, help="Run a core: control state, feed, duties, ledger.")
 @dataclass(slots=True)
 class Core:
+    """A core to be run."""
+
     flags: Annotated[NodeFlags, cappa.Arg(destructure=True)]
 
 
 @cappa.command(name="edge", invoke=serve_edge, help="Run an edge: the caller-facing router.")
 @dataclass(slots=True)
 class Edge:
+    """An edge to be run."""
+
     flags: Annotated[NodeFlags, cappa.Arg(destructure=True)]
--- a/sumachook/cli/stand_in.py
+++ b/sumachook/cli/stand_in.py
@@ -3,30 +3,32 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
-from typing import Annotated
+from typing import Annotated, Any
 
 import cappa
 
 from sumachook.cli.files import read_json
+from sumachook.host.machine import StateMachine
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.logs import Logs
 from sumachook.nodes.serve import USAGE, fail, run_daemon
 from sumachook.runtime.clock import Clock
 
 
-def _serve_stand_in(machine, name: str, door: str):
+def _serve_stand_in(machine: StateMachine, name: str, door: str) -> None:
     logs = Logs(name, "info")
     run_daemon(Daemon(machine, Clock(), logs.log, door))
 
 
-def _listed(file: str, name: str):
+def _listed(file: str, name: str) -> dict[str, Any]:
     for server in read_json(file)["servers"]:
         if server["name"] == name:
-            return server
+            return dict(server)
     fail(USAGE, f"{file}: no server {name!r}")
 
 
-def serve_model(command: "StandInModel"):
+def serve_model(command: "StandInModel") -> None:
+    """Runs a fake model server."""
     from sumachook.simulation.model import ModelServer
 
     listed = _listed(command.servers, command.name)
@@ -34,19 +36,22 @@
     _serve_stand_in(machine, command.name, listed["address"])
 
 
-def serve_records(command: "StandInRecords"):
+def serve_records(command: "StandInRecords") -> None:
+    """Runs a fake server of the records service."""
     from sumachook.simulation.records import RecordsServer
 
     _serve_stand_in(RecordsServer(command.name), command.name, _listed(command.servers, command.name)["address"])
 
 
-def serve_platform(command: "StandInPlatform"):
+def serve_platform(command: "StandInPlatform") -> None:
+    """Runs a fake platform."""
     from sumachook.simulation.platform import Platform
 
     _serve_stand_in(Platform(read_json(command.servers)["servers"]), "platform", command.door)
 
 
-def serve_callers(command: "StandInCallers"):
+def serve_callers(command: "StandInCallers") -> None:
+    """Runs callers, and prints what each class of request met."""
     from sumachook.simulation.callers import Callers
     from sumachook.simulation.report import report_calls
 
@@ -77,6 +82,8 @@
 @cappa.command(name="model", invoke=serve_model, help="A model server.")
 @dataclass(slots=True)
 class StandInModel:
+    """A model server to be run."""
+
     name: str
     servers: Annotated[str, cappa.Arg(long=True, help="servers.json of a city")]
     catalogue: Annotated[str, cappa.Arg(long=True, help="catalogue.json of a city")]
@@ -86,6 +93,8 @@
 @cappa.command(name="records", invoke=serve_records, help="A server of the records service.")
 @dataclass(slots=True)
 class StandInRecords:
+    """A server of the records service to be run."""
+
     name: str
     servers: Annotated[str, cappa.Arg(long=True)]
 
@@ -93,6 +102,8 @@
 @cappa.command(name="platform", invoke=serve_platform, help="The platform's list of servers.")
 @dataclass(slots=True)
 class StandInPlatform:
+    """A platform to be run."""
+
     servers: Annotated[str, cappa.Arg(long=True)]
     door: Annotated[str, cappa.Arg(long=True)]
 
@@ -100,6 +111,8 @@
 @cappa.command(name="callers", invoke=serve_callers, help="Callers at a city's rates; prints each class's outcomes.")
 @dataclass(slots=True)
 class StandInCallers:
+    """Callers to be run."""
+
     catalogue: Annotated[str, cappa.Arg(long=True)]
     traffic: Annotated[str, cappa.Arg(long=True)]
     door: Annotated[str, cappa.Arg(long=True, help="IP:PORT of its own, for its condition")]
@@ -115,4 +128,6 @@
 @cappa.command(name="stand-in", help="What stands outside the system, for trying and proving it.")
 @dataclass(slots=True)
 class StandIn:
+    """The fakes that can be run."""
+
     command: cappa.Subcommands[StandInModel | StandInRecords | StandInPlatform | StandInCallers]
--- a/sumachook/configuration/references.py
+++ b/sumachook/configuration/references.py
@@ -10,7 +10,7 @@
 from sumachook.configuration.issue import ConfigurationIssue
 from sumachook.configuration.store import Store
 from sumachook.configuration.tenancy import tenancy_issues
-from sumachook.policies.faults import REFUSED as POLICY_REFUSED
+from sumachook.policies.errors import InvalidPolicyError
 from sumachook.policies.policy import ROLES, compile_policy
 
 MAX_ENGINE_MODELS = 2000  # each of them is considered whenever a server is selected
@@ -149,9 +149,10 @@
         return
     for role in ROLES:
         if isinstance(policies.get(role, ""), str):
-            program = compile_policy(role, policies.get(role, ""))
-            if program == POLICY_REFUSED:
-                yield ConfigurationIssue(f"policies.{role}", program.reason)
+            try:
+                compile_policy(role, policies.get(role, ""))
+            except InvalidPolicyError as error:
+                yield ConfigurationIssue(f"policies.{role}", str(error))
 
 
 DUPLICATE_HTTP_ROUTES = _duplicates_in("httpRoutes")
--- a/sumachook/consensus/candidate.py
+++ b/sumachook/consensus/candidate.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from sumachook.consensus.events import CandidacySynced
+from sumachook.consensus.installer import Installer
 from sumachook.consensus.messages import Prepare, PreVote, PreVoteGranted, Promise, TakeOver
 from sumachook.consensus.slow_members import SlowMembers
 from sumachook.consensus.state import NONCE_BITS, ReplicaState
@@ -13,9 +13,6 @@
 from sumachook.consensus.views import NO_VIEW, Role, ViewId
 from sumachook.host.effects import Effect, Send
 
-if TYPE_CHECKING:
-    from sumachook.consensus.installer import Installer
-
 
 class Candidate:
     """Asks the other voters beforehand, collects their promises, and hands over to the installer or to a better one."""
@@ -37,9 +34,8 @@
         "sent_at",
     )
 
-    def __init__(self, state: ReplicaState, slow_members: SlowMembers, now: timedelta) -> None:
-        self.state, self.slow_members = state, slow_members
-        self.installer: Installer
+    def __init__(self, state: ReplicaState, slow_members: SlowMembers, installer: Installer, now: timedelta) -> None:
+        self.state, self.slow_members, self.installer = state, slow_members, installer
         self.accepted: set[str] = set()
         self.starts: dict[str, int] = {}  # the runs of those that accepted, but may be bound from before their start
         self.token, self.is_unanimous = 0, False
@@ -114,6 +110,12 @@
         records = ((first_record,) if first_record else ()) + (promise_record(state.candidacy),)
         return [state.store(records, CandidacySynced(state.candidacy))]
 
+    def start_without(self, late: set[str], now: timedelta) -> list[Effect]:
+        """Begins anew: these members made no progress with the view that was being installed."""
+        for name in late:
+            self.slow_members.add(name, now)
+        return self.start(now, late)
+
     def on_candidacy_synced(self, event: CandidacySynced, now: timedelta) -> list[Effect]:
         """The own promise is durable: asks the others for theirs."""
         state, log = self.state, self.state.log
--- a/sumachook/consensus/effects.py
+++ b/sumachook/consensus/effects.py
@@ -1,9 +1,9 @@
 """What a replica asks of the program around it, beside what every host does (`host.effects`)."""
 
+from enum import StrEnum
 from typing import Any
 
 from sumachook.consensus.views import ViewId
-from sumachook.fault import Fault
 from sumachook.host.effects import Effect
 
 
@@ -21,11 +21,18 @@
     state: Any
 
 
+class RefusalReason(StrEnum):
+    """Why a change was not ordered."""
+
+    NO_VIEW = "no working view"
+    TOO_MANY = "too many changes waiting"
+
+
 class Refuse(Effect, frozen=True):
     """The change was not ordered by this replica."""
 
     change: Any
-    fault: Fault
+    reason: RefusalReason
 
 
 class ViewChanged(Effect, frozen=True):
--- a/sumachook/consensus/installer.py
+++ b/sumachook/consensus/installer.py
@@ -2,34 +2,28 @@
 
 from collections.abc import Mapping
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from sumachook.consensus.events import OwnViewSynced
+from sumachook.consensus.leader import Leader
 from sumachook.consensus.messages import Install, Installed, Promise
-from sumachook.consensus.slow_members import SlowMembers
 from sumachook.consensus.state import ReplicaState
 from sumachook.consensus.storage import view_record
 from sumachook.consensus.timing import CHUNK_BYTES, INSTALL_TIMEOUT, RESEND_INTERVAL, SILENCE
 from sumachook.consensus.views import Role
 from sumachook.host.effects import Effect, Send
 
-if TYPE_CHECKING:
-    from sumachook.consensus.candidate import Candidate
-    from sumachook.consensus.leader import Leader
-
 
 class Installer:
     """Sends the view and what fits of its log to all members; leads once everybody has synced both.
 
-    What does not fit the members fetch. A member that makes no progress is left out of the next attempt.
+    What does not fit the members fetch. A member that makes no progress is left out of the next attempt
+    (`Candidate.start_without`).
     """
 
-    __slots__ = ("state", "slow_members", "candidate", "leader", "installed", "known", "progress_at", "sent_at")
+    __slots__ = ("state", "leader", "installed", "known", "progress_at", "sent_at")
 
-    def __init__(self, state: ReplicaState, slow_members: SlowMembers, now: timedelta) -> None:
-        self.state, self.slow_members = state, slow_members
-        self.candidate: Candidate
-        self.leader: Leader
+    def __init__(self, state: ReplicaState, leader: Leader, now: timedelta) -> None:
+        self.state, self.leader = state, leader
         self.installed: set[str] = set()
         self.known: dict[str, int] = {}
         self.progress_at: dict[str, timedelta] = {}
@@ -92,16 +86,14 @@
         """The member has fetched or acknowledged a part."""
         self.progress_at[name] = now
 
+    def late_members(self, now: timedelta) -> set[str]:
+        """The members that have made no progress for too long."""
+        awaited = [name for name in self.state.members if name not in self.installed]
+        return {name for name in awaited if now - self.progress_at[name] > INSTALL_TIMEOUT}
+
     def tick(self, now: timedelta) -> list[Effect]:
-        """Sends the view again, and begins anew without members that make no progress."""
-        state = self.state
-        awaited = [name for name in state.members if name not in self.installed]
-        late = [name for name in awaited if now - self.progress_at[name] > INSTALL_TIMEOUT]
-        if state.name in late:
-            state.back_off(now, pause=SILENCE * 2)  # its own disk is the slow one
+        """Sends the view again, or gives up where this replica's own disk makes no progress."""
+        if self.state.name in self.late_members(now):
+            self.state.back_off(now, pause=SILENCE * 2)
             return []
-        if late:
-            for name in late:
-                self.slow_members.add(name, now)
-            return self.candidate.start(now, set(late))
         return self._send_installs(now) if now - self.sent_at >= RESEND_INTERVAL else []
--- a/sumachook/consensus/leader.py
+++ b/sumachook/consensus/leader.py
@@ -4,8 +4,7 @@
 from datetime import timedelta
 from typing import Any
 
-from sumachook.consensus import faults
-from sumachook.consensus.effects import Refuse, ViewChanged
+from sumachook.consensus.effects import RefusalReason, Refuse, ViewChanged
 from sumachook.consensus.events import OwnEntriesSynced
 from sumachook.consensus.learners import Learners
 from sumachook.consensus.lease import LeaderLease
@@ -98,9 +97,9 @@
     def propose(self, change: Any, now: timedelta) -> list[Effect]:
         """Orders a change."""
         if self.state.role is not Role.LEADING:
-            return [Refuse(change, faults.NO_VIEW.because("a change of view is under way"))]
+            return [Refuse(change, RefusalReason.NO_VIEW)]
         if len(self.waiting) >= MAX_WAITING:
-            return [Refuse(change, faults.TOO_MANY.because(f"{len(self.waiting)} wait"))]
+            return [Refuse(change, RefusalReason.TOO_MANY)]
         self.waiting.append(pack_entry(change))
         return self._flush(now)
 
--- a/sumachook/consensus/proposals.py
+++ b/sumachook/consensus/proposals.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from sumachook.consensus import faults
-from sumachook.consensus.effects import Refuse
+from sumachook.consensus.effects import RefusalReason, Refuse
 from sumachook.consensus.leader import Leader
 from sumachook.consensus.messages import Propose
 from sumachook.consensus.state import NONCE_BITS, ReplicaState
@@ -87,7 +86,7 @@
             self.number += 1
             return [Send(address, part) for part in split_proposal(self.number, change)]
         if len(self.pending) >= MAX_WAITING:
-            return [Refuse(change, faults.TOO_MANY.because(f"{len(self.pending)} wait for a leader"))]
+            return [Refuse(change, RefusalReason.TOO_MANY)]
         self.pending.append(_Pending(change, now))
         return []
 
@@ -106,7 +105,7 @@
         if not self._can_order() and not self._leader_address(now):
             overdue = [change for change, at in self.pending if now - at > PROPOSAL_TIMEOUT]
             self.pending = [item for item in self.pending if now - item.at <= PROPOSAL_TIMEOUT]
-            return [Refuse(change, faults.NO_VIEW.because("this replica hears no leader")) for change in overdue]
+            return [Refuse(change, RefusalReason.NO_VIEW) for change in overdue]
         pending, self.pending = self.pending, []
         return [effect for change, _ in pending for effect in self.propose(change, now)]
 
--- a/sumachook/consensus/replica.py
+++ b/sumachook/consensus/replica.py
@@ -67,10 +67,9 @@
         state = ReplicaState(name, address, founders, random, take_snapshot, options or Options(), records, now)
         slow_members, progress = SlowMembers(), Progress(state)
         self.state, self.learners = state, Learners(state, now)
-        self.candidate, self.installer = Candidate(state, slow_members, now), Installer(state, slow_members, now)
         self.leader = Leader(state, self.learners, progress, now)
-        self.candidate.installer = self.installer
-        self.installer.candidate, self.installer.leader = self.candidate, self.leader
+        self.installer = Installer(state, self.leader, now)
+        self.candidate = Candidate(state, slow_members, self.installer, now)
         self.voter, self.follower = Voter(state, self.candidate), Follower(state)
         self.log_server = LogServer(state, self.installer, progress)
         self.founding = Founding(state, self.candidate, now)
@@ -189,6 +188,9 @@
         return out + self.learners.tick(cores, now) + self.candidate.tick_idle(now)
 
     def _tick_installing(self, now: timedelta) -> list[Effect]:
+        late = self.installer.late_members(now)
+        if late and self.state.name not in late:
+            return self.candidate.start_without(late, now)
         out = self.installer.tick(now)
         return out + self.leader.tick(now) if self.role is Role.INSTALLING else out
 
--- a/sumachook/control_state/configurations.py
+++ b/sumachook/control_state/configurations.py
@@ -6,7 +6,6 @@
 
 from typing import Any, NamedTuple
 
-from sumachook.configuration import faults
 from sumachook.configuration.catalogue import merge
 from sumachook.configuration.checked_document import CheckedDocument, replace_in, revise_document
 from sumachook.configuration.difference import (
@@ -33,6 +32,11 @@
     with_issues,
 )
 
+# Reasons that operators read.
+STALE_GENERATION = "stale generation"
+STALE_VERSION = "stale version"
+NO_CONFIGURATION = "no catalogue yet"
+
 
 class _Identity(NamedTuple):
     """What the versions alone say of a configuration."""
@@ -58,12 +62,12 @@
 
 def _merge(state: StateFields, change: changes.ApplyDocument) -> ChangeResult:
     if change.if_revision is not None and change.if_revision != state.generation:
-        reason = f"{faults.STALE.name}: it is {state.generation}, not {change.if_revision}"
+        reason = f"{STALE_GENERATION}: it is {state.generation}, not {change.if_revision}"
         return stale("generation", reason)
     if not change.is_part:
         return _replace(state, change.document)
     if state.doc is None:
-        return rejected("$", faults.EMPTY.name)
+        return rejected("$", NO_CONFIGURATION)
     return _replace(state, merge(state.doc, change.document))
 
 
@@ -117,7 +121,7 @@
     if state.accepted_versions.may_be_forgotten(base_version, version):
         return unknown("version", f"{version} is too long ago to tell")
     if base_version != state.version:
-        return stale("version", f"{faults.STALE_VERSION.name}: it is {state.version}, not {base_version}")
+        return stale("version", f"{STALE_VERSION}: it is {state.version}, not {base_version}")
     if is_overtaken(seen, state.version_changed_at):
         return unknown("version", f"{base_version} came into force after this call")
     return None
@@ -131,7 +135,7 @@
     if version <= state.version:
         return None, (ConfigurationIssue("version", f"{version} is not above {state.version}"),)
     if change.is_part and state.checked is None:
-        return None, (ConfigurationIssue("$", faults.EMPTY.name),)
+        return None, (ConfigurationIssue("$", NO_CONFIGURATION),)
     issues = removal_issues(change.removals)
     if issues:
         return None, issues
--- a/sumachook/inference/request_table.py
+++ b/sumachook/inference/request_table.py
@@ -49,7 +49,7 @@
         )
         self.queues = Queues()
         self.waiting_lookups: list[InferenceRequest] = []
-        self.demand: dict[str, int] = {}  # requests by model or adapter since the last report
+        self.demand: dict[str, float] = {}  # requests by model or adapter since the last report
         self.service_time: dict[str, float] = {}  # seconds that a prompt takes, by queue; a moving average
         # other edges
         self.edges: tuple[str, ...] = (node,)  # the live ones
--- a/sumachook/nodes/change_request.py
+++ b/sumachook/nodes/change_request.py
@@ -1,34 +1,64 @@
-"""Operators' HTTP orders as changes of the replicated state."""
+"""Operators' HTTP requests for a change of the replicated state."""
+
+from collections.abc import Callable, Mapping
+from enum import StrEnum
+from typing import Any
 
 import msgspec
 
-from sumachook.configuration import faults
-from sumachook.control_state.changes import ApplyDocument, ConfigureWithDefaults, Evacuate, Restore
+from sumachook.control_state.changes import (
+    ApplyDocument,
+    ConfigureWithDefaults,
+    Evacuate,
+    OperatorChange,
+    Restore,
+)
+from sumachook.exceptions import SumachookError
 
 KINDS = ("apply", "configure", "evacuate", "restore")
 PATHS = {f"/operator/{kind}": kind for kind in KINDS}
-MOST_DEPTH = 40  # objects and lists within each other; a document of the catalogue has nine
+MAX_DEPTH = 40  # objects and lists within each other; a document of the catalogue has nine
+MAX_REQUEST_ID_LENGTH = 100
+
+
+class ChangeProblem(StrEnum):
+    """What is wrong with a request for a change; the values are the classes that its caller reads."""
+
+    NOT_JSON = "not JSON"
+    REFUSED = "refused"
+
+
+class InvalidChangeError(SumachookError):
+    """A request for a change that is wrong whatever the state is."""
+
+    def __init__(self, problem: ChangeProblem, reason: str) -> None:
+        super().__init__(reason)
+        self.problem = problem
+        self.reason = reason
 
 
-def read_order(path: str, body: bytes):
-    """The change that an order asks for, or a fault: what is wrong whatever the state is."""
+def _refusal(reason: str) -> InvalidChangeError:
+    return InvalidChangeError(ChangeProblem.REFUSED, reason)
+
+
+def read_change_request(path: str, body: bytes) -> OperatorChange:
+    """The change that a request asks for; raises `InvalidChangeError`."""
     try:
-        doc = msgspec.json.decode(body)
+        document = msgspec.json.decode(body)
     except (msgspec.DecodeError, RecursionError) as error:
-        return faults.NOT_JSON.because(str(error))
-    if not isinstance(doc, dict):
-        return faults.REFUSED.because("an object is needed")
-    if is_deeper(doc, MOST_DEPTH):
-        return faults.REFUSED.because(f"nested deeper than {MOST_DEPTH}")
+        raise InvalidChangeError(ChangeProblem.NOT_JSON, str(error)) from error
+    if not isinstance(document, dict):
+        raise _refusal("an object is needed")
+    if is_deeper(document, MAX_DEPTH):
+        raise _refusal(f"nested deeper than {MAX_DEPTH}")
     kind = PATHS[path]
-    request = doc.get("request", "" if kind != "apply" else None)
-    if not isinstance(request, str) or len(request) > 100 or (kind == "apply" and not request):
-        return faults.REFUSED.because("request: an id of 1 to 100 characters is needed")
-    reason, change = _READERS[kind](doc, request)
-    return faults.REFUSED.because(reason) if reason else change
+    request = document.get("request", "" if kind != "apply" else None)
+    if not isinstance(request, str) or len(request) > MAX_REQUEST_ID_LENGTH or (kind == "apply" and not request):
+        raise _refusal(f"request: an id of 1 to {MAX_REQUEST_ID_LENGTH} characters is needed")
+    return _READERS[kind](document, request)
 
 
-def is_deeper(value, depth: int) -> bool:
+def is_deeper(value: Any, depth: int) -> bool:
     """Whether a document has more levels than that; no stack is used up in finding out.
 
     >>> is_deeper({"a": [1]}, 2), is_deeper({"a": [[1]]}, 2)
@@ -39,7 +69,7 @@
         level = [
             item
             for part in level
-            if isinstance(part, (dict, list))
+            if isinstance(part, dict | list)
             for item in (part.values() if isinstance(part, dict) else part)
         ]
         if not level:
@@ -47,40 +77,53 @@
     return True
 
 
-def _is_whole_number(value) -> bool:
+def _is_whole_number(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-def _read_apply(doc, request):
-    if not isinstance(doc.get("doc"), dict):
-        return "doc: an object is needed", None
-    generation = doc.get("ifGeneration")
+def _object_of(document: Mapping[str, Any], field: str, default: Any = None) -> dict[str, Any]:
+    value = document.get(field, default)
+    if not isinstance(value, dict):
+        raise _refusal(f"{field}: an object is needed")
+    return value
+
+
+def _read_apply(document: Mapping[str, Any], request: str) -> OperatorChange:
+    content = _object_of(document, "doc")
+    generation = document.get("ifGeneration")
     if generation is not None and not _is_whole_number(generation):
-        return "ifGeneration: a whole number is needed", None
-    return "", ApplyDocument(request, doc["doc"], bool(doc.get("part", False)), generation)
+        raise _refusal("ifGeneration: a whole number is needed")
+    return ApplyDocument(request, content, bool(document.get("part", False)), generation)
+
+
+def _read_configure(document: Mapping[str, Any], request: str) -> OperatorChange:
+    content = _object_of(document, "doc")
+    removals = _object_of(document, "removals", {})
+    defaults = _object_of(document, "defaults", {})
+    base = document.get("ifVersion")
+    if not isinstance(base, int) or isinstance(base, bool) or base < 0:
+        raise _refusal("ifVersion: a whole number is needed, 0 for the first")
+    return ConfigureWithDefaults(request, content, removals, bool(document.get("part", False)), base, defaults)
 
 
-def _read_configure(doc, request):
-    base, removals, defaults = doc.get("ifVersion"), doc.get("removals", {}), doc.get("defaults", {})
-    if not isinstance(doc.get("doc"), dict):
-        return "doc: an object is needed", None
-    if not isinstance(removals, dict):
-        return "removals: an object is needed", None
-    if not isinstance(defaults, dict):
-        return "defaults: an object is needed", None
-    if not _is_whole_number(base) or base < 0:
-        return "ifVersion: a whole number is needed, 0 for the first", None
-    return "", ConfigureWithDefaults(request, doc["doc"], removals, bool(doc.get("part", False)), base, defaults)
+def _zone_of(document: Mapping[str, Any]) -> str:
+    zone = document.get("area")
+    if not isinstance(zone, str):
+        raise _refusal("area: a text is needed")
+    return zone
 
 
-def _read_evacuate(doc, request):
-    return (
-        ("", Evacuate(request, doc["area"])) if isinstance(doc.get("area"), str) else ("area: a text is needed", None)
-    )
+def _read_evacuate(document: Mapping[str, Any], request: str) -> OperatorChange:
+    return Evacuate(request, _zone_of(document))
 
 
-def _read_restore(doc, request):
-    return ("", Restore(request, doc["area"])) if isinstance(doc.get("area"), str) else ("area: a text is needed", None)
+def _read_restore(document: Mapping[str, Any], request: str) -> OperatorChange:
+    return Restore(request, _zone_of(document))
 
 
-_READERS = {"apply": _read_apply, "configure": _read_configure, "evacuate": _read_evacuate, "restore": _read_restore}
+_READERS: dict[str, Callable[[Mapping[str, Any], str], OperatorChange]] = {
+    "apply": _read_apply,
+    "configure": _read_configure,
+    "evacuate": _read_evacuate,
+    "restore": _read_restore,
+}
--- a/sumachook/nodes/client.py
+++ b/sumachook/nodes/client.py
@@ -1,48 +1,76 @@
-"""The operator's side of the desk: one order, tried at one core after the other."""
+"""The operator's side of the control interface: one request, tried at one core after the other."""
 
 import asyncio
 import uuid
+from collections.abc import Iterable
 from datetime import timedelta
+from typing import Any, NamedTuple
 
 import aiohttp
 import msgspec
 
-from sumachook.configuration import faults
+from sumachook.exceptions import SumachookError
 
-WAIT = timedelta(seconds=10)
-ROUNDS = 8  # half a second apart: longer than a change of the leader takes
+CALL_TIMEOUT = timedelta(seconds=10)
+CONNECT_TIMEOUT = timedelta(seconds=2)
+MAX_ROUNDS = 8  # over all cores: longer than a change of the leader takes
+ROUND_DELAY = timedelta(seconds=0.5)
+SERVICE_UNAVAILABLE = 503
+
+
+class UnreachableError(SumachookError):
+    """No core answered; the message says why the last one did not."""
+
+
+class Answer(NamedTuple):
+    """What a core answered: the status, and the JSON document."""
+
+    status: int
+    document: Any
 
 
 class Client:
-    """`ask` gives (status, answer), or UNREACHED; a repeat bears the same request id (docs/design/control-state.md)."""
+    """`ask` gives the answer of the first core that has one; a repeat bears the same request id.
+
+    See docs/design/control-state.md.
+    """
 
     __slots__ = ("cores", "key")
 
-    def __init__(self, cores, key: str | None):
-        self.cores, self.key = tuple(cores), key
+    def __init__(self, cores: Iterable[str], key: str | None) -> None:
+        self.cores = tuple(cores)
+        self.key = key
 
-    def ask(self, method: str, path: str, doc=None):
-        return asyncio.run(self._ask(method, path, doc))
+    def ask(self, method: str, path: str, document: Any = None) -> Answer:
+        """The answer of a core; raises `UnreachableError` where none has one."""
+        return asyncio.run(self._ask(method, path, document))
 
-    async def _ask(self, method, path, doc):
+    async def _ask(self, method: str, path: str, document: Any) -> Answer:
         headers = {"Authorization": f"Bearer {self.key}"} if self.key else {}
-        timeout = aiohttp.ClientTimeout(total=WAIT.total_seconds(), sock_connect=2)
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT.total_seconds(), sock_connect=CONNECT_TIMEOUT.total_seconds()
+        )
+        data = msgspec.json.encode(document) if document is not None else None
         reason = "no core is named: --core or SUMACHOOK_CORES"
         async with aiohttp.ClientSession(timeout=timeout, headers=headers) as session:
-            for _ in range(ROUNDS):
+            for _ in range(MAX_ROUNDS):
                 for core in self.cores:
                     try:
-                        data = msgspec.json.encode(doc) if doc is not None else None
-                        async with session.request(method, f"http://{core}{path}", data=data) as answer:
-                            body = msgspec.json.decode(await answer.read())
-                            if answer.status != 503:
-                                return answer.status, body
-                            reason = f"{core}: {body.get('fault', body)}"
+                        answer = await self._ask_core(session, method, f"http://{core}{path}", data)
                     except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
                         reason = f"{core}: {error or type(error).__name__}"
-                await asyncio.sleep(0.5)
-        return faults.UNREACHED.because(reason)
+                        continue
+                    if answer.status != SERVICE_UNAVAILABLE:
+                        return answer
+                    reason = f"{core}: {answer.document.get('fault', answer.document)}"
+                await asyncio.sleep(ROUND_DELAY.total_seconds())
+        raise UnreachableError(f"no core answered ({reason})")
+
+    async def _ask_core(self, session: aiohttp.ClientSession, method: str, url: str, data: bytes | None) -> Answer:
+        async with session.request(method, url, data=data) as response:
+            return Answer(response.status, msgspec.json.decode(await response.read()))
 
 
 def new_request() -> str:
+    """A new id of an operator's request."""
     return uuid.uuid4().hex
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -11,7 +11,6 @@
 from sumachook.consensus.effects import Readable, Unreadable
 from sumachook.consensus.views import Role
 from sumachook.control_state.changes import tag_of
-from sumachook.fault import Fault
 from sumachook.host.effects import Effect, Reply
 from sumachook.host.events import CallId, ClientDisconnected, HttpRequestReceived
 from sumachook.membership.member import MemberStatus
@@ -155,9 +154,10 @@
     # changes and questions --------------------------------------------------------
 
     def _change(self, event: HttpRequestReceived, now: timedelta) -> Sequence[Any]:
-        change = change_request.read_order(event.path, event.body)
-        if isinstance(change, Fault):
-            return [fault_reply(event.call_id, 400, change.name, change.reason, applied="no")]
+        try:
+            change = change_request.read_change_request(event.path, event.body)
+        except change_request.InvalidChangeError as error:
+            return [fault_reply(event.call_id, 400, error.problem, error.reason, applied="no")]
         consensus = self.core.consensus
         if len(event.body) > MAX_FORWARDED_BYTES and consensus.role is not Role.LEADING:
             leader = consensus.leader_name
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import Any
+from typing import Any, cast
 
 from sumachook.host import effects, events
 from sumachook.host.machine import NodeMachine, StateMachine
@@ -34,6 +34,7 @@
     effects.AbortResponse,
 )
 WRITE_EFFECTS = (effects.AppendRecords, effects.RewriteRecords, effects.AppendDayLog)
+LogFunction = Callable[[str, str, str, dict[str, Any]], None]  # level, component, text, fields
 
 
 class Daemon:
@@ -48,7 +49,7 @@
         self,
         machine: StateMachine,
         clock: NodeClock,
-        log: Callable[[str, str, str, dict[str, Any]], None],
+        log: LogFunction,
         http_address: str,
         address: str | None = None,
         cluster: str = "",
@@ -165,7 +166,7 @@
             **dict.fromkeys(RESPONSE_EFFECTS, self._answer),
         }
         if self.node_transport is not None:
-            handlers |= self._message_handlers(self.machine, self.node_transport, cluster)
+            handlers |= self._message_handlers(cast(NodeMachine, self.machine), self.node_transport, cluster)
         if self.proxy_server is not None and self.streaming_client is not None:
             handlers |= self._proxy_handlers(self.proxy_server, self.streaming_client)
         if self.disk is not None:
--- a/sumachook/nodes/edge_status.py
+++ b/sumachook/nodes/edge_status.py
@@ -1,9 +1,15 @@
 """What an edge answers about itself."""
 
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
 from sumachook.changefeed.trust import Trust
 
+if TYPE_CHECKING:
+    from sumachook.nodes.edge import Edge
+
 
-def condition(edge, now) -> tuple[int, dict]:
+def condition(edge: "Edge", now: timedelta) -> tuple[int, dict[str, Any]]:
     """(status, document) of its readiness."""
     trust = edge.follower.trust(now)
     is_open = edge.settings.front is not None or edge.state.is_open(
@@ -24,7 +30,7 @@
     return (200 if is_ready else 503), doc
 
 
-def metrics(edge, now) -> dict:
+def metrics(edge: "Edge", now: timedelta) -> dict[str, Any]:
     """Its counters."""
     table = edge.inference_pipeline.table
     return {
--- a/sumachook/nodes/logs.py
+++ b/sumachook/nodes/logs.py
@@ -2,16 +2,17 @@
 
 import logging
 import sys
+from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 
 class Logs:
-    """`log(level, part, text, fields)` writes one line to standard error (docs/design/processes.md)."""
+    """`log` writes one line to standard error (docs/design/processes.md)."""
 
     __slots__ = ("logger", "node")
 
-    def __init__(self, node: str, level: str, stream=None):
+    def __init__(self, node: str, level: str, stream: TextIO | None = None) -> None:
         self.node = node
         self.logger = logging.getLogger(f"sumachook.{node}")
         self.logger.setLevel(level.upper())
@@ -24,6 +25,7 @@
         )
         self.logger.handlers = [handler]
 
-    def log(self, level: str, part: str, text: str, fields: dict):
+    def log(self, level: str, component: str, text: str, fields: dict[str, Any]) -> None:
+        """Writes a line: "debug", "info", "warning" or "error", the part that speaks, a sentence, and its fields."""
         own = {("call" if name == "name" else name): value for name, value in fields.items()}
-        self.logger.log(getattr(logging, level.upper()), f"{part}: {text}", extra={"node": self.node, **own})
+        self.logger.log(getattr(logging, level.upper()), f"{component}: {text}", extra={"node": self.node, **own})
--- a/sumachook/nodes/show.py
+++ b/sumachook/nodes/show.py
@@ -1,13 +1,23 @@
 """What a core shows of its state to operators (`GET /show/...`)."""
 
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
 import msgspec
 
+from sumachook.membership.member import Member
 from sumachook.placement.placement_status import placement_status
 
+if TYPE_CHECKING:
+    from sumachook.nodes.core import Core
+
+Document = dict[str, Any]
+
 CATALOGUE = "catalogue"
 
 
-def show(what: str, core, now):
+def show(what: str, core: "Core", now: timedelta) -> Document | None:
     """The document of one view of the state, or None where there is no such view."""
     view = _VIEWS.get(what)
     if view is None:
@@ -16,11 +26,12 @@
 
 
 def names() -> str:
+    """The names of all views, for a message."""
     *most, last = _VIEWS
     return f"{', '.join(most)} or {last}"
 
 
-def _cohort(core, now):
+def _cohort(core: "Core", now: timedelta) -> Document:
     members = [core.membership.local_member, *core.membership.members.values()]
     view = {"ballot": core.consensus.view[0], "members": core.consensus.members, "leader": core.consensus.leader_name}
     return {
@@ -31,7 +42,7 @@
     }
 
 
-def _member(member):
+def _member(member: Member) -> Document:
     return {
         "node": member.node,
         "role": member.role,
@@ -43,23 +54,23 @@
     }
 
 
-def _duties(core, now):
+def _duties(core: "Core", now: timedelta) -> Document:
     return {"duties": {duty: {"holder": holder, "fence": fence} for duty, (holder, fence) in core.state.duties.items()}}
 
 
-def _pairs(core, now):
+def _pairs(core: "Core", now: timedelta) -> Document:
     return {"pairs": core.state.pairs, "held": core.state.held}
 
 
-def _servers(core, now):
+def _servers(core: "Core", now: timedelta) -> Document:
     return {"servers": core.state.servers, "evacuated": core.state.evacuated}
 
 
-def _catalogue(core, now):
+def _catalogue(core: "Core", now: timedelta) -> Document:
     return {"generation": core.state.generation, "catalogue": core.state.doc}
 
 
-def _lines(core, now):
+def _lines(core: "Core", now: timedelta) -> Document:
     catalogue = core.state.catalogue
     return {
         "lines": [msgspec.to_builtins(line) for line in catalogue.lines] if catalogue else [],
@@ -67,15 +78,15 @@
     }
 
 
-def _places(core, now):
+def _places(core: "Core", now: timedelta) -> Document:
     return {"holder": core.state.duties["placer"][0], **placement_status(core.provisioner, now)}
 
 
-def _allowances(core, now):
+def _allowances(core: "Core", now: timedelta) -> Document:
     return {"holder": core.state.duties["accountant"][0], "tenants": core.quota_usage.describe(now)}
 
 
-_VIEWS = {
+_VIEWS: dict[str, Callable[["Core", timedelta], Document]] = {
     "cohort": _cohort,
     "duties": _duties,
     "pairs": _pairs,
--- a/sumachook/policies/policy.py
+++ b/sumachook/policies/policy.py
@@ -1,276 +1,365 @@
 """One policy: text, checked types, bytecode, and the machine that runs it."""
 
 import ast
+from collections.abc import Callable, Mapping
+from enum import IntEnum, StrEnum
 from operator import add, eq, ge, gt, le, lt, mod, mul, ne, sub, truediv
+from typing import Any, NamedTuple, NoReturn
 
 from cachetools import LRUCache, cached
 
-from sumachook.fault import Fault
-from sumachook.policies import faults
+from sumachook.policies.errors import EvaluationError, InvalidPolicyError, PolicyError, StepLimitError
 
+STEP_LIMIT = 200
+MAX_CHARACTERS = 2000
+CACHED_PROGRAMS = 256
+
+Value = float | str | bool
+
+
+class ValueType(StrEnum):
+    """The types of the language."""
+
+    TEXT = "text"
+    NUMBER = "number"
+    TRUTH = "truth"
+
+
+class Role(NamedTuple):
+    """What a policy is for: the names that it may use, the type of its result, and the result where it fails."""
+
+    names: Mapping[str, ValueType]
+    result_type: ValueType
+    default: Value
+
+
+TEXT, NUMBER, TRUTH = ValueType.TEXT, ValueType.NUMBER, ValueType.TRUTH
 ROLES = {
-    # role: (names a program may use with their types, type of its result, safe default)
-    "place": (
+    "place": Role(
         {
-            "area": "text",
-            "server": "text",
-            "model": "text",
-            "memory": "number",
-            "free": "number",
-            "demand": "number",
-            "held": "truth",
-            "places": "number",
+            "area": TEXT,
+            "server": TEXT,
+            "model": TEXT,
+            "memory": NUMBER,
+            "free": NUMBER,
+            "demand": NUMBER,
+            "held": TRUTH,
+            "places": NUMBER,
         },
-        "number",
+        NUMBER,
         0.0,
     ),
-    "hold": (
+    "hold": Role(
         {
-            "line": "text",
-            "caller": "text",
-            "model": "text",
-            "patience": "number",
-            "waiting": "number",
-            "bound": "number",
-            "busy": "number",
+            "line": TEXT,
+            "caller": TEXT,
+            "model": TEXT,
+            "patience": NUMBER,
+            "waiting": NUMBER,
+            "bound": NUMBER,
+            "busy": NUMBER,
         },
-        "truth",
+        TRUTH,
         True,
     ),
-    "retry": (
+    "retry": Role(
         {
-            "fault": "text",
-            "attempt": "number",
-            "line": "text",
-            "caller": "text",
-            "model": "text",
-            "left": "number",
-            "tokens": "number",
-            "credit": "number",
+            "fault": TEXT,
+            "attempt": NUMBER,
+            "line": TEXT,
+            "caller": TEXT,
+            "model": TEXT,
+            "left": NUMBER,
+            "tokens": NUMBER,
+            "credit": NUMBER,
         },
-        "truth",
+        TRUTH,
         True,
     ),
-    "evict": (
-        {"model": "text", "server": "text", "demand": "number", "memory": "number", "paired": "truth"},
-        "number",
-        0.0,
-    ),
-}
-STEP_LIMIT = 200
-MOST_CHARACTERS = 2000
-_BINARY = {
-    ast.Add: (add, "number"),
-    ast.Sub: (sub, "number"),
-    ast.Mult: (mul, "number"),
-    ast.Div: (truediv, "number"),
-    ast.Mod: (mod, "number"),
+    "evict": Role({"model": TEXT, "server": TEXT, "demand": NUMBER, "memory": NUMBER, "paired": TRUTH}, NUMBER, 0.0),
 }
-_COMPARE = {ast.Lt: lt, ast.LtE: le, ast.Gt: gt, ast.GtE: ge, ast.Eq: eq, ast.NotEq: ne}
-_CALLS = {"min": (min, 2), "max": (max, 2), "abs": (abs, 1)}
-PUSH, NAME, BINARY, COMPARE, NOT, NEGATE, JUMP_FALSE, JUMP_TRUE, JUMP, POP, CALL, AMONG = range(12)
 
 
-class Refusal(Exception):
-    """Inside the compiler only; `compile_policy` turns it into a fault."""
+class Code(IntEnum):
+    """The instructions; each has one operand, or None."""
+
+    PUSH = 0
+    NAME = 1
+    BINARY = 2
+    COMPARE = 3
+    NOT = 4
+    NEGATE = 5
+    JUMP_FALSE = 6
+    JUMP_TRUE = 7
+    JUMP = 8
+    POP = 9
+    CALL = 10
+    AMONG = 11
+
+
+class Instruction(NamedTuple):
+    """One step of a program."""
 
-    def __init__(self, node, reason):
-        self.node, self.reason = node, reason
+    code: Code
+    operand: Any = None
+
+
+_BINARY: dict[type[ast.operator], Callable[[Any, Any], Any]] = {
+    ast.Add: add,
+    ast.Sub: sub,
+    ast.Mult: mul,
+    ast.Div: truediv,
+    ast.Mod: mod,
+}
+_COMPARE: dict[type[ast.cmpop], Callable[[Any, Any], Any]] = {
+    ast.Lt: lt,
+    ast.LtE: le,
+    ast.Gt: gt,
+    ast.GtE: ge,
+    ast.Eq: eq,
+    ast.NotEq: ne,
+}
+_CALLS: dict[str, tuple[Callable[..., Any], int]] = {"min": (min, 2), "max": (max, 2), "abs": (abs, 1)}
 
 
 class Program:
-    """Bytecode as a tuple of (code, operand); `run` never raises and never runs long (docs/design/policies.md).
+    """Bytecode; `run` never runs long (docs/design/policies.md).
 
     >>> program = compile_policy("retry", "attempt < 3 and fault != 'overload'")
     >>> program.run({"attempt": 1, "fault": "reset"}), program.run({"attempt": 3, "fault": "reset"})
     (True, False)
     >>> compile_policy("hold", "waiting / bound < 1").run({"waiting": 1, "bound": 0})
-    policies: could not be worked out (ZeroDivisionError)
+    Traceback (most recent call last):
+    sumachook.policies.errors.EvaluationError: ZeroDivisionError
     """
 
     __slots__ = ("role", "text", "codes")
 
-    def __init__(self, role, text, codes):
-        self.role, self.text, self.codes = role, text, codes
+    def __init__(self, role: str, text: str, codes: tuple[Instruction, ...]) -> None:
+        self.role = role
+        self.text = text
+        self.codes = codes
 
-    def run(self, names: dict):
-        stack, place, steps, codes = [], 0, 0, self.codes
+    def run(self, names: Mapping[str, Any]) -> Any:
+        """The result; raises `StepLimitError` or `EvaluationError`."""
         try:
-            while place < len(codes):
-                steps += 1
-                if steps > STEP_LIMIT:
-                    return faults.TOO_LONG
-                code, operand = codes[place]
-                place += 1
-                if code == PUSH:
-                    stack.append(operand)
-                elif code == NAME:
-                    stack.append(names[operand])
-                elif code in (BINARY, COMPARE):
-                    right = stack.pop()
-                    stack[-1] = operand(stack[-1], right)
-                elif code == JUMP_FALSE:
-                    place = operand if not stack[-1] else place
-                elif code == JUMP_TRUE:
-                    place = operand if stack[-1] else place
-                elif code == JUMP:
-                    place = operand
-                elif code == POP:
-                    stack.pop()
-                elif code == NOT:
-                    stack[-1] = not stack[-1]
-                elif code == NEGATE:
-                    stack[-1] = -stack[-1]
-                elif code == AMONG:
-                    stack[-1] = stack[-1] in operand
-                else:
-                    function, count = operand
-                    stack[-count:] = [function(*stack[-count:])]
-            return stack[-1]
+            return self._run(names)
         except (ArithmeticError, KeyError, TypeError) as error:
-            return faults.BROKE.because(type(error).__name__)
+            raise EvaluationError(type(error).__name__) from error
 
-    def __call__(self, names: dict):
-        """The result, or the role's safe default on a fault."""
-        result = self.run(names)
-        return ROLES[self.role][2] if isinstance(result, Fault) else result
+    def _run(self, names: Mapping[str, Any]) -> Any:
+        stack: list[Any] = []
+        position = steps = 0
+        codes = self.codes
+        while position < len(codes):
+            steps += 1
+            if steps > STEP_LIMIT:
+                raise StepLimitError(f"{steps} steps, at most {STEP_LIMIT}")
+            code, operand = codes[position]
+            position += 1
+            if code is Code.PUSH:
+                stack.append(operand)
+            elif code is Code.NAME:
+                stack.append(names[operand])
+            elif code is Code.JUMP:
+                position = operand
+            elif code is Code.JUMP_FALSE:
+                position = operand if not stack[-1] else position
+            elif code is Code.JUMP_TRUE:
+                position = operand if stack[-1] else position
+            else:
+                _operate(code, operand, stack)
+        return stack[-1]
 
+    def __call__(self, names: Mapping[str, Any]) -> Any:
+        """The result, or the role's safe default where there is none."""
+        try:
+            return self.run(names)
+        except PolicyError:
+            return ROLES[self.role].default
 
-@cached(LRUCache(256))
-def compile_policy(role: str, text: str):
-    """A Program, or REFUSED with line and column.
+
+def _operate(code: Code, operand: Any, stack: list[Any]) -> None:
+    """Carries out an instruction on the values on top of the stack."""
+    if code is Code.BINARY or code is Code.COMPARE:
+        right = stack.pop()
+        stack[-1] = operand(stack[-1], right)
+    elif code is Code.POP:
+        stack.pop()
+    elif code is Code.NOT:
+        stack[-1] = not stack[-1]
+    elif code is Code.NEGATE:
+        stack[-1] = -stack[-1]
+    elif code is Code.AMONG:
+        stack[-1] = stack[-1] in operand
+    else:
+        function, count = operand
+        stack[-count:] = [function(*stack[-count:])]
+
+
+@cached(LRUCache(CACHED_PROGRAMS))
+def compile_policy(role: str, text: str) -> Program:
+    """The program of a text; raises `InvalidPolicyError` with line and column.
 
     >>> compile_policy("hold", "patience < < 3")
-    policies: refused (line 1, column 12: invalid syntax)
+    Traceback (most recent call last):
+    sumachook.policies.errors.InvalidPolicyError: line 1, column 12: invalid syntax
     >>> compile_policy("hold", "patience < 'x'")
-    policies: refused (line 1, column 1: number and text cannot be compared)
+    Traceback (most recent call last):
+    sumachook.policies.errors.InvalidPolicyError: line 1, column 1: number and text cannot be compared
     >>> compile_policy("hold", "exit()")
-    policies: refused (line 1, column 1: only min, max and abs can be called)
+    Traceback (most recent call last):
+    sumachook.policies.errors.InvalidPolicyError: line 1, column 1: only min, max and abs can be called
     """
-    names, wanted, default = ROLES[role]
     if not text.strip():
-        return Program(role, text, ((PUSH, default),))
-    if len(text) > MOST_CHARACTERS:
-        return faults.REFUSED.because(f"line 1, column 1: {len(text)} characters, at most {MOST_CHARACTERS}")
+        return Program(role, text, (Instruction(Code.PUSH, ROLES[role].default),))
+    if len(text) > MAX_CHARACTERS:
+        raise InvalidPolicyError(f"line 1, column 1: {len(text)} characters, at most {MAX_CHARACTERS}")
     try:
         tree = ast.parse(f"(\n{text}\n)", mode="eval").body  # so that a program may have several lines
-        codes = []
-        result = _emit(tree, names, codes)
-        if result != wanted:
-            raise Refusal(tree, f"gives {result}, a {role} policy gives {wanted}")
-        if len(codes) > STEP_LIMIT:
-            raise Refusal(tree, f"{len(codes)} steps, at most {STEP_LIMIT}")
+        return Program(role, text, Compiler(role).compile(tree))
     except SyntaxError as error:
-        return faults.REFUSED.because(
-            f"line {max(1, (error.lineno or 2) - 1)}, column {max(1, error.offset or 1)}: {error.msg}"
-        )
+        line, column = max(1, (error.lineno or 2) - 1), max(1, error.offset or 1)
+        raise InvalidPolicyError(f"line {line}, column {column}: {error.msg}") from error
     except (ValueError, RecursionError, MemoryError) as error:
-        return faults.REFUSED.because(f"line 1, column 1: {error}")
-    except Refusal as refusal:
-        return faults.REFUSED.because(
-            f"line {refusal.node.lineno - 1}, column {refusal.node.col_offset + 1}: {refusal.reason}"
-        )
-    return Program(role, text, tuple(codes))
-
-
-def _emit(node, names, codes) -> str:
-    """Appends the node's codes and gives its type."""
-    if isinstance(node, ast.Constant):
-        codes.append((PUSH, node.value))
+        raise InvalidPolicyError(f"line 1, column 1: {error}") from error
+
+
+def _refuse(node: ast.expr, reason: str) -> NoReturn:
+    raise InvalidPolicyError(f"line {node.lineno - 1}, column {node.col_offset + 1}: {reason}")
+
+
+class Compiler:
+    """Turns the syntax tree of one policy into instructions, and checks its types on the way."""
+
+    __slots__ = ("role", "names", "codes")
+
+    def __init__(self, role: str) -> None:
+        self.role = role
+        self.names = ROLES[role].names
+        self.codes: list[Instruction] = []
+
+    def compile(self, tree: ast.expr) -> tuple[Instruction, ...]:
+        """The instructions of a policy; raises `InvalidPolicyError`."""
+        found, wanted = self._emit(tree), ROLES[self.role].result_type
+        if found != wanted:
+            _refuse(tree, f"gives {found}, a {self.role} policy gives {wanted}")
+        if len(self.codes) > STEP_LIMIT:
+            _refuse(tree, f"{len(self.codes)} steps, at most {STEP_LIMIT}")
+        return tuple(self.codes)
+
+    def _emit(self, node: ast.expr) -> ValueType:
+        """Appends the instructions of a node, and gives the type of its value."""
+        match node:
+            case ast.Constant():
+                return self._emit_constant(node)
+            case ast.Name():
+                return self._emit_name(node)
+            case ast.BinOp() if type(node.op) in _BINARY:
+                self._need(node.left, NUMBER)
+                self._need(node.right, NUMBER)
+                self.codes.append(Instruction(Code.BINARY, _BINARY[type(node.op)]))
+                return NUMBER
+            case ast.UnaryOp() if isinstance(node.op, ast.USub | ast.Not):
+                return self._emit_unary(node)
+            case ast.BoolOp():
+                return self._emit_logic(node)
+            case ast.IfExp():
+                return self._emit_if(node)
+            case ast.Compare() if len(node.ops) == 1:
+                return self._emit_compare(node)
+            case ast.Call():
+                return self._emit_call(node)
+        _refuse(node, f"{type(node).__name__} is not part of the language")
+
+    def _need(self, node: ast.expr, wanted: ValueType) -> None:
+        found = self._emit(node)
+        if found != wanted:
+            _refuse(node, f"gives {found}, needs {wanted}")
+
+    def _emit_constant(self, node: ast.Constant) -> ValueType:
+        self.codes.append(Instruction(Code.PUSH, node.value))
         if isinstance(node.value, bool):
-            return "truth"
-        if isinstance(node.value, (int, float)):
-            return "number"
+            return TRUTH
+        if isinstance(node.value, int | float):
+            return NUMBER
         if isinstance(node.value, str):
-            return "text"
-        raise Refusal(node, "constants are numbers, texts, True or False")
-    if isinstance(node, ast.Name):
-        if node.id not in names:
-            raise Refusal(node, f"no name {node.id!r}; there are {', '.join(sorted(names))}")
-        codes.append((NAME, node.id))
-        return names[node.id]
-    if isinstance(node, ast.BinOp) and type(node.op) in _BINARY:
-        _need(node.left, "number", names, codes)
-        _need(node.right, "number", names, codes)
-        codes.append((BINARY, _BINARY[type(node.op)][0]))
-        return "number"
-    if isinstance(node, ast.UnaryOp) and isinstance(node.op, (ast.USub, ast.Not)):
+            return TEXT
+        _refuse(node, "constants are numbers, texts, True or False")
+
+    def _emit_name(self, node: ast.Name) -> ValueType:
+        if node.id not in self.names:
+            _refuse(node, f"no name {node.id!r}; there are {', '.join(sorted(self.names))}")
+        self.codes.append(Instruction(Code.NAME, node.id))
+        return self.names[node.id]
+
+    def _emit_unary(self, node: ast.UnaryOp) -> ValueType:
         is_not = isinstance(node.op, ast.Not)
-        _need(node.operand, "truth" if is_not else "number", names, codes)
-        codes.append((NOT if is_not else NEGATE, None))
-        return "truth" if is_not else "number"
-    if isinstance(node, ast.BoolOp):
-        return _emit_logic(node, names, codes)
-    if isinstance(node, ast.IfExp):
-        return _emit_if(node, names, codes)
-    if isinstance(node, ast.Compare) and len(node.ops) == 1:
-        return _emit_compare(node, names, codes)
-    if isinstance(node, ast.Call):
-        return _emit_call(node, names, codes)
-    raise Refusal(node, f"{type(node).__name__} is not part of the language")
-
-
-def _need(node, wanted, names, codes):
-    found = _emit(node, names, codes)
-    if found != wanted:
-        raise Refusal(node, f"gives {found}, needs {wanted}")
-
-
-def _emit_logic(node, names, codes):
-    jump, holes = (JUMP_FALSE if isinstance(node.op, ast.And) else JUMP_TRUE), []
-    for place, value in enumerate(node.values):
-        _need(value, "truth", names, codes)
-        if place < len(node.values) - 1:
-            holes.append(len(codes))
-            codes += [None, (POP, None)]
-    for hole in holes:
-        codes[hole] = (jump, len(codes))
-    return "truth"
-
-
-def _emit_if(node, names, codes):
-    _need(node.test, "truth", names, codes)
-    to_else = len(codes)
-    codes += [None, (POP, None)]
-    found = _emit(node.body, names, codes)
-    to_end = len(codes)
-    codes.append(None)
-    codes[to_else] = (JUMP_FALSE, len(codes))
-    codes.append((POP, None))
-    _need(node.orelse, found, names, codes)
-    codes[to_end] = (JUMP, len(codes))
-    return found
-
-
-def _emit_compare(node, names, codes):
-    operation, right = node.ops[0], node.comparators[0]
-    left = _emit(node.left, names, codes)
-    if isinstance(operation, (ast.In, ast.NotIn)):
-        is_list = isinstance(right, (ast.Tuple, ast.List)) and all(
-            isinstance(item, ast.Constant) for item in right.elts
-        )
-        if not is_list:
-            raise Refusal(right, "in needs a list of constants")
-        codes.append((AMONG, frozenset(item.value for item in right.elts)))
+        operand_type = TRUTH if is_not else NUMBER
+        self._need(node.operand, operand_type)
+        self.codes.append(Instruction(Code.NOT if is_not else Code.NEGATE))
+        return operand_type
+
+    def _emit_logic(self, node: ast.BoolOp) -> ValueType:
+        jump = Code.JUMP_FALSE if isinstance(node.op, ast.And) else Code.JUMP_TRUE
+        jumps = []
+        for index, value in enumerate(node.values):
+            self._need(value, TRUTH)
+            if index < len(node.values) - 1:
+                jumps.append(self._reserve())
+                self.codes.append(Instruction(Code.POP))
+        for position in jumps:
+            self.codes[position] = Instruction(jump, len(self.codes))
+        return TRUTH
+
+    def _emit_if(self, node: ast.IfExp) -> ValueType:
+        self._need(node.test, TRUTH)
+        to_else = self._reserve()
+        self.codes.append(Instruction(Code.POP))
+        found = self._emit(node.body)
+        to_end = self._reserve()
+        self.codes[to_else] = Instruction(Code.JUMP_FALSE, len(self.codes))
+        self.codes.append(Instruction(Code.POP))
+        self._need(node.orelse, found)
+        self.codes[to_end] = Instruction(Code.JUMP, len(self.codes))
+        return found
+
+    def _reserve(self) -> int:
+        """The position of a jump whose target is not known yet."""
+        self.codes.append(Instruction(Code.JUMP))
+        return len(self.codes) - 1
+
+    def _emit_compare(self, node: ast.Compare) -> ValueType:
+        operation, right = node.ops[0], node.comparators[0]
+        left = self._emit(node.left)
+        if isinstance(operation, ast.In | ast.NotIn):
+            return self._emit_among(operation, right)
+        if type(operation) not in _COMPARE:
+            _refuse(node, "this comparison is not part of the language")
+        other = self._emit(right)
+        if left != other:
+            _refuse(node, f"{left} and {other} cannot be compared")
+        self.codes.append(Instruction(Code.COMPARE, _COMPARE[type(operation)]))
+        return TRUTH
+
+    def _emit_among(self, operation: ast.In | ast.NotIn, values: ast.expr) -> ValueType:
+        if not isinstance(values, ast.Tuple | ast.List):
+            _refuse(values, "in needs a list of constants")
+        constants = [item.value for item in values.elts if isinstance(item, ast.Constant)]
+        if len(constants) < len(values.elts):
+            _refuse(values, "in needs a list of constants")
+        self.codes.append(Instruction(Code.AMONG, frozenset(constants)))
         if isinstance(operation, ast.NotIn):
-            codes.append((NOT, None))
-        return "truth"
-    if type(operation) not in _COMPARE:
-        raise Refusal(node, "this comparison is not part of the language")
-    other = _emit(right, names, codes)
-    if left != other:
-        raise Refusal(node, f"{left} and {other} cannot be compared")
-    codes.append((COMPARE, _COMPARE[type(operation)]))
-    return "truth"
-
-
-def _emit_call(node, names, codes):
-    if not isinstance(node.func, ast.Name) or node.func.id not in _CALLS or node.keywords:
-        raise Refusal(node, "only min, max and abs can be called")
-    function, count = _CALLS[node.func.id]
-    if len(node.args) != count:
-        raise Refusal(node, f"{node.func.id} takes {count}")
-    for argument in node.args:
-        _need(argument, "number", names, codes)
-    codes.append((CALL, (function, count)))
-    return "number"
+            self.codes.append(Instruction(Code.NOT))
+        return TRUTH
+
+    def _emit_call(self, node: ast.Call) -> ValueType:
+        if not isinstance(node.func, ast.Name) or node.func.id not in _CALLS or node.keywords:
+            _refuse(node, "only min, max and abs can be called")
+        function, count = _CALLS[node.func.id]
+        if len(node.args) != count:
+            _refuse(node, f"{node.func.id} takes {count}")
+        for argument in node.args:
+            self._need(argument, NUMBER)
+        self.codes.append(Instruction(Code.CALL, (function, count)))
+        return NUMBER
--- a/sumachook/simulation/simulated_files.py
+++ b/sumachook/simulation/simulated_files.py
@@ -58,6 +58,11 @@
         ] = []  # name -> file, or None for one that is gone; each change is kept or lost as a whole
         self.is_refusing, self.steps_left = False, None
 
+    @property
+    def location(self) -> str:
+        """No path: the files are in memory."""
+        return "memory"
+
     # the operations -------------------------------------------------------------
 
     def prepare(self):
--- a/sumachook/storage/file_system.py
+++ b/sumachook/storage/file_system.py
@@ -12,6 +12,10 @@
     content of the file that it was to change is unknown from then on.
     """
 
+    @property
+    def location(self) -> str:
+        """Where the folder is, for messages."""
+
     def prepare(self) -> None:
         """Makes the folder itself durable, if it is missing."""
 
@@ -54,6 +58,11 @@
     def __init__(self, path: Path) -> None:
         self.path = path
 
+    @property
+    def location(self) -> str:
+        """The path of the folder."""
+        return str(self.path)
+
     def prepare(self) -> None:
         """Makes the folder and each missing parent, and syncs each in its own parent."""
         missing = []
--- a/tests/nodes/test_operator_changes.py
+++ b/tests/nodes/test_operator_changes.py
@@ -18,7 +18,7 @@
 from sumachook.control_state.state import State
 from sumachook.host.effects import Reply, Send
 from sumachook.host.events import Tick
-from sumachook.nodes.change_request import MOST_DEPTH, read_order
+from sumachook.nodes.change_request import MAX_DEPTH, InvalidChangeError, read_change_request
 from sumachook.nodes.configuration_changes import ConfigurationChanges
 from sumachook.transport.node_message import wire_kind
 from tests.configuration.test_services import route, whole
@@ -241,10 +241,11 @@
 
 def test_documents_too_deep_to_be_walked_are_refused_at_once():
     """Given an order nested ever deeper, it is refused by itself and never proposed, where the library still reads it and where not."""
-    for depth in (MOST_DEPTH, 300, 900, 100000):
+    for depth in (MAX_DEPTH, 300, 900, 100000):
         doc = b'{"ifVersion":5,"doc":{"version":7,"extra":' + b"[" * depth + b"]" * depth + b"}}"
-        assert read_order("/operator/configure", doc).__class__.__name__ == "Fault"
-    change = read_order("/operator/configure", b'{"ifVersion":5,"doc":{"version":7,"extra":[[[]]]}}')
+        with pytest.raises(InvalidChangeError):
+            read_change_request("/operator/configure", doc)
+    change = read_change_request("/operator/configure", b'{"ifVersion":5,"doc":{"version":7,"extra":[[[]]]}}')
     assert isinstance(change, changes.Configure)
 
 
@@ -520,13 +521,13 @@
     """Given bodies of just four mebibytes and one byte more, with a length and in chunks, the former reach the machine whole."""
     from harness.local_cluster.loopback import free_address
     from sumachook.host.effects import Reply
-    from sumachook.nodes.serve import MOST_OPERATOR_BODY
+    from sumachook.nodes.serve import MAX_OPERATOR_BODY_BYTES
     from sumachook.transport.http_server import HttpServer
     from tests.transport.test_http_server import _raw
 
     async def story():
         sizes = []
-        http_server = HttpServer(free_address(), lambda event: answer_event(event), MOST_OPERATOR_BODY)
+        http_server = HttpServer(free_address(), lambda event: answer_event(event), MAX_OPERATOR_BODY_BYTES)
 
         def answer_event(event):
             sizes.append(len(event.body))
--- a/tests/policies/test_policy_language.py
+++ b/tests/policies/test_policy_language.py
@@ -1,6 +1,8 @@
 """The policy language: programs agree with Python, and bad ones are refused with their place."""
 
-from sumachook.policies import faults
+import pytest
+
+from sumachook.policies.errors import InvalidPolicyError
 from sumachook.policies.policy import compile_policy
 
 
@@ -40,5 +42,6 @@
         ("'a' * 9 == 'b'", "gives text"),
         ("(" * 300 + ")" * 300, "line 1"),
     ):
-        answer = compile_policy("retry", text)
-        assert answer == faults.REFUSED and place in answer.reason, (text, answer)
+        with pytest.raises(InvalidPolicyError) as refusal:
+            compile_policy("retry", text)
+        assert place in str(refusal.value), text
