Kept connections carry what may run only once too, where the server surely has not forgotten them

Each connection costs a task, seven system calls and a place at the server; the client's traces cost three awaits a call.

Change: ServerConnector keeps connections by the server's own word (Keep-Alive, less a second), most recent first, no more than the edge's part of the server's connections allows. A call that may run only once uses one that rested for 0.25 s at most, or for 1.1 s and more: by then the kernel's first probe has been answered, or has ended the connection. Watching is on while a connection rests and for calls that may be repeated; silence still ends nothing else. The id of the answer is compared as before. Why calls got new connections is counted. An edge's part of a server's connections may be less than one: so many edges as it takes use it, by rank, where each used to open two. Traces are gone from the clients.

Tests: "a fresh connection each" is replaced by which rests give a new one, with the same counts of arrivals; what is cut on a kept connection is not sent again; expiry and the bound on idle ones.

--- a/harness/mutations/routing.py
+++ b/harness/mutations/routing.py
@@ -252,11 +252,11 @@
     Mutation(
         "HELD",
         "a path on which nothing is acknowledged ends what can go on nowhere",
-        "ServerConnector(force_close=True)",
-        "ServerConnector(force_close=True, socket_factory=_make_watched_socket)",
+        "protocol.set_watched(call.reuse is ConnectionReuse.ALWAYS)",
+        "protocol.set_watched(True)",
         FORWARD,
         "silence_of_a_path",
-        file="transport/streaming_client.py",
+        file="transport/server_connector.py",
     ),
     Mutation(
         "FAILBACK",
--- a/sumachook/forwarding/request_table.py
+++ b/sumachook/forwarding/request_table.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from random import Random
 from typing import Any
+from zlib import crc32
 
 from sumachook.changefeed.trust import Trust
 from sumachook.configuration.node_settings import COLD_OVERSHOOT, COLD_SLACK
@@ -14,6 +15,12 @@
 from sumachook.requests import request_table
 from sumachook.runtime.cluster_clock import UNIX_EPOCH
 
+USED_FRACTION = 0.9  # of a server's connections; the rest is for edges that differ on how many they are
+UNEVEN_LOAD = 1.5  # an edge's part is more than the even one, so that uneven load finds room
+DEFAULT_CONNECTIONS = 2.0  # to a server of a service that the catalogue does not know
+MAX_KEPT_CONNECTIONS = 4  # idle ones to one server
+KEPT_CONNECTIONS_PART = 2  # idle connections take no more than this part of the share: a half
+
 
 class RequestTable(request_table.RequestTable):
     """Requests by number, windows and placements of servers, and what is known of the rest of the fleet."""
@@ -31,6 +38,7 @@
         "outcome_counts",
         "parked_requests",
         "places",
+        "rank",
         "routes",
         "running_by_service",
         "services",
@@ -57,6 +65,7 @@
         super().__init__(node, restart_epoch, zone, state, follower, retry_budget, random, port, cluster_clock)
         self.places = places
         self.edges = 1  # how many share the servers
+        self.rank = 0  # of this edge among them
         self.is_closed = False  # the proxy server takes no more connections
         # requests that wait: by number for a server; by call id, with their arrival, until their route is known
         self.waiting: dict[int, ForwardedRequest] = {}
@@ -93,6 +102,27 @@
             if service.engine
         }
 
+    def connection_share(self, service: str) -> float:
+        """This edge's part of the connections that a server of the service takes; may be less than one."""
+        known = self.services.get(service)
+        return USED_FRACTION * UNEVEN_LOAD * known.connections / self.edges if known else DEFAULT_CONNECTIONS
+
+    def max_connections(self, service: str, server: str) -> int:
+        """How many requests this edge may have at one server of the service.
+
+        Where there are more edges than a server takes connections, so many of them use it as it takes, each for one
+        request: by the ranks of the edges, others at each server.
+        """
+        share = self.connection_share(service)
+        if share >= 1.0:
+            return int(share)
+        place = (self.rank + crc32(server.encode())) % self.edges
+        return 1 if place < int(USED_FRACTION * self.services[service].connections) else 0
+
+    def max_kept_connections(self, service: str) -> int:
+        """How many idle connections to one server of the service this edge may keep beside those in use."""
+        return min(MAX_KEPT_CONNECTIONS, int(self.connection_share(service) / KEPT_CONNECTIONS_PART))
+
     def record(self, request: ForwardedRequest) -> dict[str, Any]:
         """The request as the ledger opens it; `tag` is the client's own id."""
         opened_at = self.cluster_clock.time(request.arrived_at).isoformat(timespec="milliseconds")
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -5,7 +5,7 @@
 
 from sumachook.forwarding.forwarded_request import ForwardedRequest
 from sumachook.forwarding.request_table import RequestTable
-from sumachook.host.effects import ForwardRequest
+from sumachook.host.effects import ConnectionReuse, ForwardRequest
 from sumachook.requests.call_ids import FORWARDING, AttemptId
 from sumachook.requests.in_flight_request import RequestState
 
@@ -78,10 +78,16 @@
             body=request.body,
             connect_timeout=min(CONNECT_TIMEOUT, remaining),
             total_timeout=remaining,
-            # on a connection that was used before only the id tells its answer from a late one
-            is_kept_alive=request.is_repeatable and bool(request.metadata.request_id),
+            reuse=self._reuse(request),
+            max_kept_connections=self.table.max_kept_connections(request.service),
         )
 
+    def _reuse(self, request: ForwardedRequest) -> ConnectionReuse:
+        """On a connection that was used before only the id tells an answer from a late one."""
+        if not request.metadata.request_id:
+            return ConnectionReuse.NEVER
+        return ConnectionReuse.ALWAYS if request.is_repeatable else ConnectionReuse.WHEN_ALIVE
+
     def _first_token_time(self, request: ForwardedRequest, remaining: timedelta) -> timedelta:
         if not (request.is_repeatable and request.attempt < request.route.tries):
             return remaining
--- a/sumachook/forwarding/server_selection.py
+++ b/sumachook/forwarding/server_selection.py
@@ -23,10 +23,6 @@
 BREAKER_OPEN_COST_MS = 2000.0
 FAILED_COST_MS = 4 * BREAKER_OPEN_COST_MS  # it failed this very request
 EJECTED_COST_MS = 4000.0
-# This edge's part of a service's connections: more than the even one, so that uneven load finds room, and a tenth kept
-# free.
-CONNECTION_SHARE = 0.9 * 1.5
-MIN_CONNECTIONS = 2
 # A prompt's prefix counts as cached at a server for so long after it was last sent there.
 PREFIX_CACHE_TIME = timedelta(seconds=20)
 NO_DEADLINE_MS = 1e9  # above any request's time
@@ -183,11 +179,9 @@
         """Whether the server may be given one more now."""
         table, server_window = self.table, self.table.server_window(name)
         service: Any = table.services.get(request.service)
-        limit = MIN_CONNECTIONS
-        if service:
-            limit = max(MIN_CONNECTIONS, int(CONNECTION_SHARE * service.connections / table.edges))
+        limit = table.max_connections(request.service, name)
         if request.is_yielding:
-            limit //= 2  # it runs where room is left
+            limit = (limit + 1) // 2  # it runs where room is left
         if server_window.in_use >= limit or server_window.is_unreachable(now):
             return False
         return not self._is_cold(name, service, now) or table.may_send_cold(server_window, service.cold_per_s, now)
--- a/sumachook/host/effects.py
+++ b/sumachook/host/effects.py
@@ -1,6 +1,7 @@
 """What a state machine asks its host to do."""
 
 from datetime import timedelta
+from enum import StrEnum
 from typing import Any
 
 import msgspec
@@ -75,8 +76,22 @@
     mode: str
 
 
+class ConnectionReuse(StrEnum):
+    """Which connections that were used before may carry a call.
+
+    `WHEN_ALIVE`: one of which it is known that the server has not forgotten it, as for a call that may not run twice.
+    """
+
+    NEVER = "never"
+    WHEN_ALIVE = "when alive"
+    ALWAYS = "always"
+
+
 class ForwardRequest(Effect, frozen=True):
-    """Forward a client's request to a server unchanged; `is_kept_alive` allows a connection that was used before."""
+    """Forward a client's request to a server unchanged.
+
+    After it so many idle connections to that server may be kept.
+    """
 
     call_id: CallId
     method: str
@@ -85,7 +100,8 @@
     body: bytes
     connect_timeout: timedelta
     total_timeout: timedelta
-    is_kept_alive: bool
+    reuse: ConnectionReuse
+    max_kept_connections: int
 
 
 class CancelCall(Effect, frozen=True):
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -217,6 +217,7 @@
             return
         rank = peers.index(self.node)
         self.proxy_pipeline.table.edges = len(peers)
+        self.proxy_pipeline.table.rank = rank
         self.proxy_pipeline.table.cold_allowance.rank = rank
         if self.settings.resend_slack is not None:
             # all edges together save up less than the slack
--- a/sumachook/transport/http_caller.py
+++ b/sumachook/transport/http_caller.py
@@ -3,44 +3,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import Any, cast
+from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
 from sumachook.calls.run_status import CallFailure
+from sumachook.host.effects import ConnectionReuse
 from sumachook.host.events import CallEvent, CallFailed, CallId, Event, RequestSent
-
-
-class ServerProtocol(ResponseHandler):
-    """A connection to a server; bytes that come while no call is under way on it belong to no call, and end it."""
-
-    is_idle = False
-
-    def data_received(self, data: bytes) -> None:
-        """Takes bytes for the call under way."""
-        if self.is_idle and data:
-            self.abort()
-            return
-        super().data_received(data)
-
-
-class ServerConnector(aiohttp.TCPConnector):
-    """Makes connections that know whether a call is under way on them."""
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(limit=0, **options)
-        self._factory = cast(partial[ResponseHandler], partial(ServerProtocol, loop=self._loop))
-
-    def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
-        super()._release(key, protocol, should_close=should_close)
-        protocol.is_idle = True
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        connection = await super()._get(key, traces)
-        if connection is not None and isinstance(connection.protocol, ServerProtocol):
-            connection.protocol.is_idle = False
-        return connection
+from sumachook.transport.server_connector import CURRENT_CALL, DEFAULT_MAX_KEPT, ConnectingCall, ServerConnector
 
 
 class HttpCaller:
@@ -85,25 +55,23 @@
         raise NotImplementedError
 
     def _session(self, connector: ServerConnector, **options: Any) -> aiohttp.ClientSession:
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(self._note_created)
-        trace.on_connection_reuseconn.append(self._note_reused)
         session = aiohttp.ClientSession(
-            connector=connector,
-            trace_configs=[trace],
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            **options,
+            connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar(), **options
         )
         # aiohttp would send GET, PUT and their like a second time, unseen, also on a fresh connection
         session._retry_connection = False
         return session
 
-    async def _note_created(self, session: aiohttp.ClientSession, context: Any, settings: Any) -> None:
-        self._note_sent(context.trace_request_ctx, False)
-
-    async def _note_reused(self, session: aiohttp.ClientSession, context: Any, settings: Any) -> None:
-        self._note_sent(context.trace_request_ctx, True)
+    def _begin_connecting(
+        self,
+        call_id: CallId,
+        reuse: ConnectionReuse = ConnectionReuse.ALWAYS,
+        max_kept: int = DEFAULT_MAX_KEPT,
+    ) -> ConnectingCall:
+        """Tells the connector of the session about the call that this task is about to make."""
+        call = ConnectingCall(partial(self._note_sent, call_id), reuse, max_kept)
+        CURRENT_CALL.set(call)
+        return call
 
     def _note_sent(self, call_id: CallId, is_reused: bool) -> None:
         """The connection stands: from here on the call may have run."""
--- a/sumachook/transport/http_client.py
+++ b/sumachook/transport/http_client.py
@@ -11,7 +11,7 @@
 from assel import Parser
 
 from sumachook.calls.run_status import CallFailure
-from sumachook.host.effects import Fetch
+from sumachook.host.effects import ConnectionReuse, Fetch
 from sumachook.host.events import (
     CallEvent,
     CallFailed,
@@ -21,7 +21,8 @@
     ResponseReceived,
     ServerEventReceived,
 )
-from sumachook.transport.http_caller import HttpCaller, ServerConnector
+from sumachook.transport.http_caller import HttpCaller
+from sumachook.transport.server_connector import ServerConnector
 
 MAX_BODY_BYTES = 8 << 20  # far above the longest report of a model server
 KEEP_ALIVE = timedelta(seconds=5)
@@ -69,12 +70,11 @@
     __slots__ = ()
 
     def _open_sessions(self) -> tuple[aiohttp.ClientSession, ...]:
-        kept = {"keepalive_timeout": KEEP_ALIVE.total_seconds()}
         connectors = {
-            Pool.FRESH: ServerConnector(force_close=True),
-            Pool.LOOKUPS: ServerConnector(**kept),
-            Pool.REPORTS: ServerConnector(**kept),
-            Pool.ORDERS: ServerConnector(**kept, socket_factory=_resetting_socket),
+            Pool.FRESH: ServerConnector(KEEP_ALIVE),
+            Pool.LOOKUPS: ServerConnector(KEEP_ALIVE),
+            Pool.REPORTS: ServerConnector(KEEP_ALIVE),
+            Pool.ORDERS: ServerConnector(KEEP_ALIVE, socket_factory=_resetting_socket),
         }
         return tuple(self._session(connectors[pool]) for pool in Pool)
 
@@ -87,7 +87,12 @@
 
     async def _fetch(self, effect: Fetch) -> CallEvent:
         call_id = effect.call_id
-        session = self.sessions[_pool_of(call_id, effect.method)]
+        pool = _pool_of(call_id, effect.method)
+        session = self.sessions[pool]
+        if pool is Pool.FRESH:
+            self._begin_connecting(call_id, ConnectionReuse.NEVER, max_kept=0)
+        else:
+            self._begin_connecting(call_id)
         timeout = aiohttp.ClientTimeout(
             total=effect.total_timeout.total_seconds(), sock_connect=effect.connect_timeout.total_seconds()
         )
@@ -97,7 +102,6 @@
             headers=effect.headers,
             data=effect.body or None,
             timeout=timeout,
-            trace_request_ctx=call_id,
             allow_redirects=False,
         ) as answer:
             headers = {name.lower(): value for name, value in answer.headers.items()}
--- a/sumachook/transport/streaming_client.py
+++ b/sumachook/transport/streaming_client.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 from functools import partial
 from typing import Any
@@ -16,12 +17,14 @@
     CallEvent,
     CallFailed,
     CallId,
+    Event,
     ResponseChunkReceived,
     ResponseEnded,
     ResponseHeadReceived,
 )
-from sumachook.transport.http_caller import HttpCaller, ServerConnector
-from sumachook.transport.tcp_timeouts import set_tcp_timeouts
+from sumachook.transport.http_caller import HttpCaller
+from sumachook.transport.server_connector import ServerConnector
+from sumachook.transport.tcp_timeouts import set_probe_intervals
 
 KEEP_ALIVE = timedelta(seconds=8)
 MAX_BODY_BYTES = 16 << 20
@@ -32,9 +35,9 @@
 UNSENDABLE = re.compile("[\\x00-\\x08\\x0a-\\x1f\\x7f\\ud800-\\udfff]")
 
 
-def _watched_socket(found: Any) -> socket.socket:
+def _probed_socket(found: Any) -> socket.socket:
     family, kind, proto, *_ = found
-    return set_tcp_timeouts(socket.socket(family, kind, proto))
+    return set_probe_intervals(socket.socket(family, kind, proto))
 
 
 def _has_end(answer: aiohttp.ClientResponse) -> bool:
@@ -56,22 +59,25 @@
 class StreamingClient(HttpCaller):
     """Runs each `ForwardRequest` in its own task and passes the answer on while it comes.
 
-    What may not run twice gets a fresh connection; the rest may use a kept one. A path on which nothing is acknowledged
-    ends a call on a kept connection, which can go on elsewhere, and no other: the silence of a server, or of the way to
+    `ForwardRequest.reuse` says which kept connections a call may use. A path on which nothing is acknowledged ends a
+    call that may use any of them, since it can go on elsewhere, and no other: the silence of a server, or of the way to
     it, is no reason to end an answer sooner.
     """
 
-    __slots__ = ()
+    __slots__ = ("connector",)
+
+    def __init__(self, on_event: Callable[[Event], None]) -> None:
+        super().__init__(on_event)
+        self.connector: ServerConnector | None = None
 
     def _open_sessions(self) -> tuple[aiohttp.ClientSession, ...]:
-        fresh = ServerConnector(force_close=True)
-        kept = ServerConnector(keepalive_timeout=KEEP_ALIVE.total_seconds(), socket_factory=_watched_socket)
+        self.connector = ServerConnector(KEEP_ALIVE, is_watching=True, socket_factory=_probed_socket)
         options: dict[str, Any] = {
             "max_line_size": MAX_FIELD_BYTES,
             "max_field_size": MAX_FIELD_BYTES,
             "skip_auto_headers": ("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         }
-        return self._session(fresh, **options), self._session(kept, **options)
+        return (self._session(self.connector, **options),)
 
     def forward(self, effect: ForwardRequest) -> None:
         """Begins a call, or says at once that it cannot be made."""
@@ -86,18 +92,18 @@
             total=(effect.total_timeout + LAST_RESORT).total_seconds(),
             sock_connect=effect.connect_timeout.total_seconds(),
         )
-        fresh, kept_alive = self.sessions
-        async with (kept_alive if effect.is_kept_alive else fresh).request(
+        call = self._begin_connecting(call_id, effect.reuse, effect.max_kept_connections)
+        async with self.sessions[0].request(
             effect.method,
             URL(effect.url, encoded=True),
             headers=CIMultiDict(effect.headers),
             data=effect.body or None,
             timeout=timeout,
-            trace_request_ctx=call_id,
             allow_redirects=False,
         ) as answer:
             if not _is_passable(answer):
                 raise aiohttp.ClientPayloadError("a head that cannot be handed on")
+            call.note_keep_alive(answer.headers.get("Keep-Alive", ""))
             self.on_event(ResponseHeadReceived(call_id, answer.status, tuple(answer.headers.items())))
             await self._pass_body_on(call_id, answer)
         return ResponseEnded(call_id) if _has_end(answer) else CallFailed(call_id, CallFailure.RESET)
