--- a/sumachook/transport/codec.py
+++ b/sumachook/transport/codec.py
@@ -17,6 +17,8 @@
 from sumachook.transport.node_message import NodeMessage, kind_of, type_of
 
 MAX_FRAME_BYTES = 4 << 20
+# One protocol for all frames: thrift's C module needs it for the bounds alone, and makes no other use of it.
+_PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer(), fallback=True)
 COMPRESSED, PLAIN, MIN_COMPRESSED_BYTES, MIN_CACHED_BYTES = b"z", b"p", 600, 8000
 CONTAINERS = (list, dict)
 MAX_QUOTED = 40  # characters of a sender's own words in an error
@@ -29,12 +31,13 @@
     spec = (None, *((place, kind, field, extra, None) for place, (field, kind, extra) in enumerate(fields, 1)))
 
     def start(self: Any, *values: Any) -> None:
-        for field in names:
-            setattr(self, field, None)
-        for field, value in zip(names, values, strict=False):  # a struct that is about to be read has no values
+        """Sets the given fields; a struct that is about to be read has none."""
+        for field, value in zip(names, values, strict=False):
             setattr(self, field, value)
 
-    return type(name, (TBase,), {"__slots__": names, "__init__": start, "thrift_spec": spec})
+    made: Any = type(name, (TBase,), {"__slots__": names, "__init__": start, "thrift_spec": spec})
+    made.type_arguments = [made, spec]  # as thrift's C module takes them
+    return made
 
 
 MemberStruct = _struct(
@@ -183,13 +186,21 @@
 
 
 def _bytes_of(struct: Any) -> bytes:
+    if _PROTOCOL._fast_encode is not None:
+        return bytes(_PROTOCOL._fast_encode(struct, struct.type_arguments))
     buffer = TMemoryBuffer()
     struct.write(TBinaryProtocolAccelerated(buffer, fallback=True))
     return bytes(buffer.getvalue())
 
 
 def _fill(struct: Any, raw: bytes) -> Any:
-    struct.read(TBinaryProtocolAccelerated(TMemoryBuffer(raw), len(raw), len(raw), fallback=True))
+    """Reads the fields of a struct; no text and no list in it may claim to be longer than all that there is."""
+    if _PROTOCOL._fast_decode is None:
+        struct.read(TBinaryProtocolAccelerated(TMemoryBuffer(raw), len(raw), len(raw), fallback=True))
+        return struct
+    _PROTOCOL.trans = TMemoryBuffer(raw)
+    _PROTOCOL.string_length_limit = _PROTOCOL.container_length_limit = len(raw)
+    _PROTOCOL._fast_decode(struct, _PROTOCOL, struct.type_arguments)
     return struct
 
 
@@ -251,7 +262,7 @@
     if frame.kind not in BODIES:
         raise UnreadableFrameError(FrameProblem.UNKNOWN_KIND, str(frame.kind)[:MAX_QUOTED])
     body = _fill(BODIES[frame.kind](), frame.body)
-    values = [_from_field(letter, getattr(body, field)) for field, letter in FIELDS[frame.kind]]
+    values = [_from_field(letter, getattr(body, field, None)) for field, letter in FIELDS[frame.kind]]
     message_type = type_of(frame.kind)
     message = (frame.kind, *values) if message_type is None else message_type.from_values(values)
     return ReceivedFrame(frame.sender, frame.address, frame.incarnation, message)
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -71,14 +71,18 @@
 
 
 class Exchange:
-    """One request that waits for its effects, bounded by the bytes that its client has not yet taken."""
+    """One request that waits for its effects, bounded by the bytes that its client has not yet taken.
 
-    __slots__ = ("effects", "unsent_bytes", "is_over")
+    `transport` is there while the response is a stream and no effect waits: chunks are then written at once.
+    """
+
+    __slots__ = ("effects", "unsent_bytes", "is_over", "transport")
 
     def __init__(self) -> None:
         self.effects: asyncio.Queue[ResponseEffect] = asyncio.Queue()
         self.unsent_bytes = 0
         self.is_over = False
+        self.transport: asyncio.Transport | None = None
 
 
 class HttpServer:
@@ -182,14 +186,26 @@
         exchange = self.exchanges.get(effect.call_id)
         if exchange is None or exchange.is_over:
             return
-        if isinstance(effect, SendChunk):
+        if not isinstance(effect, SendChunk):
+            exchange.transport = None  # what ends the response is for its task
+            exchange.effects.put_nowait(effect)
+            return
+        is_direct = exchange.transport is not None
+        unsent = exchange.transport.get_write_buffer_size() if exchange.transport else exchange.unsent_bytes
+        if unsent + len(effect.data) > MAX_UNSENT_BYTES:
+            self._let_go(exchange, effect.call_id)
+        elif is_direct:
+            _write_chunk(exchange, effect.data)
+        else:
             exchange.unsent_bytes += len(effect.data)
-            if exchange.unsent_bytes > MAX_UNSENT_BYTES:
-                exchange.is_over = True  # a caller that does not read is let go
-                exchange.effects.put_nowait(AbortResponse(effect.call_id))
-                self.on_event(ClientDisconnected(effect.call_id))
-                return
-        exchange.effects.put_nowait(effect)
+            exchange.effects.put_nowait(effect)
+
+    def _let_go(self, exchange: Exchange, call_id: CallId) -> None:
+        """Ends the response of a client that does not read."""
+        exchange.is_over = True
+        exchange.transport = None
+        exchange.effects.put_nowait(AbortResponse(call_id))
+        self.on_event(ClientDisconnected(call_id))
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         transport = request.transport
@@ -263,6 +279,8 @@
             if isinstance(effect, SendChunk):
                 await answer.write(effect.data)
                 exchange.unsent_bytes -= len(effect.data)
+                if exchange.effects.empty() and answer.chunked and not exchange.is_over:
+                    exchange.transport = request.transport
             elif isinstance(effect, EndResponse):
                 await answer.write_eof()
                 return answer
@@ -279,6 +297,13 @@
         raise asyncio.CancelledError
 
 
+def _write_chunk(exchange: Exchange, data: bytes) -> None:
+    """Writes a chunk in the coding of the response; one for a client that has just gone is dropped."""
+    transport = exchange.transport
+    if transport is not None and not transport.is_closing():
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+
+
 def _error_body(name: str, reason: str) -> bytes:
     return msgspec.json.encode({"fault": {"class": name, "reason": reason, "tries": 0, "run": "no"}})
 
--- a/sumachook/transport/node_transport.py
+++ b/sumachook/transport/node_transport.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
+from typing import cast
 
 from sumachook.host.events import Event, MessageReceived, UnreadableMessageReceived
 from sumachook.transport.addresses import split_address
@@ -19,23 +20,28 @@
 UNACKNOWLEDGED_TIMEOUT = timedelta(seconds=1.5)
 
 
-class NodeConnection:
+class NodeConnection(asyncio.Protocol):
     """Sends frames to one other node, in order, over one connection that is made again when it breaks.
 
-    The oldest frames are dropped beyond `MAX_QUEUED_FRAMES`, and all that wait where nobody takes the connection: by
-    the time somebody does, they are out of date.
+    A frame is written at once while the other end takes what is written. The oldest of those that wait are dropped
+    beyond `MAX_QUEUED_FRAMES`, and all that wait where nobody takes the connection: by the time somebody does, they are
+    out of date.
     """
 
-    __slots__ = ("address", "queue", "not_empty", "dropped_frames")
-
     def __init__(self, address: str) -> None:
         self.address = address
         self.queue: deque[bytes] = deque()
         self.not_empty = asyncio.Event()
+        self.lost = asyncio.Event()
         self.dropped_frames = 0
+        self.transport: asyncio.Transport | None = None
+        self.is_paused = False
 
     def enqueue(self, raw: bytes) -> None:
         """Takes one frame; comes back at once."""
+        if self.transport is not None and not self.is_paused and not self.transport.is_closing():
+            self.transport.write(with_length(raw))
+            return
         if len(self.queue) >= MAX_QUEUED_FRAMES:
             self.queue.popleft()
             self.dropped_frames += 1
@@ -43,40 +49,107 @@
         self.not_empty.set()
 
     async def run(self) -> None:
-        """Connects and sends until it is cancelled."""
+        """Connects and stays connected until it is cancelled."""
+        host, port = split_address(self.address)
+        loop = asyncio.get_running_loop()
         while True:
             await self.not_empty.wait()
+            self.lost.clear()
             try:
-                host, port = split_address(self.address)
-                _, writer = await asyncio.wait_for(asyncio.open_connection(host, port), CONNECT_TIMEOUT.total_seconds())
+                connecting = loop.create_connection(lambda: self, host, port)
+                await asyncio.wait_for(connecting, CONNECT_TIMEOUT.total_seconds())
             except (TimeoutError, OSError):
                 self._drop_queue()
                 await asyncio.sleep(RECONNECT_DELAY.total_seconds())
                 continue
-            set_tcp_timeouts(writer.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT)
             try:
-                await self._send_until_broken(writer)
-            except OSError:
-                pass
+                await self.lost.wait()
             finally:
-                writer.close()
+                self._close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends what waited."""
+        self.transport = cast(asyncio.Transport, transport)
+        self.is_paused = False
+        set_tcp_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT)
+        self._flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Frames wait again, for the next connection."""
+        self.transport = None
+        self.lost.set()
+
+    def pause_writing(self) -> None:
+        """The other end is slow: frames wait."""
+        self.is_paused = True
+
+    def resume_writing(self) -> None:
+        """The other end takes frames again."""
+        self.is_paused = False
+        self._flush()
+
+    def _flush(self) -> None:
+        while self.queue and self.transport is not None and not self.is_paused:
+            self.transport.write(with_length(self.queue.popleft()))
+        if not self.queue:
+            self.not_empty.clear()
+
+    def _close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
 
     def _drop_queue(self) -> None:
         self.dropped_frames += len(self.queue)
         self.queue.clear()
         self.not_empty.clear()
 
-    async def _send_until_broken(self, writer: asyncio.StreamWriter) -> None:
-        while True:
-            while self.queue:
-                raw = self.queue.popleft()
-                writer.write(len(raw).to_bytes(LENGTH_PREFIX_BYTES, "big") + raw)
-            await writer.drain()
-            if writer.is_closing():
-                raise ConnectionResetError
-            self.not_empty.clear()
-            if not self.queue:
-                await self.not_empty.wait()
+
+class FrameReceiver(asyncio.Protocol):
+    """Cuts what comes on a connection of another node into frames; a frame that is too long ends the connection."""
+
+    def __init__(self, on_frame: Callable[[bytes], None], on_too_long: Callable[[], None]) -> None:
+        self.on_frame = on_frame
+        self.on_too_long = on_too_long
+        self.buffer = bytearray()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Another node has connected."""
+        self.transport = cast(asyncio.Transport, transport)
+        set_tcp_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT)
+
+    def data_received(self, data: bytes) -> None:
+        """Gives each frame that is complete by now."""
+        buffer = self.buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= LENGTH_PREFIX_BYTES:
+            begin = start + LENGTH_PREFIX_BYTES
+            length = int.from_bytes(buffer[start:begin], "big")
+            if length > MAX_FRAME_BYTES:
+                self.on_too_long()
+                self._end()
+                return
+            if len(buffer) < begin + length:
+                break
+            start = begin + length
+            self.on_frame(bytes(buffer[begin:start]))
+        del buffer[:start]
+
+    def _end(self) -> None:
+        self.buffer.clear()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def with_length(raw: bytes) -> bytes:
+    """A frame as it stands on a connection.
+
+    >>> with_length(b"abc")
+    b'\\x00\\x00\\x00\\x03abc'
+    """
+    return len(raw).to_bytes(LENGTH_PREFIX_BYTES, "big") + raw
 
 
 class NodeTransport(asyncio.DatagramProtocol):
@@ -94,7 +167,7 @@
         """Listens until it is cancelled; raises `OSError` where the address cannot be bound."""
         host, port = split_address(self.address)
         loop = asyncio.get_running_loop()
-        server = await asyncio.start_server(self._serve, host, port)
+        server = await loop.create_server(self._receiver, host, port)
         transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
         self.transport = transport
         try:
@@ -135,16 +208,5 @@
             return
         self.on_event(MessageReceived(frame.sender, frame.address, frame.message))
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        set_tcp_timeouts(writer.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT)
-        try:
-            while True:
-                length = int.from_bytes(await reader.readexactly(LENGTH_PREFIX_BYTES), "big")
-                if length > MAX_FRAME_BYTES:
-                    self.on_event(UnreadableMessageReceived())
-                    return
-                self._take(await reader.readexactly(length))
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass  # cancelled only when the whole process ends
-        finally:
-            writer.close()
+    def _receiver(self) -> FrameReceiver:
+        return FrameReceiver(self._take, lambda: self.on_event(UnreadableMessageReceived()))
--- a/sumachook/transport/streaming_client.py
+++ b/sumachook/transport/streaming_client.py
@@ -110,7 +110,7 @@
 
     async def _pass_body_on(self, call_id: CallId, answer: aiohttp.ClientResponse) -> None:
         size = 0
-        async for chunk in answer.content.iter_any():
+        while chunk := await answer.content.readany():
             size += len(chunk)
             if size > MAX_BODY_BYTES:
                 raise aiohttp.ClientPayloadError("too long")
