Nodes import what they use of aiohttp.web, and storage only where there is a data folder

Change: the server parts are imported from their modules; the data folder is opened in nodes/data_folder.py, which is imported where the settings name a folder.

--- a/harness/experiments/scale/host.py
+++ b/harness/experiments/scale/host.py
@@ -22,9 +22,9 @@
 from sumachook.membership.member import Member
 from sumachook.nodes.core import Core
 from sumachook.nodes.daemon import Daemon
+from sumachook.nodes.data_folder import open_folder
 from sumachook.nodes.edge import Edge
 from sumachook.nodes.logs import Logs
-from sumachook.nodes.serve import open_folder
 from sumachook.runtime.clock import Clock
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -4,19 +4,16 @@
 import signal
 from collections.abc import Callable, Sequence
 from datetime import timedelta
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from sumachook.host import effects, events
 from sumachook.host.machine import NodeMachine, StateMachine
-from sumachook.nodes.disk_writer import DiskWriter
 from sumachook.nodes.inbox import Inbox
 from sumachook.nodes.replies import reply
 from sumachook.nodes.tick_intervals import TICK
 from sumachook.requests.call_ids import FORWARDING
 from sumachook.runtime.clock import NodeClock
 from sumachook.runtime.supervisor import Supervisor
-from sumachook.storage.folder import DataFolder
-from sumachook.storage.layout import LOG
 from sumachook.transport.codec import Codec
 from sumachook.transport.http_client import HttpClient
 from sumachook.transport.http_server import HttpServer, ResponseEffect
@@ -25,6 +22,10 @@
 from sumachook.transport.proxy_server import ProxyServer
 from sumachook.transport.streaming_client import StreamingClient
 
+if TYPE_CHECKING:
+    from sumachook.nodes.disk_writer import DiskWriter
+    from sumachook.storage.folder import DataFolder
+
 LAST_MESSAGES = timedelta(seconds=0.2)  # for what was sent last to leave the process before it ends
 RESPONSE_EFFECTS = (
     effects.Reply,
@@ -53,7 +54,7 @@
         http_address: str,
         address: str | None = None,
         cluster: str = "",
-        folder: DataFolder | None = None,
+        folder: "DataFolder | None" = None,
         proxy_address: str | None = None,
         max_body_bytes: int | None = None,
     ) -> None:
@@ -67,11 +68,18 @@
         self.proxy_server = ProxyServer(proxy_address, self._hear) if proxy_address else None
         self.streaming_client = StreamingClient(self._hear) if proxy_address else None
         self.node_transport = NodeTransport(address, cluster, self._hear) if address else None
-        self.disk = DiskWriter(folder, self._hear, log, clock.mono, LOG) if folder else None
+        self.disk = self._disk_writer(folder) if folder else None
         self.effect_handlers = self._effect_handlers(cluster)
         self.exiting = asyncio.Event()
         self.tick_wanted = asyncio.Event()  # something waits for the next tick
 
+    def _disk_writer(self, folder: "DataFolder") -> "DiskWriter":
+        # imported here: an edge has no folder, and starts sooner without
+        from sumachook.nodes.disk_writer import DiskWriter
+        from sumachook.storage.layout import LOG
+
+        return DiskWriter(folder, self._hear, self.log, self.clock.mono, LOG)
+
     async def run(self) -> int:
         """Serves until the machine asks to exit; the exit code."""
         loop = asyncio.get_running_loop()
--- a/sumachook/nodes/serve.py
+++ b/sumachook/nodes/serve.py
@@ -5,27 +5,18 @@
 import sys
 import time
 from collections.abc import Callable
-from itertools import count
-from pathlib import Path
 from random import Random
 from typing import Any, NamedTuple, NoReturn
 
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.host.machine import NodeMachine
-from sumachook.nodes.daemon import Daemon, LogFunction
+from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.logs import Logs
 from sumachook.runtime.clock import Clock
-from sumachook.storage.file_system import RealFileSystem
-from sumachook.storage.folder import DataFolder, Opened
-from sumachook.storage.layout import EARLIER_LOG, FILES, IDENTITY_FILES, LOG
 
 # exit codes of all commands
 REFUSED, USAGE, UNREACHED = 1, 2, 4
 MAX_OPERATOR_BODY_BYTES = 4 << 20
-EARLIER_LOG_HELP = "the log of an earlier version cannot be taken over; see Upgrade in docs/operations.md"
-REOPEN_DELAY_S = 0.25  # between two tries of a disk that refuses
-TRIES_PER_LOG_LINE = 40
-VOTER_RECORD = "seat"  # the kind of the record that names the voter a data folder belongs to
 
 
 def fail(code: int, *lines: str) -> NoReturn:
@@ -44,42 +35,6 @@
     raise SystemExit(code)
 
 
-def open_folder(folder: DataFolder, log: LogFunction) -> Opened:
-    """What the data folder holds.
-
-    Waits for as long as the disk refuses, since nothing may be done on what could be lost again.
-    """
-    path = folder.file_system.location
-    opened = _open_when_possible(folder, log)
-    if LOG not in opened.records and EARLIER_LOG in folder.file_system.names():
-        fail(USAGE, f"{path}: {EARLIER_LOG}: {EARLIER_LOG_HELP}")
-    for damage in opened.damages:
-        fields = {"file": damage.name, "reason": damage.reason, "kept": damage.kept_as}
-        log("error", "storage", "A file is damaged and was set aside.", fields)
-    if any(damage.name in IDENTITY_FILES for damage in opened.damages):
-        log("error", "storage", "This core gives its identity up and starts as a blank one.", {})
-    return opened
-
-
-def _open_when_possible(folder: DataFolder, log: LogFunction) -> Opened:
-    for tries in count():
-        try:
-            return folder.open(FILES, IDENTITY_FILES)
-        except (NotADirectoryError, FileExistsError) as error:
-            fail(USAGE, f"{folder.file_system.location}: {error.strerror}")
-        except OSError as error:
-            if tries % TRIES_PER_LOG_LINE == 0:
-                log("warning", "storage", "The data folder cannot be opened, trying again.", {"error": str(error)})
-            time.sleep(REOPEN_DELAY_S)
-    raise AssertionError("unreachable")
-
-
-def _check_owner(records: dict[str, Any], settings: NodeSettings) -> None:
-    voter = next((record[1] for record in records.get(LOG, ()) if record[0] == VOTER_RECORD), "")
-    if voter and voter.rpartition("-")[0] != settings.node:
-        fail(USAGE, f"{settings.data}: {LOG}: the folder is of seat {voter!r}, not of node {settings.node!r}")
-
-
 class NodeStart(NamedTuple):
     """What the state machine of a node is made from, in the order of its parameters."""
 
@@ -104,9 +59,10 @@
     folder = None
     records: dict[str, Any] = {}
     if settings.data:
-        folder = DataFolder(RealFileSystem(Path(settings.data)))
-        records = open_folder(folder, logs.log).records
-    _check_owner(records, settings)
+        # imported here: an edge has no folder, and starts sooner without
+        from sumachook.nodes.data_folder import open_node_folder
+
+        folder, records = open_node_folder(settings.data, settings.node, logs.log)
     clock = Clock()
     restart_epoch = time.time_ns() // 1_000_000
     random = Random(int.from_bytes(os.urandom(8), "big"))
--- a/sumachook/transport/connection_limits.py
+++ b/sumachook/transport/connection_limits.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
 
 UNBOUNDED = float("inf")
 
@@ -21,6 +21,6 @@
     idle_timeout: float = 15.0
 
 
-def header_size(request: web.BaseRequest) -> int:
+def header_size(request: BaseRequest) -> int:
     """Bytes of a request's header fields, each with colon, blank and line end; or of its target, if longer."""
     return max(len(request.raw_path), sum(len(name) + len(value) + 4 for name, value in request.raw_headers))
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -7,8 +7,12 @@
 from typing import Any, ClassVar, NoReturn, TypeVar
 
 import msgspec
-from aiohttp import web
+
+# aiohttp.web as a whole would bring what serves files and applications: a tenth of the start
 from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+from aiohttp.web_server import Server
 from multidict import CIMultiDict
 
 from sumachook.host.effects import AbortResponse, BeginResponse, EndResponse, Reply, SendChunk
@@ -16,7 +20,7 @@
 from sumachook.transport.addresses import split_address
 from sumachook.transport.connection_limits import ConnectionLimits, header_size
 
-AnyResponse = TypeVar("AnyResponse", bound=web.StreamResponse)
+AnyResponse = TypeVar("AnyResponse", bound=StreamResponse)
 ResponseEffect = Reply | BeginResponse | SendChunk | EndResponse | AbortResponse
 
 MAX_BODY_BYTES = 1 << 20
@@ -46,14 +50,14 @@
 
     def handle_error(
         self,
-        request: web.BaseRequest,
+        request: BaseRequest,
         status: int = 500,
         exc: BaseException | None = None,
         message: str | None = None,
-    ) -> web.StreamResponse:
+    ) -> StreamResponse:
         """The answer to what could not be read, or could not be handled."""
         plain = super().handle_error(request, status, exc, message)
-        answer = web.Response(
+        answer = Response(
             status=status,
             body=_error_body("malformed" if status < 500 else "inner", plain.reason),
             content_type="application/json",
@@ -62,7 +66,7 @@
         return answer
 
 
-class JsonServer(web.Server):
+class JsonServer(Server):
     """The protocol factory of `JsonHandler`s."""
 
     def __call__(self) -> JsonHandler:
@@ -207,7 +211,7 @@
         exchange.effects.put_nowait(AbortResponse(call_id))
         self.on_event(ClientDisconnected(call_id))
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(self, request: BaseRequest) -> StreamResponse:
         transport = request.transport
         self.busy_transports.add(transport)
         self.idle_since.pop(transport, None)
@@ -218,7 +222,7 @@
             if isinstance(request.protocol, JsonHandler):
                 request.protocol.head_since = None
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | web.Response:
+    async def _read_body(self, request: BaseRequest) -> bytes | Response:
         """The complete body, or the answer to one that is too long or stalls."""
         max_bytes, body = self.limits.body_bytes, bytearray()
         if (request.content_length or 0) > max_bytes:
@@ -233,11 +237,11 @@
             bytes(body) if len(body) <= max_bytes else _error_response(413, "too-large", f"at most {max_bytes} bytes")
         )
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(self, request: BaseRequest) -> StreamResponse:
         if header_size(request) > self.limits.header_bytes:
             return _error_response(431, "header-too-large", f"at most {self.limits.header_bytes} bytes")
         body = await self._read_body(request) if request.can_read_body else b""
-        if isinstance(body, web.Response):
+        if isinstance(body, Response):
             return body
         self.last_call_number += 1
         call_id, event = self._event_of(request, body)
@@ -255,23 +259,23 @@
             if not is_complete and not exchange.is_over:
                 self.on_event(ClientDisconnected(call_id))
 
-    def _event_of(self, request: web.BaseRequest, body: bytes) -> tuple[CallId, Event]:
+    def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
         """The id of a request's call, and what the machine is told."""
         headers = {name.lower(): value for name, value in request.headers.items()}
         return self.last_call_number, HttpRequestReceived(
             self.last_call_number, request.method, request.path, headers, body
         )
 
-    async def _answer(self, request: web.BaseRequest, exchange: Exchange) -> web.StreamResponse:
+    async def _answer(self, request: BaseRequest, exchange: Exchange) -> StreamResponse:
         effect = await exchange.effects.get()
         if isinstance(effect, Reply):
             headers = CIMultiDict(effect.headers)
-            return _closing_if_asked(web.Response(status=effect.status, headers=headers, body=effect.body))
+            return _closing_if_asked(Response(status=effect.status, headers=headers, body=effect.body))
         if isinstance(effect, AbortResponse):
             self._abort(request)
         if not isinstance(effect, BeginResponse):
             raise TypeError(f"a response does not begin with {effect!r}")
-        answer = _closing_if_asked(web.StreamResponse(status=effect.status, headers=CIMultiDict(effect.headers)))
+        answer = _closing_if_asked(StreamResponse(status=effect.status, headers=CIMultiDict(effect.headers)))
         answer.enable_chunked_encoding()
         await answer.prepare(request)
         while True:
@@ -287,7 +291,7 @@
             else:
                 self._abort(request)
 
-    def _abort(self, request: web.BaseRequest) -> NoReturn:
+    def _abort(self, request: BaseRequest) -> NoReturn:
         """Ends without a closing chunk, so that nobody can take the cut answer for a complete one.
 
         What was written goes out; the cancellation tells aiohttp to write nothing more here, not even an error.
@@ -315,8 +319,8 @@
     return answer
 
 
-def _error_response(status: int, name: str, reason: str) -> web.Response:
+def _error_response(status: int, name: str, reason: str) -> Response:
     """The last answer of its connection, to what never reached the machine."""
-    answer = web.Response(status=status, body=_error_body(name, reason), content_type="application/json")
+    answer = Response(status=status, body=_error_body(name, reason), content_type="application/json")
     answer.force_close()
     return answer
--- a/sumachook/transport/proxy_server.py
+++ b/sumachook/transport/proxy_server.py
@@ -1,6 +1,7 @@
 """The HTTP server for requests that are forwarded: path, headers and body stay as they came."""
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
 
 from sumachook.configuration.limits import Limits
 from sumachook.host.events import CallId, Event, ProxyRequestReceived
@@ -13,7 +14,7 @@
 NEVER = 1e6  # seconds: the sweep closes what rests, by limits that may change meanwhile
 
 
-def _reason_not_forwardable(request: web.BaseRequest) -> str:
+def _reason_not_forwardable(request: BaseRequest) -> str:
     """Why this request would leave the node in another form than it came, or nothing."""
     if (
         request.method == "CONNECT"
@@ -47,12 +48,12 @@
             limits.header_bytes, limits.body_bytes, limits.header_ms / 1000, limits.idle_ms / 1000
         )
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(self, request: BaseRequest) -> StreamResponse:
         if reason := _reason_not_forwardable(request):
             return _error_response(400, "malformed", reason)
         return await super()._serve(request)
 
-    def _event_of(self, request: web.BaseRequest, body: bytes) -> tuple[CallId, Event]:
+    def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
         call_id = ProxyCallId(PROXY, self.last_call_number)
         headers = tuple(request.headers.items())
         return call_id, ProxyRequestReceived(call_id, request.method, request.raw_path, headers, body)
--- a/tests/nodes/test_disk_faults.py
+++ b/tests/nodes/test_disk_faults.py
@@ -18,8 +18,9 @@
 from sumachook.leases import Leases
 from sumachook.leases.events import Quit, Resume, Tick
 from sumachook.leases.messages import LeaseRenewed, RenewLease
+from sumachook.nodes.data_folder import open_folder
 from sumachook.nodes.disk_writer import DiskWriter
-from sumachook.nodes.serve import USAGE, open_folder
+from sumachook.nodes.serve import USAGE
 from sumachook.storage.events import DiskStateChanged
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder
