A server to which a connection is kept costs a request a little less

Cause: an edge of a large fleet sends each server a request every five seconds or so; spread evenly, half of the kept connections have rested too long by the time they are wanted. A new one costs a round trip and a moment of the server.

Change: an edge counts the connections that its complete answers left at each server; one to which none is kept costs 2 ms more in the choice.

--- a/sumachook/forwarding/response_relay.py
+++ b/sumachook/forwarding/response_relay.py
@@ -140,6 +140,8 @@
         return self.table.with_connection_close(self.table.port.pass_headers(headers))
 
     def _handle_end(self, request: ForwardedRequest, event: Any, now: timedelta) -> list[Any]:
+        if not _is_last_on_connection(request.response_headers):
+            self.table.server_window(request.server).note_kept_connection(now)
         if request.is_event_stream:
             if request.buffer or not request.reached_client:
                 return self.resend.take(request, FailureKind.CUT.because("ended within an event"), now)
@@ -163,6 +165,11 @@
         return self.resend.take(request, failure, now)
 
 
+def _is_last_on_connection(headers: Any) -> bool:
+    """Whether the server says that it closes the connection after this answer."""
+    return any(name.lower() == "connection" and value.lower() == "close" for name, value in headers)
+
+
 def _kind_of_not_run(status: int) -> FailureKind:
     """What it means that a server did not run a request, by the status that it gives."""
     if status in OVERLOAD_STATUSES:
--- a/sumachook/forwarding/server_selection.py
+++ b/sumachook/forwarding/server_selection.py
@@ -19,6 +19,7 @@
 IN_FLIGHT_COST_MS = 20.0  # for each request in flight at another server
 FULL_COST_MS = 200.0  # for as many requests beyond its slots as it has slots
 OTHER_ZONE_COST_MS = 3.0
+NEW_CONNECTION_COST_MS = 2.0  # a round trip, and a moment of the server
 OVERLOADED_COST_MS = 500.0
 BREAKER_OPEN_COST_MS = 2000.0
 FAILED_COST_MS = 4 * BREAKER_OPEN_COST_MS  # it failed this very request
@@ -150,6 +151,7 @@
             return None
         cost: float = (
             OTHER_ZONE_COST_MS * (server["area"] != table.zone)
+            + NEW_CONNECTION_COST_MS * (not server_window.has_kept_connection(now))
             + OVERLOADED_COST_MS * server_window.is_overloaded(now)
             + BREAKER_OPEN_COST_MS * server_window.is_breaker_open(now)
         )
--- a/sumachook/forwarding/server_window.py
+++ b/sumachook/forwarding/server_window.py
@@ -5,6 +5,9 @@
 from sumachook.requests import server_window
 from sumachook.requests.server_window import BackoffPolicy
 
+# A connection that rests is likely to be there for so long; a little less than it is kept.
+KEPT_CONNECTION_TIME = timedelta(seconds=6)
+
 
 class ServerWindow(server_window.ServerWindow):
     """Requests in flight, prompt tokens not yet read, breaker and backoffs of one server, as one edge sees them.
@@ -20,6 +23,8 @@
         "cold_tokens",
         "cold_tokens_at",
         "cold_window",
+        "kept_connections",
+        "kept_since",
         "pending_tokens",
         "unreachable_backoff",
         "unreachable_until",
@@ -45,6 +50,9 @@
         self.cold_tokens = 0.0
         self.cold_tokens_at: timedelta | None = None
         self.cold_window: int | None = None
+        # about how many connections to it rest, and since when the last of them does
+        self.kept_connections = 0
+        self.kept_since = timedelta(0)
 
     def is_unreachable(self, now: timedelta) -> bool:
         """Whether nobody listened there a moment ago: nothing is sent until a probe is due."""
@@ -59,6 +67,18 @@
         """An attempt with so many prompt tokens begins."""
         self.count_attempt()
         self.pending_tokens += tokens
+        self.kept_connections = max(0, self.kept_connections - 1)
+
+    def note_kept_connection(self, now: timedelta) -> None:
+        """An answer is complete, and its connection may carry another request."""
+        self.kept_connections += 1
+        self.kept_since = now
+
+    def has_kept_connection(self, now: timedelta) -> bool:
+        """Whether a request that is sent now is likely to need no new connection."""
+        if now - self.kept_since > KEPT_CONNECTION_TIME:
+            self.kept_connections = 0
+        return self.kept_connections > 0
 
     def record_success(self) -> None:
         """The server answers: all backoffs end."""
