An edge that was cut off from the cores for over a minute saves up no retry credit

Cause: edges that are gone count for a minute in the parts of the retry budget's slack. In a longer split the side with the cores divides the slack among its own edges, while the others keep their parts or, once they forget, divide all of it again: both sides together could save up twice eight tenths of the slack.

Change: after that minute an edge for which no core vouches has no part of the savings; what it earns is spent at once or lost.

--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -19,7 +19,7 @@
 from sumachook.ledger.writer import LedgerWriter
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.membership import Membership
-from sumachook.nodes.edge_peers import EdgePeers
+from sumachook.nodes.edge_peers import PEER_MEMORY, EdgePeers
 from sumachook.nodes.edge_routing import EdgeRouting
 from sumachook.nodes.edge_shutdown import EdgeShutdown
 from sumachook.nodes.edge_status import condition, metrics
@@ -220,5 +220,12 @@
         self.proxy_pipeline.table.rank = rank
         self.proxy_pipeline.table.cold_allowance.rank = rank
         if self.settings.resend_slack is not None:
-            # all edges together save up less than the slack
-            self.retry_budget.cap = share_of_savings(self.settings.resend_slack, rank, len(peers))
+            self.retry_budget.cap = self._savings(self.settings.resend_slack, rank, len(peers), now)
+
+    def _savings(self, slack: float, rank: int, edge_count: int, now: timedelta) -> float:
+        """What this edge may save up, so that all edges together save up less than the slack.
+
+        After `PEER_MEMORY` the edges on the side of the cores divide the slack without this one, if it is on the other.
+        """
+        is_isolated = now - self.ticks.connected_at > PEER_MEMORY
+        return 0.0 if is_isolated else share_of_savings(slack, rank, edge_count)
--- a/sumachook/nodes/edge_tick.py
+++ b/sumachook/nodes/edge_tick.py
@@ -30,11 +30,20 @@
 class EdgeTick:
     """Gives every part of an edge its tick, in a fixed order, and sends the reports that are due."""
 
-    __slots__ = ("edge", "started_at", "was_disconnected", "asked_placements_at", "next_demand_at", "applied_limits")
+    __slots__ = (
+        "edge",
+        "started_at",
+        "connected_at",
+        "was_disconnected",
+        "asked_placements_at",
+        "next_demand_at",
+        "applied_limits",
+    )
 
     def __init__(self, edge: "Edge", now: timedelta) -> None:
         self.edge = edge
         self.started_at = now
+        self.connected_at = now  # when a core last vouched for the state, or the start
         self.was_disconnected = False
         self.asked_placements_at = now
         self.next_demand_at = now
@@ -89,6 +98,8 @@
         if self.was_disconnected and not is_disconnected:
             effects += edge.inference_pipeline.take(ConnectivityRestored(), now)
         self.was_disconnected = is_disconnected
+        if not is_disconnected:
+            self.connected_at = now
         effects += edge.inference_pipeline.take(event, now)
         if edge.proxy_pipeline is not None:
             effects += edge.proxy_pipeline.take(event, now)
--- a/tests/retry_budget/test_retry_budget.py
+++ b/tests/retry_budget/test_retry_budget.py
@@ -126,8 +126,8 @@
         assert sum(saved) <= 50.0 and sum(balance >= 1 for balance in saved) >= 10, edges
 
 
-def _saved_by(name, addresses):
-    """What one of these edges has saved up after many requests for one service."""
+def _edge_among(name, addresses):
+    """(edge, now): one of these edges two seconds after it heard of the others."""
     own = NodeSettings(
         node=name,
         address=addresses[name],
@@ -146,6 +146,53 @@
     edge.membership.take(MessageReceived(updates[0].node, updates[0].address, MemberList(updates)), now)
     edge.take(Tick(), now + SECOND * 2)
     assert len(edge.inference_pipeline.table.peers) == len(addresses)
+    return edge, now + SECOND * 2
+
+
+def _saved_by(name, addresses):
+    """What one of these edges has saved up after many requests for one service."""
+    edge, _ = _edge_among(name, addresses)
+    for _ in range(400):
+        edge.retry_budget.earn(service_key("records"))
+    return edge.retry_budget.balance_of(service_key("records"))
+
+
+def test_both_sides_of_a_long_split_together_save_up_less_than_the_slack():
+    """Given twenty edges of which eight are cut off from the cores and from the others, after more than a minute the others part the
+    slack among themselves; those that no core vouches for have nothing saved up, and both sides together stay below the slack."""
+    names = [f"e{number:02}" for number in range(20)]
+    addresses = {name: f"10.0.2.{number}:7" for number, name in enumerate(names)}
+    with_cores, cut_off = set(names[:12]), set(names[12:])
+    for seconds in (30, 75):
+        saved = {}
+        for side in (with_cores, cut_off):
+            for name in side:
+                saved[name] = _saved_in_split(name, addresses, side, seconds, is_fresh=side is with_cores)
+        assert sum(saved.values()) <= 50.0, seconds
+        assert sum(saved[name] for name in with_cores) >= 20.0
+    assert {saved[name] for name in cut_off} == {0.0}
+
+
+def _saved_in_split(name, addresses, side, seconds, is_fresh):
+    """What an edge has saved up so long after the edges of the other side were gone for it."""
+    edge, now = _edge_among(name, addresses)
+    gone_at = now + SECOND * 3
+    for member in edge.membership.members.values():
+        if member.node not in side:
+            member.status, member.status_since = MemberStatus.GONE, gone_at
+    for _ in range(seconds):
+        now += SECOND
+        if is_fresh:
+            edge.follower.proved_at = now
+        edge.ticks.take(Tick(), now)
+        edge.membership.members = {
+            node: member
+            for node, member in edge.membership.members.items()
+            if member.status is not MemberStatus.SUSPECT
+        }
+        for member in edge.membership.members.values():
+            if member.node in side:
+                member.status = MemberStatus.ALIVE
     for _ in range(400):
         edge.retry_budget.earn(service_key("records"))
     return edge.retry_budget.balance_of(service_key("records"))
