The model checker walks along leases of roles, holders cut off from the leader alone

Cause: no mutation showed Voting.may_vote missing. A role's holder that cannot reach the leader, but reaches the other voters, is renewed by them while the leader vacates the role; only what each voter remembers of its answers keeps a successor waiting. The walks cut machines from all others, so holder and other voters never were in touch.

--- a/harness/model_checking/__main__.py
+++ b/harness/model_checking/__main__.py
@@ -15,14 +15,14 @@
 from harness.model_checking.shrink import Shrinker
 from harness.model_checking.steps import BEGINNINGS
 from harness.model_checking.story import Story, load, play, save
-from harness.model_checking.walk import draw_story
+from harness.model_checking.walk import draw_lease_story, draw_story
 
 MOST_SEEDS = 20_000
 
 
-def _walk(seed: int, voters: int, seconds: float, shrink_for: float, ignored: tuple):
+def _walk(seed: int, draw, voters: int, seconds: float, shrink_for: float, ignored: tuple):
     """(story, outcome, what is left of the story once shrunk) of one walk."""
-    story = draw_story(seed, voters, seconds)
+    story = draw(seed, voters, seconds)
     outcome = play(story, ignored)
     if not outcome.findings or not shrink_for:
         return story, outcome, story
@@ -36,6 +36,7 @@
     rules, counts, seconds, tried, empty = Counter(), Counter(), 0.0, 0, 0
     work = partial(
         _walk,
+        draw=draw_lease_story if given.leases else draw_story,
         voters=given.seats,
         seconds=given.seconds_of_simulated_time,
         shrink_for=given.shrink,
@@ -137,6 +138,7 @@
     walks.add_argument("--seeds", type=int, nargs=2, default=(1, 20), metavar=("FIRST", "LAST"))
     walks.add_argument("--seats", type=int, choices=(3, 5), default=3)
     walks.add_argument("--seconds-of-simulated-time", type=float, default=60.0, metavar="S")
+    walks.add_argument("--leases", action="store_true", help="faults meet the holders of leases of roles")
     walks.add_argument("--jobs", type=int, default=3)
     walks.add_argument("--out", type=Path, help="a folder for the counter-examples")
     walks.add_argument(
--- a/harness/model_checking/choices.py
+++ b/harness/model_checking/choices.py
@@ -1,8 +1,8 @@
 """What may happen at a moment of a walk; a story is a list of these.
 
 `at` counts seconds from the moment at which the first configuration stood. A machine is named by "leader", which is
-whoever leads then, or by its place among the machines that exist then ("0", "1", ...), so that a story stays playable
-when choices are taken out of it.
+whoever leads then, by "placer" or "accountant", which is who holds the lease of that role then, or by its place among
+the machines that exist then ("0", "1", ...), so that a story stays playable when choices are taken out of it.
 """
 
 from typing import Literal
--- a/harness/model_checking/control_deployment.py
+++ b/harness/model_checking/control_deployment.py
@@ -135,13 +135,18 @@
 
     def name_of(self, selector: str) -> str:
         """The machine that a choice names."""
-        if selector == "leader":
-            leading = [name for name in self.names if self._is_leading(self.boxes[name])]
-            return leading[0] if leading else self.names[0]
-        return self.names[int(selector) % len(self.names)]
-
-    def _is_leading(self, box):
-        return box.machine is not None and observe.is_leading(box.machine)
+        if selector.isdecimal():
+            return self.names[int(selector) % len(self.names)]
+        named = [name for name in self.names if self._is_named(self.boxes[name], selector)]
+        return named[0] if named else self.names[0]
+
+    def _is_named(self, box, selector):
+        """Whether this machine leads, for "leader", or holds the lease of the role with that name."""
+        if box.machine is None:
+            return False
+        return (
+            observe.is_leading(box.machine) if selector == "leader" else observe.holds(box.machine, selector, self.now)
+        )
 
     def _http_address_of(self, selector):
         return self.boxes[self.name_of(selector)].http_address
--- a/harness/model_checking/observe.py
+++ b/harness/model_checking/observe.py
@@ -45,6 +45,11 @@
     return {duty: fence for duty in DUTIES if (fence := core.leases.holds(duty, now))}
 
 
+def holds(core, role: str, now) -> bool:
+    """Whether this core holds the lease of a role."""
+    return core.leases.holds(role, now) != 0
+
+
 class SnapshotBound:
     """While it stands, replicas put a snapshot in the place of their logs after so many entries (0: as the product
     does).
--- a/harness/model_checking/walk.py
+++ b/harness/model_checking/walk.py
@@ -9,6 +9,8 @@
 AT_THE_EDGE = 4.0  # a machine counts as lost until so long after its trouble
 SELECTORS = ("leader", "leader", "leader", "0", "1", "2", "3", "4")
 DURATIONS = (0.1, 0.3, 0.5, 0.7, 0.9, 1.1, 1.4, 1.6, 2.0, 3.0, 5.0)
+ROLES = ("placer", "accountant")
+LEASE_DURATIONS = (0.5, 1.1, 1.6, 2.0, 3.0, 5.0)
 WRITES_KEPT = (0, 0, 1, 2, 5)
 PADDINGS = (0, 0, 0, 0, 200, 20_000)
 
@@ -34,6 +36,23 @@
     )
 
 
+def draw_lease_story(seed: int, voters: int, seconds: float) -> Story:
+    """A walk whose faults meet the machines that hold the leases of roles, and often only their links to the leader.
+
+    While such a link is cut the holder's renewals do not reach the leader, which vacates the role, but the other voters
+    still answer them: only what each voter remembers keeps a successor from holding the lease beside it.
+    """
+    random = Random(f"leases {seed} {voters}")
+    drawn, at = [], 0.0
+    while at < seconds:
+        length = random.uniform(*TROUBLE)
+        drawn += _LeaseEpisode(random, at, at + length).draw_all()
+        at += length
+        drawn.append(choices.Calm(at=round(at, 3)))
+        at += CALM
+    return Story(seed=seed, voters=voters, seconds=at, choices=tuple(sorted(drawn, key=lambda one: one.at)))
+
+
 class _Episode:
     """The choices of one stretch of trouble."""
 
@@ -242,3 +261,35 @@
 
     def _evacuate(self, at):
         self._add(choices.Evacuate, at, zone=self.random.randrange(3), targets=self._targets())
+
+
+class _LeaseEpisode(_Episode):
+    """Trouble of the holders of leases, one holder after the other."""
+
+    def draw_all(self) -> list:
+        """Faults of holders, with orders and reads all the while."""
+        at = self.start
+        while at < self.end:
+            at = self._lease_fault(at) + self.random.uniform(0.2, 2.0)
+        self._orders()
+        return [choice for choice in self.drawn if choice.at < self.end]
+
+    def _machine(self):
+        return self.random.choice(ROLES)
+
+    def _seconds(self):
+        return round(self.random.choice(LEASE_DURATIONS) + self.random.uniform(-0.05, 0.05), 3)
+
+    def _lease_fault(self, at):
+        return self.random.choice((self._cut_from_leader, self._cut_from_leader, self._freeze, self._kill))(at)
+
+    def _cut_from_leader(self, at):
+        return self._add(
+            choices.Cut,
+            at,
+            self._seconds(),
+            machine=self._machine(),
+            towards=("leader",),
+            direction=self._direction(),
+            holds=self.random.random() < 0.5,
+        )
--- a/harness/mutations/model_checker.py
+++ b/harness/mutations/model_checker.py
@@ -109,6 +109,14 @@
         "state.accepted_versions.record(identity.version, identity.digest)",
         "pass",
     ),
+    _mutation(
+        "fence",
+        "a voter votes for a successor while a lease that it helped to prolong may stand",
+        "leases/voting.py",
+        "return not was_ever_held or now - self.answered_at.get(role, self.started_at) > self.timing.vacant_after",
+        "return True",
+        "lease_walks",
+    ),
     Mutation(
         "MODEL",
         "overtaken: an evacuation goes out however late the read before it comes back",
