--- a/sumachook/forwarding/request_table.py
+++ b/sumachook/forwarding/request_table.py
@@ -113,11 +113,12 @@
         Where there are more edges than a server takes connections, so many of them use it as it takes, each for one
         request: by the ranks of the edges, others at each server.
         """
-        share = self.connection_share(service)
-        if share >= 1.0:
-            return int(share)
-        place = (self.rank + crc32(server.encode())) % self.edges
-        return 1 if place < int(USED_FRACTION * self.services[service].connections) else 0
+        known = self.services.get(service)
+        single_users = int(USED_FRACTION * known.connections) if known else self.edges
+        if self.edges <= single_users:
+            return int(self.connection_share(service))
+        rank_at_server = (self.rank + crc32(server.encode())) % self.edges
+        return 1 if rank_at_server < single_users else 0
 
     def max_kept_connections(self, service: str) -> int:
         """How many idle connections to one server of the service this edge may keep beside those in use."""
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -139,7 +139,7 @@
         return redirect(call_id, http_address, path) if http_address else self._no_view(call_id)
 
     def _http_address_of(self, leader: str | None) -> str:
-        """The leader's HTTP address, if it is known and seems alive; a caller sent to a dead one would lose a second."""
+        """The leader's HTTP address, if known and alive: a caller sent to a dead one would lose a second."""
         alive = (
             member.http_address
             for member in self.core.membership.live
--- a/sumachook/nodes/inbox.py
+++ b/sumachook/nodes/inbox.py
@@ -11,7 +11,8 @@
 class Inbox(Generic[EventT, EffectT]):
     """Gives events to a state machine one after the other, and carries out the effects of each before the next.
 
-    An event that an effect gives rise to waits until the effects before it are carried out: the machine is never entered twice.
+    An event that an effect gives rise to waits until the effects before it are carried out: the machine is never
+    entered twice.
 
     Parameters
     ----------
@@ -32,8 +33,8 @@
     def put(self, event: EventT) -> None:
         """Gives the event to the machine at once, or, while another one is being delivered, after it.
 
-        An exception of `take` or `carry_out` is raised to the caller of the outermost `put`; events that still wait are delivered
-        with the next one.
+        An exception of `take` or `carry_out` is raised to the caller of the outermost `put`; events that still wait are
+        delivered with the next one.
         """
         self._events.append(event)
         if self._is_delivering:
--- a/sumachook/simulation/platform.py
+++ b/sumachook/simulation/platform.py
@@ -1,5 +1,7 @@
 """A stand-in for the platform that lists the servers."""
 
+from typing import Any
+
 import msgspec
 
 from sumachook.host.effects import Exit, Reply
@@ -13,7 +15,7 @@
 
     __slots__ = ("servers", "leavings", "extra")
 
-    def __init__(self, servers):
+    def __init__(self, servers: list[dict[str, Any]]) -> None:
         self.servers = {server["name"]: {**server} for server in servers}
         self.leavings = {}  # {server: [[listed as leaving since, until or None]]}, for the invariant checker
         self.extra = []  # what else the list says, sound or not
