--- a/sumachook/simulation/callers.py
+++ b/sumachook/simulation/callers.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from random import Random
+from typing import Any
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from sumachook.host.events import (
     CallEvent,
     CallFailed,
+    Event,
     RequestSent,
     ResponseEnded,
     ResponseHeadReceived,
@@ -54,7 +56,26 @@
         "tried",
     )
 
-    def __init__(self, number, tag, group, edge, now, model, patience, safe, moves=0, tried=()):
+    ended_at: timedelta | None
+    status: int | None
+    run: str | None
+    fault_class: str | None
+    first_at: timedelta | None
+    finish: str | None
+
+    def __init__(
+        self,
+        number: int,
+        tag: str,
+        group: dict[str, Any],
+        edge: Any,
+        now: timedelta,
+        model: Any,
+        patience: timedelta,
+        safe: bool,
+        moves: int = 0,
+        tried: tuple[str, ...] = (),
+    ) -> None:
         self.tag, self.caller, self.tried = tag, group["caller"], tried
         self.number, self.group, self.edge, self.sent_at, self.model = number, group["name"], edge, now, model
         self.kind, self.is_stream, self.patience, self.safe = group["kind"], group.get("stream", True), patience, safe
@@ -80,9 +101,10 @@
 class Callers:
     """Takes (message, now); makes traffic by the city's rates and keeps each call (docs/design/simulation.md).
 
-    A caller holds one address in each area. Whose connection is refused, or who is told that the node is leaving, evacuated
-    or not ready, asks an edge of an area not asked yet, at once; nothing else is asked again. A group may have shares of
-    prompts that are `keyed`, and of those that are sent `again` under the same key at another edge, as after a double click.
+    A caller holds one address in each area. Whose connection is refused, or who is told that the node is leaving,
+    evacuated or not ready, asks an edge of an area not asked yet, at once; nothing else is asked again. A group may
+    have shares of prompts that are `keyed`, and of those that are sent `again` under the same key at another edge, as
+    after a double click.
     """
 
     __slots__ = (
@@ -101,18 +123,21 @@
         "zones",
     )
 
+    calls: list[Call]
+    open: dict[int, Call]
+
     def __init__(
         self,
-        edges: dict,
-        traffic: list,
-        catalogue: dict,
+        edges: dict[str, Any],
+        traffic: list[Any],
+        catalogue: dict[str, Any],
         random: Random,
-        now,
-        pace=1.0,
-        stop_after=None,
-        name="callers",
-        zones=None,
-    ):
+        now: timedelta,
+        pace: float = 1.0,
+        stop_after: timedelta | None = None,
+        name: str = "callers",
+        zones: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.zones = {edge: (zones or {}).get(edge, edge) for edge in edges}  # areas unknown: each edge is its own
         self.edges, self.groups, self.random = dict(edges), traffic, random
@@ -129,7 +154,7 @@
             group["name"]: now + timedelta(seconds=random.expovariate(group["rate"] * pace)) for group in traffic
         }
 
-    def take(self, event, now) -> list:
+    def take(self, event: Event, now: timedelta) -> list[Any]:
         """The effects of one event."""
         if isinstance(event, Tick):
             return self._tick(now)
@@ -137,7 +162,7 @@
             return self._handle_call(event, now)
         return [Exit(0)] if isinstance(event, StopRequested) else []
 
-    def _tick(self, now):
+    def _tick(self, now: timedelta) -> list[Any]:
         out = []
         if self.stop_after is not None and now - self.start_at > self.stop_after:
             self.is_on = False
@@ -154,7 +179,7 @@
                 out.append(CancelCall(("call", number)))
         return out
 
-    def _ask_anew(self, group, now):
+    def _ask_anew(self, group: dict[str, Any], now: timedelta) -> list[Any]:
         is_keyed = group.get("keyed") and self.random.random() < group["keyed"]
         key = f"{self.name}-{len(self.calls)}" if is_keyed else ""
         out = self.ask(group, now, key=key)
@@ -164,7 +189,17 @@
             out += self.ask(group, now, self.random.choice(others) if others else None, first.model, key)
         return out
 
-    def ask(self, group, now, edge=None, model=None, key="", moves=0, tried=()):
+    def ask(
+        self,
+        group: dict[str, Any],
+        now: timedelta,
+        edge: Any = None,
+        model: Any = None,
+        key: str = "",
+        moves: int = 0,
+        tried: tuple[str, ...] = (),
+    ) -> list[Any]:
+        """One request of a group; gives the effect that sends it."""
         caller = self.callers[group["caller"]]
         edge = edge or self.random.choice(sorted(self.edges))
         is_lookup = group["kind"] == "lookup"
@@ -208,12 +243,12 @@
         url = f"http://{self.edges[edge]}{path}"
         return [Fetch(("call", number), method, url, headers, body, CONNECT, limit, mode)]
 
-    def _model(self, group):
+    def _model(self, group: dict[str, Any]) -> Any:
         """A few names are asked for much, each of the others now and then: as 1, 1/2, 1/3 and so on."""
         names = group["models"]
         return self.random.choices(names, [1 / place for place in range(1, len(names) + 1)])[0]
 
-    def _handle_call(self, event, now):
+    def _handle_call(self, event: CallEvent, now: timedelta) -> list[Any]:
         _, number = event.call_id
         call = self.open.get(number)
         if call is None or isinstance(event, RequestSent):
@@ -232,13 +267,13 @@
                 return self._handle_failure(call, failure, now)
         raise TypeError(f"callers take no such event: {event!r}")
 
-    def _handle_failure(self, call, failure, now):
+    def _handle_failure(self, call: Any, failure: str, now: timedelta) -> list[Any]:
         call.fault_class = call.fault_class or failure
         if CallFailure(failure).was_before_first_byte:
             return self._end(call, NONE, now) + self._move(call, now)
         return self._end(call, CUT if call.status == 200 else NONE, now)
 
-    def _event(self, call, data, now):
+    def _event(self, call: Any, data: str, now: timedelta) -> list[Any]:
         if data == "[DONE]":
             call.is_done = True
             return []
@@ -254,7 +289,7 @@
         call.finish = choice.get("finish_reason") or call.finish
         return []
 
-    def _whole(self, call, status, headers, body, now):
+    def _whole(self, call: Any, status: int, headers: Any, body: bytes, now: timedelta) -> list[Any]:
         call.status, call.request = status, headers.get("x-request-id", "")
         if status == 200:
             call.is_done, call.run = True, "yes"
@@ -274,12 +309,12 @@
             else out
         )
 
-    def _end(self, call, outcome, now):
+    def _end(self, call: Any, outcome: str, now: timedelta) -> list[Any]:
         call.outcome, call.ended_at = outcome, now
         self.open.pop(call.number, None)
         return []
 
-    def _move(self, call, now):
+    def _move(self, call: Any, now: timedelta) -> list[Any]:
         """An edge of an area not asked yet, for a call that surely was not begun."""
         others = [edge for edge in sorted(self.edges) if self.zones[edge] not in call.tried]
         if call.moves >= 2 or not others:
--- a/sumachook/simulation/deployment.py
+++ b/sumachook/simulation/deployment.py
@@ -1,17 +1,19 @@
 """A city's example files, and its whole fleet in memory."""
 
 import json
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.host.effects import Fetch
-from sumachook.host.events import CallFailed, ResponseReceived, Tick
+from sumachook.host.events import CallFailed, Event, ResponseReceived, Tick
 from sumachook.nodes.core import Core
 from sumachook.nodes.edge import Edge
 from sumachook.simulation.callers import Callers
-from sumachook.simulation.fleet import Fleet
+from sumachook.simulation.fleet import Box, Fleet
 from sumachook.simulation.model import ModelServer, Record
 from sumachook.simulation.platform import Platform
 from sumachook.simulation.probe import Probe
@@ -25,7 +27,7 @@
 
     __slots__ = ("catalogue", "servers", "traffic", "nodes", "cluster", "platform")
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path) -> None:
         read = {
             name: json.loads((folder / f"{name}.json").read_text())
             for name in ("catalogue", "servers", "traffic", "nodes")
@@ -41,7 +43,7 @@
             read["nodes"]["platform"],
         )
 
-    def settings(self, node: dict, **more) -> dict:
+    def settings(self, node: dict[str, Any], **more: Any) -> dict[str, Any]:
         """The params document of one node."""
         cores = [other["address"] for other in self.nodes if other["role"] == "core"]
         doc = {
@@ -63,7 +65,19 @@
 
     __slots__ = ("spec", "settings_more", "records", "orders", "probe")
 
-    def __init__(self, spec: DeploymentSpec, seed: int, edges=None, load_rate=40.0, has_ids=True, **settings_more):
+    records: dict[str, Any]
+    orders: list[Any]
+    probe: Probe | None
+
+    def __init__(
+        self,
+        spec: DeploymentSpec,
+        seed: int,
+        edges: Any = None,
+        load_rate: float = 40.0,
+        has_ids: bool = True,
+        **settings_more: Any,
+    ) -> None:
         super().__init__(seed, spec.cluster)
         self.spec, self.settings_more, self.records, self.orders, self.probe = spec, settings_more, {}, [], None
         self.add("platform", "platform", lambda box: Platform(spec.servers), "", "", spec.platform)
@@ -74,31 +88,32 @@
         for node in chosen:
             self.add_node(node)
 
-    def add_server(self, server, load_rate=40.0, has_ids=True):
+    def add_server(self, server: Any, load_rate: float = 40.0, has_ids: bool = True) -> None:
+        """A server of the list begins; its record outlives it."""
         record = self.records.setdefault(server["name"], Record())
 
-        def make(box):
+        def make(box: Box) -> Any:
             if server["kind"] == "records":
                 return RecordsServer(server["name"])
             return ModelServer(server, self.spec.catalogue, (), load_rate, has_ids, record)
 
         self.add(server["name"], server["kind"], make, server["area"], "", server["address"])
 
-    def add_node(self, node, **more):
+    def add_node(self, node: Any, **more: Any) -> Box:
+        """A core or an edge begins; gives its box."""
         role = Core if node["role"] == "core" else Edge
-        settings = NodeSettings(
-            **{
-                SETTINGS_FIELDS.get(name, name): tuple(value) if isinstance(value, list) else value
-                for name, value in self.spec.settings(node, **self.settings_more, **more).items()
-            }
-        )
+        fields: dict[str, Any] = {
+            SETTINGS_FIELDS.get(name, name): tuple(value) if isinstance(value, list) else value
+            for name, value in self.spec.settings(node, **self.settings_more, **more).items()
+        }
+        settings = NodeSettings(**fields)
 
-        def make(box):
+        def make(box: Box) -> Any:
             return role(settings, box.records, box.restart_epochs, box.clock, Random(self.random.random()))
 
         return self.add(node["name"], node["role"], make, node["area"], node["address"], node["door"])
 
-    def call_in(self, pace=1.0, traffic=None, name="callers", edges=None):
+    def call_in(self, pace: float = 1.0, traffic: Any = None, name: str = "callers", edges: Any = None) -> Any:
         """Callers begin; gives their machine."""
         http_addresses = {
             box.name: box.http_address
@@ -127,17 +142,18 @@
         )
         return self.boxes[name].machine
 
-    def probe_in(self):
+    def probe_in(self) -> Any:
         """A probe of what edges obey begins; gives it."""
         self.probe = Probe(self)
         self.add("probe", "probe", lambda box: self.probe, "", "", "probe")
         return self.probe
 
-    def operator(self):
+    def operator(self) -> Any:
+        """The machine of the operator, which begins with the first call."""
         box = self.boxes.get("operator") or self.add("operator", "operator", lambda box: Operator(), "", "", "operator")
         return box.machine
 
-    def inside(self, *but) -> list:
+    def inside(self, *but: str) -> list[Any]:
         """All that a cut of the network can part: nodes, servers, the platform."""
         return [
             box.name
@@ -145,11 +161,24 @@
             if box.role in ("core", "edge", "model", "records", "platform") and box.name not in but
         ]
 
-    def machines(self, role: str) -> list:
+    def machines(self, role: str) -> list[Any]:
+        """Those of a role that run."""
         return [box.machine for box in self.boxes.values() if box.role == role and box.machine is not None]
 
-    def ask(self, core: str, method: str, path: str, doc=None, wait=8.0, step=None, follows=True):
-        """An operator's request to a core: (status, answer), or None if none came in time; noted for the invariant checker."""
+    def ask(
+        self,
+        core: str,
+        method: str,
+        path: str,
+        doc: Any = None,
+        wait: float = 8.0,
+        step: Callable[[], object] | None = None,
+        follows: bool = True,
+    ) -> Any:
+        """An operator's request to a core: (status, answer), or None if none came in time.
+
+        It is noted for the invariant checker.
+        """
         sent_at = self.now
         operator = self.operator()
         number = operator.ask(f"http://{self.boxes[core].http_address}{path}", method, doc, follows)
@@ -168,21 +197,26 @@
 
     __slots__ = ("waiting", "answers", "number", "redirects")
 
+    waiting: list[Any]
+    answers: dict[Any, Any]
+    redirects: dict[Any, Any]
+
     MOST_REDIRECTS = 2
     WAIT = timedelta(seconds=8)
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.waiting, self.answers, self.number = [], {}, 0
         self.redirects = {}  # {number: (method, doc, how many more)} of calls whose redirects are followed
 
-    def ask(self, url, method, doc, follows=True):
+    def ask(self, url: str, method: str, doc: Any, follows: bool = True) -> int:
+        """A request that goes out with the next tick; gives its number."""
         self.number += 1
         self.waiting.append((self.number, url, method, doc))
         if follows:
             self.redirects[self.number] = (method, doc, self.MOST_REDIRECTS)
         return self.number
 
-    def take(self, event, now):
+    def take(self, event: Event, now: timedelta) -> list[Any]:
         """The effects of one event."""
         match event:
             case Tick():
@@ -195,7 +229,7 @@
                 self.answers[number] = (0, failure)
         return []
 
-    def _handle_response(self, event):
+    def _handle_response(self, event: ResponseReceived) -> list[Any]:
         number = event.call_id
         method, doc, left = self.redirects.get(number, (None, None, 0))
         if event.status == 307 and left:
@@ -205,6 +239,6 @@
         self.answers[number] = (event.status, json.loads(event.body))
         return []
 
-    def _fetch(self, number, url, method, doc):
+    def _fetch(self, number: int, url: str, method: str, doc: Any) -> Any:
         body = json.dumps(doc).encode() if doc is not None else b""
         return Fetch(number, method, url, {}, body, self.WAIT, self.WAIT, "whole")
--- a/sumachook/simulation/disk.py
+++ b/sumachook/simulation/disk.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from random import Random
+from typing import Any
 
 import msgspec
 
@@ -39,7 +40,9 @@
         "unfinished",
     )
 
-    def __init__(self, seed: int = 0):
+    opened: set[str]
+
+    def __init__(self, seed: int = 0) -> None:
         self.random = Random(seed)
         self.file_system = SimulatedFileSystem(self.random)
         self.folder, self.queue = DataFolder(self.file_system), WriteQueue(LOG)
@@ -49,9 +52,9 @@
         self.opened = set()  # tags whose record was ever synced in a ledger here, noted for the invariant checker
 
     @property
-    def files(self) -> dict:
+    def files(self) -> dict[str, Any]:
         """{name: records} as a reader of the folder finds them now."""
-        found = {}
+        found: dict[Any, Any] = {}
         for name in self.file_system.names():
             raw = self.file_system.read(name)
             if name.startswith("day-"):
@@ -69,14 +72,15 @@
         self.folder, self.queue = DataFolder(self.file_system), WriteQueue(LOG)
         return self.folder.open(FILES, IDENTITY_FILES)
 
-    def begin(self, write: Write, now: timedelta):
+    def begin(self, write: Write, now: timedelta) -> None:
         """The process asks for a write."""
         self.queue.put(write, now)
         self.unfinished.append(step_of(write, now))
 
-    def finish(self, now: timedelta = timedelta(0)):
+    def finish(self, now: timedelta = timedelta(0)) -> Any:
         """The step under way is durable now: gives what its writer is to be told, or None if the disk refuses it."""
         step = self.queue.begin_step(now)
+        assert step is not None, "no write is under way"
         self._obey(now)
         try:
             self.folder.write(step)
@@ -94,7 +98,7 @@
 
     # faults ---------------------------------------------------------------------
 
-    def end_process(self):
+    def end_process(self) -> None:
         """The process ends: the step under way got to any point; files stay as they are."""
         step = self.queue.begin_step(timedelta(0))
         if step is not None and not self.file_system.is_refusing:
@@ -106,7 +110,7 @@
             self.file_system.steps_left = None
         self._drop()
 
-    def lose_power(self, writes_kept: int | None = None):
+    def lose_power(self, writes_kept: int | None = None) -> None:
         """The process ends, and what no sync covered may be lost; or just all but the first so many writes."""
         if writes_kept is not None:
             for write in self.unfinished[:writes_kept] if not self.file_system.is_refusing else ():
@@ -116,18 +120,19 @@
         self.end_process()
         self.file_system.lose_power()
 
-    def remove(self, name: str):
+    def remove(self, name: str) -> None:
         """Somebody removes a file behind the node's back."""
         self.file_system.remove(name)
         self.file_system.sync_folder()
 
-    def wipe(self):
+    def wipe(self) -> None:
+        """The machine gets an empty disk."""
         self.file_system.wipe()
         self._drop()
         self.opened.clear()
 
-    def _drop(self):
+    def _drop(self) -> None:
         self.queue, self.unfinished = WriteQueue(LOG), []
 
-    def _obey(self, now: timedelta):
+    def _obey(self, now: timedelta) -> None:
         self.file_system.is_refusing = now < self.refuses_until
--- a/sumachook/simulation/fake_engine_server.py
+++ b/sumachook/simulation/fake_engine_server.py
@@ -1,6 +1,8 @@
 """An engine server as the provisioner meets it: one order at a time, own room, own disk, a count of orders, fences."""
 
+from collections.abc import Callable
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 
@@ -9,8 +11,8 @@
     """Takes (method, path, body, now), gives (status, body); speaks `loom/port.py`'s format.
 
     `record` keeps what it was ordered: (when, what, details). It records itself what breaks a rule, as a breach.
-    `running` {model: when its last run ends}; an unload waits for that. Its reports are `lag` old. `repeat`: what it answers, without
-    counting it, to the very order that it is carrying out.
+    `running` {model: when its last run ends}; an unload waits for that. Its reports are `lag` old. `repeat`: what it
+    answers, without counting it, to the very order that it is carrying out.
     """
 
     __slots__ = (
@@ -29,14 +31,22 @@
         "repeat",
     )
 
-    def __init__(self, name, engine, models=(), lag=timedelta(milliseconds=200), repeat=202):
+    busy: tuple[timedelta, str, str, str] | None  # until when, and the order that is carried out
+    slowness: Callable[[], float]
+    record: list[Any]
+    running: dict[Any, Any]
+
+    def __init__(
+        self, name: str, engine: Any, models: Any = (), lag: timedelta = timedelta(milliseconds=200), repeat: int = 202
+    ) -> None:
         self.name, self.engine, self.lag, self.slowness = name, engine, lag, lambda: 1.0
         self.models = {model: set(adapters) for model, adapters in dict(models).items()}
         self.had, self.busy, self.sequence, self.fence = set(self.models), None, 0, 0
         self.record, self.running, self.repeat = [], {}, repeat
         self.shown = [(timedelta(0), self._report())]
 
-    def take(self, method, path, body, now):
+    def take(self, method: str, path: str, body: bytes, now: timedelta) -> tuple[int, bytes]:
+        """The status and the body that answer one request."""
         self._settle(now)
         if (method, path) == ("GET", "/report"):
             return 200, msgspec.json.encode(self._shown(now))
@@ -47,12 +57,12 @@
         self.shown.append((now, self._report()))
         return answer, b""
 
-    def restart(self, now):
+    def restart(self, now: timedelta) -> None:
         """Empty, with fences and count forgotten; its disk keeps what it had."""
         self.models, self.busy, self.sequence, self.fence = {}, None, 0, 0
         self.shown = [(now, self._report())]
 
-    def _order(self, verb, model, adapter, fence, sequence, now):
+    def _order(self, verb: str, model: Any, adapter: str, fence: int, sequence: int | None, now: timedelta) -> Any:
         self.record.append((now, "order", (verb, model, adapter, fence)))
         if fence < self.fence:
             self.record.append((now, "old fence", (fence, self.fence)))
@@ -91,12 +101,12 @@
         self.busy = (now + span, verb, model, adapter)
         return 202
 
-    def _used(self, items):
+    def _used(self, items: Any) -> Any:
         return sum(
             items[model].size_mb + len(adapters) * items[model].adapter_mb for model, adapters in self.models.items()
         )
 
-    def _settle(self, now):
+    def _settle(self, now: timedelta) -> None:
         if self.busy is None or now < self.busy[0]:
             return
         at, verb, model, adapter = self.busy
@@ -112,7 +122,7 @@
             self.models.pop(model, None)
         self.shown.append((at, self._report()))
 
-    def _report(self):
+    def _report(self) -> dict[str, Any]:
         models = [{"name": model, "adapters": sorted(adapters)} for model, adapters in self.models.items()]
         return {
             "models": models,
@@ -124,7 +134,7 @@
             "cacheTotal": 0,
         }
 
-    def _shown(self, now):
+    def _shown(self, now: timedelta) -> Any:
         known = [item for item in self.shown if item[0] <= now - self.lag] or self.shown[:1]
         self.shown = self.shown[len(known) - 1 :]
         return known[-1][1]
--- a/sumachook/simulation/fault_injection.py
+++ b/sumachook/simulation/fault_injection.py
@@ -1,7 +1,10 @@
 """Seeded random faults over a whole deployment, then calm, or an end without one; the invariant checker looks on."""
 
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from random import Random
+from typing import Any
 
 from sumachook.simulation.invariant_checker import InvariantChecker
 
@@ -17,7 +20,10 @@
 
 
 class FaultInjection:
-    """`run(seconds)` brings faults about and then calm, or with `closing` one last fault; gives what broke a rule (docs/design/simulation.md)."""
+    """Brings faults about and then calm, or with `closing` one last fault; gives what broke a rule.
+
+    The kinds of faults are in docs/design/simulation.md.
+    """
 
     __slots__ = (
         "deployment",
@@ -34,14 +40,21 @@
         "is_changing",
     )
 
-    def __init__(self, deployment, callers, seed: int):
+    told: list[tuple[float, str]]
+    undo: list[tuple[timedelta, Callable[[], object]]]
+    retired: set[str]
+
+    def __init__(self, deployment: Any, callers: Any, seed: int) -> None:
         self.deployment, self.callers, self.random = deployment, callers, Random(seed)
         self.invariant_checker, self.told, self.undo, self.number = InvariantChecker(deployment, callers), [], [], 0
         self.acked_generation, self.lost_at, self.retired, self.key, self.is_changing = 0, -LOSS_EVERY, set(), "", False
         deployment.probe or deployment.probe_in()
 
-    def run(self, seconds: float, calm: float = 40.0, closing: bool = False) -> list:
-        kinds = [getattr(self, name) for name in sorted(dir(self)) if name.startswith("_fault_")]
+    def run(self, seconds: float, calm: float = 40.0, closing: bool = False) -> list[str]:
+        """Faults for so many seconds, then the calm or the last fault; gives what broke a rule or was left behind."""
+        kinds: list[Callable[[float], str | None]] = [
+            getattr(self, name) for name in sorted(dir(self)) if name.startswith("_fault_")
+        ]
         end = self.deployment.now + timedelta(seconds=seconds)
         while self.deployment.now < end:
             kind = self.random.choice(kinds)
@@ -64,7 +77,7 @@
         self.deployment.run(8)
         return self.invariant_checker.faults() + self._lost() + self.left()
 
-    def _close(self):
+    def _close(self) -> list[str]:
         """The day ends here: every node of ours is gone and none returns; the disks have the last word."""
         self._go_on(self.random.uniform(0.0, 2.0))
         self._hush()
@@ -76,18 +89,19 @@
         self.deployment.run(20)
         return self.invariant_checker.faults() + self._lost()
 
-    def _hush(self):
+    def _hush(self) -> None:
         for box in self.deployment.boxes.values():
             if box.role == "callers":
                 box.machine.is_on = False
 
-    def _lost(self):
+    def _lost(self) -> list[str]:
         return [
-            f"accounted: {call.tag} of {call.group} at {call.edge}, {call.outcome} {call.fault_class}, is not in that day's log"
+            f"accounted: {call.tag} of {call.group} at {call.edge}, {call.outcome} {call.fault_class}, "
+            "is not in that day's log"
             for call in self.invariant_checker.unaccounted()
         ]
 
-    def _end_faults(self):
+    def _end_faults(self) -> None:
         last, self.undo = self.undo, []
         for _, undo in last:
             undo()
@@ -99,23 +113,23 @@
         self._go_on(12.0)  # what could not be undone at once is tried again until now
         self.undo = []
 
-    def _go_on(self, seconds):
+    def _go_on(self, seconds: float) -> None:
         """Time passes in steps, so that what is due to end does."""
         end = self.deployment.now + timedelta(seconds=seconds)
         while self.deployment.now < end:
             self._step()
 
-    def _step(self):
+    def _step(self) -> None:
         self.deployment.run(0.25)
         for item in list(self.undo):
             if item[0] <= self.deployment.now and item in self.undo:
                 self.undo.remove(item)
                 item[1]()
 
-    def _later(self, seconds, undo):
+    def _later(self, seconds: float, undo: Callable[[], object]) -> None:
         self.undo.append((self.deployment.now + timedelta(seconds=seconds), undo))
 
-    def left(self) -> list:
+    def left(self) -> list[str]:
         """What is not as it was after the calm."""
         deployment, found = self.deployment, []
         leaders = [core for core in deployment.machines("core") if core.consensus.role == "leading"]
@@ -151,7 +165,7 @@
 
     # faults: each gives a line that tells what it did, or None ------------------------------
 
-    def _one(self, *roles):
+    def _one(self, *roles: Any) -> Any:
         boxes = [
             box
             for box in self.deployment.boxes.values()
@@ -159,7 +173,7 @@
         ]
         return self.random.choice(boxes) if boxes else None
 
-    def _revive(self, name):
+    def _revive(self, name: str) -> None:
         box = self.deployment.boxes[name]
         if (
             box.machine is None
@@ -168,7 +182,7 @@
         ):
             self.deployment.start(name)
 
-    def _fault_kill_node(self, lasts):
+    def _fault_kill_node(self, lasts: float) -> str | None:
         box = self._one("edge", "core")
         if box is None:
             return None
@@ -176,7 +190,7 @@
         self._later(lasts, lambda: self._revive(box.name))
         return f"{box.name} killed for {lasts:.1f}"
 
-    def _fault_kill_server(self, lasts):
+    def _fault_kill_server(self, lasts: float) -> str | None:
         box = self._one("model", "records")
         if box is None:
             return None
@@ -184,7 +198,7 @@
         self._later(lasts, lambda: self._revive(box.name))
         return f"{box.name} killed for {lasts:.1f}"
 
-    def _fault_vanish(self, lasts):
+    def _fault_vanish(self, lasts: float) -> str | None:
         box = self._one("edge", "core", "model", "records")
         if box is None:
             return None
@@ -192,44 +206,44 @@
         self._later(lasts, lambda: self._revive(box.name))
         return f"{box.name} vanished for {lasts:.1f}"
 
-    def _fault_dark(self, lasts):
+    def _fault_dark(self, lasts: float) -> str | None:
         box = self._one("model", "records")
         if box is None:
             return None
         machine = box.machine
         machine.is_dark = True
 
-        def light():
+        def light() -> None:
             machine.is_dark = False
 
         self._later(lasts, light)
         return f"{box.name} dark for {lasts:.1f}"
 
-    def _fault_freeze(self, lasts):
+    def _fault_freeze(self, lasts: float) -> str | None:
         box = self._one("edge", "core", "edge", "core", "model")
         if box is None:
             return None
         self.deployment.freeze(box.name)
 
-        def wake():
+        def wake() -> None:
             if box.is_frozen:
                 self.deployment.wake(box.name)
 
         self._later(lasts, wake)
         return f"{box.name} frozen for {lasts:.1f}"
 
-    def _cut(self, first, second, one_way, lasts):
+    def _cut(self, first: Any, second: Any, one_way: bool, lasts: float) -> None:
         deployment, before = self.deployment, set(self.deployment.cuts)
         deployment.cut(first, second, one_way)
         added = deployment.cuts - before
         self._later(lasts, lambda: deployment.heal(added))
 
-    def _fault_isolate(self, lasts):
+    def _fault_isolate(self, lasts: float) -> str | None:
         box = self._one("edge", "core")
         self._cut([box.name] if box else [], self.deployment.inside(), False, lasts)
         return f"{box.name} isolated for {lasts:.1f}" if box else None
 
-    def _fault_one_way(self, lasts):
+    def _fault_one_way(self, lasts: float) -> str | None:
         box = self._one("core", "edge")
         if box is None:
             return None
@@ -241,7 +255,7 @@
                 self._cut([name], [box.name], True, lasts)
         return f"{box.name} cut one way for {lasts:.1f}"
 
-    def _fault_split(self, lasts):
+    def _fault_split(self, lasts: float) -> str:
         cores = [box.name for box in self.deployment.boxes.values() if box.role == "core"]
         edges = [box.name for box in self.deployment.boxes.values() if box.role == "edge"]
         lone = self.random.choice(cores)
@@ -250,28 +264,28 @@
         self._cut(side, rest, False, lasts)
         return f"{side} split off for {lasts:.1f}"
 
-    def _fault_stall(self, lasts):
+    def _fault_stall(self, lasts: float) -> str | None:
         box = self._one("core")
         if box is None:
             return None
         box.disk.stalled_until = self.deployment.now + timedelta(seconds=lasts)
         return f"disk of {box.name} stalls for {lasts:.1f}"
 
-    def _fault_refuse(self, lasts):
+    def _fault_refuse(self, lasts: float) -> str | None:
         box = self._one("core")
         if box is None:
             return None
         box.disk.refuses_until = self.deployment.now + timedelta(seconds=lasts)
         return f"disk of {box.name} refuses writes for {lasts:.1f}"
 
-    def _fault_jump(self, lasts):
+    def _fault_jump(self, lasts: float) -> str | None:
         box = self._one("core", "edge")
         if box is None:
             return None
         box.clock.jump = timedelta(hours=self.random.uniform(-30, 30))
         return f"wall clock of {box.name} jumps by {box.clock.jump}"
 
-    def _fault_leave(self, lasts):
+    def _fault_leave(self, lasts: float) -> str | None:
         platform = self.deployment.boxes["platform"].machine
         names = [name for name, server in platform.servers.items() if not server["leaving"]]
         if len(names) < 6:
@@ -279,7 +293,7 @@
         name = self.random.choice(names)
         platform.servers[name]["leaving"] = True
 
-        def back():
+        def back() -> None:
             platform.servers.get(name, {})["leaving"] = False
 
         self._later(lasts + 6, back)
@@ -287,7 +301,7 @@
 
     # configuration and orders
 
-    def _order(self, path, doc):
+    def _order(self, path: str, doc: Any) -> Any:
         """An operator's order to a core that is up; gives the answer's document if it was acknowledged."""
         core = self._one("core")
         if core is None:
@@ -301,8 +315,8 @@
             return answer[1]
         return None
 
-    def _probing(self):
-        """(part of a configuration, its key, keys whose fate it decides): a caller that only the probe uses, the last one out."""
+    def _probing(self) -> Any:
+        """A part of a configuration and its key: a caller that only the probe uses, and the last one taken out."""
         self.number += 1
         name = f"probe-{self.number}"
         line = self.deployment.spec.catalogue["lines"][0]["name"]
@@ -310,8 +324,8 @@
         callers = [caller] + ([{"name": self.key.removesuffix("-key"), "remove": True}] if self.key else [])
         return {"callers": callers}, caller["key"]
 
-    def _change(self, part):
-        """A partial configuration that the probe will look for; gives its answer if it was acknowledged. One at a time."""
+    def _change(self, part: dict[str, Any]) -> Any:
+        """A partial configuration that the probe will look for, one at a time; gives its answer if acknowledged."""
         if self.is_changing:
             return None
         self.is_changing = True
@@ -326,7 +340,7 @@
             self.deployment.probe.promise([key], before, self.deployment.now)
         return answer
 
-    def _fault_apply(self, lasts):
+    def _fault_apply(self, lasts: float) -> str:
         target = self.deployment.spec.catalogue["models"][0]["name"]
         routes = [
             {"name": f"storm-{self.number}-{place}", "target": target} for place in range(self.random.randrange(1, 60))
@@ -334,17 +348,17 @@
         answer = self._change({"routes": routes})
         return f"{len(routes)} routes applied: {answer and answer['generation']}"
 
-    def _fault_policies(self, lasts):
+    def _fault_policies(self, lasts: float) -> str:
         policies = self.random.choice(POLICIES)
 
-        def back():
+        def back() -> None:
             if self._change({"policies": POLICIES[-1]}) is None:
                 self._later(1.0, back)
 
         self._later(lasts + 3, back)
         return f"policies {policies} applied: {self._change({'policies': policies}) is not None}"
 
-    def _fault_removal(self, lasts):
+    def _fault_removal(self, lasts: float) -> str:
         """A model that is in use, and a caller that calls, are taken out and put back."""
         catalogue = self.deployment.spec.catalogue
         model = self.random.choice(
@@ -361,15 +375,15 @@
         }
         answer = self._change(gone)
 
-        def back():
+        def back() -> None:
             if self._change({"models": [model], "callers": [caller]}) is None:
                 self._later(1.0, back)
 
         self._later(lasts, back)
         return f"{model['name']} and {caller['name']} taken out for {lasts:.1f}: {answer is not None}"
 
-    def _fault_race(self, lasts):
-        """A whole configuration and a partial one at two cores at once; their order decides what is left of the part."""
+    def _fault_race(self, lasts: float) -> str | None:
+        """A whole configuration and a partial one at two cores at once; their order decides what is left."""
         cores = [
             box
             for box in self.deployment.boxes.values()
@@ -409,7 +423,7 @@
         self.key = whole_key  # the part's goes with the next whole one, and is forgotten there
         return f"a whole and a partial configuration raced: {is_good}"
 
-    def _fault_evacuate(self, lasts):
+    def _fault_evacuate(self, lasts: float) -> str | None:
         if (
             len(self.invariant_checker.evacuations())
             and self.invariant_checker.evacuations()[-1][2] >= self.deployment.now
@@ -419,7 +433,7 @@
         if self._order("/operator/evacuate", {"area": zone}) is None:
             return f"evacuation of {zone} not acknowledged"
 
-        def restore():
+        def restore() -> None:
             if self._order("/operator/restore", {"area": zone}) is None:
                 self._later(1.0, restore)
 
@@ -428,7 +442,7 @@
 
     # traffic
 
-    def _crowd(self, what, pace, traffic, lasts):
+    def _crowd(self, what: str, pace: float, traffic: Any, lasts: float) -> str:
         self.number += 1
         crowd = self.deployment.call_in(
             pace,
@@ -437,19 +451,19 @@
             [box.name for box in self.deployment.boxes.values() if box.role == "edge"],
         )
 
-        def end():
+        def end() -> None:
             crowd.is_on = False
 
         self._later(lasts, end)
         return f"{what} for {lasts:.1f}"
 
-    def _fault_crowd(self, lasts):
+    def _fault_crowd(self, lasts: float) -> Any:
         return self._crowd("crowd", 5.0, None, min(lasts, 4.0))
 
-    def _fault_heavy(self, lasts):
+    def _fault_heavy(self, lasts: float) -> Any:
         return self._crowd("heavy", 1.0, [{**self.deployment.spec.traffic[-1], "rate": 8.0}], lasts)
 
-    def _fault_rare(self, lasts):
+    def _fault_rare(self, lasts: float) -> str:
         """Every model and adapter but the heaviest, once, all at once."""
         group = next(
             each for each in self.deployment.spec.traffic if each["kind"] == "prompt" and not each.get("stream", True)
@@ -464,7 +478,7 @@
 
     # loss, wear and power
 
-    def _may_lose(self):
+    def _may_lose(self) -> Any:
         """One core at a time may be lost for good, and only while the others hold everything."""
         cores = [box for box in self.deployment.boxes.values() if box.role == "core" and box.name not in self.retired]
         is_whole = all(
@@ -475,7 +489,7 @@
         self.lost_at = self.deployment.now
         return self.random.choice(cores)
 
-    def _fault_blank(self, lasts):
+    def _fault_blank(self, lasts: float) -> str | None:
         box = self._may_lose()
         if box is None:
             return None
@@ -484,7 +498,7 @@
         self._later(lasts, lambda: self._revive(box.name))
         return f"{box.name} loses its disk and is back after {lasts:.1f}"
 
-    def _fault_swap(self, lasts):
+    def _fault_swap(self, lasts: float) -> str | None:
         box = self._may_lose()
         if box is None:
             return None
@@ -506,27 +520,27 @@
         self._later(lasts, lambda: self.deployment.add_node(node, founding=[], seeds=seeds))
         return f"{box.name} is swapped for an empty {node['name']} after {lasts:.1f}"
 
-    def _fault_slow_disks(self, lasts):
+    def _fault_slow_disks(self, lasts: float) -> str:
         delay = timedelta(seconds=self.random.uniform(0.02, 0.15))
         disks = [box.disk for box in self.deployment.boxes.values() if box.role == "core"]
         for disk in disks:
             disk.delay = delay
 
-        def fast():
+        def fast() -> None:
             for disk in disks:
                 disk.delay = timedelta(seconds=0.002)
 
         self._later(lasts, fast)
         return f"all disks take {delay.total_seconds():.3f} a sync for {lasts:.1f}"
 
-    def _power(self, roles, lasts):
+    def _power(self, roles: Any, lasts: float) -> None:
         names = [box.name for box in self.deployment.boxes.values() if box.role in roles and box.machine is not None]
         for name in names:
             self.deployment.kill(name)
         for name in names:
-            self._later(lasts + self.random.uniform(0, 0.5), lambda name=name: self._revive(name))
+            self._later(lasts + self.random.uniform(0, 0.5), partial(self._revive, name))
 
-    def _fault_power_after_ack(self, lasts):
+    def _fault_power_after_ack(self, lasts: float) -> str:
         answer = self._change(
             {
                 "routes": [
@@ -537,20 +551,20 @@
         self._power(("core",), min(lasts, 3.0))
         return f"all cores lose power after {'an' if answer else 'no'} ack, for {min(lasts, 3.0):.1f}"
 
-    def _fault_total_loss(self, lasts):
+    def _fault_total_loss(self, lasts: float) -> str:
         self._power(
             ("core", "edge") if self.random.random() < 0.6 else ("core", "edge", "model", "records"), min(lasts, 4.0)
         )
         return f"everything of ours loses power for {min(lasts, 4.0):.1f}"
 
-    def _fault_short_warning(self, lasts):
+    def _fault_short_warning(self, lasts: float) -> str | None:
         box = self._one("edge", "core", "edge")
         if box is None:
             return None
         incarnation = box.incarnation
         self.deployment.stop(box.name)
 
-        def end():
+        def end() -> None:
             if box.incarnation == incarnation:
                 self.deployment.kill(box.name)
 
@@ -560,7 +574,7 @@
 
     # servers
 
-    def _fault_replace(self, lasts):
+    def _fault_replace(self, lasts: float) -> str | None:
         """A model server is announced as leaving, ends a little later in mid-stream, and comes back empty."""
         platform = self.deployment.boxes["platform"].machine
         box = self._one("model")
@@ -569,7 +583,7 @@
         platform.servers.get(box.name, {})["leaving"] = True
         notice = self.random.uniform(3.0, 9.0)
 
-        def back():
+        def back() -> None:
             self._revive(box.name)
             platform.servers.get(box.name, {})["leaving"] = False
 
@@ -577,7 +591,7 @@
         self._later(notice + lasts, back)
         return f"{box.name} is emptied within {notice:.1f} and replaced after {lasts:.1f}"
 
-    def _fault_half_of_the_servers(self, lasts):
+    def _fault_half_of_the_servers(self, lasts: float) -> str:
         names = [
             box.name
             for box in self.deployment.boxes.values()
@@ -585,30 +599,30 @@
         ][::2]
         how = self.random.choice(("dark", "killed", "refusing"))
         machines = [self.deployment.boxes[name].machine for name in names]
-        for name, machine in zip(names, machines):
+        for name, machine in zip(names, machines, strict=True):
             if how == "killed":
                 self.deployment.kill(name)
-                self._later(lasts, lambda name=name: self._revive(name))
+                self._later(lasts, partial(self._revive, name))
             else:
                 setattr(machine, "is_dark" if how == "dark" else "is_busy", True)
 
-        def well():
+        def well() -> None:
             for machine in machines:
                 machine.is_dark = machine.is_busy = False
 
         self._later(lasts, well)
         return f"half of the servers {how} for {lasts:.1f}"
 
-    def _fault_records_gone(self, lasts):
+    def _fault_records_gone(self, lasts: float) -> str:
         names = [
             box.name for box in self.deployment.boxes.values() if box.role == "records" and box.machine is not None
         ]
         for name in names:
             self.deployment.kill(name)
-            self._later(min(lasts, 5.0), lambda name=name: self._revive(name))
+            self._later(min(lasts, 5.0), partial(self._revive, name))
         return f"no records server for {min(lasts, 5.0):.1f}"
 
-    def _fault_bad_list(self, lasts):
+    def _fault_bad_list(self, lasts: float) -> str | None:
         """The platform's list is empty, half gone or full of junk for a while."""
         platform = self.deployment.boxes["platform"].machine
         if platform is None or platform.extra:
@@ -624,17 +638,17 @@
             {"name": "model-1", "kind": "cake", "address": "x", "area": "y"},
         ]
 
-        def well():
+        def well() -> None:
             platform.extra = []
             platform.servers = {**gone, **platform.servers}
 
         self._later(min(lasts, 6.0), well)
         return f"the platform's list is {how} for {min(lasts, 6.0):.1f}"
 
-    def _fault_bad_air(self, lasts):
+    def _fault_bad_air(self, lasts: float) -> str:
         self.deployment.loss, self.deployment.latency = 0.25, (0.001, 0.06)
 
-        def well():
+        def well() -> None:
             self.deployment.loss, self.deployment.latency = 0.0, (0.0005, 0.003)
 
         self._later(lasts, well)
--- a/sumachook/simulation/invariant_checker.py
+++ b/sumachook/simulation/invariant_checker.py
@@ -1,7 +1,9 @@
 """The independent check of the rules, from what callers and stand-ins saw."""
 
 from bisect import bisect_left
+from collections.abc import Iterator
 from datetime import timedelta
+from typing import Any
 
 from sumachook.simulation.model import EVENTS
 from sumachook.simulation.probe import KNOWN, UNKNOWN
@@ -21,10 +23,11 @@
 
     __slots__ = ("deployment", "callers")
 
-    def __init__(self, deployment, callers):
+    def __init__(self, deployment: Any, callers: Any) -> None:
         self.deployment, self.callers = deployment, callers
 
-    def faults(self) -> list:
+    def faults(self) -> list[str]:
+        """What broke a rule, a line each, with the name of the check."""
         checks = (
             self._runs,
             self._texts,
@@ -39,7 +42,7 @@
         return [f"{check.__name__[1:]}: {fault}" for check in checks for fault in check()]
 
     @property
-    def calls(self) -> list:
+    def calls(self) -> list[Any]:
         """Of all callers in the town: a crowd is judged like everybody."""
         return [
             call
@@ -48,12 +51,13 @@
             for call in box.machine.calls
         ]
 
-    def runs_of(self, call) -> int:
+    def runs_of(self, call: Any) -> int:
+        """How often servers ran this call."""
         return sum(record.runs.get(call.tag, 0) for record in self.deployment.records.values())
 
-    def _runs(self):
+    def _runs(self) -> Iterator[str]:
         """Rule 1: an unsafe prompt runs once at most, whoever repeats its key, and "no" means no."""
-        by_key = {}
+        by_key: dict[Any, Any] = {}
         for call in self.calls:
             runs = self.runs_of(call) if call.kind == "prompt" else 0
             if call.key:
@@ -64,7 +68,7 @@
                 yield f"{call.tag} was told that it did not run, and ran {runs} times"
         yield from (f"key {key} ran {runs} times" for key, runs in by_key.items() if runs > 1)
 
-    def _texts(self):
+    def _texts(self) -> Iterator[str]:
         """Rules 2 and 3: one server, in order, one's own, whole when it looks whole."""
         for call in self.calls:
             if call.kind == "lookup":
@@ -84,8 +88,8 @@
             if call.outcome == "ok" and (len(places) != EVENTS or call.finish != "stop"):
                 yield f"{call.tag} looks whole with {len(places)} pieces"
 
-    def _leaving(self):
-        """Rule 4, from the moment that the platform lists it, for every edge that some core could tell all the while."""
+    def _leaving(self) -> Iterator[str]:
+        """Rule 4, from the platform's listing on, for every edge that some core could notify all the while."""
         platform = self.deployment.boxes["platform"].machine
         for server, load_times in (platform.leavings if platform else {}).items():
             for at, until in load_times:
@@ -96,10 +100,14 @@
                     and self.deployment.reachability.was_unbroken(Path.SERVER_LIST, edge, when - LEAVING_WITHIN, when)
                 ]
                 if late:
-                    yield f"{server}, leaving since {at}, was given {len(late)} new ones, the last at {late[-1][0]} by {late[-1][1]}"
+                    last_at, last_edge = late[-1]
+                    yield f"{server}, leaving since {at}, got {len(late)} new, the last at {last_at} by {last_edge}"
 
-    def _obeys(self):
-        """Rule 5, by what edges answer to the probe: two seconds after an ack all that can be reached obey, and none goes back."""
+    def _obeys(self) -> Iterator[str]:
+        """Rule 5, by what edges answer to the probe.
+
+        Two seconds after an ack all that can be reached obey, and none goes back.
+        """
         probe, seen = self.deployment.probe, set()
         for edge, at, key, status, incarnation, wanted, since in sorted(
             probe.notes if probe else (), key=lambda note: note[1]
@@ -115,8 +123,11 @@
             ):
                 yield f"{edge} does not obey at {at}: key {key} gives {status}, against the ack at {since}"
 
-    def evacuations(self) -> list:
-        """(area, from when nothing may enter, until) by the operators' own notes: five seconds after the order, three after its ack."""
+    def evacuations(self) -> list[Any]:
+        """By the operators' own notes: (area, from when nothing may enter, until).
+
+        Nothing may enter from five seconds after the order, or three after its ack.
+        """
         found = []
         for path, doc, sent_at, acked_at, status in self.deployment.orders:
             if path == "/operator/evacuate" and status == 200:
@@ -134,7 +145,7 @@
                 )
         return found
 
-    def _evacuated(self):
+    def _evacuated(self) -> Iterator[str]:
         """Rule 6: nothing enters the area, neither a server nor an edge's door."""
         for zone, start, end in self.evacuations():
             for server in self.deployment.spec.servers:
@@ -146,7 +157,8 @@
                     if start < at < end and not self._is_inside_alone(edge, zone, at)
                 ]
                 if late:
-                    yield f"{server['name']} in {zone}, evacuated from {start}, was given {len(late)}, the last at {late[-1]}"
+                    name = server["name"]
+                    yield f"{name} in {zone}, evacuated from {start}, was given {len(late)}, the last at {late[-1]}"
             entered = [
                 call
                 for call in self.calls
@@ -156,30 +168,32 @@
                 and not self._is_inside_alone(call.edge, zone, call.sent_at)
             ]
             if entered:
-                yield f"{zone}, evacuated from {start}, let in {len(entered)} calls, the last {entered[-1].tag} at {entered[-1].edge}"
+                last = f"{entered[-1].tag} at {entered[-1].edge}"
+                yield f"{zone}, evacuated from {start}, let in {len(entered)} calls, the last {last}"
 
-    def _is_inside_alone(self, edge, zone, at):
-        """An edge of the area that nobody could tell (docs/design/changefeed.md): it serves those who are inside with it."""
+    def _is_inside_alone(self, edge: Any, zone: str, at: timedelta) -> Any:
+        """An edge of the area that nobody could notify: it serves those inside with it (docs/design/changefeed.md)."""
         inside = edge in self.deployment.boxes and self.deployment.boxes[edge].zone == zone
         return inside and not self.deployment.reachability.was_unbroken(Path.ORDER, edge, at - SETTLED, at)
 
-    def resends(self):
+    def resends(self) -> Any:
         """(first tries, resends) as the wire saw them, over all edges together."""
         again = sum(is_again for _, is_again, _ in self.deployment.tries)
         return len(self.deployment.tries) - again, again
 
-    def _resends(self):
+    def _resends(self) -> Iterator[str]:
         """Rule 7, in every window: a fifth of the calls of that time, and what all edges may have saved up before it.
 
         Judged over all calls, and by kind with half of the stock: calls of one kind pay for no resends of the other.
-        A call counts when its caller made it: that is the real traffic. What was lined up before the window is in the stock.
+        A call counts when its caller made it: that is the real traffic. What was lined up before the window is in the
+        stock.
         """
         kinds = {call.kind for call in self.calls}
         yield from self._resends_of(kinds, STOCK)
         for kind in sorted(kinds):
             yield from self._resends_of({kind}, STOCK / 2)
 
-    def _resends_of(self, kinds, stock):
+    def _resends_of(self, kinds: set[str], stock: float) -> Iterator[str]:
         edges = sum(box.role == "edge" for box in self.deployment.boxes.values())
         again = [at for at, is_again, kind in self.deployment.tries if is_again and kind in kinds]
         made = sorted(call.sent_at for call in self.calls if call.kind in kinds)
@@ -192,12 +206,12 @@
                     yield f"{resent} resends in {window} s from {start}, with {real} calls: {sorted(kinds)}"
                     return
 
-    def unaccounted(self) -> list:
+    def unaccounted(self) -> list[Any]:
         """Rule 12: calls that ended late or not well and are not in the log of the day on which they came in.
 
-        Not counted: strangers, what never reached a node of ours, and what came to an edge that had no chance to hand a record
-        in: from then to its death it was never in reach of two keepers for half a second, nor of an edge that was for 2.5 s,
-        both counted from when it was ready if it was not, since until then it knew no keeper.
+        Not counted: strangers, what never reached a node of ours, and what came to an edge that had no chance to hand
+        a record in: from then to its death it was never in reach of two keepers for half a second, nor of an edge
+        that was for 2.5 s, both counted from when it was ready if it was not, since until then it knew no keeper.
         """
         logged = {
             (row["tag"], name)
@@ -212,20 +226,20 @@
             if not {(call.tag, name) for name in self._days(call)} & logged and self._should_be_logged(call)
         ]
 
-    def _days(self, call):
+    def _days(self, call: Any) -> set[Any]:
         """The day by the world's own clock; a call that came in within a second of midnight may be in either."""
         return {
             f"day-{(self.deployment.dawn + call.sent_at + SECOND * slack).date().isoformat()}.jsonl" for slack in (0, 1)
         }
 
-    def _should_be_logged(self, call):
+    def _should_be_logged(self, call: Any) -> bool:
         if call.outcome == "pending" or call.fault_class in ("refused", "connect-timeout", "unknown-caller"):
             return False
         if call.outcome == "ok":
-            return call.ended_at - call.sent_at > call.patience
+            return bool(call.ended_at - call.sent_at > call.patience)
         return not self.was_last_moment(call)
 
-    def was_last_moment(self, call) -> bool:
+    def was_last_moment(self, call: Any) -> bool:
         """Whether its edge died before any disk had a record of it and with no chance to have one written."""
         died_at = [at for name, at in self.deployment.deaths if name == call.edge and at >= call.sent_at]
         if not died_at or any(call.tag in box.disk.opened for box in self.deployment.boxes.values()):
@@ -235,7 +249,7 @@
         could = self.deployment.reachability.was_ever_unbroken_for
         return not (could(LAST_MOMENT, Path.STORE_RECORDS, *span) or could(CARRIED_WITHIN, Path.RELAY_RECORDS, *span))
 
-    def _ready_after(self, call):
+    def _ready_after(self, call: Any) -> Any:
         """When its edge, not ready then, served somebody: only from then on did it know any keeper."""
         return min(
             (
@@ -246,13 +260,13 @@
             default=self.deployment.now,
         )
 
-    def _warm(self):
-        """Rule 8, over the whole warming time and all edges: what a model, and a server that came up cold, has in hand."""
+    def _warm(self) -> Iterator[str]:
+        """Rule 8, over the warming time and all edges: what a model, and a server that came up cold, has in hand."""
         for name, record in self.deployment.records.items():
             for what, at, age, busy, most in record.floods[:1]:
                 yield f"{name} had {busy} of {what} at {at:.2f}, {age:.2f} s after it was ready, at most {most}"
 
-    def _orders(self):
+    def _orders(self) -> Iterator[str]:
         """Rule 9: no load beyond room; fences only rise at each server."""
         for name, record in self.deployment.records.items():
             yield from record.broken
@@ -260,7 +274,7 @@
             if fences != sorted(fences):
                 yield f"{name} took orders under {fences}"
 
-    def _store(self):
+    def _store(self) -> Iterator[str]:
         """Rule 10: over every stretch of time, no more was begun than its pace allows."""
         store = self.deployment.spec.catalogue["store"]
         loads = sorted(load for record in self.deployment.records.values() for load in record.loads)
@@ -273,7 +287,7 @@
                     return
 
 
-def _was_admitted(call) -> bool:
+def _was_admitted(call: Any) -> bool:
     """Whether a node let it in: anything but a refusal at the door."""
     if call.outcome == "pending" or call.status is None:
         return False
--- a/sumachook/simulation/model.py
+++ b/sumachook/simulation/model.py
@@ -1,6 +1,7 @@
 """A stand-in for one model server."""
 
 from datetime import timedelta
+from typing import Any
 from zlib import crc32
 
 import msgspec
@@ -16,22 +17,33 @@
 SERVER = "all models"
 
 
-def most_while_warming(age) -> int:
-    """Rule 8: two at first, doubling every step (docs/design/inference.md); twice that, as edges may differ over who the others are."""
+def most_while_warming(age: timedelta) -> int:
+    """Rule 8: two at first, doubling every step (docs/design/inference.md).
+
+    Twice that, as edges may differ over who the others are.
+    """
     return 4 << int(age / STEP)
 
 
 class Record:
     """What one server saw, kept by the world outside: it outlives the server's crashes (docs/design/simulation.md).
 
-    `runs` {tag of the call: times run}, `broken` what it was told and must never be told, `stale` orders under old fences,
-    `warm_peak` the most it had in hand of a model, or of all, in a first step of warming, `floods` where that or a later step
-    was beyond its bound.
+    `runs` {tag of the call: times run}, `broken` what it was told and must never be told, `stale` orders under old
+    fences, `warm_peak` the most it had in hand of a model, or of all, in a first step of warming, `floods` where that
+    or a later step was beyond its bound.
     """
 
     __slots__ = ("runs", "broken", "loads", "warm_peak", "stale", "orders", "floods")
 
-    def __init__(self):
+    runs: dict[str, int]
+    broken: list[Any]
+    loads: list[Any]
+    warm_peak: dict[Any, Any]
+    stale: list[Any]
+    orders: list[Any]
+    floods: list[Any]
+
+    def __init__(self) -> None:
         self.runs, self.broken, self.loads, self.warm_peak, self.stale, self.orders, self.floods = (
             {},
             [],
@@ -42,7 +54,7 @@
             [],
         )
 
-    def server_record(self) -> dict:
+    def server_record(self) -> dict[str, Any]:
         """The document that `/proof` answers with; `orders` stays inside the process."""
         return {
             "runs": self.runs,
@@ -74,16 +86,14 @@
         "tag",
     )
 
-    def __init__(self, request, cid, model, asked, count, tag):
+    events: list[Any]
+    started_at: timedelta  # set, with `step_every`, when it begins
+    step_every: timedelta
+    gone_at: timedelta | None
+
+    def __init__(self, request: Any, cid: Any, model: Any, asked: Any, count: int, tag: str) -> None:
         self.tag, self.request, self.cid, self.model, self.asked, self.count = tag, request, cid, model, asked, count
-        self.events, self.said, self.started_at, self.step_every, self.gone_at, self.is_done = (
-            [],
-            0,
-            None,
-            None,
-            None,
-            False,
-        )
+        self.events, self.said, self.gone_at, self.is_done = [], 0, None, False
         self.flushed, self.has_head = 0, False
 
 
@@ -116,7 +126,23 @@
         "says_done",
     )
 
-    def __init__(self, listed: dict, catalogue: dict, held=(), load_rate=4.0, has_ids=True, record=None):
+    active: dict[Any, Any]
+    waiting: list[Any]
+    by_request: dict[Any, Any]
+    ready_at: dict[Any, Any]
+
+    cold_at: timedelta | None
+    ends_after: int | None
+
+    def __init__(
+        self,
+        listed: dict[str, Any],
+        catalogue: dict[str, Any],
+        held: Any = (),
+        load_rate: float = 4.0,
+        has_ids: bool = True,
+        record: Any = None,
+    ) -> None:
         self.name, self.memory, self.places, self.slots = (
             listed["name"],
             listed["memory"],
@@ -126,7 +152,7 @@
         self.sizes = {model["name"]: model["memory"] for model in catalogue["models"]}
         self.rates = {model["name"]: model["decodeRate"] for model in catalogue["models"]}
         self.adapters = {adapter["name"]: adapter["model"] for adapter in catalogue.get("adapters", ())}
-        self.held = dict.fromkeys((*held, *listed.get("holds", ())), "loaded")
+        self.held: dict[str, str | timedelta] = dict.fromkeys((*held, *listed.get("holds", ())), "loaded")
         self.active, self.waiting, self.by_request, self.record = {}, [], {}, record or Record()
         self.fence, self.is_dark, self.has_ids, self.skips, self.ends_after, self.is_busy, self.says_done = (
             0,
@@ -139,7 +165,7 @@
         )
         self.ready_at, self.prefill, self.load_rate, self.cold_at = {}, timedelta(seconds=0.1), load_rate, None
 
-    def take(self, event, now) -> list:
+    def take(self, event: Event, now: timedelta) -> list[Any]:
         """The effects of one event."""
         match event:
             case Tick():
@@ -152,7 +178,7 @@
                 return [Exit(0)]
         return []
 
-    def _http(self, cid, method, path, headers, body, now):
+    def _http(self, cid: Any, method: str, path: str, headers: Any, body: bytes, now: timedelta) -> list[Any]:
         if self.is_dark:
             return []
         if path == "/models":
@@ -163,12 +189,12 @@
             ]
             return [_reply(cid, 200, {"data": data})]
         if path == "/v1/models":
-            data = [
+            adapters: list[dict[str, str | None]] = [
                 {"id": name, "parent": self.adapters.get(name)}
                 for name, value in self.held.items()
                 if value == "loaded"
             ]
-            return [_reply(cid, 200, {"object": "list", "data": data})]
+            return [_reply(cid, 200, {"object": "list", "data": adapters})]
         if path == "/proof":
             return [_reply(cid, 200, self.record.server_record())]
         if method == "POST" and path == "/v1/chat/completions":
@@ -181,13 +207,14 @@
 
     # orders ------------------------------------------------------------------------
 
-    def _order(self, cid, path, headers, body, now):
+    def _order(self, cid: Any, path: str, headers: Any, body: dict[str, Any], now: timedelta) -> list[Any]:
         fence = int(headers.get("x-sumachook-fence", "0"))
         if fence < self.fence:
             self.record.stale.append((now.total_seconds(), fence, self.fence))
             return [_reply(cid, 409, {"error": {"message": f"fence {fence} is older than {self.fence}"}})]
         self.fence = fence
-        name, is_adapter = body.get("model") or body.get("lora_name"), "lora" in path
+        name: str = body.get("model") or body.get("lora_name", "")
+        is_adapter = "lora" in path
         self.record.orders.append((now, fence, path, name))
         if "unload" in path:
             for item in [name] + [adapter for adapter, model in self.adapters.items() if model == name]:
@@ -204,18 +231,19 @@
         if is_adapter and sum(item in self.adapters for item in self.held) >= self.places:
             self.record.broken.append(f"{self.name}: {name} beyond {self.places} adapter places")
             return [_reply(cid, 507, {"error": {"message": "no adapter place"}})]
-        if is_adapter and self.held.get(self.adapters.get(name)) != "loaded":
+        if is_adapter and self.held.get(self.adapters.get(name, "")) != "loaded":
             return [_reply(cid, 400, {"error": {"message": "base model is not loaded"}})]
         self.held[name] = now + timedelta(seconds=size / self.load_rate + 0.2)
         self.record.loads.append((now.total_seconds(), size, name))
         return [_reply(cid, 200, {"success": True})]
 
-    def _used(self):
-        return sum(self.sizes.get(name, 0.1) for name in self.held)
+    def _used(self) -> float:
+        used: float = sum(self.sizes.get(name, 0.1) for name in self.held)
+        return used
 
     # prompts -------------------------------------------------------------------------
 
-    def _prompt(self, cid, headers, body, now):
+    def _prompt(self, cid: Any, headers: Any, body: dict[str, Any], now: timedelta) -> list[Any]:
         asked, request = body["model"], headers.get("x-request-id", "")
         model = self.adapters.get(asked, asked)
         if self.held.get(asked) != "loaded" or self.held.get(model) != "loaded":
@@ -234,7 +262,7 @@
         self._begin(now)
         return []
 
-    def _note_warming(self, what, since, busy, now):
+    def _note_warming(self, what: str, since: Any, busy: int, now: timedelta) -> None:
         age = now - since if since is not None else WARMING
         if age >= WARMING:
             return
@@ -243,7 +271,7 @@
         if busy > most_while_warming(age):
             self.record.floods.append((what, now.total_seconds(), age.total_seconds(), busy, most_while_warming(age)))
 
-    def _begin(self, now):
+    def _begin(self, now: timedelta) -> None:
         while self.waiting and len(self.active) < self.slots:
             run = self.waiting.pop(0)
             run.started_at, run.step_every = (
@@ -252,15 +280,20 @@
             )
             self.active[run.request] = run
 
-    def _tick(self, now):
-        out = []
+    def _finish_loads(self, now: timedelta) -> None:
+        """What is loaded by now is ready; a model that comes up where none was makes the server cold."""
         for name, value in list(self.held.items()):
-            if not isinstance(value, str) and now >= value:
-                if name in self.sizes:
-                    self.ready_at[name] = now
-                    if not any(self.held.get(other) == "loaded" for other in self.sizes):
-                        self.cold_at = now  # it comes up cold: nothing else was there
-                self.held[name] = "loaded"
+            if isinstance(value, str) or now < value:
+                continue
+            if name in self.sizes:
+                self.ready_at[name] = now
+                if not any(self.held.get(other) == "loaded" for other in self.sizes):
+                    self.cold_at = now
+            self.held[name] = "loaded"
+
+    def _tick(self, now: timedelta) -> list[Any]:
+        out: list[Any] = []
+        self._finish_loads(now)
         if self.is_dark:
             return []  # it holds back what it has to say; a stream cannot skip
         for run in list(self.active.values()):
@@ -276,7 +309,7 @@
                     self.waiting.remove(run)
         return out
 
-    def _speak(self, run, now):
+    def _speak(self, run: Run, now: timedelta) -> list[Any]:
         if run.gone_at is not None and not run.said:
             run.is_done = True
             return []
@@ -294,12 +327,12 @@
             run.said += 1
         return self._flush(run, now)
 
-    def _flush(self, run, now):
+    def _flush(self, run: Run, now: timedelta) -> list[Any]:
         """What the caller has not had yet; a caller that is gone may come back for it."""
         if run.gone_at is not None:
             run.is_done = run.said > EVENTS
             return []
-        out = []
+        out: list[Any] = []
         if run.events and not run.has_head:
             run.has_head = True
             out.append(BeginResponse(run.cid, 200, {"Content-Type": "text/event-stream"}))
@@ -319,13 +352,13 @@
             run.is_done, run.gone_at = True, now
         return out
 
-    def _gone(self, cid, now):
+    def _gone(self, cid: Any, now: timedelta) -> list[Any]:
         for run in self.by_request.values():
             if run.cid == cid and run.gone_at is None:
                 run.gone_at = now
         return []
 
-    def _resume(self, cid, request, headers, now):
+    def _resume(self, cid: Any, request: Any, headers: Any, now: timedelta) -> list[Any]:
         run = self.by_request.get(request)
         last = headers.get("last-event-id", "")
         if not self.has_ids or run is None or not last.startswith(request + ":"):
@@ -339,5 +372,5 @@
         return self._flush(run, now)
 
 
-def _reply(cid, status, doc):
+def _reply(cid: Any, status: int, doc: Any) -> Any:
     return Reply(cid, status, JSON, msgspec.json.encode(doc))
--- a/sumachook/simulation/platform.py
+++ b/sumachook/simulation/platform.py
@@ -1,26 +1,30 @@
 """A stand-in for the platform that lists the servers."""
 
+from datetime import timedelta
 from typing import Any
 
 import msgspec
 
 from sumachook.host.effects import Exit, Reply
-from sumachook.host.events import HttpRequestReceived, StopRequested
+from sumachook.host.events import Event, HttpRequestReceived, StopRequested
 
 JSON = {"Content-Type": "application/json"}
 
 
 class Platform:
-    """Takes (message, now): GET /servers; POST /leaving {"name", "leaving"}; POST /servers {"servers"} (docs/design/simulation.md)."""
+    """Answers GET /servers, POST /leaving {"name", "leaving"} and POST /servers {"servers"}."""
 
     __slots__ = ("servers", "leavings", "extra")
 
+    leavings: dict[str, list[list[timedelta | None]]]
+    extra: list[Any]
+
     def __init__(self, servers: list[dict[str, Any]]) -> None:
         self.servers = {server["name"]: {**server} for server in servers}
         self.leavings = {}  # {server: [[listed as leaving since, until or None]]}, for the invariant checker
         self.extra = []  # what else the list says, sound or not
 
-    def take(self, event, now) -> list:
+    def take(self, event: Event, now: timedelta) -> list[Any]:
         """The effects of one event."""
         self._note(now)
         if isinstance(event, StopRequested):
@@ -39,7 +43,7 @@
             return [Reply(call_id, 404, JSON, b'{"error":"not found"}')]
         return [Reply(call_id, 200, JSON, msgspec.json.encode({"servers": [*self.servers.values(), *self.extra]}))]
 
-    def _note(self, now):
+    def _note(self, now: timedelta) -> None:
         for name, server in self.servers.items():
             load_times = self.leavings.setdefault(name, [])
             is_open = bool(load_times) and load_times[-1][1] is None
--- a/sumachook/simulation/reachability.py
+++ b/sumachook/simulation/reachability.py
@@ -31,13 +31,14 @@
 class Reachability:
     """The times at which an edge could not be reached.
 
-    `observe` is to be called every OBSERVE_EVERY. A restart counts as a break of every path. A frozen edge is excused from
-    answering, but not from knowing that it was away: of the paths of orders only ORDER_AND_ANSWER is broken by a freeze.
+    `observe` is to be called every OBSERVE_EVERY. A restart counts as a break of every path. A frozen edge is excused
+    from answering, but not from knowing that it was away: of the paths of orders only ORDER_AND_ANSWER is broken by a
+    freeze.
     """
 
     __slots__ = ("breaks", "incarnations", "since")
 
-    def __init__(self, since: timedelta):
+    def __init__(self, since: timedelta) -> None:
         self.breaks: dict[tuple[Path, str], list[timedelta]] = {}
         self.incarnations: dict[str, int] = {}
         self.since = since
@@ -83,7 +84,7 @@
 
     def _has_restarted(self, edge: Any) -> bool:
         """Whether the edge runs in another incarnation than at the last look."""
-        is_new = self.incarnations.get(edge.name) != edge.incarnation
+        is_new: bool = self.incarnations.get(edge.name) != edge.incarnation
         self.incarnations[edge.name] = edge.incarnation
         return is_new
 
--- a/sumachook/simulation/records.py
+++ b/sumachook/simulation/records.py
@@ -1,9 +1,12 @@
 """A stand-in for one server of the records service."""
 
+from datetime import timedelta
+from typing import Any
+
 import msgspec
 
 from sumachook.host.effects import Exit, Reply
-from sumachook.host.events import HttpRequestReceived, StopRequested
+from sumachook.host.events import Event, HttpRequestReceived, StopRequested
 
 JSON = {"Content-Type": "application/json"}
 
@@ -13,10 +16,10 @@
 
     __slots__ = ("name", "is_dark", "is_busy")
 
-    def __init__(self, name: str):
+    def __init__(self, name: str) -> None:
         self.name, self.is_dark, self.is_busy = name, False, False
 
-    def take(self, event, now) -> list:
+    def take(self, event: Event, now: timedelta) -> list[Any]:
         """The effects of one event."""
         if isinstance(event, StopRequested):
             return [Exit(0)]
--- a/sumachook/simulation/report.py
+++ b/sumachook/simulation/report.py
@@ -2,11 +2,12 @@
 
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 
-def report_calls(calls, file=None) -> str:
+def report_calls(calls: Any, file: Any = None) -> str:
     """A table of outcomes; with a file, each call goes there as a line of JSON.
 
     >>> report_calls(())
@@ -39,17 +40,17 @@
         return "no calls"
     calls = [call for call in calls if not call.has_moved]  # those are judged by what came of going on to another edge
     rows = Counter((call.group, call.outcome, call.fault_class or "") for call in calls)
-    times = {}
+    times: dict[Any, Any] = {}
     for call in calls:
         if call.outcome == "ok":
             times.setdefault(call.group, []).append(((call.first_at or call.ended_at) - call.sent_at).total_seconds())
-    lines = [f"{'class':<12}{'outcome':<10}{'fault':<22}{'calls':>7}"]
-    lines += [
+    table = [f"{'class':<12}{'outcome':<10}{'fault':<22}{'calls':>7}"]
+    table += [
         f"{group:<12}{outcome:<10}{fault:<22}{count:>7}" for (group, outcome, fault), count in sorted(rows.items())
     ]
     for group, seconds in sorted(times.items()):
         seconds.sort()
-        lines.append(
+        table.append(
             f"{group:<12}first word after {seconds[len(seconds) // 2]:.3f} s (median), {seconds[-1]:.3f} s (last)"
         )
-    return "\n".join(lines)
+    return "\n".join(table)
--- a/sumachook/simulation/simulated_files.py
+++ b/sumachook/simulation/simulated_files.py
@@ -2,6 +2,7 @@
 
 import errno
 from random import Random
+from typing import Any
 
 from sumachook.storage.file_system import FileSystem
 
@@ -17,21 +18,24 @@
 
     __slots__ = ("durable", "current", "changes")
 
-    def __init__(self):
+    def __init__(self) -> None:
         self.durable, self.current = b"", bytearray()
-        self.changes: list[tuple] = []  # ("write", place, bytes) or ("length", length)
+        self.changes: list[tuple[Any, ...]] = []  # ("write", place, bytes) or ("length", length)
 
-    def write(self, raw: bytes):
+    def write(self, raw: bytes) -> None:
+        """Appends; not durable before the next sync."""
         self.change("write", len(self.current), raw)
 
-    def change(self, *change):
+    def change(self, *change: Any) -> None:
+        """One change of the content, kept until the next sync."""
         self.changes.append(change)
         _carry_out(self.current, change)
 
-    def sync(self):
+    def sync(self) -> None:
+        """All changes are durable."""
         self.durable, self.changes = bytes(self.current), []
 
-    def lose_power(self, random: Random, loses_all: bool):
+    def lose_power(self, random: Random, loses_all: bool) -> None:
         """Each change may be present, absent or torn, whatever becomes of the others."""
         content = bytearray(self.durable)
         for change in [] if loses_all else self.changes:
@@ -45,18 +49,22 @@
 
 
 class SimulatedFileSystem(FileSystem):
-    """Holds to `FileSystem`; `is_refusing` makes every change fail, `steps_left` ends the process in the middle of one."""
+    """A `FileSystem` in memory.
+
+    `is_refusing` makes every change fail, `steps_left` ends the process in the middle of one.
+    """
 
     __slots__ = ("random", "durable_names", "files", "name_changes", "is_refusing", "steps_left")
 
-    def __init__(self, random: Random):
+    def __init__(self, random: Random) -> None:
         self.random = random
         self.durable_names: dict[str, SimulatedFile] = {}
         self.files: dict[str, SimulatedFile] = {}
         self.name_changes: list[
-            dict
+            dict[str, Any]
         ] = []  # name -> file, or None for one that is gone; each change is kept or lost as a whole
-        self.is_refusing, self.steps_left = False, None
+        self.is_refusing = False
+        self.steps_left: int | None = None
 
     @property
     def location(self) -> str:
@@ -65,19 +73,23 @@
 
     # the operations -------------------------------------------------------------
 
-    def prepare(self):
-        pass
+    def prepare(self) -> None:
+        """Nothing to do: a folder in memory is there."""
 
-    def names(self):
+    def names(self) -> Any:
+        """The names of the files, in order."""
         return sorted(self.files)
 
-    def size(self, name):
+    def size(self, name: str) -> Any:
+        """How many bytes a file has."""
         return len(self._file(name).current)
 
-    def read(self, name):
+    def read(self, name: str) -> Any:
+        """The content of a file."""
         return bytes(self._file(name).current)
 
-    def write_new(self, name, raw):
+    def write_new(self, name: str, raw: bytes) -> None:
+        """Writes a file anew, and syncs it."""
         self._step()
         if name in self.files:
             self.files[name].change("length", 0)
@@ -85,36 +97,42 @@
             self._change_names({name: SimulatedFile()})
         self._write(name, raw)
 
-    def append(self, name, raw):
+    def append(self, name: str, raw: bytes) -> None:
+        """Adds to the end of a file, and syncs it."""
         self._step()
         self._write(name, raw)
 
-    def truncate(self, name, length):
+    def truncate(self, name: str, length: int) -> None:
+        """Cuts a file to a length, and syncs it."""
         self._step()
         self._file(name).change("length", length)
         self._step()
         self._file(name).sync()
 
-    def sync(self, name):
+    def sync(self, name: str) -> None:
+        """What was written to a file is durable."""
         self._step()
         self._file(name).sync()
 
-    def rename(self, name, new_name):
+    def rename(self, name: str, new_name: str) -> None:
+        """A file has another name, durable with the next sync of the folder."""
         self._step()
         self._change_names({name: None, new_name: self._file(name)})
 
-    def remove(self, name):
+    def remove(self, name: str) -> None:
+        """A file is gone, durably with the next sync of the folder."""
         self._step()
         self._file(name)
         self._change_names({name: None})
 
-    def sync_folder(self):
+    def sync_folder(self) -> None:
+        """The names of the files are durable."""
         self._step()
         self.durable_names, self.name_changes = dict(self.files), []
 
     # faults ---------------------------------------------------------------------
 
-    def lose_power(self):
+    def lose_power(self) -> None:
         """What was not synced is kept or lost, each change by itself; at times all of it is lost."""
         loses_all = self.random.random() < LOSE_ALL
         files = dict(self.durable_names)
@@ -125,10 +143,11 @@
         for file in set(files.values()):
             file.lose_power(self.random, loses_all)
 
-    def wipe(self):
+    def wipe(self) -> None:
+        """All files are gone, durable or not."""
         self.files, self.durable_names, self.name_changes = {}, {}, []
 
-    def _write(self, name, raw):
+    def _write(self, name: str, raw: bytes) -> None:
         """In two halves, so that a process may end between them."""
         file, half = self._file(name), self.random.randint(0, len(raw))
         for part in (raw[:half], raw[half:]):
@@ -136,7 +155,7 @@
             self._step()
         file.sync()
 
-    def _step(self):
+    def _step(self) -> None:
         if self.is_refusing:
             raise OSError(errno.ENOSPC, "No space left on device")
         if self.steps_left is not None:
@@ -144,17 +163,17 @@
                 raise ProcessEndedError
             self.steps_left -= 1
 
-    def _file(self, name) -> SimulatedFile:
+    def _file(self, name: str) -> SimulatedFile:
         if name not in self.files:
             raise FileNotFoundError(errno.ENOENT, "No such file", name)
         return self.files[name]
 
-    def _change_names(self, change: dict):
+    def _change_names(self, change: dict[str, Any]) -> None:
         self.name_changes.append(change)
         _rename_in(self.files, change)
 
 
-def _carry_out(content: bytearray, change: tuple):
+def _carry_out(content: bytearray, change: tuple[Any, ...]) -> None:
     if change[0] == "length":
         del content[change[1] :]
         content.extend(bytes(change[1] - len(content)))
@@ -164,8 +183,11 @@
     content[place : place + len(raw)] = raw
 
 
-def _torn(change: tuple, random: Random) -> tuple:
-    """The write without a part of it: its head, its body or its end; now and then the length is set and there are only zeros."""
+def _torn(change: tuple[Any, ...], random: Random) -> tuple[Any, ...]:
+    """The write without a part of it: its head, its body or its end.
+
+    Now and then the length is set and there are only zeros.
+    """
     _, place, raw = change
     first, last = sorted((random.randint(0, len(raw)), random.randint(0, len(raw))))
     kept = random.choice(("head", "end", "zeros"))
@@ -176,7 +198,7 @@
     return ("write", place, raw[:first] + bytes(last - first) + raw[last:])
 
 
-def _rename_in(files: dict, change: dict):
+def _rename_in(files: dict[str, Any], change: dict[str, Any]) -> None:
     for name, file in change.items():
         if file is None:
             files.pop(name, None)
