--- a/sumachook/forwarding/finish.py
+++ b/sumachook/forwarding/finish.py
@@ -24,7 +24,20 @@
         FailureKind.DRAINING,
     }
 )
-LOGGED_FIELDS = ("tag", "line", "asked", "state", "class", "run", "tries", "late", "firstToken", "duration")
+LOGGED_FIELDS = (
+    "tag",
+    "line",
+    "asked",
+    "state",
+    "status",
+    "class",
+    "run",
+    "tries",
+    "late",
+    "firstToken",
+    "duration",
+    "tokens",
+)
 
 
 class Finish:
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -1044,5 +1044,6 @@
         and closed[late]["state"] == "done"
     )
     assert scene.records(False)[0]["request"] == closed[late]["request"] != closed[quick]["request"]
-    logged = [effect[4]["tag"] for effect in scene.out if effect[0] == "log"]
-    assert logged == [late]
+    logged = [effect[4] for effect in scene.out if effect[0] == "log"]
+    assert [fields["tag"] for fields in logged] == [late]
+    assert logged[0]["status"] == 200 and logged[0]["tokens"] == closed[late]["tokens"]
