--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -72,3 +72,22 @@
     }
     assert named and [(name, page) for name, page in sorted(named) if not (ROOT / page).exists()] == []
     assert [path.name for path in sources if chr(0xA7) in path.read_text()] == []
+
+
+def test_no_page_refers_to_a_section_by_its_number():
+    """Given the pages that point at others, each does so by a link: numbers of sections of a former page are not left."""
+    number = re.compile(r"(?<![\d.,])[1-9]\d?\.\d{1,2}(?=[;).]|,? \||$| waits)", re.M)
+    pages = [ROOT / "docs" / name for name in ("brief.md", "source.md", "architecture.md", "glossary.md")]
+    found = [(page.name, match.group()) for page in pages for match in number.finditer(page.read_text())]
+    assert found == []
+    assert number.findall("how it is shared: 7.7. When: 7.5; reachable: 12.4 |") == ["7.7", "7.5", "12.4"]
+
+
+def test_design_pages_use_the_terms_of_the_field():
+    """Given the design pages, no former word of the project stands in their text; names of files and stored kinds may."""
+    former = r"\b(beats?|seats?|roster|understud\w+|keepers?|ferry|parcels?|pulses?|fetcher|witness)\b"
+    found = []
+    for page in (ROOT / "docs" / "design").glob("*.md"):
+        text = re.sub(r"`[^`]*`|\]\([^)]*\)|^    .*$|no promise beats", "", page.read_text(), flags=re.M)
+        found += [(page.name, word) for word in re.findall(former, text, re.I)]
+    assert found == []
