--- a/harness/fuzzing/edge_host.py
+++ b/harness/fuzzing/edge_host.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from random import Random
 
-from harness.local_cluster.loopback import free_address
+from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.host.effects import (
     AbortResponse,
@@ -100,8 +100,7 @@
         loop = asyncio.get_running_loop()
         self._tick()
         self.tasks = [loop.create_task(each) for each in (self.front.run(), self.streaming_client.run(), self._ticks())]
-        while self.front.listener is None or not self.streaming_client.is_open:
-            await asyncio.sleep(0)
+        await wait_until_serving(lambda: self.front.listener is not None and self.streaming_client.is_open, *self.tasks)
 
     async def stop(self) -> None:
         """Ends all tasks."""
--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from harness.local_cluster.loopback import free_address
+from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.changefeed.messages import Follow
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.host.effects import Exit, Reply, Send
@@ -25,6 +25,7 @@
 
 SECOND, TICK = timedelta(seconds=1), timedelta(seconds=0.05)
 GRACE = 8.0
+CONNECTING_TAKES = 0.02  # seconds, on a network that is not loopback
 LAST_CALL = GRACE * SECOND - FINAL_ANSWERS_BEFORE_END
 
 
@@ -215,18 +216,26 @@
 
 
 def test_what_was_said_last_goes_out_before_the_process_ends():
-    """Given a client that waits and a node to which no link stands yet, the answer that a node gives as it leaves reaches the client
-    whole, and its word the other node."""
+    """Given a client that waits and a node to which no connection stands yet and that takes a while to be reached, the answer that a
+    node gives as it leaves reaches the client whole, and its message the other node."""
 
     async def run():
         loop, heard = asyncio.get_running_loop(), []
+        connect = loop.create_connection
+
+        async def connect_slowly(*arguments, **options):
+            await asyncio.sleep(CONNECTING_TAKES)
+            return await connect(*arguments, **options)
+
+        loop.create_connection = connect_slowly
         other = NodeTransport(free_address(), "c", heard.append)
         listening = loop.create_task(other.run())
         machine = Speaker(other.address)
         daemon = Daemon(machine, Clock(), lambda *what: None, free_address(), free_address(), "c")
         task = loop.create_task(daemon.run())
-        while daemon.http_server.listener is None or other.transport is None:
-            await asyncio.sleep(0)
+        await wait_until_serving(
+            lambda: daemon.http_server.listener is not None and other.transport is not None, listening, task
+        )
         reader, writer = await asyncio.open_connection(*split_address(daemon.http_server.address))
         writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
         while machine.held is None:
--- a/tests/nodes/test_operator_changes.py
+++ b/tests/nodes/test_operator_changes.py
@@ -519,7 +519,7 @@
 
 def test_bodies_up_to_four_mebibytes_reach_a_core_and_longer_ones_get_413():
     """Given bodies of just four mebibytes and one byte more, with a length and in chunks, the former reach the machine whole."""
-    from harness.local_cluster.loopback import free_address
+    from harness.local_cluster.loopback import free_address, wait_until_serving
     from sumachook.host.effects import Reply
     from sumachook.nodes.serve import MAX_OPERATOR_BODY_BYTES
     from sumachook.transport.http_server import HttpServer
@@ -534,8 +534,7 @@
             http_server.answer(Reply(event.call_id, 200, {}, b""))
 
         task = asyncio.get_running_loop().create_task(http_server.run())
-        while http_server.listener is None:
-            await asyncio.sleep(0)
+        await wait_until_serving(lambda: http_server.listener is not None, task)
         statuses = []
         for size in (4 << 20, (4 << 20) + 1):
             for head, body in (
--- a/tests/transport/test_client_limits.py
+++ b/tests/transport/test_client_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from harness.local_cluster.loopback import free_address
+from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.configuration.limits import Limits
 from sumachook.host.effects import ApplyClientLimits, Reply
 from sumachook.host.events import ProxyRequestReceived, Tick
@@ -29,8 +29,7 @@
 
     async def __aenter__(self):
         self.task = asyncio.get_running_loop().create_task(self.front.run())
-        while self.front.listener is None:
-            await asyncio.sleep(0)
+        await wait_until_serving(lambda: self.front.listener is not None, self.task)
         return self
 
     async def __aexit__(self, *what):
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from harness.local_cluster.loopback import free_address
+from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.changefeed.messages import Follow
 from sumachook.host.events import MessageReceived, UnreadableMessageReceived
 from sumachook.transport.codec import MAX_FRAME_BYTES, Codec, read_frame
@@ -66,8 +66,7 @@
 
         port, other = NodeTransport(free_address(), "c", hear), NodeTransport(free_address(), "c", hear)
         tasks = [asyncio.get_running_loop().create_task(each.run()) for each in (port, other)]
-        while port.transport is None or other.transport is None:
-            await asyncio.sleep(0)
+        await wait_until_serving(lambda: port.transport is not None and other.transport is not None, *tasks)
         raw = Codec("c", "n", other.address, 1).pack(Follow(7, 1))
         other.send_datagram(port.address, b"garbage")
         other.send_datagram(port.address, raw)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from harness.local_cluster.loopback import free_address
+from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.host.effects import AbortResponse, BeginResponse, EndResponse, Reply, SendChunk
 from sumachook.host.events import HttpRequestReceived
 from sumachook.transport.addresses import split_address
@@ -27,8 +27,7 @@
 
     async def __aenter__(self):
         self.task = asyncio.get_running_loop().create_task(self.http_server.run())
-        while self.http_server.listener is None:
-            await asyncio.sleep(0)
+        await wait_until_serving(lambda: self.http_server.listener is not None, self.task)
         self.http_server.idle_since = {}
         return self
 
@@ -133,13 +132,7 @@
     http_server = HttpServer(free_address(), hear)
     task = asyncio.get_running_loop().create_task(http_server.run())
     try:
-        while True:
-            try:
-                _, writer = await asyncio.open_connection(*split_address(http_server.address))
-                writer.close()
-                break
-            except OSError:
-                await asyncio.sleep(0)
+        await wait_until_serving(lambda: http_server.listener is not None, task)
         return await story(http_server.address, messages)
     finally:
         task.cancel()
--- a/tests/transport/test_proxy_sockets.py
+++ b/tests/transport/test_proxy_sockets.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from harness.local_cluster.loopback import free_address
+from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.host.effects import (
     AbortResponse,
     BeginResponse,
@@ -134,8 +134,7 @@
         standing = {f"r{place}": server("records", address=each.address) for place, each in enumerate(self.servers)}
         self.scene = Scene(self.doc, standing, held=())
         self.tasks = [loop.create_task(self.front.run()), loop.create_task(self.streaming_client.run())]
-        while self.front.listener is None or not self.streaming_client.is_open:
-            await asyncio.sleep(0)
+        await wait_until_serving(lambda: self.front.listener is not None and self.streaming_client.is_open, *self.tasks)
         self.tick = loop.call_later(TICK, self._tick)
         return self
 
