Adapters give way to a planned model that they leave no room for

Cause: after the loss of a zone a call for a rare model waited its whole 15 s. The plan counts models' memory, and on the planned server all other models were planned too; its adapters (0.1 GB each) held the last GB, and only models were unloaded to make room.

Change: where no model gives way, the adapter asked for least does, if it is asked for less than the model; adapters asked for less than a model that waits for room are not loaded meanwhile. Two mutations, both caught.

--- a/harness/mutations/placement.py
+++ b/harness/mutations/placement.py
@@ -6,6 +6,22 @@
 DUTY = "tests/leases/test_leases.py"
 
 PLACEMENT_MUTATIONS = (
+    Mutation(
+        10,
+        "adapters hold the room of a planned model",
+        "            self._unload_adapter_asked_for_less(server, model)\n            return",
+        "            return",
+        "tests/placement/test_orders.py",
+        "adapter_gives_way",
+    ),
+    Mutation(
+        10,
+        "adapters take the room that is made for a model",
+        "            and self._demand_of(name) >= self.waiting_demand.get(server, 0.0)\n",
+        "",
+        "tests/placement/test_orders.py",
+        "adapter_gives_way",
+    ),
     Mutation(
         "LIMIT",
         "room is not counted",
--- a/sumachook/placement/orders.py
+++ b/sumachook/placement/orders.py
@@ -94,6 +94,7 @@
         self.replicas = self._ready_replicas()
         self.orders: list[ServerOrder] = []
         self.gigabytes = 0.0
+        self.waiting_demand: dict[str, float] = {}  # by server: of the most wanted model for which there is no room yet
 
     def _held_with_orders(self) -> dict[str, set[str]]:
         held = {
@@ -169,6 +170,7 @@
                     break  # the store's budget: the first in turn waits, nothing overtakes it
                 self._load(server, MODEL, model, size)
             else:
+                self.waiting_demand[server] = max(self._demand_of(model), self.waiting_demand.get(server, 0.0))
                 self._make_room(server, model)
 
     def _missing_models(self) -> list[ItemAtServer]:
@@ -181,15 +183,28 @@
         return [(server, model) for _, _, model, server in sorted(missing)]
 
     def _make_room(self, server: str, model: str) -> None:
-        """Unload one model that gives way, unless a server is unloading something already."""
+        """Unload one model that gives way, else one adapter, unless a server is unloading something already."""
+        if any(verb == UNLOAD and other == server for (other, _), verb in self.in_flight.items()):
+            return
         scores = self._eviction_scores(server, model)
-        is_unloading = any(verb == UNLOAD and other == server for (other, _), verb in self.in_flight.items())
-        if not scores or is_unloading:
+        if not scores:
+            self._unload_adapter_asked_for_less(server, model)
             return
         evicted = min(scores, key=lambda item: (-scores[item], self._demand_of(item), -self.sizes[item], item))
         self._unload(server, MODEL, evicted, self.sizes[evicted])
         self.replicas[evicted] = self.replicas.get(evicted, 1) - 1
 
+    def _unload_adapter_asked_for_less(self, server: str, model: str) -> None:
+        """Where every model on a server is planned there, adapters may hold the room that the plan counts on."""
+        demand = self._demand_of(model)
+        adapters = [
+            item
+            for item in self.held[server]
+            if item in self.adapters and self._is_ready(server, item) and self._demand_of(item) < demand
+        ]
+        if adapters:
+            self._unload(server, ADAPTER, min(adapters, key=lambda item: (self._demand_of(item), item)), 0.0)
+
     def _eviction_scores(self, server: str, model: str) -> dict[str, float]:
         """{model: score} of what may give way: served elsewhere or not asked for, else asked for less."""
         unplanned = [
@@ -232,6 +247,7 @@
             and (server, name) not in self.not_now
             and self._is_ready(server, base)
             and not self._is_unloading(server, base)
+            and self._demand_of(name) >= self.waiting_demand.get(server, 0.0)
         )
 
     def _load_adapter(self, server: str, name: str, wanted: Iterable[str], present: list[str]) -> None:
--- a/tests/placement/test_orders.py
+++ b/tests/placement/test_orders.py
@@ -23,3 +23,22 @@
     assert orders == [("s0", UNLOAD, "model", "m11", 4.0)]
     again, _ = plan_orders(catalogue, servers, {"m00": ("s0", "")}, demand, actual, {("s0", "m11"): UNLOAD}, 100.0)
     assert again == []
+
+
+def test_an_adapter_gives_way_to_a_planned_model_that_is_asked_for_more():
+    """Given a server whose models are all planned there and whose adapters hold the rest of its memory, the adapter asked for
+    least is unloaded for a planned model, one at a time, and none that is asked for more than the model."""
+    catalogue, servers = catalogue_and_servers(1, 8.1)
+    assert catalogue.adapters[0].memory == 0.1, "both models and one adapter fit"
+    pairs = {"m00": ("s0", ""), "m01": ("s0", "")}
+    actual = {"s0": dict.fromkeys(("m00", "x00", "x02", "x03"), "ready")}
+    demand = {"m00": 2.0, "m01": 1.0, "x00": 0.5, "x02": 0.2, "x03": 3.0}
+    orders, _ = plan_orders(catalogue, servers, pairs, demand, actual, {}, 100.0)
+    assert orders == [("s0", UNLOAD, "adapter", "x02", 0.0)]
+    again, _ = plan_orders(catalogue, servers, pairs, demand, actual, {("s0", "x02"): UNLOAD}, 100.0)
+    assert again == []
+    held = {"s0": dict.fromkeys(("m00", "x00", "x03"), "ready")}
+    after, _ = plan_orders(catalogue, servers, pairs, demand, held, {}, 100.0)
+    assert after == [("s0", UNLOAD, "adapter", "x00", 0.0)], "no adapter takes the room that was made"
+    asked, _ = plan_orders(catalogue, servers, pairs, dict.fromkeys(demand, 1.0), actual, {}, 100.0)
+    assert asked == []
