Membership: nodes compare views by a digest and send what differs

Cause: at 200 nodes nine tenths of all bytes between nodes were membership's, most of them whole member lists (25 KB): in answer to every question, every two seconds from a live member to each node while any member was gone, from everybody to one that left, and to restarted nodes from each stranger that pinged them; members from lists were then told on 24 times by each node.

Change: a Join carries a digest of the live members in 32 buckets; the answer (ViewDifference, compressed) holds the buckets that differ, none where views agree, none to one that leaves. Edges ask one seed at a time. Members learned from a list are not told on, and news heard again counts as told. Joins without a digest, of the version before, are answered as before.

--- a/harness/experiments/scale/mechanism.py
+++ b/harness/experiments/scale/mechanism.py
@@ -9,7 +9,7 @@
 MECHANISMS = (MEMBERSHIP, FEED, ORDERED, DUTIES, LEDGER, CREDIT, USAGE, PLACES, LIST, REPORTS, ALLOWANCES)
 ON_UDP = (MEMBERSHIP,)
 _KINDS = {
-    MEMBERSHIP: "probe probe_ack probe_via probe_for via_ack join roll",
+    MEMBERSHIP: "probe probe_ack probe_via probe_for via_ack join roll view_difference",
     FEED: "follow image image_part news feed_beat confirm confirmed",
     DUTIES: "bid vote renew renewed",
     LEDGER: "open opened close closed hand handed carry find found",
--- a/harness/mutations/control_plane.py
+++ b/harness/mutations/control_plane.py
@@ -9,6 +9,7 @@
 STARTS = "tests/nodes/test_edge_start.py"
 DIFFERENCES = "tests/configuration/test_differences.py"
 DUTY = "tests/leases/test_leases.py"
+VIEWS = "tests/membership/test_view_comparison.py"
 
 CONTROL_PLANE_MUTATIONS = (
     Mutation(
@@ -169,7 +170,7 @@
     Mutation(
         5,
         "a node asks nothing of who probes it unknown",
-        "if sender not in self.members:",
+        "if sender not in self.members and now >= self._next_introduction_at:",
         "if False:",
         CONTROL,
         "know_every_edge",
@@ -177,11 +178,68 @@
     Mutation(
         5,
         "replaced seeds wait for their turn",
-        "                self.seeds = tuple(event.addresses)\n                return self._ask_seeds()",
+        "                self.seeds = tuple(event.addresses)\n                return self._compare_views(now)",
         "                self.seeds = tuple(event.addresses)\n                return []",
         "tests/platform_adapters/test_platform.py",
         "replaced_seeds",
     ),
+    Mutation(
+        5,
+        "a Join is answered with all members whatever the sender knows",
+        "        updates = self._updates_of(differing_buckets(self._digest(), join.digest))",
+        '        updates = self._updates_of(differing_buckets(self._digest(), b""))',
+        VIEWS,
+        "nothing_to_tell or told_of_few",
+    ),
+    Mutation(
+        5,
+        "one that leaves is told all members",
+        "        if any(update.status in REMOVED_STATUSES for update in join.updates):",
+        "        if False:",
+        VIEWS,
+        "leaves_is_told_nothing",
+    ),
+    Mutation(
+        5,
+        "only the live members of a difference are told, so that nobody can object",
+        "        return tuple(member.to_update() for member in members if bucket_of(member.node) in buckets)",
+        "        return tuple(\n            member.to_update()\n            for member in members\n"
+        "            if bucket_of(member.node) in buckets and member.status in LIVE_STATUSES\n        )",
+        VIEWS,
+        "both_object",
+    ),
+    Mutation(
+        5,
+        "members learned from a list are told on",
+        "                self.gossip.remove(update.node)",
+        "                pass",
+        VIEWS,
+        "not_told_on",
+    ),
+    Mutation(
+        5,
+        "members that are gone count in the digest",
+        "        if member.status in LIVE_STATUSES:\n            bucket",
+        "        if True:\n            bucket",
+        VIEWS,
+        "never_knew_them",
+    ),
+    Mutation(
+        5,
+        "pings of strangers are each answered with a Join",
+        "            self._next_introduction_at = now + self.JOIN_RETRY_INTERVAL\n",
+        "",
+        VIEWS,
+        "few_joins",
+    ),
+    Mutation(
+        5,
+        "nothing is compared while there is news",
+        "        if len(self.gossip) and self._comparisons_skipped < self.MAX_COMPARISONS_SKIPPED:",
+        "        if len(self.gossip):",
+        VIEWS,
+        "seldom_while_there_is_news",
+    ),
     Mutation(
         0,
         "an image goes on with the state",
--- a/sumachook/membership/gossip.py
+++ b/sumachook/membership/gossip.py
@@ -6,11 +6,15 @@
 from sumachook.membership.member import Member, MemberStatus, MemberUpdate
 
 MAX_UPDATES_PER_MESSAGE = 8  # keeps a message well within one datagram
-TRANSMISSION_FACTOR = 3  # an update is told this many times log2(members): enough to reach all with high probability
+# An update is told or heard again this many times log2(members). About half of them are tellings of this node: of 200
+# members one in three thousand is missed, and learns of it when it compares its view with another.
+TRANSMISSION_FACTOR = 2
 
 
 class Gossip:
-    """Counts how often each update was told, and gives those told least; one that was told often enough is dropped."""
+    """Counts how often each update was told or heard again, and gives those with the least; one that was told often
+    enough is dropped.
+    """
 
     __slots__ = ("_transmissions",)
 
@@ -25,6 +29,15 @@
         """What is known of this node has changed and is to be told."""
         self._transmissions[node] = 0
 
+    def note_heard(self, node: str) -> None:
+        """Another node told what is known here: the fewer are left to whom it is news."""
+        if node in self._transmissions:
+            self._transmissions[node] += 1
+
+    def remove(self, node: str) -> None:
+        """What is known of this node need not be told."""
+        self._transmissions.pop(node, None)
+
     def clear(self) -> None:
         """Drops all that there is to tell."""
         self._transmissions.clear()
--- a/sumachook/membership/member.py
+++ b/sumachook/membership/member.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class MemberStatus(StrEnum):
@@ -34,6 +34,24 @@
     restart_epoch: int
 
 
+_STATUSES = {status.value: status for status in MemberStatus}
+
+
+def update_from_wire(
+    node: str,
+    address: str,
+    role: str,
+    zone: str,
+    incarnation: int,
+    status: str,
+    http_address: str,
+    restart_epoch: int,
+) -> MemberUpdate:
+    """The update from its fields as they were read; a status that a later version may send stays a string."""
+    known_status: Any = _STATUSES.get(status, status)
+    return MemberUpdate(node, address, role, zone, incarnation, known_status, http_address, restart_epoch)
+
+
 class Member:
     """One node as it was last heard of, and since when (monotonic time) it has had that status."""
 
--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -18,8 +18,10 @@
     MemberList,
     Ping,
     PingAck,
+    ViewDifference,
 )
 from sumachook.membership.ping_tracker import PingTracker
+from sumachook.membership.view_digest import bucket_of, differing_buckets, digest_of
 from sumachook.runtime.cluster_clock import ClusterClock
 from sumachook.runtime.monotonic_value import MonotonicValue
 
@@ -46,6 +48,9 @@
         "_ping_order",
         "_next_ping_at",
         "_next_join_at",
+        "_joining_until",
+        "_next_introduction_at",
+        "_comparisons_skipped",
         "_last_tick_at",
         "_resumed_at",
     )
@@ -56,6 +61,8 @@
     SUSPECT_AFTER = ACK_TIMEOUT * 3  # without any answer, direct or indirect
     SUSPICION_TIMEOUT = timedelta(seconds=1.5)  # for a suspect to object
     SEED_INTERVAL = timedelta(seconds=2)
+    JOIN_RETRY_INTERVAL = timedelta(seconds=0.3)  # in the first interval, while a seed is not known
+    MAX_COMPARISONS_SKIPPED = 4
     SEED_JITTER = (0.8, 1.2)  # of the interval, so that nodes that began together do not ask together
     FORGET_AFTER = timedelta(minutes=10)  # a member that is gone
     LATE_TICK = timedelta(seconds=0.8)  # a tick so late tells that this process stood still, not that others did
@@ -83,6 +90,9 @@
         self._ping_order: list[str] = []
         self._next_ping_at = now
         self._next_join_at = now
+        self._joining_until = now + self.SEED_INTERVAL
+        self._next_introduction_at = now
+        self._comparisons_skipped = 0
         self._last_tick_at = now
         self._resumed_at = now - self.SUSPICION_TIMEOUT * 4  # a process that begins may suspect at once
 
@@ -95,7 +105,7 @@
                 return self._handle_message(event, now)
             case SeedsChanged():
                 self.seeds = tuple(event.addresses)
-                return self._ask_seeds()  # at once: all seeds that were known may be gone
+                return self._compare_views(now)  # at once: all seeds that were known may be gone
             case StopRequested():
                 return self._leave()
         raise TypeError(f"membership takes no such event: {event!r}")
@@ -117,8 +127,7 @@
             self._next_ping_at = now + self.PING_INTERVAL
             effects += self._ping_next(now)
         if now >= self._next_join_at:
-            self._next_join_at = now + self.SEED_INTERVAL * self.random.uniform(*self.SEED_JITTER)
-            effects += self._ask_seeds()
+            effects += self._ask_one_seed(now) if self._is_joining(now) else self._compare_views(now)
         return effects
 
     def _note_pause(self, now: timedelta) -> None:
@@ -187,21 +196,46 @@
         self.random.shuffle(self._ping_order)
         return self.members[self._ping_order.pop()] if self._ping_order else None
 
-    def _ask_seeds(self) -> list[Effect]:
-        """Asks seeds that are not known yet, and now and then a member that is gone, so that two halves meet again."""
+    def _unknown_seeds(self) -> list[str]:
         known = {member.address for member in self.live}
-        addresses = [seed for seed in self.seeds if seed not in known and seed != self.local_member.address]
+        return [seed for seed in self.seeds if seed not in known and seed != self.local_member.address]
+
+    def _is_joining(self, now: timedelta) -> bool:
+        """Whether an edge has just begun. The few cores ask all seeds at once: their view waits for it."""
+        return now < self._joining_until and self.local_member.role != "core" and bool(self._unknown_seeds())
+
+    def _ask_one_seed(self, now: timedelta) -> list[Effect]:
+        """The first answer brings all members; each further one would bring them again."""
+        self._next_join_at = now + self.JOIN_RETRY_INTERVAL * self.random.uniform(*self.SEED_JITTER)
+        return [SendDatagram(self.random.choice(self._unknown_seeds()), self._join())]
+
+    def _compare_views(self, now: timedelta) -> list[Effect]:
+        """Asks for what differs: seeds that are not known, a member that is gone, so that two halves meet again, and a
+        live member, also where all seeds are dead.
+        """
+        self._next_join_at = now + self.SEED_INTERVAL * self.random.uniform(*self.SEED_JITTER)
+        addresses = self._unknown_seeds()
+        is_comparing = self._is_comparison_due() or bool(addresses)
         gone = [member.address for member in self.members.values() if member.status == MemberStatus.GONE]
         if gone:
             addresses.append(self.random.choice(gone))
-        if addresses and known:  # a live member answers with all that it knows, also where all seeds are dead
-            addresses.append(self.random.choice(sorted(known)))
+        known = sorted(member.address for member in self.live)
+        if known and is_comparing:
+            addresses.append(self.random.choice(known))
         return [SendDatagram(address, self._join()) for address in dict.fromkeys(addresses)]
 
+    def _is_comparison_due(self) -> bool:
+        """While there is news to tell views differ for a moment anyhow, and a comparison mostly repeats the news."""
+        self._comparisons_skipped += 1
+        if len(self.gossip) and self._comparisons_skipped < self.MAX_COMPARISONS_SKIPPED:
+            return False
+        self._comparisons_skipped = 0
+        return True
+
     def _leave(self) -> list[Effect]:
         self.local_member.status = MemberStatus.LEFT
         self.gossip.add(self.local_member.node)
-        return [SendDatagram(member.address, self._join()) for member in self.live]
+        return [SendDatagram(member.address, self._introduction()) for member in self.live]
 
     # messages ---------------------------------------------------------------
 
@@ -220,16 +254,35 @@
             case IndirectPingAck():
                 return self._on_indirect_ping_ack(message, now)
             case Join():
-                effects = self._apply_all(message.updates, now)
-                return [*effects, SendDatagram(address, self._member_list())]
-            case MemberList():
-                return self._apply_all(message.updates, now)
+                return self._on_join(address, message, now)
+            case MemberList() | ViewDifference():
+                return self._on_member_list(message, now)
         raise TypeError(f"membership takes no such message: {message!r}")
 
+    def _on_join(self, address: str, join: Join, now: timedelta) -> list[Effect]:
+        """Answers with what the sender's digest shows to differ; one that leaves needs to know nothing."""
+        effects = self._apply_all(join.updates, now)
+        if any(update.status in REMOVED_STATUSES for update in join.updates):
+            return effects
+        updates = self._updates_of(differing_buckets(self._digest(), join.digest))
+        answer = ViewDifference(updates) if join.digest else MemberList(updates)
+        return [*effects, SendDatagram(address, answer)] if updates else effects
+
+    def _on_member_list(self, message: MemberList | ViewDifference, now: timedelta) -> list[Effect]:
+        """Of members that are new here the sender, or who told it, has told the others already."""
+        effects: list[Effect] = []
+        for update in message.updates:
+            is_new = update.node not in self.members
+            effects += self._apply(update, now)
+            if is_new:
+                self.gossip.remove(update.node)
+        return effects
+
     def _on_ping(self, sender: str, address: str, ping: Ping, now: timedelta) -> list[Effect]:
         effects = self._apply_all(ping.updates, now)
         # it knows an earlier run of this node, so neither seeds nor silence bring the two together
-        if sender not in self.members:
+        if sender not in self.members and now >= self._next_introduction_at:
+            self._next_introduction_at = now + self.JOIN_RETRY_INTERVAL
             effects.append(SendDatagram(address, self._join()))
         self._note_clocks(sender, ping, now)
         ack = PingAck(
@@ -270,11 +323,19 @@
         return self.gossip.next_updates(self.local_member, self.members, target)
 
     def _join(self) -> Join:
+        return Join((self.local_member.to_update(),), self._digest())
+
+    def _introduction(self) -> Join:
+        """Tells of this node and asks for nothing."""
         return Join((self.local_member.to_update(),))
 
-    def _member_list(self) -> MemberList:
-        others = (member.to_update() for member in self.members.values())
-        return MemberList((*others, self.local_member.to_update()))
+    def _digest(self) -> bytes:
+        return digest_of((*self.members.values(), self.local_member))
+
+    def _updates_of(self, buckets: frozenset[int]) -> tuple[MemberUpdate, ...]:
+        """All that is known of the members of these buckets, also of those that are gone, so that they can object."""
+        members = (*self.members.values(), self.local_member)
+        return tuple(member.to_update() for member in members if bucket_of(member.node) in buckets)
 
     def _change_status(self, member: Member, status: MemberStatus, now: timedelta) -> list[Effect]:
         return self._apply(member.to_update()._replace(status=status), now)
@@ -289,6 +350,7 @@
         if known is None and update.status in REMOVED_STATUSES:
             return []
         if known is not None and not _is_newer(update, known):
+            self.gossip.note_heard(update.node)
             return []
         self.gossip.add(update.node)
         self.members[update.node] = Member(update, now)
--- a/sumachook/membership/messages.py
+++ b/sumachook/membership/messages.py
@@ -1,6 +1,9 @@
 """The messages by which nodes check each other and spread what they know of members (SWIM)."""
 
-from sumachook.membership.member import MemberUpdate
+from collections.abc import Sequence
+from typing import Any, Self
+
+from sumachook.membership.member import MemberUpdate, update_from_wire
 from sumachook.transport.node_message import NodeMessage
 
 
@@ -46,9 +49,14 @@
 
 
 class Join(NodeMessage, frozen=True, tag="join"):
-    """The sender tells of itself, to join or to leave; it is answered with a `MemberList`."""
+    """The sender tells of itself, to join or to leave.
+
+    One that joins is answered with a `ViewDifference` by its `digest` (`view_digest.py`); without a digest, as earlier
+    versions send it, with a `MemberList`.
+    """
 
     updates: tuple[MemberUpdate, ...]
+    digest: bytes = b""
 
 
 class MemberList(NodeMessage, frozen=True, tag="roll"):
@@ -57,6 +65,18 @@
     updates: tuple[MemberUpdate, ...]
 
 
+class ViewDifference(NodeMessage, frozen=True, tag="view_difference"):
+    """The members that the sender knows in those buckets in which its view differs from that of a `Join`'s sender."""
+
+    updates: tuple[MemberUpdate, ...]
+
+    @classmethod
+    def from_values(cls, values: Sequence[Any]) -> Self:
+        """The message from the one document that it is on the wire."""
+        (updates,) = values
+        return cls(tuple(update_from_wire(*update) for update in updates))
+
+
 # What a node's `Membership` takes from other nodes.
 MEMBERSHIP_MESSAGES: tuple[type[NodeMessage], ...] = (
     Ping,
@@ -66,4 +86,5 @@
     IndirectPingAck,
     Join,
     MemberList,
+    ViewDifference,
 )
--- a/sumachook/transport/codec.py
+++ b/sumachook/transport/codec.py
@@ -11,7 +11,7 @@
 from thrift.Thrift import TType  # type: ignore[import-untyped]
 from thrift.transport.TTransport import TMemoryBuffer  # type: ignore[import-untyped]
 
-from sumachook.membership.member import MemberStatus, MemberUpdate
+from sumachook.membership.member import MemberUpdate, update_from_wire
 from sumachook.transport.errors import FrameProblem, UnreadableFrameError
 from sumachook.transport.message_schemas import FIELDS
 from sumachook.transport.node_message import NodeMessage, kind_of, type_of
@@ -22,7 +22,6 @@
 COMPRESSED, PLAIN, MIN_COMPRESSED_BYTES, MIN_CACHED_BYTES = b"z", b"p", 600, 8000
 CONTAINERS = (list, dict)
 MAX_QUOTED = 40  # characters of a sender's own words in an error
-_STATUSES = {status.value: status for status in MemberStatus}
 
 
 def _struct(name: str, fields: Sequence[tuple[str, int, Any]]) -> Any:
@@ -57,6 +56,7 @@
     "m": (TType.LIST, (TType.STRUCT, [MemberStruct, MemberStruct.thrift_spec], False)),
     "e": (TType.LIST, (TType.STRING, "BINARY", False)),
     "r": (TType.STRING, "BINARY"),
+    "o": (TType.STRING, "BINARY"),
 }
 BODIES = {
     kind: _struct("Body_" + kind, [(field, *_KINDS[letter]) for field, letter in fields])
@@ -155,10 +155,14 @@
         return [_compressed_entry(entry) if len(entry) >= MIN_CACHED_BYTES else _compressed(entry) for entry in value]
     if letter == "r":
         return _with_marker(value)
+    if letter == "o":
+        return value or None
     return value
 
 
 def _from_field(letter: str, value: Any) -> Any:
+    if letter == "o":
+        return value or b""
     if value is None:
         raise ValueError("a field is missing")
     if letter == "d":
@@ -173,13 +177,13 @@
 
 
 def _member_update(member: Any) -> MemberUpdate:
-    return MemberUpdate(
+    return update_from_wire(
         member.node,
         member.address,
         member.role,
         member.zone,
         member.incarnation,
-        _STATUSES.get(member.status, member.status),  # one that a later version may send stays a string
+        member.status,
         member.http_address,
         member.restart_epoch,
     )
--- a/sumachook/transport/message_schemas.py
+++ b/sumachook/transport/message_schemas.py
@@ -1,7 +1,8 @@
 """The kinds of message and their fields.
 
 Letters: s string, i i64, f double, b bool, d document (JSON in a binary field),
-m list of member structs, e list of binary entries, y bytes as they are, r bytes (compressed if long).
+m list of member structs, e list of binary entries, y bytes as they are, r bytes (compressed if long),
+o bytes that may be missing, which is how earlier versions send them: empty then.
 """
 
 SHAPES = {
@@ -11,8 +12,9 @@
     "probe_via": "sequence:i target:s updates:m",
     "probe_for": "sequence:i origin:s updates:m",
     "via_ack": "sequence:i updates:m",
-    "join": "updates:m",
+    "join": "updates:m digest:o",
     "roll": "updates:m",
+    "view_difference": "updates:d",
     # consensus
     "standing": "replica:s address:s is_blank:b",
     "canvass": "view:d installed:d end:i token:i",
--- a/tests/transport/test_codec.py
+++ b/tests/transport/test_codec.py
@@ -26,6 +26,7 @@
         "e": (b"1", b"2"),
         "y": b"\0z",
         "r": b"\0z",
+        "o": b"\0z",
         "m": (("n1", "127.0.0.1:1", "edge", "hall", 2, "alive", "127.0.0.1:2", 9),),
     }
     records, acks = (({"k": (2,)}, ("a",)), ({"k": 3}, ())), (("r1", "ok", {"state": "open"}),)
