python -m harness size: hundreds of nodes in virtual time while much of the fleet fails

Change: six stories (rest, a herd killed, two cores lost, a full disk, a zone cut off, a tenth of the edges leaving) over the real state machines of all nodes; each says when every edge was fresh again, when everybody knew everybody, and the bytes between zones by mechanism.

--- a/harness/__main__.py
+++ b/harness/__main__.py
@@ -99,6 +99,12 @@
         "0: the four numbers were printed; 1: a storm had no effect at all",
     ),
     Command("costs", "harness.experiments.costs", "messages, bytes and syncs at rest, per request and change", FIGURES),
+    Command(
+        "size",
+        "harness.experiments.size",
+        "hundreds of nodes in virtual time: time to recover and bytes between zones while much of the fleet fails",
+        "0: every fleet came back; 1: one did not within the story",
+    ),
     Command("scale", "harness.experiments.scale.__main__", "what each role and mechanism costs at 380 nodes", FIGURES),
     Command(
         "lost_worth", "harness.experiments.lost_worth", "from edges' logs: which requests were late or lost", FIGURES
--- a/harness/experiments/scale/simulated_fleet.py
+++ b/harness/experiments/scale/simulated_fleet.py
@@ -21,6 +21,7 @@
 from sumachook.transport.node_message import wire_kind
 
 MOST_DATAGRAM = 60_000
+BETWEEN_ZONES = "bytes between zones"
 TURN = timedelta(seconds=0.25)
 
 
@@ -83,6 +84,8 @@
         mechanism = mechanism_of(kind)
         counts[box.role, mechanism, "messages"] += 1
         counts[box.role, mechanism, "bytes"] += len(raw)
+        if box.zone != other.zone:
+            counts[box.role, mechanism, BETWEEN_ZONES] += len(raw)
         self.longest[kind] = max(self.longest[kind], len(raw))
         if not is_cast or len(raw) <= MOST_DATAGRAM:  # as the node port does
             self._send(box, other, self._heard, other, raw)
--- a/harness/experiments/scale/site.py
+++ b/harness/experiments/scale/site.py
@@ -38,7 +38,9 @@
                 model: tuple(f"a{number}" for number in range(1, ADAPTER_PLACES // PLACES_A_SERVER + 1))
                 for model in models
             }
-        self.nodes = {f"core-{place + 1}": (ZONES[place], f"127.76.0.{place + 1}") for place in range(CORES)}
+        self.nodes = {
+            f"core-{place + 1}": (ZONES[place % len(ZONES)], f"127.76.0.{place + 1}") for place in range(size.cores)
+        }
         self.nodes |= {
             f"edge-{place:03}": (ZONES[place % len(ZONES)], f"127.77.{place // 250}.{place % 250 + 1}")
             for place in range(size.edges)
@@ -92,7 +94,8 @@
 
     def settings(self, name: str, data: str | None = None) -> dict:
         zone, ip = self.nodes[name]
-        seeds = [f"{self.nodes[core][1]}:7660" for core in self.cores]
+        founders = self.cores[:CORES]
+        seeds = [f"{self.nodes[core][1]}:7660" for core in founders]
         is_core = name.startswith("core-")
         doc = {
             "node": name,
@@ -110,7 +113,9 @@
             "resendSlack": 200.0,
             "logLevel": "warning",
         }
-        return doc | ({"founding": seeds, "data": data or f"data/{name}"} if is_core else {"front": f"{ip}:8144"})
+        if not is_core:
+            return doc | {"front": f"{ip}:8144"}
+        return doc | {"founding": seeds if name in founders else [], "data": data or f"data/{name}"}
 
     def known(self, restart_epoch: int) -> dict:
         """{name: member update} of the hollow edges, in the life that begins with this run."""
--- a/harness/experiments/scale/size.py
+++ b/harness/experiments/scale/size.py
@@ -12,6 +12,7 @@
     """A fleet of so many nodes; the rest in the proportions of the size to design for."""
 
     nodes: int
+    cores: int = CORES
 
     TARGET_NODES, TARGET_SERVERS, TARGET_MODELS, TARGET_ADAPTERS, TARGET_REQUESTS = 380, 600, 230, 3000, 1100.0
     TARGET_TOKENS, TARGET_LOADS_AN_HOUR, TARGET_CHANGES_A_DAY, TARGET_RESTARTS_A_DAY = 450_000, 580, 270, 164
@@ -19,7 +20,7 @@
     def _part(self, whole):
         return max(1, round(whole * self.nodes / self.TARGET_NODES))
 
-    edges = property(lambda self: self.nodes - CORES)
+    edges = property(lambda self: self.nodes - self.cores)
     servers = property(lambda self: self._part(self.TARGET_SERVERS))
     models = property(lambda self: self._part(self.TARGET_MODELS))
     adapters = property(lambda self: self._part(self.TARGET_ADAPTERS))
