Calls that may not run twice use no connection that has rested for over 0.25 s

A connection that had stood the kernel's probe (1.1 s of rest) was taken for one that the server still knows.

Change: such calls use a connection only if it rested for at most 0.25 s. A test with a server that forgets what rests.

Also: a core that leaves says so in the words of the field.

--- a/harness/mutations/answers.py
+++ b/harness/mutations/answers.py
@@ -123,7 +123,7 @@
     Mutation(
         "TWICE",
         "what may not run twice goes on a connection that its server may have forgotten unseen",
-        "return rested <= JUST_USED.total_seconds() or rested >= PROBED_AFTER.total_seconds()",
+        "return rested <= JUST_USED.total_seconds()",
         "return True",
         FORWARD,
         "server_closed_is_no_loss",
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -208,7 +208,7 @@
         if self.shutdown.has_begun:
             return []
         self.shutdown.begin(now)
-        note = Log("info", "core", "Leaving, duties and seat are given back.", {})
+        note = Log("info", "core", "Leaving: singleton roles and the vote are given up.", {})
         released = self.leases.take(lease_events.Quit(), now)
         announced = self.membership.take(event, now)
         # the view comes last: who leads orders what was given up before it hands over
--- a/sumachook/transport/server_connector.py
+++ b/sumachook/transport/server_connector.py
@@ -1,9 +1,10 @@
 """Connections to servers: which are kept, and which calls may use one that was used before.
 
 A server may forget a connection that rests, without a word; what is sent there next is reset, and may have run for all
-that anybody can tell. A kept connection is therefore watched while it rests: the kernel probes it every second, and
-the answer to the first probe shows whether the server still knows it. A call that may not run twice uses a connection
-that has just been used, or one that has stood a probe; any other call may use every kept connection.
+that anybody can tell. A call that may not run twice therefore uses a connection only if it has just been used; any
+other call may use every kept connection. A connection is watched while it rests: the kernel probes it every second,
+which ends one whose path has gone silent. That a probe was answered proves nothing more: what answers it is the kernel
+at the other end, or something on the way, and not the server that forgot the connection.
 """
 
 import time
@@ -21,12 +22,10 @@
 from aiohttp.connector import Connection
 
 from sumachook.host.effects import ConnectionReuse
-from sumachook.transport.tcp_timeouts import FIRST_PROBE_AFTER, unwatch, watch
+from sumachook.transport.tcp_timeouts import unwatch, watch
 
 # A connection that rests for so short a time was not forgotten yet.
 JUST_USED = timedelta(seconds=0.25)
-# After so long a rest the first probe has been answered, or has ended the connection.
-PROBED_AFTER = FIRST_PROBE_AFTER + timedelta(seconds=0.1)
 # Before a server closes a connection that rests, by its own word, it is used no more: the close may be on its way.
 CLOSE_MARGIN = timedelta(seconds=1)
 DEFAULT_MAX_KEPT = 8  # connections to one server
@@ -64,7 +63,7 @@
     def may_use(self, rested: float) -> bool:
         """Whether a kept connection that has rested for so many seconds may carry this call."""
         if self.reuse is ConnectionReuse.WHEN_ALIVE:
-            return rested <= JUST_USED.total_seconds() or rested >= PROBED_AFTER.total_seconds()
+            return rested <= JUST_USED.total_seconds()
         return self.reuse is ConnectionReuse.ALWAYS
 
     def note_keep_alive(self, header: str) -> None:
--- a/tests/transport/test_proxy_sockets.py
+++ b/tests/transport/test_proxy_sockets.py
@@ -644,7 +644,7 @@
 def test_a_kept_connection_that_the_server_closed_is_no_loss():
     """Given a server that closes a kept connection just as it is used again, the repeatable request is answered all the same, and
     each arrival was the machine's own sending; what may not run twice goes on a connection that was used just before, and after
-    a rest in which the server may have forgotten it unseen, on a new one."""
+    any longer rest, in which the server may have forgotten it unseen, on a new one."""
 
     async def once_each(server, request, reader, writer):
         if server.connections == 1 and len(server.requests) == 2:
@@ -662,7 +662,7 @@
         return answers, len(peer.requests), path.forwards, made
 
     answers, arrivals, forwards, made = play(story, once_each)
-    assert answers == [b"q1", b"q2", b"q3"] and arrivals == forwards and made == [0, 0, 1, 2, 2, 2]
+    assert answers == [b"q1", b"q2", b"q3"] and arrivals == forwards and made == [0, 0, 1, 2, 2, 3]
 
 
 def rest(path, seconds):
@@ -673,6 +673,29 @@
         kept.extend(resting)
 
 
+def test_a_server_that_forgets_what_rests_though_its_kernel_answers_probes_costs_no_request_that_may_run_once():
+    """Given a server that resets whatever comes on a connection that rested for 0.3 s, and whose kernel knows the connection for as
+    long as it stands, requests that may run only once are all answered, however long they come after each other."""
+
+    async def forgetful(server, request, reader, writer):
+        if writer in server.rested:
+            reset(writer)
+            return False
+        writer.write(sealed(request, request.id.encode()))
+        server.rested.add(writer)
+        return True
+
+    async def story(path, peer):
+        peer.rested = set()
+        answers = []
+        for number, rested in enumerate((0.3, 0.9, 1.1, 1.5, 3.0, 5.0), 1):
+            answers.append((await path.ask("/once/x", number=number))[0])
+            rest(path, rested)
+        return answers, path.forwards
+
+    assert play(story, forgetful) == ([200] * 6, 6)
+
+
 def test_what_may_not_run_twice_and_is_cut_on_a_kept_connection_is_not_sent_again():
     """Given a server that resets a kept connection as it is used again, the request is answered as one that may have run, and is not
     sent a second time."""
