--- a/harness/mutations/answers.py
+++ b/harness/mutations/answers.py
@@ -4,6 +4,7 @@
 
 PROXY_PIPELINE = "tests/forwarding/test_forwarding.py"
 FORWARD = "tests/transport/test_proxy_sockets.py"
+KEPT = "tests/transport/test_kept_connections.py"
 FETCH = "tests/transport/test_http_client.py"
 STREAMS = "tests/forwarding/test_streams.py"
 
@@ -21,7 +22,7 @@
         "an answer without an id is taken on a connection that was used before",
         "if not has_id and (response.request_id or request.is_reused):",
         "if not has_id and response.request_id:",
-        FORWARD,
+        KEPT,
         "without_an_id",
     ),
     Mutation(
@@ -69,7 +70,7 @@
         "what comes while nothing is asked costs a try",
         "if self.is_idle and data:",
         "if False:",
-        FORWARD,
+        KEPT,
         "surplus_bytes",
     ),
     Mutation(
@@ -117,7 +118,7 @@
         "what may not run twice goes on a kept connection",
         "return ConnectionReuse.ALWAYS if request.is_repeatable else ConnectionReuse.WHEN_ALIVE",
         "return ConnectionReuse.ALWAYS",
-        FORWARD,
+        KEPT,
         "closed or surplus or second_answer",
     ),
     Mutation(
@@ -125,7 +126,7 @@
         "what may not run twice goes on a connection that its server may have forgotten unseen",
         "return rested <= JUST_USED.total_seconds()",
         "return True",
-        FORWARD,
+        KEPT,
         "server_closed_is_no_loss",
     ),
     Mutation(
@@ -133,7 +134,7 @@
         "a connection is used for longer than its server keeps it",
         "return rested > (default_s if self.keep_alive_s is None else min(default_s, self.keep_alive_s))",
         "return rested > default_s",
-        FORWARD,
+        KEPT,
         "no_longer_than_its_server_says",
     ),
     Mutation(
@@ -141,7 +142,7 @@
         "any number of idle connections is kept",
         "elif len(self._conns.get(key, ())) >= protocol.max_kept:",
         "elif False:",
-        FORWARD,
+        KEPT,
         "no_more_are_kept",
     ),
     Mutation(
--- a/harness/mutations/routing.py
+++ b/harness/mutations/routing.py
@@ -6,6 +6,7 @@
 COLD = "tests/forwarding/test_cold_servers.py"
 OUTLIERS = "tests/outliers/test_outliers.py"
 FORWARD = "tests/transport/test_proxy_sockets.py"
+KEPT = "tests/transport/test_kept_connections.py"
 PROVISION = "tests/placement/test_provisioning.py"
 ORDERS = "tests/nodes/test_operator_changes.py"
 BUDGETS = "tests/retry_budget/test_retry_budget.py"
@@ -262,7 +263,7 @@
         "a path on which nothing is acknowledged ends what can go on nowhere",
         "protocol.set_watched(call.reuse is ConnectionReuse.ALWAYS)",
         "protocol.set_watched(True)",
-        FORWARD,
+        KEPT,
         "silence_of_a_path",
         file="transport/server_connector.py",
     ),
--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -21,7 +21,7 @@
 from sumachook.transport.node_transport import NodeTransport
 from tests.forwarding.forwarding_fixtures import catalogue, server
 from tests.short_forms import event_of, tuple_of_effect
-from tests.transport.test_proxy_sockets import BOUND, SOON, head, play, sealed, well
+from tests.transport.proxy_fixtures import BOUND, SOON, head, play, sealed, well
 
 SECOND, TICK = timedelta(seconds=1), timedelta(seconds=0.05)
 GRACE = 8.0
