Membership: objections to a list are told on, and only the same news counts as heard

Cause, found on rereading the change: an update about the node itself in a list counted as one of a stranger, so its objection was taken out of the news at once; and an older update, from one that does not know the news yet, counted as if it did.

Change: both are told apart; two tests and two mutations, caught.

--- a/harness/mutations/control_plane.py
+++ b/harness/mutations/control_plane.py
@@ -216,6 +216,22 @@
         VIEWS,
         "not_told_on",
     ),
+    Mutation(
+        5,
+        "an objection to a list is not told on",
+        "update.node not in self.members and update.node != self.local_member.node",
+        "update.node not in self.members",
+        VIEWS,
+        "objection_to_what",
+    ),
+    Mutation(
+        5,
+        "older news heard from others counts as told",
+        "            if not _is_older(update, known):\n",
+        "            if True:\n",
+        VIEWS,
+        "do_not_know_the_news",
+    ),
     Mutation(
         5,
         "members that are gone count in the digest",
--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -272,9 +272,9 @@
         """Of members that are new here the sender, or who told it, has told the others already."""
         effects: list[Effect] = []
         for update in message.updates:
-            is_new = update.node not in self.members
+            is_stranger = update.node not in self.members and update.node != self.local_member.node
             effects += self._apply(update, now)
-            if is_new:
+            if is_stranger:
                 self.gossip.remove(update.node)
         return effects
 
@@ -350,7 +350,8 @@
         if known is None and update.status in REMOVED_STATUSES:
             return []
         if known is not None and not _is_newer(update, known):
-            self.gossip.note_heard(update.node)
+            if not _is_older(update, known):
+                self.gossip.note_heard(update.node)
             return []
         self.gossip.add(update.node)
         self.members[update.node] = Member(update, now)
@@ -371,3 +372,8 @@
 def _is_newer(update: MemberUpdate, known: Member) -> bool:
     """Whether an update of a member overrides what is known: by incarnation, then by status."""
     return (update.incarnation, _PRECEDENCE.index(update.status)) > (known.incarnation, _PRECEDENCE.index(known.status))
+
+
+def _is_older(update: MemberUpdate, known: Member) -> bool:
+    """Whether who sent this update does not know yet what is known here."""
+    return (update.incarnation, _PRECEDENCE.index(update.status)) < (known.incarnation, _PRECEDENCE.index(known.status))
--- a/tests/membership/test_view_comparison.py
+++ b/tests/membership/test_view_comparison.py
@@ -173,6 +173,22 @@
     assert set(one.gossip._transmissions) == {"c"} and {"d", "e"} <= set(one.members)
 
 
+def test_an_objection_to_what_a_list_says_of_this_node_is_told_on():
+    """Given a node that learns from a difference that it is held for gone, it tells its higher incarnation to the next it pings."""
+    one = node("a", update("b"))
+    hear(one, "b", ViewDifference((update("a", MemberStatus.GONE),)))
+    assert [(each.node, each.incarnation, each.status) for each in one._updates()] == [("a", 2, MemberStatus.ALIVE)]
+
+
+def test_others_that_do_not_know_the_news_yet_make_no_telling_less():
+    """Given a node that knows of a member's end, however often others tell of it as live, it goes on telling the end."""
+    one = node("a", *(update(f"n{number}") for number in range(30)))
+    hear(one, "n1", Ping(1, (update("n5", MemberStatus.GONE),), 0, 0))
+    for _ in range(20):
+        hear(one, "n2", ViewDifference((update("n5"),)))
+    assert [(each.node, each.status) for each in one._updates()] == [("n5", MemberStatus.GONE)]
+
+
 def test_news_that_others_tell_again_is_told_less_often():
     """Given a node with one piece of news, each time that another node tells it the same there is one telling less to do."""
     silent, told = (node("a", *(update(f"n{number}") for number in range(30))) for _ in range(2))
