--- a/harness/experiments/size.py
+++ b/harness/experiments/size.py
@@ -17,7 +17,7 @@
 from harness.experiments.scale.simulated_fleet import BETWEEN_ZONES, SimulatedFleet
 from harness.experiments.scale.site import Site
 from harness.experiments.scale.size import ZONES, Size
-from harness.run_checks import seed_range
+from harness.run_checks import find_unchecked, seed_range
 from sumachook.control_state.effects import ProposeChange
 
 CORES = 5
@@ -53,6 +53,11 @@
         """Whether the fleet came back within the story."""
         return self.fresh_after_s is not None and self.known_after_s is not None
 
+    def faults(self) -> list[str]:
+        """Why this story is no success; one in which no node said anything judged nothing."""
+        unchecked = find_unchecked({"bytes between zones": sum(self.between_zones.values())})
+        return unchecked + ([] if self.is_recovered else ["the fleet did not come back"])
+
     @property
     def kilobytes_a_node(self) -> float:
         """Between zones, in the whole story."""
@@ -235,13 +240,14 @@
         "| story | nodes | seed | all edges fresh after, s | all known after, s | MB between zones | KB a node | most, MB |"
     )
     print("|---|---|---|---|---|---|---|---|")
-    lost = 0
+    faulty = 0
     with ProcessPoolExecutor(given.jobs) as pool:
         for result in pool.map(play, *zip(*product(stories, sizes, seeds), strict=True)):
-            lost += not result.is_recovered
-            print(row(result), flush=True)
-    print(f"{lost} stories whose fleet did not come back within {STORY_S:.0f} s of the last fault")
-    raise SystemExit(1 if lost else 0)
+            faults = result.faults()
+            faulty += bool(faults)
+            print(row(result), *faults, flush=True)
+    print(f"{faulty} stories whose fleet did not come back within {STORY_S:.0f} s of the last fault, or said nothing")
+    raise SystemExit(1 if faulty else 0)
 
 
 if __name__ == "__main__":
--- a/tests/harness/test_vacuous_runs.py
+++ b/tests/harness/test_vacuous_runs.py
@@ -10,7 +10,7 @@
 
 import harness
 import harness.model_checking.__main__ as model
-from harness.experiments import allowances, chaos, days, digest, orders, replacements, scenarios, storms, twins
+from harness.experiments import allowances, chaos, days, digest, orders, replacements, scenarios, size, storms, twins
 from harness.fuzzing.run import FuzzReport
 from harness.local_cluster import platform_city
 from harness.model_checking.explore import Report
@@ -241,6 +241,21 @@
     assert ended.value.code == code
 
 
+def test_fleet_of_size_without_a_seed_is_refused(monkeypatch):
+    """Given a last seed before the first, there is nothing to run, which is no success."""
+    assert _exit_code(monkeypatch, size, "--seeds", "9", "3") not in (0, None)
+
+
+@pytest.mark.parametrize(
+    ("fresh_after_s", "between_zones", "code"), [(0.5, {"feed": 10}, 0), (None, {"feed": 10}, 1), (0.5, {}, 1)]
+)
+def test_fleet_of_size_that_does_not_come_back_or_says_nothing_fails(monkeypatch, fresh_after_s, between_zones, code):
+    """Given a story whose edges stay without a fresh state, or whose nodes sent nothing, the command fails."""
+    result = size.StoryResult("rest", 20, 1, fresh_after_s, 1.0, between_zones)
+    monkeypatch.setattr(size, "play", lambda *_: result)
+    assert _exit_code(monkeypatch, size, "--stories", "rest", "--nodes", "20") == code
+
+
 def test_every_check_is_known_to_these_tests():
     """Given the commands of the harness that end with a verdict, each is one whose emptiness is tested here or beside."""
     folder = Path(harness.__file__).parent
@@ -249,7 +264,7 @@
         for path in folder.rglob("*.py")
         if "raise SystemExit(" in path.read_text() or "sys.exit(" in path.read_text()
     }
-    tested = {module.__name__ for module in (*SEEDED, days, model, platform_city, replacements, scenarios)}
+    tested = {module.__name__ for module in (*SEEDED, days, model, platform_city, replacements, scenarios, size)}
     tested_beside = {"harness.mutations.runner", "harness.fuzzing.__main__"}
     of_real_processes = {f"harness.local_cluster.{name}" for name in ("city", "trials", "processes")}
     of_measurements = {f"harness.experiments.scale.{name}" for name in ("__main__", "child", "socket_run")}
