Comments of the membership say what is waited for and why; one point more on the roadmap

On rereading: two constants and two docstrings needed looking up, and a figure in a comment was computed, not measured. No behaviour changes.

--- a/sumachook/membership/gossip.py
+++ b/sumachook/membership/gossip.py
@@ -6,8 +6,8 @@
 from sumachook.membership.member import Member, MemberStatus, MemberUpdate
 
 MAX_UPDATES_PER_MESSAGE = 8  # keeps a message well within one datagram
-# An update is told or heard again this many times log2(members). About half of them are tellings of this node: of 200
-# members one in three thousand is missed, and learns of it when it compares its view with another.
+# An update is dropped once it was told or heard again this many times log2(members). Some members may be missed by
+# all tellings; they learn of it when they compare their view with another's.
 TRANSMISSION_FACTOR = 2
 
 
--- a/sumachook/membership/membership.py
+++ b/sumachook/membership/membership.py
@@ -61,8 +61,9 @@
     SUSPECT_AFTER = ACK_TIMEOUT * 3  # without any answer, direct or indirect
     SUSPICION_TIMEOUT = timedelta(seconds=1.5)  # for a suspect to object
     SEED_INTERVAL = timedelta(seconds=2)
-    JOIN_RETRY_INTERVAL = timedelta(seconds=0.3)  # in the first interval, while a seed is not known
-    MAX_COMPARISONS_SKIPPED = 4
+    # Between two questions of a node that has just begun and knows no seed, and between two to strangers that ping.
+    JOIN_RETRY_INTERVAL = timedelta(seconds=0.3)
+    MAX_COMPARISONS_SKIPPED = 4  # while there is news to tell, views are compared once in so many seed intervals
     SEED_JITTER = (0.8, 1.2)  # of the interval, so that nodes that began together do not ask together
     FORGET_AFTER = timedelta(minutes=10)  # a member that is gone
     LATE_TICK = timedelta(seconds=0.8)  # a tick so late tells that this process stood still, not that others did
@@ -260,7 +261,7 @@
         raise TypeError(f"membership takes no such message: {message!r}")
 
     def _on_join(self, address: str, join: Join, now: timedelta) -> list[Effect]:
-        """Answers with what the sender's digest shows to differ; one that leaves needs to know nothing."""
+        """Answers with the members in which the sender's view differs; a node that leaves gets no answer."""
         effects = self._apply_all(join.updates, now)
         if any(update.status in REMOVED_STATUSES for update in join.updates):
             return effects
@@ -269,7 +270,9 @@
         return [*effects, SendDatagram(address, answer)] if updates else effects
 
     def _on_member_list(self, message: MemberList | ViewDifference, now: timedelta) -> list[Effect]:
-        """Of members that are new here the sender, or who told it, has told the others already."""
+        """Takes up what the sender knows. Members that were unknown here are no news to the others: whoever told the
+        sender of them has told them too.
+        """
         effects: list[Effect] = []
         for update in message.updates:
             is_stranger = update.node not in self.members and update.node != self.local_member.node
