HTTP servers say what ended a client's connection, and tell of a request that was on it

An edge left no trace of a connection that it closed itself, and 'hung-up' stood for the client's leaving and for the node's own close alike. A request's line now gives what ended its connection as its reason; a connection closed here while something of a request had been read or was handled is a warning with its rest and limit; the last line of a process counts ends by their cause. No change of logic: what is closed, and when, is as before.

--- a/sumachook/forwarding/pipeline.py
+++ b/sumachook/forwarding/pipeline.py
@@ -121,7 +121,7 @@
         if request is None:
             return []
         effects = [CancelCall(request.attempt_id)] if request.attempt_id is not None else []
-        return effects + self.finish.take(request, [], "gone", now, FailureKind.HUNG_UP.because())
+        return effects + self.finish.take(request, [], "gone", now, FailureKind.HUNG_UP.because(event.ended_by))
 
     def _retry_parked(self, now: timedelta) -> list[Any]:
         """What waited for this node to know its routes is let in, or refused in time."""
--- a/sumachook/host/events.py
+++ b/sumachook/host/events.py
@@ -1,5 +1,6 @@
 """What a host tells a state machine."""
 
+from enum import StrEnum
 from typing import Any
 
 import msgspec
@@ -67,10 +68,23 @@
     body: bytes
 
 
+class ConnectionEnd(StrEnum):
+    """What ended a client's connection; the value is what logs say."""
+
+    CLIENT = "the client left, or the way to it broke"
+    NOT_READ = "closed here: the client does not read"
+    ABORTED = "closed here: its answer was cut off"
+    IDLE = "closed here: it rested for too long"
+    SLOW_HEAD = "closed here: a head did not come whole"
+    LEAVING = "closed here: the node takes no more clients"
+    STOPPED = "closed here: the server has ended"
+
+
 class ClientDisconnected(Event, frozen=True):
-    """The client of a request went away before its answer was complete."""
+    """The connection of a request's client ended before its answer was complete."""
 
     call_id: CallId
+    ended_by: ConnectionEnd = ConnectionEnd.CLIENT
 
 
 class CallEvent(Event, frozen=True):
--- a/sumachook/inference/pipeline.py
+++ b/sumachook/inference/pipeline.py
@@ -116,7 +116,7 @@
         request = self.table.requests.get(self.table.by_call_id.get(event.call_id))
         if request is None:
             return []
-        failure = FailureKind.HUNG_UP.because()
+        failure = FailureKind.HUNG_UP.because(event.ended_by)
         effects = []
         if request.attempt_id is not None and request.is_at_server:
             effects.append(CancelCall(request.attempt_id))
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -13,6 +13,7 @@
 from sumachook.nodes.tick_intervals import TICK
 from sumachook.requests.call_ids import FORWARDING
 from sumachook.runtime.clock import NodeClock
+from sumachook.runtime.log_function import LogFunction
 from sumachook.runtime.supervisor import Supervisor
 from sumachook.transport.codec import Codec
 from sumachook.transport.http_client import HttpClient
@@ -35,7 +36,6 @@
     effects.AbortResponse,
 )
 WRITE_EFFECTS = (effects.AppendRecords, effects.RewriteRecords, effects.AppendDayLog)
-LogFunction = Callable[[str, str, str, dict[str, Any]], None]  # level, component, text, fields
 
 
 class Daemon:
@@ -63,9 +63,9 @@
         self.log = log
         self.exit_code = 0
         self.inbox: Inbox[Any, effects.Effect] = Inbox(self._take, self._carry_out)
-        self.http_server = HttpServer(http_address, self._hear, max_body_bytes)
+        self.http_server = HttpServer(http_address, self._hear, max_body_bytes, log)
         self.http_client = HttpClient(self._hear)
-        self.proxy_server = ProxyServer(proxy_address, self._hear) if proxy_address else None
+        self.proxy_server = ProxyServer(proxy_address, self._hear, log=log) if proxy_address else None
         self.streaming_client = StreamingClient(self._hear) if proxy_address else None
         self.node_transport = NodeTransport(address, cluster, self._hear) if address else None
         self.disk = self._disk_writer(folder) if folder else None
@@ -87,8 +87,15 @@
             loop.add_signal_handler(signal_number, self._hear, events.StopRequested())
         loop.add_signal_handler(signal.SIGHUP, self._hear, events.SettingsReloadRequested())
         await Supervisor(self._tasks(), self._log_failed_task).run()
+        self._log_connection_ends()
         return self.exit_code
 
+    def _log_connection_ends(self) -> None:
+        """The last line of a process that serves clients: how many connections ended, by what ended them."""
+        if self.proxy_server is not None:
+            ends = {str(ended_by): count for ended_by, count in self.proxy_server.end_counts.items()}
+            self.log("info", "daemon", "Clients' connections have ended.", {"ends": ends})
+
     def _tasks(self) -> dict[str, Callable[[], Any]]:
         tasks = {
             "http client": self.http_client.run,
--- a/sumachook/nodes/data_folder.py
+++ b/sumachook/nodes/data_folder.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any
 
-from sumachook.nodes.daemon import LogFunction
+from sumachook.runtime.log_function import LogFunction
 from sumachook.nodes.serve import USAGE, fail
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder, Opened
--- /dev/null
+++ b/sumachook/runtime/log_function.py
@@ -0,0 +1,6 @@
+"""How the parts of a process write to its log."""
+
+from collections.abc import Callable
+from typing import Any
+
+LogFunction = Callable[[str, str, str, dict[str, Any]], None]  # level, component, text, fields
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -1,23 +1,22 @@
 """The HTTP server of a process: requests become events of its state machine, and effects become responses."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any, ClassVar, NoReturn, TypeVar
 
-import msgspec
-
 # aiohttp.web as a whole would bring what serves files and applications: a tenth of the start
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
-from aiohttp.web_server import Server
 from multidict import CIMultiDict
 
 from sumachook.host.effects import AbortResponse, BeginResponse, EndResponse, Reply, SendChunk
-from sumachook.host.events import CallId, ClientDisconnected, Event, HttpRequestReceived
+from sumachook.host.events import CallId, ClientDisconnected, ConnectionEnd, Event, HttpRequestReceived
+from sumachook.runtime.log_function import LogFunction
 from sumachook.transport.addresses import split_address
+from sumachook.transport.client_connection import ClientConnection, ConnectionFactory, error_body
 from sumachook.transport.connection_limits import ConnectionLimits, header_size
 
 AnyResponse = TypeVar("AnyResponse", bound=StreamResponse)
@@ -29,51 +28,6 @@
 LINGER_TIMEOUT, SWEEP_INTERVAL, IDLE_TIMEOUT = timedelta(seconds=1), timedelta(seconds=1), timedelta(seconds=15)
 
 
-class JsonHandler(RequestHandler):
-    """One client connection: what is no HTTP gets its error in JSON too; knows since when a head has been coming in."""
-
-    __slots__ = ("head_since",)
-
-    def __init__(self, manager: Any, **options: Any) -> None:
-        super().__init__(manager, **options)
-        self.head_since: float | None = None
-
-    def data_received(self, data: bytes) -> None:
-        """Takes bytes of the client."""
-        if self.head_since is None:
-            self.head_since = self._loop.time()
-        super().data_received(data)
-
-    def has_slow_head(self, now: float, header_timeout: float) -> bool:
-        """Whether a request's head has been coming in for longer than this, in seconds."""
-        return self.head_since is not None and now - self.head_since > header_timeout
-
-    def handle_error(
-        self,
-        request: BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> StreamResponse:
-        """The answer to what could not be read, or could not be handled."""
-        plain = super().handle_error(request, status, exc, message)
-        answer = Response(
-            status=status,
-            body=_error_body("malformed" if status < 500 else "inner", plain.reason),
-            content_type="application/json",
-        )
-        answer.force_close()
-        return answer
-
-
-class JsonServer(Server):
-    """The protocol factory of `JsonHandler`s."""
-
-    def __call__(self) -> JsonHandler:
-        """A handler for a new connection."""
-        return JsonHandler(self, loop=self._loop, **self._kwargs)
-
-
 class Exchange:
     """One request that waits for its effects, bounded by the bytes that its client has not yet taken.
 
@@ -107,25 +61,36 @@
         "busy_transports",
         "limits",
         "idle_since",
+        "log",
+        "end_counts",
     )
     OPTIONS: ClassVar[dict[str, Any]] = {}
     LIMITS = ConnectionLimits(body_bytes=MAX_BODY_BYTES, idle_timeout=IDLE_TIMEOUT.total_seconds())
 
-    def __init__(self, address: str, on_event: Callable[[Event], None], max_body_bytes: int | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        on_event: Callable[[Event], None],
+        max_body_bytes: int | None = None,
+        log: LogFunction | None = None,
+    ) -> None:
         self.address = address
+        self.log = log
+        self.end_counts: Counter[ConnectionEnd] = Counter()  # connections that have ended, by what ended them
         self.on_event = on_event
         self.limits = replace(self.LIMITS, body_bytes=max_body_bytes) if max_body_bytes else self.LIMITS
         self.exchanges: dict[CallId, Exchange] = {}
         self.last_call_number = 0
         self.listener: asyncio.Server | None = None
-        self.server: JsonServer | None = None
+        self.server: ConnectionFactory | None = None
         self.busy_transports: set[Any] = set()  # those on which a request is being answered
         self.idle_since: dict[Any, tuple[float, float]] = {}  # by transport: since when, and the limit then in force
 
     async def run(self) -> None:
         """Serves until it is cancelled; raises `OSError` where the address cannot be bound."""
-        server = self.server = JsonServer(
+        server = self.server = ConnectionFactory(
             self._serve,
+            self._note_end,
             handler_cancellation=True,
             access_log=None,
             lingering_time=LINGER_TIMEOUT.total_seconds(),
@@ -139,8 +104,28 @@
                 self._sweep(asyncio.get_running_loop().time())
         finally:
             listener.close()
+            for connection in server.open_connections():
+                connection.ended_by = ConnectionEnd.STOPPED
             await server.shutdown(0.5)
 
+    def _note_end(self, connection: ClientConnection) -> None:
+        """Counts what ended a connection; tells of one that this node closed while something of a request was on it."""
+        ended_by = connection.ended_by or ConnectionEnd.CLIENT
+        self.end_counts[ended_by] += 1
+        is_busy = connection.transport in self.busy_transports
+        if self.log is None or ended_by is ConnectionEnd.CLIENT or not (is_busy or connection.head_since is not None):
+            return
+        now = asyncio.get_running_loop().time()
+        since, limit = self.idle_since.get(connection.transport, (now, self.limits.idle_timeout))
+        fields = {
+            "by": str(ended_by),
+            "handled": is_busy,
+            "readFor": None if connection.head_since is None else round(now - connection.head_since, 4),
+            "rested": round(now - since, 3),
+            "idleLimit": limit,
+        }
+        self.log("warning", "http-server", "A connection was closed with a request on it.", fields)
+
     def _sweep(self, now: float) -> None:
         """Closes a connection that rests for too long, and one on which a head has been coming in for too long.
 
@@ -148,16 +133,16 @@
         yet.
         """
         resting = {}
-        connections = list(self.server.connections) if self.server else []
+        connections = self.server.open_connections() if self.server else []
         for connection in connections:
             transport = connection.transport
-            if transport is None or transport in self.busy_transports:
+            if transport in self.busy_transports:
                 continue
             since, limit = resting[transport] = self.idle_since.get(transport, (now, self.limits.idle_timeout))
             is_idle = now - since > max(limit, self.limits.idle_timeout)
-            is_slow = isinstance(connection, JsonHandler) and connection.has_slow_head(now, self.limits.header_timeout)
+            is_slow = connection.has_slow_head(now, self.limits.header_timeout)
             if is_idle or is_slow:
-                transport.close()
+                connection.end(ConnectionEnd.IDLE if is_idle else ConnectionEnd.SLOW_HEAD)
         self.idle_since = resting
 
     def stop_accepting(self) -> None:
@@ -166,24 +151,24 @@
             return
         self.listener.close()
         idle = [
-            connection.transport
-            for connection in list(self.server.connections)
-            if connection.transport is not None and connection.transport not in self.busy_transports
+            connection
+            for connection in self.server.open_connections()
+            if connection.transport not in self.busy_transports
         ]
-        for transport in idle:
-            transport.pause_reading()  # what comes from now on stays unread, and may be sent elsewhere
+        for connection in idle:
+            connection.pause()  # what comes from now on stays unread, and may be sent elsewhere
         self._close_idle(idle, LOOP_TURNS_BEFORE_HANDLER)
 
-    def _close_idle(self, idle: list[Any], turns: int) -> None:
+    def _close_idle(self, idle: list[ClientConnection], turns: int) -> None:
         """What was read before has begun some turns of the loop later; the rest is closed."""
         if turns:
             asyncio.get_running_loop().call_soon(self._close_idle, idle, turns - 1)
             return
-        for transport in idle:
-            if transport in self.busy_transports:
-                transport.resume_reading()
+        for connection in idle:
+            if connection.transport in self.busy_transports:
+                connection.resume()
             else:
-                transport.close()
+                connection.end(ConnectionEnd.LEAVING)
 
     def answer(self, effect: ResponseEffect) -> None:
         """Carries out an effect of the machine; one for a request that is over is dropped."""
@@ -209,7 +194,7 @@
         exchange.is_over = True
         exchange.transport = None
         exchange.effects.put_nowait(AbortResponse(call_id))
-        self.on_event(ClientDisconnected(call_id))
+        self.on_event(ClientDisconnected(call_id, ConnectionEnd.NOT_READ))
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
         transport = request.transport
@@ -219,7 +204,7 @@
             return await self._handle(request)
         finally:
             self.busy_transports.discard(transport)
-            if isinstance(request.protocol, JsonHandler):
+            if isinstance(request.protocol, ClientConnection):
                 request.protocol.head_since = None
 
     async def _read_body(self, request: BaseRequest) -> bytes | Response:
@@ -257,7 +242,7 @@
         finally:
             del self.exchanges[call_id]
             if not is_complete and not exchange.is_over:
-                self.on_event(ClientDisconnected(call_id))
+                self.on_event(ClientDisconnected(call_id, _end_of(request)))
 
     def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
         """The id of a request's call, and what the machine is told."""
@@ -296,11 +281,17 @@
 
         What was written goes out; the cancellation tells aiohttp to write nothing more here, not even an error.
         """
-        if request.transport is not None:
-            request.transport.close()
+        if isinstance(request.protocol, ClientConnection):
+            request.protocol.end(ConnectionEnd.ABORTED)
         raise asyncio.CancelledError
 
 
+def _end_of(request: BaseRequest) -> ConnectionEnd:
+    """What ended the connection of a request that was not answered."""
+    ended_by = request.protocol.ended_by if isinstance(request.protocol, ClientConnection) else None
+    return ended_by or ConnectionEnd.CLIENT
+
+
 def _write_chunk(exchange: Exchange, data: bytes) -> None:
     """Writes a chunk in the coding of the response; one for a client that has just gone is dropped."""
     transport = exchange.transport
@@ -308,10 +299,6 @@
         transport.write(b"%x\r\n%b\r\n" % (len(data), data))
 
 
-def _error_body(name: str, reason: str) -> bytes:
-    return msgspec.json.encode({"fault": {"class": name, "reason": reason, "tries": 0, "run": "no"}})
-
-
 def _closing_if_asked(answer: AnyResponse) -> AnyResponse:
     """An answer that says `Connection: close` is the last of its connection."""
     if answer.headers.get("Connection", "").lower() == "close":
@@ -321,6 +308,6 @@
 
 def _error_response(status: int, name: str, reason: str) -> Response:
     """The last answer of its connection, to what never reached the machine."""
-    answer = Response(status=status, body=_error_body(name, reason), content_type="application/json")
+    answer = Response(status=status, body=error_body(name, reason), content_type="application/json")
     answer.force_close()
     return answer
