--- a/sumachook/nodes/data_folder.py
+++ b/sumachook/nodes/data_folder.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 from typing import Any
 
-from sumachook.runtime.log_function import LogFunction
 from sumachook.nodes.serve import USAGE, fail
+from sumachook.runtime.log_function import LogFunction
 from sumachook.storage.file_system import RealFileSystem
 from sumachook.storage.folder import DataFolder, Opened
 from sumachook.storage.layout import EARLIER_LOG, FILES, IDENTITY_FILES, LOG
