A client's connection itself knows what is on it; whoever closes it asks

Change: ClientConnection holds one state (resting, reading, serving) from the first byte read to the last byte written. A connection is closed for its rest only while it rests; a request is begun only on a connection that this node has not closed.

The repr in a doctest has the field that tells what ended a connection.

--- a/sumachook/transport/client_connection.py
+++ b/sumachook/transport/client_connection.py
@@ -1,6 +1,12 @@
-"""One client's connection to an HTTP server of this process, and what is known of its end."""
+"""One client's connection to an HTTP server of this process: what is on it now, and what ends it.
+
+The connection itself knows whether a request is on it, from the first byte that is read to the last byte of the answer.
+Whoever would close it asks the connection, and whoever would handle a request asks it too, so that between the reading
+of a request and the start of its handler, some turns of the event loop later, no third party can decide otherwise.
+"""
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, cast
 
 import msgspec
@@ -10,6 +16,7 @@
 from aiohttp.web_server import Server
 
 from sumachook.host.events import ConnectionEnd
+from sumachook.transport.connection_limits import ConnectionLimits
 
 
 def error_body(name: str, reason: str) -> bytes:
@@ -17,53 +24,107 @@
     return msgspec.json.encode({"fault": {"class": name, "reason": reason, "tries": 0, "run": "no"}})
 
 
+class ConnectionState(Enum):
+    """What is on a client's connection."""
+
+    RESTING = "nothing: each request that was read is answered"
+    READING = "bytes of a request whose handler has not begun"
+    SERVING = "a request that is handled, or whose answer is being written"
+
+
 class ClientConnection(RequestHandler):
     """Reads requests of one client; what is no HTTP gets its error in JSON.
 
-    `head_since` is the loop's time in seconds at which a request began to come in; `ended_by` says what ended the
-    connection, as soon as this node ends it.
+    `head_since` is the loop's time in seconds at which the first byte of a request was read that is not yet handled;
+    `idle_limit` is for how many seconds the connection may rest by the limit that its client knows; `swept_since` is
+    when a sweep first found it in its present state; `ended_by` says what ended the connection, as soon as this node
+    ends it.
     """
 
-    __slots__ = ("head_since", "ended_by", "on_end")
+    __slots__ = ("state", "head_since", "idle_limit", "swept_since", "ended_by", "on_end")
 
-    def __init__(self, manager: Any, on_end: Callable[["ClientConnection"], None], **options: Any) -> None:
+    def __init__(
+        self, manager: Any, on_end: Callable[["ClientConnection"], None], idle_limit: float, **options: Any
+    ) -> None:
         super().__init__(manager, **options)
+        self.state = ConnectionState.RESTING
         self.head_since: float | None = None
+        self.idle_limit = idle_limit
+        self.swept_since: float | None = None
         self.ended_by: ConnectionEnd | None = None
         self.on_end = on_end
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether nothing of a request is on it."""
+        return self.state is ConnectionState.RESTING
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the client."""
         if self.head_since is None:
             self.head_since = self._loop.time()
+        if self.is_resting:
+            self._change_state(ConnectionState.READING)
         super().data_received(data)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Tells of the end before the request on it, if there is one, is called off."""
-        if self.ended_by is None:
-            self.ended_by = ConnectionEnd.CLIENT
-        self.on_end(self)
-        super().connection_lost(exc)
-
-    def end(self, reason: ConnectionEnd) -> None:
-        """Closes the connection; what was written goes out."""
-        self.ended_by = reason
-        if self.transport is not None:
-            self.transport.close()
+    def begin_request(self) -> bool:
+        """Whether the request that was read may be handled: not on a connection that this node has ended.
+
+        Its client gets no answer, so the request must not be passed on: the client may then send it again.
+        """
+        if self.ended_by is not None:
+            return False
+        self._change_state(ConnectionState.SERVING)
+        return True
+
+    def note_request_read(self) -> None:
+        """The body is complete: what is read from now on belongs to another request."""
+        self.head_since = None
+
+    def end_request(self, idle_limit: float) -> None:
+        """The answer is written; the connection may rest for so many seconds."""
+        self.idle_limit = idle_limit
+        self._change_state(ConnectionState.RESTING if self.head_since is None else ConnectionState.READING)
+
+    def _change_state(self, state: ConnectionState) -> None:
+        self.state = state
+        self.swept_since = None
+
+    def reason_to_end(self, now: float, limits: ConnectionLimits) -> ConnectionEnd | None:
+        """Why a sweep should end it: it rests, or its request is coming in, for too long.
+
+        It may rest as long as the limit in force when it began to, or a longer one since: its client knows no other
+        yet. The first sweep that finds it so never ends it: a request that came in whole while this process stood still
+        begins before the next one.
+        """
+        if self.state is ConnectionState.SERVING:
+            return None
+        if self.swept_since is None:
+            self.swept_since = now
+            return None
+        if now - self.swept_since > max(self.idle_limit, limits.idle_timeout):
+            return ConnectionEnd.IDLE if self.is_resting else ConnectionEnd.SLOW_HEAD
+        if self.head_since is not None and now - self.head_since > limits.header_timeout:
+            return ConnectionEnd.SLOW_HEAD
+        return None
 
     def pause(self) -> None:
-        """Reads no more for now: what comes stays unread."""
+        """Reads no more: what comes stays unread, and its sender can tell so."""
         if self.transport is not None:
             self.transport.pause_reading()
 
-    def resume(self) -> None:
-        """Reads on."""
+    def end(self, reason: ConnectionEnd) -> None:
+        """Closes the connection; what was written goes out, a request that was read but not begun is not handled."""
+        self.ended_by = reason
         if self.transport is not None:
-            self.transport.resume_reading()
+            self.transport.close()
 
-    def has_slow_head(self, now: float, header_timeout: float) -> bool:
-        """Whether a request's head has been coming in for longer than this, in seconds."""
-        return self.head_since is not None and now - self.head_since > header_timeout
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Tells of the end before the request on it, if there is one, is called off."""
+        if self.ended_by is None:
+            self.ended_by = ConnectionEnd.CLIENT
+        self.on_end(self)
+        super().connection_lost(exc)
 
     def handle_error(
         self,
@@ -84,11 +145,18 @@
 
 
 class ConnectionFactory(Server):
-    """The protocol factory of `ClientConnection`s."""
+    """The protocol factory of `ClientConnection`s; `idle_limit` gives the limit in force, in seconds."""
 
-    def __init__(self, handler: Any, on_end: Callable[[ClientConnection], None], **options: Any) -> None:
+    def __init__(
+        self,
+        handler: Any,
+        on_end: Callable[[ClientConnection], None],
+        idle_limit: Callable[[], float],
+        **options: Any,
+    ) -> None:
         super().__init__(handler, **options)
         self.on_end = on_end
+        self.idle_limit = idle_limit
 
     def open_connections(self) -> list[ClientConnection]:
         """Those that have been made and are not lost."""
@@ -96,4 +164,4 @@
 
     def __call__(self) -> ClientConnection:
         """A handler for a new connection."""
-        return ClientConnection(self, self.on_end, loop=self._loop, **self._kwargs)
+        return ClientConnection(self, self.on_end, self.idle_limit(), loop=self._loop, **self._kwargs)
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
-from typing import Any, ClassVar, NoReturn, TypeVar
+from typing import Any, ClassVar, NoReturn, TypeVar, cast
 
 # aiohttp.web as a whole would bring what serves files and applications: a tenth of the start
 from aiohttp.web_request import BaseRequest
@@ -24,7 +24,7 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_UNSENT_BYTES = 1 << 20
-LOOP_TURNS_BEFORE_HANDLER = 4  # of the loop, between a request's bytes and its handler
+TURNS_LEFT_UNREAD = 4  # of the loop, before a resting connection is closed: what comes in them is reset, unread
 LINGER_TIMEOUT, SWEEP_INTERVAL, IDLE_TIMEOUT = timedelta(seconds=1), timedelta(seconds=1), timedelta(seconds=15)
 
 
@@ -58,9 +58,8 @@
         "last_call_number",
         "listener",
         "server",
-        "busy_transports",
         "limits",
-        "idle_since",
+        "is_stopping",
         "log",
         "end_counts",
     )
@@ -83,14 +82,14 @@
         self.last_call_number = 0
         self.listener: asyncio.Server | None = None
         self.server: ConnectionFactory | None = None
-        self.busy_transports: set[Any] = set()  # those on which a request is being answered
-        self.idle_since: dict[Any, tuple[float, float]] = {}  # by transport: since when, and the limit then in force
+        self.is_stopping = False  # whether it takes no more connections
 
     async def run(self) -> None:
         """Serves until it is cancelled; raises `OSError` where the address cannot be bound."""
         server = self.server = ConnectionFactory(
             self._serve,
             self._note_end,
+            lambda: self.limits.idle_timeout,
             handler_cancellation=True,
             access_log=None,
             lingering_time=LINGER_TIMEOUT.total_seconds(),
@@ -112,63 +111,42 @@
         """Counts what ended a connection; tells of one that this node closed while something of a request was on it."""
         ended_by = connection.ended_by or ConnectionEnd.CLIENT
         self.end_counts[ended_by] += 1
-        is_busy = connection.transport in self.busy_transports
-        if self.log is None or ended_by is ConnectionEnd.CLIENT or not (is_busy or connection.head_since is not None):
+        if self.log is None or ended_by is ConnectionEnd.CLIENT or connection.is_resting:
             return
         now = asyncio.get_running_loop().time()
-        since, limit = self.idle_since.get(connection.transport, (now, self.limits.idle_timeout))
         fields = {
             "by": str(ended_by),
-            "handled": is_busy,
+            "state": connection.state.name.lower(),
             "readFor": None if connection.head_since is None else round(now - connection.head_since, 4),
-            "rested": round(now - since, 3),
-            "idleLimit": limit,
+            "idleLimit": connection.idle_limit,
         }
         self.log("warning", "http-server", "A connection was closed with a request on it.", fields)
 
     def _sweep(self, now: float) -> None:
-        """Closes a connection that rests for too long, and one on which a head has been coming in for too long.
-
-        It may rest as long as the limit in force when it began to, or a longer one since: its client knows no other
-        yet.
-        """
-        resting = {}
-        connections = self.server.open_connections() if self.server else []
-        for connection in connections:
-            transport = connection.transport
-            if transport in self.busy_transports:
-                continue
-            since, limit = resting[transport] = self.idle_since.get(transport, (now, self.limits.idle_timeout))
-            is_idle = now - since > max(limit, self.limits.idle_timeout)
-            is_slow = connection.has_slow_head(now, self.limits.header_timeout)
-            if is_idle or is_slow:
-                connection.end(ConnectionEnd.IDLE if is_idle else ConnectionEnd.SLOW_HEAD)
-        self.idle_since = resting
+        """Closes a connection that rests for too long, and one on which a head has been coming in for too long."""
+        for connection in self.server.open_connections() if self.server else []:
+            reason = connection.reason_to_end(now, self.limits)
+            if reason is not None:
+                connection.end(reason)
 
     def stop_accepting(self) -> None:
-        """Takes no new connections; closes idle ones now, and the others once their request is answered."""
+        """Takes no new connections; closes resting ones now, and the others once their request is answered."""
         if self.listener is None or self.server is None:
             return
+        self.is_stopping = True
         self.listener.close()
-        idle = [
-            connection
-            for connection in self.server.open_connections()
-            if connection.transport not in self.busy_transports
-        ]
-        for connection in idle:
+        resting = [connection for connection in self.server.open_connections() if connection.is_resting]
+        for connection in resting:
             connection.pause()  # what comes from now on stays unread, and may be sent elsewhere
-        self._close_idle(idle, LOOP_TURNS_BEFORE_HANDLER)
+        self._close_resting(resting, TURNS_LEFT_UNREAD)
 
-    def _close_idle(self, idle: list[ClientConnection], turns: int) -> None:
-        """What was read before has begun some turns of the loop later; the rest is closed."""
+    def _close_resting(self, resting: list[ClientConnection], turns: int) -> None:
+        """Closes these connections so many turns of the loop later; they are read no more."""
         if turns:
-            asyncio.get_running_loop().call_soon(self._close_idle, idle, turns - 1)
+            asyncio.get_running_loop().call_soon(self._close_resting, resting, turns - 1)
             return
-        for connection in idle:
-            if connection.transport in self.busy_transports:
-                connection.resume()
-            else:
-                connection.end(ConnectionEnd.LEAVING)
+        for connection in resting:
+            connection.end(ConnectionEnd.LEAVING)
 
     def answer(self, effect: ResponseEffect) -> None:
         """Carries out an effect of the machine; one for a request that is over is dropped."""
@@ -197,15 +175,19 @@
         self.on_event(ClientDisconnected(call_id, ConnectionEnd.NOT_READ))
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
-        transport = request.transport
-        self.busy_transports.add(transport)
-        self.idle_since.pop(transport, None)
+        """Handles a request from its head to the last byte of its answer; all this time it is on its connection."""
+        connection = cast(ClientConnection, request.protocol)
+        if not connection.begin_request():
+            raise asyncio.CancelledError
         try:
-            return await self._handle(request)
+            answer = await self._handle(request)
+            await answer.prepare(request)
+            await answer.write_eof()
         finally:
-            self.busy_transports.discard(transport)
-            if isinstance(request.protocol, ClientConnection):
-                request.protocol.head_since = None
+            connection.end_request(self.limits.idle_timeout)
+        if self.is_stopping and connection.is_resting:
+            connection.end(ConnectionEnd.LEAVING)
+        return answer
 
     async def _read_body(self, request: BaseRequest) -> bytes | Response:
         """The complete body, or the answer to one that is too long or stalls."""
@@ -228,6 +210,8 @@
         body = await self._read_body(request) if request.can_read_body else b""
         if isinstance(body, Response):
             return body
+        connection = cast(ClientConnection, request.protocol)
+        connection.note_request_read()
         self.last_call_number += 1
         call_id, event = self._event_of(request, body)
         exchange = self.exchanges[call_id] = Exchange()
@@ -237,12 +221,10 @@
             answer = await self._answer(request, exchange)
             is_complete = True
             return answer
-        except ConnectionResetError:  # the caller went away between two writes
-            raise asyncio.CancelledError from None
         finally:
             del self.exchanges[call_id]
             if not is_complete and not exchange.is_over:
-                self.on_event(ClientDisconnected(call_id, _end_of(request)))
+                self.on_event(ClientDisconnected(call_id, connection.ended_by or ConnectionEnd.CLIENT))
 
     def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
         """The id of a request's call, and what the machine is told."""
@@ -262,6 +244,13 @@
             raise TypeError(f"a response does not begin with {effect!r}")
         answer = _closing_if_asked(StreamResponse(status=effect.status, headers=CIMultiDict(effect.headers)))
         answer.enable_chunked_encoding()
+        try:
+            return await self._stream(request, exchange, answer)
+        except ConnectionResetError:  # the client went away between two writes
+            raise asyncio.CancelledError from None
+
+    async def _stream(self, request: BaseRequest, exchange: Exchange, answer: StreamResponse) -> StreamResponse:
+        """Writes chunks as they come, until the response is ended or cut off."""
         await answer.prepare(request)
         while True:
             effect = await exchange.effects.get()
@@ -281,17 +270,10 @@
 
         What was written goes out; the cancellation tells aiohttp to write nothing more here, not even an error.
         """
-        if isinstance(request.protocol, ClientConnection):
-            request.protocol.end(ConnectionEnd.ABORTED)
+        cast(ClientConnection, request.protocol).end(ConnectionEnd.ABORTED)
         raise asyncio.CancelledError
 
 
-def _end_of(request: BaseRequest) -> ConnectionEnd:
-    """What ended the connection of a request that was not answered."""
-    ended_by = request.protocol.ended_by if isinstance(request.protocol, ClientConnection) else None
-    return ended_by or ConnectionEnd.CLIENT
-
-
 def _write_chunk(exchange: Exchange, data: bytes) -> None:
     """Writes a chunk in the coding of the response; one for a client that has just gone is dropped."""
     transport = exchange.transport
--- a/sumachook/transport/proxy_server.py
+++ b/sumachook/transport/proxy_server.py
@@ -48,10 +48,10 @@
             limits.header_bytes, limits.body_bytes, limits.header_ms / 1000, limits.idle_ms / 1000
         )
 
-    async def _serve(self, request: BaseRequest) -> StreamResponse:
+    async def _handle(self, request: BaseRequest) -> StreamResponse:
         if reason := _reason_not_forwardable(request):
             return _error_response(400, "malformed", reason)
-        return await super()._serve(request)
+        return await super()._handle(request)
 
     def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
         call_id = ProxyCallId(PROXY, self.last_call_number)
--- a/tests/short_forms.py
+++ b/tests/short_forms.py
@@ -80,7 +80,7 @@
     """The typed event that a tuple stands for; anything else comes back as it is.
 
     >>> event_of(("gone", 7))
-    ClientDisconnected(call_id=7)
+    ClientDisconnected(call_id=7, ended_by=<ConnectionEnd.CLIENT: 'the client left, or the way to it broke'>)
     """
     if not isinstance(message, tuple):
         return message
--- a/tests/transport/test_client_limits.py
+++ b/tests/transport/test_client_limits.py
@@ -179,6 +179,25 @@
     play(story)
 
 
+def test_a_shorter_limit_holds_for_no_connection_that_began_to_rest_before_it():
+    """Given a connection on which a request was answered, and a shorter limit right after, before any sweep has seen it rest, it may
+    rest for as long as its client knows."""
+
+    async def story(hall):
+        reader, _ = await hall.connect(post(2))
+        assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+        await turns()
+        hall.front.apply_limits(Limits(**LIMITS | {"idle_ms": 2000.0}))
+        start = hall.now()
+        hall.front._sweep(start)
+        hall.front._sweep(start + 14.9)
+        assert not await has_ended(reader)
+        hall.front._sweep(start + 15.1)
+        assert await has_ended(reader)
+
+    play(story)
+
+
 def test_the_parser_closes_no_resting_connection_by_a_time_of_its_own():
     """Given an idle limit longer than any default, no timer of the library ends a connection that was used."""
     assert ProxyServer.OPTIONS["keepalive_timeout"] >= 1e6
--- a/tests/transport/test_connection_ends.py
+++ b/tests/transport/test_connection_ends.py
@@ -16,6 +16,7 @@
 import pytest
 
 from sumachook.configuration.limits import Limits
+from sumachook.host.events import ConnectionEnd
 from sumachook.transport.addresses import split_address
 from tests.transport.proxy_fixtures import head, parted, play, well
 
@@ -47,12 +48,16 @@
     front.stop_accepting()
 
 
-async def answered_connection(path):
-    """A client's connection on which one request was answered, the reader of its end, and the edge's side of it."""
+async def answered_connection(path, count=1):
+    """A client's connection on which one request was answered, both ends of it; so many connections stand by then."""
     reader, writer = await asyncio.open_connection(*split_address(path.front.address))
     writer.write(REQUEST)
     await reader.readuntil(b"done")
-    (connection,) = path.front.server.connections
+    connections = path.front.server.open_connections()
+    assert len(connections) == count
+    connection = next(
+        each for each in connections if each.transport.get_extra_info("peername") == writer.get_extra_info("sockname")
+    )
     return reader, writer, connection
 
 
@@ -86,3 +91,64 @@
             assert not was_passed_on
 
     play(story, well)
+
+
+@pytest.mark.parametrize("reason", [ConnectionEnd.IDLE, ConnectionEnd.SLOW_HEAD, ConnectionEnd.LEAVING])
+def test_a_request_on_a_connection_that_was_closed_here_before_it_began_is_not_passed_on(reason):
+    """Given a request whose bytes were read, and a close that does not ask what is on the connection, no server gets the request: its
+    client, who gets no answer, may send it again."""
+
+    async def story(path, peer):
+        _, writer, connection = await answered_connection(path)
+        connection.data_received(SECOND_REQUEST)
+        connection.end(reason)
+        await turns(TURNS_TO_SETTLE)
+        writer.close()
+        return [request.id for request in peer.requests], path.front.end_counts
+
+    requests, end_counts = play(story, well)
+    assert requests == ["q1"] and end_counts == {reason: 1}
+
+
+@pytest.mark.parametrize("turn_count", range(MAX_TURNS_BEFORE_CLOSE))
+@pytest.mark.parametrize("close", [sweep_resting, stop_accepting])
+def test_requests_that_were_read_together_are_answered_or_not_passed_on(close, turn_count):
+    """Given two requests whose bytes are read at once, the first is answered, and the second is answered or reaches no server."""
+
+    async def story(path, peer):
+        reader, writer, connection = await answered_connection(path)
+        path.front._sweep(asyncio.get_running_loop().time())
+        connection.data_received(SECOND_REQUEST + head(number=3, more=b"Content-Length: 2\r\n") + b"{}")
+        await turns(turn_count)
+        close(path.front)
+        reading = asyncio.ensure_future(reader.read())
+        await turns(TURNS_TO_SETTLE)
+        writer.close()
+        answers = (await reading).count(b"HTTP/1.1 200")
+        assert answers >= 1 and answers == len(peer.requests) - 1
+
+    play(story, well)
+
+
+def test_the_close_of_a_connection_with_a_request_on_it_is_logged_with_its_cause():
+    """Given a head that never comes whole, and a connection that rests, the end of the former is a warning that says why; both are
+    counted."""
+    lines = []
+
+    async def story(path, peer):
+        path.front.log = lambda *line: lines.append(line)
+        path.front.apply_limits(Limits())
+        _, slow = await path.connect()
+        slow.write(SECOND_REQUEST[:20])
+        _, resting, connection = await answered_connection(path, 2)
+        now = asyncio.get_running_loop().time()
+        path.front._sweep(now)
+        path.front._sweep(now + path.front.limits.idle_timeout + 1.0)
+        await turns(TURNS_TO_SETTLE)
+        slow.close()
+        resting.close()
+        return path.front.end_counts
+
+    assert play(story, well) == {ConnectionEnd.IDLE: 1, ConnectionEnd.SLOW_HEAD: 1}
+    ((level, _, _, fields),) = lines
+    assert level == "warning" and fields["by"] == ConnectionEnd.SLOW_HEAD and fields["state"] == "reading"
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -28,7 +28,6 @@
     async def __aenter__(self):
         self.task = asyncio.get_running_loop().create_task(self.http_server.run())
         await wait_until_serving(lambda: self.http_server.listener is not None, self.task)
-        self.http_server.idle_since = {}
         return self
 
     async def __aexit__(self, *what):
@@ -82,7 +81,7 @@
         hall.http_server._sweep(START + LONG + 0.1)
         assert await _has_ended(reader) and hall.messages == []
         hall.http_server._sweep(START + LONG + 1)
-        assert hall.http_server.idle_since == {}
+        assert hall.http_server.server.open_connections() == []
 
     play(story)
 
