Three more ways in which a client's connection ends without an answer: failing tests

Looked for where the edge ends a connection with an answer due: a second signal to leave puts the end beyond the grace period, at whose end the process is killed; an effect that fails takes the effects after it along, and its exception ends the request that happens to be delivered; a process ends a fixed time after its last answers were decided, written or not.

--- /dev/null
+++ b/tests/nodes/test_daemon.py
@@ -0,0 +1,112 @@
+"""The host of a node in a process: effects that fail, and what is still to be written when the process ends (docs/design/processes.md)."""
+
+import asyncio
+
+from harness.local_cluster.loopback import free_address, wait_until_serving
+from sumachook.changefeed.messages import Follow
+from sumachook.host.effects import Exit, Reply, SendDatagram
+from sumachook.host.events import HttpRequestReceived
+from sumachook.nodes.daemon import Daemon
+from sumachook.runtime.clock import Clock
+from sumachook.transport.addresses import split_address
+from tests.transport.proxy_fixtures import BOUND, parted
+
+LONG_ANSWER = b"x" * (24 << 20)  # more than the buffers of a connection take
+READS_AFTER = 1.2  # seconds from the decision to end, more than `LAST_MESSAGES` and what the server of requests waits
+ASKED = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Machine:
+    """Gives the same effects for each request; `effects_for` makes them from the call's id."""
+
+    node, restart_epoch = "n", 1
+
+    def __init__(self, effects_for):
+        self.effects_for = effects_for
+
+    def take(self, event, now):
+        return self.effects_for(event.call_id) if isinstance(event, HttpRequestReceived) else []
+
+
+class Process:
+    """A daemon with its lines of the log; `ask` writes a request on a connection of its own."""
+
+    def __init__(self, effects_for):
+        self.lines = []
+        self.daemon = Daemon(
+            Machine(effects_for),
+            Clock(),
+            lambda level, component, text, fields: self.lines.append((level, text, fields)),
+            free_address(),
+            free_address(),
+            "c",
+        )
+        self.task = None
+
+    async def __aenter__(self):
+        self.task = asyncio.get_running_loop().create_task(self.daemon.run())
+        await wait_until_serving(lambda: self.daemon.http_server.listener is not None, self.task)
+        return self
+
+    async def __aexit__(self, *what):
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def ask(self):
+        reader, writer = await asyncio.open_connection(
+            *split_address(self.daemon.http_server.address), limit=2 * len(LONG_ANSWER)
+        )
+        writer.write(ASKED)
+        return reader, writer
+
+
+def play(story, effects_for):
+    async def run():
+        async with Process(effects_for) as process:
+            return await story(process)
+
+    return asyncio.run(asyncio.wait_for(run(), BOUND))
+
+
+def test_an_effect_that_cannot_be_carried_out_takes_no_other_with_it():
+    """Given a message to an address that is none, and an answer in the same effects, the client gets its answer, and the log says which
+    effect failed."""
+
+    async def story(process):
+        reader, writer = await process.ask()
+        answer = await reader.readuntil(b"whole")
+        writer.close()
+        return answer, process.lines
+
+    def effects_for(call_id):
+        return [SendDatagram("nowhere", Follow(7, 1)), Reply(call_id, 200, {}, b"whole")]
+
+    answer, lines = play(story, effects_for)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    ((level, text, fields),) = [line for line in lines if line[0] == "error"]
+    assert text == "An effect could not be carried out." and fields["kind"] == "SendDatagram"
+
+
+def test_a_process_that_leaves_ends_only_when_its_answers_have_left_it():
+    """Given a client that begins to read its long answer only after its edge has decided to end, the answer reaches it whole: what an
+    ending process has not yet written is lost."""
+
+    async def story(process):
+        loop = asyncio.get_running_loop()
+        reader, writer = await process.ask()
+        writer.transport.pause_reading()
+        await process.daemon.exiting.wait()
+        (connection,) = process.daemon.http_server.server.open_connections()
+        transport = connection.transport
+        loop.call_later(READS_AFTER, writer.transport.resume_reading)
+        await process.task
+        transport.abort()  # as the end of the process does
+        answer = parted(await reader.read())
+        writer.close()
+        return answer
+
+    def effects_for(call_id):
+        return [Reply(call_id, 200, {}, LONG_ANSWER), Exit(0)]
+
+    status, _, body, is_whole = play(story, effects_for)
+    assert (status, len(body), is_whole) == (200, len(LONG_ANSWER), True)
--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -199,6 +199,19 @@
     )
 
 
+def test_a_second_signal_to_leave_gives_no_more_time():
+    """Given a request that its server never answers, and a second signal 5 s after the first, the client has its final answer within the
+    grace of the first: whoever sent that ends the process when it is over."""
+    leaver = Leaver()
+    cid = leaver.ask()
+    leaver.hear("sent")
+    leaver.stop().run(SECOND * 5)
+    leaver.take("stop")
+    leaver.run(GRACE * SECOND)
+    assert LAST_CALL <= leaver.reply(cid)[0] <= LAST_CALL + TICK
+    assert len(leaver.when("leave")) == 1
+
+
 class Speaker:
     """A machine that holds back one request, and in the very take in which it leaves answers it and tells another node of it."""
 
