An edge's grace period begins with the first signal to leave

Cause: each signal began the grace period anew, while whoever sent the first kills the process when its own grace is over; requests in flight were then cut without their final answers. Change: as at a core, only the first signal counts. The test as committed before failed for another reason too: its request's own time was over at 4 s, ahead of the grace. Its request is now asked 3.8 s after the signal, as in the test above it; on the commit before it fails with a final answer at 7.8 s instead of 7.2 s.

--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -198,7 +198,12 @@
         return self.inference_pipeline.take(event, now)
 
     def handle_stop(self, event: StopRequested, now: timedelta) -> list[Any]:
-        """The process was told to end: requests in flight are finished, then it exits."""
+        """The process was told to end: requests in flight are finished, then it exits.
+
+        Only the first signal counts: the grace period, after which the process is killed, began with it.
+        """
+        if self.shutdown.has_begun:
+            return []
         self.shutdown.begin(now)
         for pipeline in self.pipelines:
             pipeline.take(DrainStarted(), now)
--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -202,11 +202,12 @@
 def test_a_second_signal_to_leave_gives_no_more_time():
     """Given a request that its server never answers, and a second signal 5 s after the first, the client has its final answer within the
     grace of the first: whoever sent that ends the process when it is over."""
-    leaver = Leaver()
-    cid = leaver.ask()
+    leaver = Leaver().stop()
+    leaver.run(SECOND * 3.8, asks_every=SECOND * 0.3)
+    cid = leaver.ask()  # so late that its own time is over only after the edge's
     leaver.hear("sent")
-    leaver.stop().run(SECOND * 5)
-    leaver.take("stop")
+    leaver.run(SECOND * 5)
+    leaver.edge.take(StopRequested(), leaver.now)
     leaver.run(GRACE * SECOND)
     assert LAST_CALL <= leaver.reply(cid)[0] <= LAST_CALL + TICK
     assert len(leaver.when("leave")) == 1
