An effect that fails is logged and takes no other with it

Cause: the exception of an effect went to whoever put the event, often the handler of another client's request: the rest of the effects were dropped, and a reset connection among them was taken for that client's leaving.

--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -207,7 +207,12 @@
         }
 
     def _carry_out(self, effect: effects.Effect) -> None:
-        self.effect_handlers[type(effect)](effect)
+        """An effect that fails is logged; it belongs to no request that happens to be delivered now, and ends none."""
+        try:
+            self.effect_handlers[type(effect)](effect)
+        except Exception as error:
+            fields = {"kind": type(effect).__name__, "error": repr(error)}
+            self.log("error", "daemon", "An effect could not be carried out.", fields)
 
     def _answer(self, effect: ResponseEffect) -> None:
         """Ids of forwarded requests are tuples, those of the node's own HTTP address numbers."""
