A process that leaves ends when its answers have left it, within its grace period

Cause: a process ended 0.2 s after its machine had decided to, written or not; an answer that a slow client had not yet taken was cut off. Change: Exit states for how long answers may still be written; an edge gives what is left of its grace period but 0.4 s. One test of an edge's end compared with Exit(0) and now checks the time that is given, too.

--- a/sumachook/host/effects.py
+++ b/sumachook/host/effects.py
@@ -159,9 +159,13 @@
 
 
 class Exit(Effect, frozen=True):
-    """End the process with this exit code once the last messages are out."""
+    """End the process with this exit code once the last messages are out, and answers written.
+
+    What clients have not taken within `write_within` of this effect is lost.
+    """
 
     code: int
+    write_within: timedelta = timedelta(seconds=2)
 
 
 # What a host carries out; other effects are for another part of the same node.
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -28,6 +28,7 @@
     from sumachook.storage.folder import DataFolder
 
 LAST_MESSAGES = timedelta(seconds=0.2)  # for what was sent last to leave the process before it ends
+UNSENT_CHECK_INTERVAL = timedelta(seconds=0.02)
 RESPONSE_EFFECTS = (
     effects.Reply,
     effects.BeginResponse,
@@ -71,6 +72,7 @@
         self.disk = self._disk_writer(folder) if folder else None
         self.effect_handlers = self._effect_handlers(cluster)
         self.exiting = asyncio.Event()
+        self.write_until = 0.0  # the loop's time until which an ending process waits for clients that read slowly
         self.tick_wanted = asyncio.Event()  # something waits for the next tick
 
     def _disk_writer(self, folder: "DataFolder") -> "DiskWriter":
@@ -113,8 +115,13 @@
         return tasks
 
     async def _wait_for_exit(self) -> None:
+        """Waits for the machine's word, and then until messages and answers have left the process."""
         await self.exiting.wait()
         await asyncio.sleep(LAST_MESSAGES.total_seconds())
+        servers = [server for server in (self.http_server, self.proxy_server) if server is not None]
+        loop = asyncio.get_running_loop()
+        while loop.time() < self.write_until and any(server.has_unsent_bytes for server in servers):
+            await asyncio.sleep(UNSENT_CHECK_INTERVAL.total_seconds())
 
     def _log_failed_task(self, name: str, failures: int, error: Exception) -> None:
         fields = {"task": name, "failures": failures, "error": repr(error)}
@@ -236,6 +243,8 @@
 
     def _exit(self, effect: effects.Exit) -> None:
         self.exit_code = effect.code
+        if not self.exiting.is_set():
+            self.write_until = asyncio.get_running_loop().time() + effect.write_within.total_seconds()
         self.exiting.set()
 
 
--- a/sumachook/nodes/edge_shutdown.py
+++ b/sumachook/nodes/edge_shutdown.py
@@ -62,7 +62,7 @@
         if now >= self.stop_by and table.requests:
             self.stop_by = now + INFERENCE_GRACE_STEP
             return inference_pipeline.take(DrainEnded(), now)
-        return [Exit(0)]
+        return [self._exit(now)]
 
     def _step_forwarding(
         self, inference_pipeline: InferencePipeline, proxy_pipeline: ProxyPipeline, is_done: bool, now: timedelta
@@ -80,7 +80,13 @@
                 effects += pipeline.take(DrainEnded(), now)
             is_done = is_done or now >= self.stop_by + FINAL_ANSWERS_BEFORE_END / 3
         may_exit = is_done and self.is_proxy_server_closed and not proxy_pipeline.table.requests
-        return [*effects, Exit(0)] if may_exit else effects
+        return [*effects, self._exit(now)] if may_exit else effects
+
+    def _exit(self, now: timedelta) -> Exit:
+        """The end; clients that read slowly have until shortly before the end of the grace period."""
+        if self.stop_by is None:
+            return Exit(0)
+        return Exit(0, max(timedelta(0), self.stop_by + FINAL_ANSWERS_BEFORE_END / 2 - now))
 
     def _may_close_proxy_server(self, now: timedelta) -> bool:
         open_for = now - self.stopped_at
--- a/sumachook/transport/client_connection.py
+++ b/sumachook/transport/client_connection.py
@@ -59,6 +59,11 @@
         """Whether nothing of a request is on it."""
         return self.state is ConnectionState.RESTING
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether something that was written waits for its client to read."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes of the client."""
         if self.head_since is None:
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -24,6 +24,7 @@
 
 MAX_BODY_BYTES = 1 << 20
 MAX_UNSENT_BYTES = 1 << 20
+SHUTDOWN_TIMEOUT = timedelta(seconds=0.2)  # for requests that are handled when the server is stopped
 TURNS_LEFT_UNREAD = 4  # of the loop, before a resting connection is closed: what comes in them is reset, unread
 LINGER_TIMEOUT, SWEEP_INTERVAL, IDLE_TIMEOUT = timedelta(seconds=1), timedelta(seconds=1), timedelta(seconds=15)
 
@@ -105,7 +106,7 @@
             listener.close()
             for connection in server.open_connections():
                 connection.ended_by = ConnectionEnd.STOPPED
-            await server.shutdown(0.5)
+            await server.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
 
     def _note_end(self, connection: ClientConnection) -> None:
         """Counts what ended a connection; tells of one that this node closed while something of a request was on it."""
@@ -148,6 +149,12 @@
         for connection in resting:
             connection.end(ConnectionEnd.LEAVING)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether something that was written has not left the process, since a client reads slowly."""
+        connections = self.server.open_connections() if self.server else []
+        return any(connection.has_unsent_bytes for connection in connections)
+
     def answer(self, effect: ResponseEffect) -> None:
         """Carries out an effect of the machine; one for a request that is over is dropped."""
         exchange = self.exchanges.get(effect.call_id)
--- a/tests/nodes/test_edge_alone.py
+++ b/tests/nodes/test_edge_alone.py
@@ -25,7 +25,8 @@
     status, headers, body = answer.status, answer.headers, answer.body
     assert status == 503 and msgspec.json.decode(body)["fault"]["run"] == "no" and "Retry-After" in headers
     assert isinstance(edge.take(StopRequested(), now)[0], Log)
-    assert edge.take(Tick(), now + GRACE)[-1] == Exit(0)
+    end = edge.take(Tick(), now + GRACE)[-1]
+    assert isinstance(end, Exit) and end.code == 0 and end.write_within == timedelta(0)  # the grace is over
 
 
 def test_edge_that_knows_no_other_sends_a_warming_server_nothing():
