harness soak: kept connections under signals, restarts and changes in overlapping series

Real processes as deploy/system.toml starts them. Clients go on using open connections until they are closed; edges and cores are restarted, reloaded, told to leave twice, or signalled as they start and as they leave; configurations move routes and change the idle time of connections down to 0.4 s, so that connections are swept while they are used.

--- a/harness/__main__.py
+++ b/harness/__main__.py
@@ -43,6 +43,12 @@
         "real processes under load while they are restarted, killed, frozen, reconfigured and evacuated",
         RULES,
     ),
+    Command(
+        "soak",
+        "harness.experiments.soak",
+        "real processes and kept connections under signals, restarts and changes in overlapping series",
+        "0: no fault in any seed; 1: one was found, or nothing was checked",
+    ),
     # Fault injection and load in virtual time
     Command(
         "scenarios",
--- /dev/null
+++ b/harness/commands/soak.py
@@ -0,0 +1,6 @@
+"""`python -m harness.soak`: the older form of `python -m harness soak`."""
+
+from harness.__main__ import run_command
+
+if __name__ == "__main__":
+    run_command("soak")
--- a/harness/fakes/deployment.py
+++ b/harness/fakes/deployment.py
@@ -22,6 +22,7 @@
 
 MS = timedelta(milliseconds=1)
 HOST = "town.example"
+EDGES_BESIDE_SERVERS, EDGES_IN_A_NETWORK = 50, 200
 ZONES = {"hall-a": "kosice", "hall-b": "kosice", "hall-c": "kosice"}
 MODELS = [f"m{number:02}" for number in range(1, 13)]
 ENGINE = {
@@ -168,7 +169,7 @@
         self.list = InstanceList(f"{net}.4:8142", self.servers)
         machines = {f"core-{zone}": ("core", zone, f"{net}.{21 + place}") for place, zone in enumerate(zones)}
         machines |= {
-            f"edge-{zones[place % 3]}-{place // 3 + 1}": ("edge", zones[place % 3], f"{net}.{41 + place}")
+            f"edge-{zones[place % 3]}-{place // 3 + 1}": ("edge", zones[place % 3], _edge_address(net, place))
             for place in range(edges)
         }
         self.nodes = Nodes(work, machines, ZONES, self.list.address)
@@ -252,11 +253,20 @@
     return {**doc, **{part: sorted(doc[part], key=lambda item: item["name"]) for part in ("routes", "services")}}
 
 
+def _edge_address(net: str, place: int) -> str:
+    """The first edges lie beside the servers, the others in the networks after theirs."""
+    if place < EDGES_BESIDE_SERVERS:
+        return f"{net}.{41 + place}"
+    further = place - EDGES_BESIDE_SERVERS
+    first, second, third = net.split(".")
+    return f"{first}.{second}.{int(third) + 1 + further // EDGES_IN_A_NETWORK}.{1 + further % EDGES_IN_A_NETWORK}"
+
+
 def _free_network() -> str:
     """Loopback addresses that no other deployment on this machine has."""
     random = Random()
     while True:
-        net = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
+        net = f"127.{random.randint(2, 250)}.{random.randint(1, 240)}"
         with socket.socket() as probe:
             try:
                 probe.bind((f"{net}.4", 8142))
--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -1,6 +1,7 @@
 """The system's own nodes, started as the deploy file says."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -10,6 +11,7 @@
 
 ROOT = Path(__file__).parents[2]
 GRACE = 8.0
+START_TIME = 5.0  # seconds after which a process certainly has its signal handlers
 PORTS = {"front": 8144, "readiness": 8140, "control": 8146}
 INNER = [7660, 7675]
 BOUNDS = {
@@ -45,10 +47,11 @@
     """One process a machine and role: `start_all`, `stop_all`. Settings, data and logs lie under `work`; `machines` is
     {name: (class, zone, ip)}."""
 
-    __slots__ = ("work", "machines", "zones", "cloud", "running", "roles")
+    __slots__ = ("work", "machines", "zones", "cloud", "running", "roles", "seeds", "in_restart", "started_at")
 
     def __init__(self, work: Path, machines: dict, zones: dict, cloud: str):
         self.work, self.machines, self.zones, self.cloud, self.running = work, machines, zones, cloud, {}
+        self.seeds, self.in_restart, self.started_at = {}, set(), {}
         self.roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
 
     def addresses(self, serves: str, what: str) -> list:
@@ -62,6 +65,31 @@
                 if said["on"] == kind:
                     await self._start(machine, role, said)
 
+    def may_lack_handlers(self, machine) -> bool:
+        """Whether its process was started so shortly ago that a signal may still find the system's own handlers."""
+        return asyncio.get_running_loop().time() - self.started_at[machine] < START_TIME
+
+    def is_restarting(self, machine) -> bool:
+        return machine in self.in_restart
+
+    @contextlib.asynccontextmanager
+    async def restarting(self, machine):
+        """While this stands, nobody else restarts the machine."""
+        self.in_restart.add(machine)
+        try:
+            yield
+        finally:
+            self.in_restart.discard(machine)
+
+    def reorder_seeds(self, machine, random):
+        """The settings of the machine name the same seeds in another order from now on; its process is not told."""
+        seeds = [address for _, address in self.addresses("control", "control")]
+        self.seeds[machine] = random.sample(seeds, min(len(seeds), 3))
+        kind = self.machines[machine][0]
+        for role, said in self.roles.items():
+            if said["on"] == kind:
+                (self.work / f"{machine}.toml").write_text(self._settings(machine, role, said, False))
+
     async def stop_all(self) -> dict:
         """The short warning, then the end; {name: exit code}. Those that ended before are among them."""
         for process in self.running.values():
@@ -76,12 +104,20 @@
             process.kill()
             return await process.wait()
 
-    async def _start(self, machine, role, said):
+    async def start(self, machine):
+        """Starts a machine once more, as one that has been up before."""
+        kind = self.machines[machine][0]
+        for role, said in self.roles.items():
+            if said["on"] == kind:
+                await self._start(machine, role, said, is_first=False)
+
+    async def _start(self, machine, role, said, is_first=True):
         settings = self.work / f"{machine}.toml"
-        settings.write_text(self._settings(machine, role, said))
+        settings.write_text(self._settings(machine, role, said, is_first))
         program, *arguments = said["run"].split(" ")
         program = sys.executable if program == "python3" else program  # the one that has what requirements.txt lists
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        self.started_at[machine] = asyncio.get_running_loop().time()
         with open(self.work / f"{machine}.log", "ab") as log:
             self.running[machine] = await asyncio.create_subprocess_exec(
                 program,
@@ -92,7 +128,7 @@
                 stderr=log,
             )
 
-    def _settings(self, machine, role, said) -> str:
+    def _settings(self, machine, role, said, is_first) -> str:
         kind, zone, ip = self.machines[machine]
         is_core = kind == "core"
         listen = (
@@ -110,8 +146,9 @@
             "zone": zone,
             "region": self.zones[zone],
             "internal-port-range": INNER,
-            "seed-addresses": [address for _, address in self.addresses("control", "control")][:3],
-            "first-start": True,
+            "seed-addresses": self.seeds.get(machine)
+            or [address for _, address in self.addresses("control", "control")][:3],
+            "first-start": is_first,
             "loss-counted": is_core,
             "discovery-source": "platform",
             "entry-kind": "virtual_ip",
