Calls without an outcome, and signals in a process's last moments: failing tests

A call whose task raises an error that is not listed, or is cancelled with its client's task, tells nothing: its request waits for its whole time. A signal that comes while the interpreter is taken down ends the process with the signal's code.

--- a/tests/nodes/test_daemon.py
+++ b/tests/nodes/test_daemon.py
@@ -1,6 +1,7 @@
 """The host of a node in a process: effects that fail, and what is still to be written when the process ends (docs/design/processes.md)."""
 
 import asyncio
+import signal
 
 from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.changefeed.messages import Follow
@@ -110,3 +111,26 @@
 
     status, _, body, is_whole = play(story, effects_for)
     assert (status, len(body), is_whole) == (200, len(LONG_ANSWER), True)
+
+
+def test_signals_in_the_last_moments_of_a_process_change_nothing():
+    """Given a process whose machine has decided to end, and signals while its interpreter is being taken down, they are ignored: it ends
+    with the code that its machine gave."""
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    before = {number: signal.getsignal(number) for number in numbers}
+
+    async def run():
+        process = Process(lambda call_id: [Reply(call_id, 200, {}, b"whole"), Exit(0)])
+        async with process:
+            _, writer = await process.ask()
+            code = await process.task
+            writer.close()
+        return code
+
+    try:
+        code = asyncio.run(asyncio.wait_for(run(), BOUND))
+        after = [signal.getsignal(number) for number in numbers]
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+    assert code == 0 and after == [signal.SIG_IGN] * len(numbers)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -15,6 +15,7 @@
 BOUND = 8.0  # seconds for one story
 SOON = timedelta(seconds=2)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+SILENT = b""  # a server that is at work
 TAKEN = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -51,7 +52,7 @@
     """A fetcher, and what it tells of each call."""
 
     def __init__(self):
-        self.http_client, self.heard, self.done = HttpClient(self._hear), {}, {}
+        self.http_client, self.heard, self.done, self.task = HttpClient(self._hear), {}, {}, None
 
     def _hear(self, event):
         self.heard.setdefault(event.call_id, []).append(event)
@@ -70,7 +71,7 @@
     async def run():
         line, peer = Line(), Peer(*answers)
         await peer.start()
-        task = asyncio.get_running_loop().create_task(line.http_client.run())
+        line.task = task = asyncio.get_running_loop().create_task(line.http_client.run())
         while not line.http_client.is_open:
             await asyncio.sleep(0)
         try:
@@ -238,3 +239,42 @@
     """Given a server that is silent, an order's connection is reset at its timeout: what a cut still holds of it is lost with it.
     A lookup's is closed."""
     assert asyncio.run(_end_of_a_request_without_an_answer(tid)) == end
+
+
+def test_a_call_that_fails_in_a_way_that_nobody_foresaw_is_told_like_any_other():
+    """Given a header that the library cannot write, and an error that is none of the network's, the call's failure is told: what waits
+    for it would otherwise wait for its whole time."""
+
+    async def story(line, peer):
+        line.done[order(1)] = asyncio.Event()
+        headers = {"X-Count": 7}
+        line.http_client.fetch(Fetch(order(1), "POST", f"http://{peer.address}/x", headers, b"", SOON, SOON, "whole"))
+        async with asyncio.timeout(SOON.total_seconds()):
+            await line.done[order(1)].wait()
+        return line.heard[order(1)][-1]
+
+    assert isinstance(play(story), CallFailed)
+
+
+def test_calls_under_way_when_their_client_is_stopped_are_told():
+    """Given a call whose server is at work when the client's task ends, as when it is started again, its failure is told, and that it
+    may have run; one that was called off tells nothing more."""
+
+    async def story(line, peer):
+        for number in (1, 2):
+            line.done[order(number)] = asyncio.Event()
+            line.http_client.fetch(
+                Fetch(order(number), "POST", f"http://{peer.address}/x", {}, b"", SOON, SOON, "whole")
+            )
+        while len(peer.requests) < 2:
+            await asyncio.sleep(0)
+        line.http_client.cancel(order(2))
+        line.task.cancel()
+        await asyncio.gather(line.task, return_exceptions=True)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        return line.heard[order(1)][-1], line.heard[order(2)]
+
+    told, called_off = play(story, SILENT, SILENT)
+    assert told == CallFailed(order(1), CallFailure.RESET)
+    assert called_off == [RequestSent(order(2), False)]
