Each call tells one outcome; signals in a process's last moments change nothing

HttpCaller: a call whose task fails in an unforeseen way, or is cancelled with its client's task, tells its failure; only a call that was called off tells nothing. Daemon: signals are ignored once the machine has ended; the loop gave them their default handlers back as it closed.

--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -29,6 +29,11 @@
 
 LAST_MESSAGES = timedelta(seconds=0.2)  # for what was sent last to leave the process before it ends
 UNSENT_CHECK_INTERVAL = timedelta(seconds=0.02)
+SIGNAL_EVENTS: dict[signal.Signals, events.Event] = {
+    signal.SIGTERM: events.StopRequested(),
+    signal.SIGINT: events.StopRequested(),
+    signal.SIGHUP: events.SettingsReloadRequested(),
+}
 RESPONSE_EFFECTS = (
     effects.Reply,
     effects.BeginResponse,
@@ -83,15 +88,28 @@
         return DiskWriter(folder, self._hear, self.log, self.clock.mono, LOG)
 
     async def run(self) -> int:
-        """Serves until the machine asks to exit; the exit code."""
+        """Serves until the machine asks to exit; the exit code, with which the process is to end."""
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._hear, events.StopRequested())
-        loop.add_signal_handler(signal.SIGHUP, self._hear, events.SettingsReloadRequested())
+        for signal_number, event in SIGNAL_EVENTS.items():
+            loop.add_signal_handler(signal_number, self._hear, event)
         await Supervisor(self._tasks(), self._log_failed_task).run()
         self._log_connection_ends()
+        self._ignore_signals()
         return self.exit_code
 
+    @staticmethod
+    def _ignore_signals() -> None:
+        """The process is ending: a signal no longer changes how.
+
+        The loop would give the signals their default handlers back as it closes, some tens of ms before the end.
+        """
+        loop = asyncio.get_running_loop()
+        signal.pthread_sigmask(signal.SIG_BLOCK, SIGNAL_EVENTS)
+        for signal_number in SIGNAL_EVENTS:
+            loop.remove_signal_handler(signal_number)
+            signal.signal(signal_number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNAL_EVENTS)
+
     def _log_connection_ends(self) -> None:
         """The last line of a process that serves clients: how many connections ended, by what ended them."""
         if self.proxy_server is not None:
--- a/sumachook/transport/http_caller.py
+++ b/sumachook/transport/http_caller.py
@@ -34,7 +34,7 @@
         return bool(self.sessions)
 
     async def run(self) -> None:
-        """Keeps the sessions open until it is cancelled."""
+        """Keeps the sessions open until it is cancelled; calls that are under way then fail."""
         self.sessions = self._open_sessions()
         try:
             await asyncio.Event().wait()
@@ -89,9 +89,14 @@
         self.sent.discard(call_id)
 
     async def _report_outcome(self, call_id: CallId, call: Callable[[], Awaitable[CallEvent]]) -> None:
+        """Gives one outcome for each call, whatever ends it; only one that was called off tells nothing."""
         try:
             outcome: CallEvent = await call()
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        except asyncio.CancelledError:
+            if call_id not in self.tasks:
+                raise
+            outcome = CallFailed(call_id, CallFailure.RESET)
+        except Exception as error:
             outcome = CallFailed(call_id, self._failure(call_id, error))
         self.on_event(outcome)
 
--- a/tests/nodes/test_daemon.py
+++ b/tests/nodes/test_daemon.py
@@ -117,7 +117,6 @@
     """Given a process whose machine has decided to end, and signals while its interpreter is being taken down, they are ignored: it ends
     with the code that its machine gave."""
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    before = {number: signal.getsignal(number) for number in numbers}
 
     async def run():
         process = Process(lambda call_id: [Reply(call_id, 200, {}, b"whole"), Exit(0)])
@@ -127,10 +126,6 @@
             writer.close()
         return code
 
-    try:
-        code = asyncio.run(asyncio.wait_for(run(), BOUND))
-        after = [signal.getsignal(number) for number in numbers]
-    finally:
-        for number, handler in before.items():
-            signal.signal(number, handler)
+    code = asyncio.run(asyncio.wait_for(run(), BOUND))
+    after = [signal.getsignal(number) for number in numbers]
     assert code == 0 and after == [signal.SIG_IGN] * len(numbers)
