--- a/tests/nodes/test_daemon.py
+++ b/tests/nodes/test_daemon.py
@@ -10,6 +10,7 @@
 from sumachook.nodes.daemon import Daemon
 from sumachook.runtime.clock import Clock
 from sumachook.transport.addresses import split_address
+from sumachook.transport.http_server import HttpServer
 from tests.transport.proxy_fixtures import BOUND, parted
 
 LONG_ANSWER = b"x" * (24 << 20)  # more than the buffers of a connection take
@@ -129,3 +130,31 @@
     code = asyncio.run(asyncio.wait_for(run(), BOUND))
     after = [signal.getsignal(number) for number in numbers]
     assert code == 0 and after == [signal.SIG_IGN] * len(numbers)
+
+
+def test_a_sweep_that_fails_ends_no_request():
+    """Given a request in hand, and a sweep of connections that fails, the request is answered; the log says that a task has failed."""
+    call_ids = []
+
+    async def story(process):
+        def fail(now):
+            raise RuntimeError("a sweep")
+
+        reader, writer = await process.ask()
+        while not call_ids:
+            await asyncio.sleep(0)
+        process.daemon.http_server.__class__ = type(
+            "Failing", (HttpServer,), {"__slots__": (), "_sweep": lambda self, now: fail(now)}
+        )
+        while not any(text == "A task failed and is started again." for _, text, _ in process.lines):
+            await asyncio.sleep(0)
+        process.daemon.http_server.answer(Reply(call_ids[0], 200, {}, b"whole"))
+        answer = await reader.read(1000)
+        writer.close()
+        return answer
+
+    def effects_for(call_id):
+        call_ids.append(call_id)
+        return []
+
+    assert play(story, effects_for).endswith(b"whole")
--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -9,6 +9,7 @@
 
 from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.changefeed.messages import Follow
+from sumachook.changefeed.trust import Trust
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.host.effects import Exit, Reply, Send
 from sumachook.host.events import HttpRequestReceived, StopRequested
@@ -19,7 +20,7 @@
 from sumachook.transport.addresses import split_address
 from sumachook.transport.http_server import TURNS_LEFT_UNREAD
 from sumachook.transport.node_transport import NodeTransport
-from tests.forwarding.forwarding_fixtures import catalogue, server
+from tests.forwarding.forwarding_fixtures import FixedTrust, catalogue, server
 from tests.short_forms import event_of, tuple_of_effect
 from tests.transport.proxy_fixtures import BOUND, SOON, head, play, sealed, well
 
@@ -73,10 +74,11 @@
             self.tick()
         return self
 
-    def ask(self, path="/once/x"):
+    def ask(self, path="/once/x", *headers):
         self.number += 1
         cid = ("front", self.number)
-        self.take("request", cid, "POST", path, (("Host", "a.example"), ("X-Request-Id", f"q{self.number}")), b"{}")
+        pairs = (("Host", "a.example"), ("X-Request-Id", f"q{self.number}"), *headers)
+        self.take("request", cid, "POST", path, pairs, b"{}")
         return cid
 
     def hear(self, *what):
@@ -199,6 +201,21 @@
     )
 
 
+def test_a_request_that_waits_for_the_routes_is_answered_before_the_edge_leaves():
+    """Given an edge that does not know its routes any more, and a request that still waits for them when the front is shut, the edge
+    refuses it as not run before it decides to leave."""
+    leaver = Leaver().stop()
+    leaver.run(SECOND * 1.6)
+    leaver.edge.proxy_pipeline.table.follower = FixedTrust(Trust.EMPTY)
+    cid = leaver.ask("/once/x", ("X-Deadline-Ms", "9000"))
+    leaver.run(SECOND * 6)
+    at, status, headers, _ = leaver.reply(cid)
+    assert status == 503 and headers["Connection"] == "close"
+    assert len(leaver.when("shut")) == len(leaver.when("leave")) == 1
+    words = [effect[0] for _, effect in leaver.said]
+    assert words.index("leave") > words.index("reply") and leaver.when("leave")[0] >= at
+
+
 def test_a_second_signal_to_leave_gives_no_more_time():
     """Given a request that its server never answers, and a second signal 5 s after the first, the client has its final answer within the
     grace of the first: whoever sent that ends the process when it is over."""
