--- a/harness/fuzzing/edge_host.py
+++ b/harness/fuzzing/edge_host.py
@@ -99,7 +99,8 @@
         """Serves, and tells the edge that it is in touch."""
         loop = asyncio.get_running_loop()
         self._tick()
-        self.tasks = [loop.create_task(each) for each in (self.front.run(), self.streaming_client.run(), self._ticks())]
+        runs = (self.front.run(), self.front.sweep(), self.streaming_client.run(), self._ticks())
+        self.tasks = [loop.create_task(each) for each in runs]
         await wait_until_serving(lambda: self.front.listener is not None and self.streaming_client.is_open, *self.tasks)
 
     async def stop(self) -> None:
--- a/harness/mutations/shutdown.py
+++ b/harness/mutations/shutdown.py
@@ -102,7 +102,7 @@
     Mutation(
         "LOST",
         "the node leaves with requests in hand",
-        "is_done and self.is_proxy_server_closed and not proxy_pipeline.table.requests",
+        "is_done and self.is_proxy_server_closed and not has_requests",
         "self.is_proxy_server_closed",
         LEAVING,
         "in_hand_is_finished",
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -120,11 +120,13 @@
         tasks = {
             "http client": self.http_client.run,
             "http server": self.http_server.run,
+            "http sweep": self.http_server.sweep,
             "ticks": self._run_ticks,
             "exit": self._wait_for_exit,
         }
         if self.proxy_server and self.streaming_client:
             tasks["proxy server"] = self.proxy_server.run
+            tasks["proxy sweep"] = self.proxy_server.sweep
             tasks["streaming client"] = self.streaming_client.run
         if self.node_transport:
             tasks["node port"] = self.node_transport.run
--- a/sumachook/nodes/edge_shutdown.py
+++ b/sumachook/nodes/edge_shutdown.py
@@ -79,7 +79,8 @@
             for pipeline in (inference_pipeline, proxy_pipeline):
                 effects += pipeline.take(DrainEnded(), now)
             is_done = is_done or now >= self.stop_by + FINAL_ANSWERS_BEFORE_END / 3
-        may_exit = is_done and self.is_proxy_server_closed and not proxy_pipeline.table.requests
+        has_requests = proxy_pipeline.table.requests or proxy_pipeline.table.parked_requests
+        may_exit = is_done and self.is_proxy_server_closed and not has_requests
         return [*effects, self._exit(now)] if may_exit else effects
 
     def _exit(self, now: timedelta) -> Exit:
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -99,15 +99,19 @@
         host, port = split_address(self.address)
         listener = self.listener = await asyncio.get_running_loop().create_server(server, host, port)
         try:
-            while True:
-                await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
-                self._sweep(asyncio.get_running_loop().time())
+            await asyncio.Event().wait()
         finally:
             listener.close()
             for connection in server.open_connections():
                 connection.ended_by = ConnectionEnd.STOPPED
             await server.shutdown(SHUTDOWN_TIMEOUT.total_seconds())
 
+    async def sweep(self) -> None:
+        """Sweeps connections until it is cancelled; a task of its own, so that its failure ends no connection."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL.total_seconds())
+            self._sweep(asyncio.get_running_loop().time())
+
     def _note_end(self, connection: ClientConnection) -> None:
         """Counts what ended a connection; tells of one that this node closed while something of a request was on it."""
         ended_by = connection.ended_by or ConnectionEnd.CLIENT
