harness: nodes are signalled by their ids

A second signal to a process that was just ending took its exit code from the one that waited for it: asyncio then reports 255 ('Unknown child process').

--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -178,7 +178,7 @@
         if process.returncode is not None:
             self.result.faults.append(f"{name} had ended by itself with {process.returncode}")
             return
-        process.send_signal(signal.SIGTERM)
+        self.deployment.nodes.signal(name, signal.SIGTERM)
         if variant == "second SIGTERM":
             await self._signal_within(name, signal.SIGTERM, 4.0)
         if variant == "SIGHUP while it leaves":
@@ -195,9 +195,7 @@
 
     async def _signal_within(self, name: str, number: int, seconds: float):
         await asyncio.sleep(self.random.uniform(0.0, seconds))
-        process = self.deployment.nodes.running[name]
-        if process.returncode is None:
-            process.send_signal(number)
+        self.deployment.nodes.signal(name, number)
 
     async def _reload_any(self):
         while not self._is_over():
--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -65,6 +65,16 @@
                 if said["on"] == kind:
                     await self._start(machine, role, said)
 
+    def signal(self, machine, number):
+        """Signals a process that has not ended.
+
+        By its id: asyncio's `send_signal` would take the exit code of one that is just ending from whoever waits for it.
+        """
+        process = self.running[machine]
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, number)
+
     def may_lack_handlers(self, machine) -> bool:
         """Whether its process was started so shortly ago that a signal may still find the system's own handlers."""
         return asyncio.get_running_loop().time() - self.started_at[machine] < START_TIME
@@ -92,9 +102,8 @@
 
     async def stop_all(self) -> dict:
         """The short warning, then the end; {name: exit code}. Those that ended before are among them."""
-        for process in self.running.values():
-            if process.returncode is None:
-                process.send_signal(signal.SIGTERM)
+        for machine in self.running:
+            self.signal(machine, signal.SIGTERM)
         return dict(zip(self.running, await asyncio.gather(*map(self._wait, self.running.values())), strict=True))
 
     async def _wait(self, process) -> int:
