--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -68,7 +68,7 @@
     def signal(self, machine, number):
         """Signals a process that has not ended.
 
-        By its id: asyncio's `send_signal` would take the exit code of one that is just ending from whoever waits for it.
+        By its id: asyncio's `send_signal` would take the exit code of one that just ends from whoever waits for it.
         """
         process = self.running[machine]
         if process.returncode is None:
