What a node sends after its sockets are closed is dropped

Cause: a signal that came while the tasks of a process were being ended let its machine speak to other nodes through a closed socket; the error came out of the signal's callback and took the other effects along. Change: the node transport drops what is sent once it has ended.

--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -107,9 +107,8 @@
                     running.create_task(work())
             await deployment.read_back()
             self._find_early_ends()
-            may_lack_handlers = {name for name in deployment.nodes.machines if deployment.nodes.may_lack_handlers(name)}
         self.result.attempts = [attempt for client in clients for attempt in client.attempts]
-        self._judge(may_lack_handlers)
+        self._judge()
         return self.result
 
     def _client(self, number: int) -> KeptClient:
@@ -173,7 +172,6 @@
                 await nodes.start(name)
 
     async def _end(self, name: str, variant: str):
-        may_lack_handlers = self.deployment.nodes.may_lack_handlers(name)
         process = self.deployment.nodes.running[name]
         if process.returncode is not None:
             self.result.faults.append(f"{name} had ended by itself with {process.returncode}")
@@ -190,9 +188,13 @@
             process.kill()
             await process.wait()
             return
-        if code and not (may_lack_handlers and code == ENDED_BY_TERM):
+        if code and not self._was_stopped_at_start(name, code):
             self.result.faults.append(f"{name} ended with {code}: {variant}")
 
+    def _was_stopped_at_start(self, name: str, code: int) -> bool:
+        """Whether the signal found a process that did not listen to it yet: it served nobody."""
+        return code == ENDED_BY_TERM and not self.deployment.nodes.has_handled_stop(name)
+
     async def _signal_within(self, name: str, number: int, seconds: float):
         await asyncio.sleep(self.random.uniform(0.0, seconds))
         self.deployment.nodes.signal(name, number)
@@ -233,7 +235,7 @@
             if process.returncode is not None:
                 self.result.faults.append(f"{name} ended by itself with {process.returncode}")
 
-    def _judge(self, may_lack_handlers: set[str]):
+    def _judge(self):
         result, history = self.result, self.deployment.call_history
         result.faults += history.violations()
         result.faults += lost_requests(result.attempts, history.runs)
@@ -242,7 +244,7 @@
         result.faults += [
             f"{name} ended with {code} at the end"
             for name, code in codes.items()
-            if code and not (name in may_lack_handlers and code == ENDED_BY_TERM)
+            if code and not self._was_stopped_at_start(name, code)
         ]
         whole = sum(attempt.end is AttemptEnd.WHOLE and attempt.status == 200 for attempt in result.attempts)
         counts = {
--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -11,7 +11,7 @@
 
 ROOT = Path(__file__).parents[2]
 GRACE = 8.0
-START_TIME = 5.0  # seconds after which a process certainly has its signal handlers
+LEAVING = b"Leaving"  # in the line of a node that has heard the signal to leave
 PORTS = {"front": 8144, "readiness": 8140, "control": 8146}
 INNER = [7660, 7675]
 BOUNDS = {
@@ -47,11 +47,11 @@
     """One process a machine and role: `start_all`, `stop_all`. Settings, data and logs lie under `work`; `machines` is
     {name: (class, zone, ip)}."""
 
-    __slots__ = ("work", "machines", "zones", "cloud", "running", "roles", "seeds", "in_restart", "started_at")
+    __slots__ = ("work", "machines", "zones", "cloud", "running", "roles", "seeds", "in_restart", "log_starts")
 
     def __init__(self, work: Path, machines: dict, zones: dict, cloud: str):
         self.work, self.machines, self.zones, self.cloud, self.running = work, machines, zones, cloud, {}
-        self.seeds, self.in_restart, self.started_at = {}, set(), {}
+        self.seeds, self.in_restart, self.log_starts = {}, set(), {}
         self.roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
 
     def addresses(self, serves: str, what: str) -> list:
@@ -75,9 +75,9 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(process.pid, number)
 
-    def may_lack_handlers(self, machine) -> bool:
-        """Whether its process was started so shortly ago that a signal may still find the system's own handlers."""
-        return asyncio.get_running_loop().time() - self.started_at[machine] < START_TIME
+    def has_handled_stop(self, machine) -> bool:
+        """Whether the log of its process says that it leaves; one that was signalled before it listens has no such line."""
+        return LEAVING in (self.work / f"{machine}.log").read_bytes()[self.log_starts[machine] :]
 
     def is_restarting(self, machine) -> bool:
         return machine in self.in_restart
@@ -126,8 +126,8 @@
         program, *arguments = said["run"].split(" ")
         program = sys.executable if program == "python3" else program  # the one that has what requirements.txt lists
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-        self.started_at[machine] = asyncio.get_running_loop().time()
         with open(self.work / f"{machine}.log", "ab") as log:
+            self.log_starts[machine] = log.tell()
             self.running[machine] = await asyncio.create_subprocess_exec(
                 program,
                 *arguments,
--- a/sumachook/transport/node_transport.py
+++ b/sumachook/transport/node_transport.py
@@ -162,6 +162,7 @@
         self.connections: dict[str, NodeConnection] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.transport: asyncio.DatagramTransport | None = None
+        self.has_ended = False  # what is still to be sent while the process ends is dropped
 
     async def run(self) -> None:
         """Listens until it is cancelled; raises `OSError` where the address cannot be bound."""
@@ -170,16 +171,21 @@
         server = await loop.create_server(self._receiver, host, port)
         transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
         self.transport = transport
+        self.has_ended = False
         try:
             await server.serve_forever()
         finally:
+            self.transport = None
+            self.has_ended = True
             server.close()
             transport.close()
             for task in self.tasks:
                 task.cancel()
 
     def send(self, address: str, raw: bytes) -> None:
-        """Sends bytes over the connection to a node, which is made if there is none."""
+        """Sends bytes over the connection to a node, which is made if there is none; drops them once it has ended."""
+        if self.has_ended:
+            return
         connection = self.connections.get(address)
         if connection is None:
             connection = self.connections[address] = NodeConnection(address)
