--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -76,7 +76,7 @@
                 os.kill(process.pid, number)
 
     def has_handled_stop(self, machine) -> bool:
-        """Whether the log of its process says that it leaves; one that was signalled before it listens has no such line."""
+        """Whether the log of its process says that it leaves; one that was signalled before it listens does not."""
         return LEAVING in (self.work / f"{machine}.log").read_bytes()[self.log_starts[machine] :]
 
     def is_restarting(self, machine) -> bool:
