--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -246,9 +246,9 @@
             for name, code in codes.items()
             if code and not self._was_stopped_at_start(name, code)
         ]
-        whole = sum(attempt.end is AttemptEnd.WHOLE and attempt.status == 200 for attempt in result.attempts)
+        served = sum(attempt.end is AttemptEnd.COMPLETE and attempt.status == 200 for attempt in result.attempts)
         counts = {
-            "requests served": whole,
+            "requests served": served,
             "requests on kept connections": sum(attempt.was_kept for attempt in result.attempts),
             "restarts": result.actions["restarts"],
             "reloads": result.actions["reloads"],
--- a/harness/fakes/kept_client.py
+++ b/harness/fakes/kept_client.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 from random import Random
+from typing import NamedTuple
 
 from harness.fakes.call_history import Attempt, CallHistory
 from harness.fakes.request_kind import RequestKind
@@ -14,12 +15,14 @@
 SHORT_REST, LONG_REST_PORTION = 0.15, 0.25  # mean seconds of most rests; how many last up to the idle limit instead
 MAX_REST_OF_LIMIT = 0.8  # of the idle limit: what clients of the users' platform keep to
 LIMIT_BYTES = 1 << 25
+SHARED_TOKENS = 200  # of each prompt
+HEAD_END, CHUNK_END = b"\r\n\r\n", b"\r\n"
 
 
 class AttemptEnd(StrEnum):
     """How a request ended for its client."""
 
-    WHOLE = "a whole answer"
+    COMPLETE = "a whole answer"
     CUT = "its connection ended without a whole answer"
     UNSENT = "no connection"
     LATE = "no whole answer within its deadline"
@@ -48,6 +51,13 @@
         self.edge, self.reader, self.writer, self.answers = edge, reader, writer, 0
 
 
+class _Answer(NamedTuple):
+    """The status of an answer, and whether its connection ends with it."""
+
+    status: int
+    is_last: bool
+
+
 class KeptClient:
     """`run(until)` sends requests of drawn kinds, one after the other, mostly on the connection of the one before."""
 
@@ -99,20 +109,20 @@
         if connection is None:
             return KeptAttempt(request_id, kind, "", started_at, loop.time(), AttemptEnd.UNSENT, 0, False)
         was_kept = connection.answers > 0
-        end, status = AttemptEnd.CUT, 0
+        end, answer = AttemptEnd.CUT, _Answer(0, True)
         try:
             async with asyncio.timeout(kind.deadline.total_seconds()):
                 connection.writer.write(raw)
-                status, is_last = await self._read_answer(connection, request_id)
-                end = AttemptEnd.WHOLE
+                answer = await self._read_answer(connection, request_id)
+                end = AttemptEnd.COMPLETE
         except TimeoutError:
             end = AttemptEnd.LATE
         except (OSError, EOFError, ValueError):
             pass
         connection.answers += 1
-        if end is not AttemptEnd.WHOLE or is_last:
+        if answer.is_last:
             self._drop()
-        return KeptAttempt(request_id, kind, connection.edge, started_at, loop.time(), end, status, was_kept)
+        return KeptAttempt(request_id, kind, connection.edge, started_at, loop.time(), end, answer.status, was_kept)
 
     async def _connect(self) -> _Connection | None:
         edge = self.balancer.choose(self.zone, f"{self.name}/{self.random.random()}")
@@ -130,46 +140,45 @@
             self.connection.writer.close()
             self.connection = None
 
-    def _draw_request(self, kind: RequestKind):
+    def _draw_request(self, kind: RequestKind) -> tuple[str, bytes]:
+        """Its id, and its bytes."""
         request_id = f"{self.random.getrandbits(64):016x}"
         is_lookup = kind.form == "idempotent"
-        body = (
-            b""
-            if is_lookup
-            else b'{"client":"%s","text":"%s"}' % (self.name.encode(), b"x" * self.random.randint(1, 400))
-        )
+        body = b"" if is_lookup else b'{"text":"%s"}' % (b"x" * self.random.randint(1, 400))
         path = f"{kind.prefix}{self.random.randint(0, 96)}"
-        lines = [
-            f"{'GET' if is_lookup else 'POST'} {path} HTTP/1.1",
-            f"Host: {self.host}",
-            f"{REQUEST}: {request_id}",
-            f"{DEADLINE}: {int(kind.deadline.total_seconds() * 1000)}",
-        ]
-        if not is_lookup:
-            lines.append(f"Content-Length: {len(body)}")
-        if kind.models:
-            (model,) = self.random.choices([name for name, _ in kind.models], [share for _, share in kind.models])
-            own, tokens_out = self.random.randint(20, 200), self.random.randint(12, 60)
-            lines.append(f"Sumachook-Model: {model}")
-            lines.append(f"Sumachook-Token-Counts: {200 + own},{tokens_out}")
-            lines.append(f"Sumachook-Prompt-Prefix: c8:200,{self.random.getrandbits(32):08x}:{own}")
+        headers = {
+            "Host": self.host,
+            REQUEST: request_id,
+            DEADLINE: str(int(kind.deadline.total_seconds() * 1000)),
+            **({} if is_lookup else {"Content-Length": str(len(body))}),
+            **(self._draw_prompt(kind) if kind.models else {}),
+        }
+        head = [f"{'GET' if is_lookup else 'POST'} {path} HTTP/1.1", *(f"{name}: {headers[name]}" for name in headers)]
         self.call_history.attempts[request_id] = Attempt(kind, path, digest_of(body))
-        return request_id, "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-    async def _read_answer(self, connection: _Connection, request_id: str):
-        """(status, whether the connection ends with it); raises where the answer is not whole."""
+        return request_id, "\r\n".join(head).encode() + HEAD_END + body
+
+    def _draw_prompt(self, kind: RequestKind) -> dict[str, str]:
+        """The headers that tell of the model and the prompt."""
+        (model,) = self.random.choices([name for name, _ in kind.models], [share for _, share in kind.models])
+        own, tokens_out = self.random.randint(20, 200), self.random.randint(12, 60)
+        return {
+            "Sumachook-Model": model,
+            "Sumachook-Token-Counts": f"{SHARED_TOKENS + own},{tokens_out}",
+            "Sumachook-Prompt-Prefix": f"c8:{SHARED_TOKENS},{self.random.getrandbits(32):08x}:{own}",
+        }
+
+    async def _read_answer(self, connection: _Connection, request_id: str) -> _Answer:
+        """The answer; raises where it does not come to its end."""
         reader = connection.reader
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        head = (await reader.readuntil(HEAD_END)).decode("latin-1").split("\r\n")
         status = int(head[0].split(" ")[1])
-        headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in head[1:] if line)}
+        headers = {name.lower(): value for name, _, value in (field.partition(": ") for field in head[1:] if field)}
         if headers.get("transfer-encoding", "") == "chunked":
             while size := int((await reader.readline()).strip(), 16):
-                await reader.readexactly(size + 2)
-            await reader.readexactly(2)
+                await reader.readexactly(size + len(CHUNK_END))
+            await reader.readexactly(len(CHUNK_END))
         else:
             await reader.readexactly(int(headers["content-length"]))
         if 200 <= status < 300 and not headers.get(SEAL.lower(), "").endswith("." + request_id):
-            self.call_history.noted.append(
-                f"MIXED: {request_id} got the answer of another request on a kept connection"
-            )
-        return status, headers.get("connection", "").lower() == "close"
+            self.call_history.noted.append(f"MIXED: {request_id} got another request's answer on a kept connection")
+        return _Answer(status, headers.get("connection", "").lower() == "close")
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -195,14 +195,14 @@
             raise asyncio.CancelledError
         try:
             answer = await self._handle(request)
-            await self._write_whole(request, answer)
+            await self._complete_writing(request, answer)
         finally:
             connection.end_request(self.limits.idle_timeout)
         if self.is_stopping and connection.is_resting:
             connection.end(ConnectionEnd.LEAVING)
         return answer
 
-    async def _write_whole(self, request: BaseRequest, answer: StreamResponse) -> None:
+    async def _complete_writing(self, request: BaseRequest, answer: StreamResponse) -> None:
         """Writes what is not yet written of an answer."""
         try:
             await answer.prepare(request)
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -17,7 +17,7 @@
 def test_a_request_that_ran_and_whose_connection_was_closed_is_lost():
     """Given requests that were cut, of which a server ran one, and others with whole answers, that one is reported."""
     attempts = [
-        attempt("q1", AttemptEnd.WHOLE),
+        attempt("q1", AttemptEnd.COMPLETE),
         attempt("q2", AttemptEnd.CUT),
         attempt("q3", AttemptEnd.CUT),
         attempt("q4", AttemptEnd.UNSENT),
