--- a/tests/platform_adapters/test_platform.py
+++ b/tests/platform_adapters/test_platform.py
@@ -396,6 +396,27 @@
     assert read_node(CORE.encode(), "core")[2] == () and read_node(SETTINGS.encode(), "edge")[2] == ()
 
 
+def test_a_settings_file_that_is_being_written_as_a_node_starts_is_read_again(tmp_path):
+    """Given a file of which nothing, then a half is there when a node starts, and then all, the node has its settings; one that stays so
+    is refused with its reason. Seen by the soak: seeds are written while a process starts, which then ended by itself."""
+    from node import READ_ATTEMPTS, read_node_file
+
+    file, pauses = tmp_path / "settings.toml", []
+    texts = [SETTINGS[: len(SETTINGS) // 2], SETTINGS]
+
+    def write_on(seconds):
+        pauses.append(seconds)
+        if texts:
+            file.write_text(texts.pop(0))
+
+    file.write_text("")
+    settings, _, reasons = read_node_file(str(file), "edge", write_on)
+    assert settings is not None and reasons == () and len(pauses) == 2
+    file.write_text("")
+    settings, _, reasons = read_node_file(str(file), "edge", pauses.append)
+    assert settings is None and reasons == ("node-name: missing",) and len(pauses) == 2 + READ_ATTEMPTS - 1
+
+
 def test_changed_settings_bring_other_seeds_and_bad_ones_change_nothing(tmp_path):
     """Given a node that runs, when its settings file changes, with or without a signal, its seeds are those of the file; a file
     that cannot be read, or is cut short, changes nothing."""
