--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -26,6 +26,9 @@
 MAX_UNSENT_BYTES = 1 << 20
 SHUTDOWN_TIMEOUT = timedelta(seconds=0.2)  # for requests that are handled when the server is stopped
 TURNS_LEFT_UNREAD = 4  # of the loop, before a resting connection is closed: what comes in them is reset, unread
+ENDS_BY_CONNECTION = frozenset(
+    (ConnectionEnd.IDLE, ConnectionEnd.SLOW_HEAD, ConnectionEnd.LEAVING, ConnectionEnd.STOPPED)
+)
 LINGER_TIMEOUT, SWEEP_INTERVAL, IDLE_TIMEOUT = timedelta(seconds=1), timedelta(seconds=1), timedelta(seconds=15)
 
 
@@ -113,10 +116,13 @@
             self._sweep(asyncio.get_running_loop().time())
 
     def _note_end(self, connection: ClientConnection) -> None:
-        """Counts what ended a connection; tells of one that this node closed while something of a request was on it."""
+        """Counts what ended a connection; tells of one that was closed here while something of a request was on it.
+
+        Where the machine cut an answer off, the request's own line tells of it.
+        """
         ended_by = connection.ended_by or ConnectionEnd.CLIENT
         self.end_counts[ended_by] += 1
-        if self.log is None or ended_by is ConnectionEnd.CLIENT or connection.is_resting:
+        if self.log is None or ended_by not in ENDS_BY_CONNECTION or connection.is_resting:
             return
         now = asyncio.get_running_loop().time()
         fields = {
