--- /dev/null
+++ b/tests/nodes/test_core_shutdown.py
@@ -0,0 +1,58 @@
+"""A core that leaves: operators' calls that wait for their answers (docs/design/forwarding.md).
+
+The story: an operator's call was read by a core that had been told to leave, and waited there for its answer when the core ended: its
+connection was closed with none. Found by the soak, as the warning of a connection that was closed with a request on it.
+"""
+
+from datetime import timedelta
+
+import msgspec
+import pytest
+
+from sumachook.host.effects import Exit, Reply
+from sumachook.host.events import HttpRequestReceived, StopRequested, Tick
+from tests.deployment_fixtures import leader, settled
+
+TICK = timedelta(seconds=0.05)
+LONGEST = timedelta(seconds=4)
+APPLY = ("POST", "/operator/apply", msgspec.json.encode({"request": "r1", "doc": {"routes": []}, "part": True}))
+READ = ("GET", "/show/catalogue", b"")
+SEARCH = ("GET", "/ledger/e1.1.1", b"")
+
+
+class LeavingCore:
+    """The leader of a settled deployment, told to leave, to which from now on nobody else speaks."""
+
+    def __init__(self):
+        deployment = settled(1)
+        self.core = leader(deployment)
+        self.now = deployment.now
+        self.take(StopRequested())
+
+    def take(self, event):
+        return list(self.core.take(event, self.now))
+
+    def ask(self, call_id, method, path, body):
+        return self.take(HttpRequestReceived(call_id, method, path, {}, body))
+
+    def run_until_exit(self):
+        effects, begun = [], self.now
+        while not any(isinstance(effect, Exit) for effect in effects) and self.now - begun < LONGEST:
+            self.now += TICK
+            effects += self.take(Tick())
+        return effects
+
+
+@pytest.mark.parametrize("call", [APPLY, READ, SEARCH])
+def test_a_call_that_waits_when_its_core_ends_is_answered(call):
+    """Given an operator's change, a read and a search that wait for other cores when their core ends, each is told to ask another one,
+    and what comes after that is told so at once."""
+    leaving = LeavingCore()
+    leaving.now += timedelta(seconds=2.5)
+    replies = [effect for effect in leaving.ask(1, *call) if isinstance(effect, Reply)]
+    effects = leaving.run_until_exit()
+    replies += [effect for effect in effects if isinstance(effect, Reply)]
+    assert isinstance(effects[-1], Exit)
+    assert [(reply.call_id, reply.status) for reply in replies] == [(1, 503)]
+    (late,) = [effect for effect in leaving.ask(2, *call) if isinstance(effect, Reply)]
+    assert (late.call_id, late.status) == (2, 503)
--- a/tests/transport/test_connection_ends.py
+++ b/tests/transport/test_connection_ends.py
@@ -12,6 +12,8 @@
 """
 
 import asyncio
+import contextlib
+from random import Random
 
 import pytest
 
@@ -154,3 +156,74 @@
     assert play(story, well) == {ConnectionEnd.IDLE: 1, ConnectionEnd.SLOW_HEAD: 1}
     ((level, _, _, fields),) = lines
     assert level == "warning" and fields["by"] == ConnectionEnd.SLOW_HEAD and fields["state"] == "reading"
+
+
+SEEDS = range(40)
+CLIENTS, STEPS, MOST_TURNS_BETWEEN = 8, 60, 12
+IDLE_LIMITS_MS = (500.0, 5000.0, 15000.0)
+
+
+class SeriesClient:
+    """A client on one connection at a time; it writes its next request whether its connection still stands or not."""
+
+    def __init__(self):
+        self.answered = []
+        self.reader = self.writer = self.reading = None
+
+    async def ask(self, path, request_number):
+        if self.writer is None or self.reader.at_eof() or self.writer.is_closing():
+            self.reader, self.writer = await path.connect()
+        self.writer.write(head(number=request_number, more=b"Content-Length: 2\r\n") + b"{}")
+        self.reading = asyncio.ensure_future(self._read(self.reader, f"q{request_number}"))
+
+    async def _read(self, reader, request_id):
+        try:
+            await reader.readuntil(b"done")
+            self.answered.append(request_id)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+
+    @property
+    def is_waiting(self):
+        return self.reading is not None and not self.reading.done()
+
+
+async def play_series(path, peer, seed):
+    """Requests, sweeps whose clock runs ahead, and changes of the limits, at random turns of the loop; the node stops in between."""
+    random, clients, number = Random(seed), [SeriesClient() for _ in range(CLIENTS)], 0
+    stops_at = random.randrange(STEPS // 2, STEPS)
+    ahead = 0.0
+    for step in range(STEPS):
+        if step == stops_at:
+            path.front.stop_accepting()
+        free = [client for client in clients if not client.is_waiting]
+        for client in random.sample(free, min(len(free), random.randrange(4))):
+            number += 1
+            with contextlib.suppress(OSError):  # the node has stopped
+                await client.ask(path, number)
+        await turns(random.randrange(MOST_TURNS_BETWEEN))
+        if random.random() < 0.5:
+            ahead += random.choice((0.4, 2.0, 6.0, 16.0))
+            path.front._sweep(asyncio.get_running_loop().time() + ahead)
+        if random.random() < 0.3:
+            path.front.apply_limits(Limits(idle_ms=random.choice(IDLE_LIMITS_MS)))
+        await turns(random.randrange(MOST_TURNS_BETWEEN))
+    await turns(TURNS_TO_SETTLE)
+    for client in clients:
+        if client.writer is not None:
+            client.writer.close()
+    await turns(TURNS_TO_SETTLE)
+    return {request_id for client in clients for request_id in client.answered}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_whatever_ends_connections_at_whatever_turn_what_a_server_ran_is_answered(seed):
+    """Given clients on kept connections, sweeps by a clock that runs ahead, limits that change, and a node that stops, all at random
+    turns of the loop, each request that a server got has its answer, and some were answered."""
+
+    async def story(path, peer):
+        answered = await play_series(path, peer, seed)
+        return answered, {request.id for request in peer.requests}
+
+    answered, ran = play(story, well)
+    assert ran == answered and len(answered) > CLIENTS
