A core that ends answers the operators' calls that wait there

Changes, reads and searches that wait for other cores as a core ends are told to ask another one (a change with 'maybe' where it was proposed), and so is what comes in its last moments; their connections were closed without an answer.

--- a/sumachook/nodes/configuration_changes.py
+++ b/sumachook/nodes/configuration_changes.py
@@ -162,6 +162,11 @@
                 effects.append(self._propose(order, now))
         return effects
 
+    def close(self) -> list[Reply]:
+        """Answers all orders as unclear: this core ends before it can learn how they went."""
+        orders, self.orders = list(self.orders.values()), {}
+        return [self._answer_unclear(order) for order in orders]
+
     def settle(self, live: Sequence[str], confirmed: Mapping[str, int], now: timedelta) -> list[Reply]:
         """Answers what all live edges have confirmed, what was not taken, and what waited long enough for the edges."""
         replies = []
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -37,6 +37,11 @@
     return fault_reply(call_id, 503, "starting", reason, RETRY_AFTER_S, applied="no")
 
 
+def _leaving(call_id: CallId) -> Reply:
+    reason = "this core is leaving; ask another"
+    return fault_reply(call_id, 503, "leaving", reason, RETRY_AFTER_S, applied="no")
+
+
 class ControlApi:
     """Answers the HTTP calls of one core.
 
@@ -45,11 +50,12 @@
     leader, or answers 503.
     """
 
-    __slots__ = ("core", "configuration_changes", "reads", "searches")
+    __slots__ = ("core", "configuration_changes", "reads", "searches", "is_closed")
 
     def __init__(self, core: "Core") -> None:
         settings = core.settings
         self.core = core
+        self.is_closed = False
         self.reads = Reads()
         self.searches = LedgerSearch(core.replica_store)
         self.configuration_changes = ConfigurationChanges(
@@ -67,6 +73,8 @@
             return [self._condition(event.call_id, now)]
         if event.path == "/metrics":
             return [reply(event.call_id, 200, self._metrics(now))]
+        if self.is_closed:
+            return [_leaving(event.call_id)]
         if not self._is_authorized(event.headers):
             return [fault_reply(event.call_id, 401, "unknown-operator", "Authorization: Bearer KEY")]
         if event.method == "POST":
@@ -102,6 +110,12 @@
         self.searches.handle_disconnect(event.call_id)
         return []
 
+    def close(self) -> list[Reply]:
+        """The core ends now: whoever waits here for an answer is told to ask another one, and so is who comes later."""
+        self.is_closed = True
+        waiting = [read.call_id for read in self.reads.close()] + self.searches.close()
+        return [*self.configuration_changes.close(), *map(_leaving, waiting)]
+
     def tick(self, live: Sequence[str], confirmed: Mapping[str, int], now: timedelta) -> list[Effect | Any]:
         """What is due now; `live` are the live edges, `confirmed` how far each has followed the change feed."""
         effects: list[Any] = [*self.configuration_changes.tick(live, confirmed, now), *self.searches.tick(now)]
--- a/sumachook/nodes/core_tick.py
+++ b/sumachook/nodes/core_tick.py
@@ -39,7 +39,8 @@
         effects += self._tick_placement(is_fresh, is_leading, now)
         effects += self._tick_accounting(now)
         effects += core.api.tick(core.peers.alive_edges(), core.source.confirmed, now)
-        return effects + core.shutdown.step(now)
+        end = core.shutdown.step(now)
+        return [*effects, *core.api.close(), *end] if end else effects
 
     def _tick_replication(self, is_fresh: bool, now: timedelta) -> list[Any]:
         """Membership, and what needs the disk: consensus and the ledger's store."""
--- a/sumachook/nodes/ledger_search.py
+++ b/sumachook/nodes/ledger_search.py
@@ -68,6 +68,11 @@
                 replies.append(_answer(search))
         return replies
 
+    def close(self) -> list[CallId]:
+        """The calls of all searches; none waits any more."""
+        searches, self.searches = list(self.searches.values()), {}
+        return [search.call_id for search in searches]
+
     def handle_disconnect(self, call_id: CallId) -> None:
         """Forgets the search of a client that disconnected."""
         self.searches.pop(str(call_id), None)
--- a/sumachook/nodes/reads.py
+++ b/sumachook/nodes/reads.py
@@ -45,6 +45,11 @@
         for token in [token for token, read in self.waiting.items() if read.call_id == call_id]:
             del self.waiting[token]
 
+    def close(self) -> list[Read]:
+        """All reads; none waits any more."""
+        waiting, self.waiting = list(self.waiting.values()), {}
+        return waiting
+
     def overdue(self, now: timedelta) -> list[Read]:
         """Reads that were not answered in time; they wait no more."""
         late = [token for token, read in self.waiting.items() if now - read.started_at > READ_TIMEOUT]
