--- a/harness/fakes/kept_client.py
+++ b/harness/fakes/kept_client.py
@@ -12,6 +12,7 @@
 from harness.fakes.server import DEADLINE, REQUEST, SEAL
 
 CONNECT_WITHIN = 1.0  # seconds
+WAIT_AFTER_DEADLINE = 1.0  # seconds, for the answer that tells of it
 SHORT_REST, LONG_REST_PORTION = 0.15, 0.25  # mean seconds of most rests; how many last up to the idle limit instead
 MAX_REST_OF_LIMIT = 0.8  # of the idle limit: what clients of the users' platform keep to
 LIMIT_BYTES = 1 << 25
@@ -25,7 +26,8 @@
     COMPLETE = "a whole answer"
     CUT = "its connection ended without a whole answer"
     UNSENT = "no connection"
-    LATE = "no whole answer within its deadline"
+    LATE = "an answer after its deadline"
+    UNANSWERED = "no whole answer a second after its deadline"
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +113,13 @@
         was_kept = connection.answers > 0
         end, answer = AttemptEnd.CUT, _Answer(0, True)
         try:
-            async with asyncio.timeout(kind.deadline.total_seconds()):
+            async with asyncio.timeout(kind.deadline.total_seconds() + WAIT_AFTER_DEADLINE):
                 connection.writer.write(raw)
                 answer = await self._read_answer(connection, request_id)
-                end = AttemptEnd.COMPLETE
+                is_late = loop.time() - started_at > kind.deadline.total_seconds()
+                end = AttemptEnd.LATE if is_late else AttemptEnd.COMPLETE
         except TimeoutError:
-            end = AttemptEnd.LATE
+            end = AttemptEnd.UNANSWERED
         except (OSError, EOFError, ValueError):
             pass
         connection.answers += 1
