Mutations of the new guards

Eight more of the rule LOST. The one that closed connections on which a request had begun meanwhile is replaced: the decision stands once now, where the connection is closed, and is taken out there. The test of a connection that was closed here covers the turn before the handler, too: without it the guard's mutation was not caught.

--- a/harness/mutations/shutdown.py
+++ b/harness/mutations/shutdown.py
@@ -6,18 +6,11 @@
 LEAVING = "tests/nodes/test_edge_shutdown.py"
 HTTP_ADDRESS = "tests/transport/test_http_server.py"
 LIMITS = "tests/transport/test_client_limits.py"
+DAEMON = "tests/nodes/test_daemon.py"
 CONNECTION_ENDS = "tests/transport/test_connection_ends.py"
 
 SHUTDOWN_MUTATIONS = (
     Mutation("LOST", "a shut front lets in", "if table.is_closed:", "if False:", LEAVING, "once_the_front_is_shut"),
-    Mutation(
-        "LOST",
-        "a shut front closes connections on which a request is coming in",
-        "self.server.open_connections() if connection.is_resting]",
-        "self.server.open_connections() if connection.state.name != 'SERVING']",
-        LEAVING,
-        "rest_of_its_body or closed_unread",
-    ),
     Mutation(
         "LOST",
         "a request is handled on a connection that this node has closed",
@@ -147,6 +140,71 @@
         HTTP_ADDRESS,
         "in_use",
     ),
+    Mutation(
+        "LOST",
+        "each signal to leave begins the grace anew",
+        "        if self.shutdown.has_begun:\n            return []\n",
+        "",
+        LEAVING,
+        "second_signal",
+        "sumachook/nodes/edge.py",
+    ),
+    Mutation(
+        "LOST",
+        "an edge leaves while requests wait for its routes",
+        "proxy_pipeline.table.requests or proxy_pipeline.table.parked_requests",
+        "proxy_pipeline.table.requests",
+        LEAVING,
+        "waits_for_the_routes",
+    ),
+    Mutation(
+        "LOST",
+        "an effect that fails takes the others with it",
+        '        except Exception as error:\n            fields = {"kind": type(effect).__name__, "error": repr(error)}',
+        '        except ArithmeticError as error:\n            fields = {"kind": type(effect).__name__, "error": repr(error)}',
+        DAEMON,
+        "cannot_be_carried_out",
+    ),
+    Mutation(
+        "LOST",
+        "a process ends before its answers have left it",
+        "while loop.time() < self.write_until and any(",
+        "while False and any(",
+        DAEMON,
+        "answers_have_left",
+    ),
+    Mutation(
+        "LOST",
+        "a call that is cancelled with its client's task tells nothing",
+        "            if call_id not in self.tasks:\n                raise\n",
+        "            raise\n",
+        "tests/transport/test_http_client.py",
+        "under_way",
+    ),
+    Mutation(
+        "LOST",
+        "a resting connection is closed though a request has begun on it meanwhile",
+        "            if connection.is_resting:\n                connection.end(ConnectionEnd.LEAVING)\n            else:",
+        "            if True:\n                connection.end(ConnectionEnd.LEAVING)\n            else:",
+        CONNECTION_ENDS,
+        "read_together",
+    ),
+    Mutation(
+        "LOST",
+        "a connection rests by the limit at the first sweep",
+        "        self.idle_limit = idle_limit\n        self._change_state",
+        "        self.idle_limit = 0.0\n        self._change_state",
+        LIMITS,
+        "began_to_rest",
+    ),
+    Mutation(
+        "LOST",
+        "a core ends with operators' calls unanswered",
+        "[*effects, *core.api.close(), *end] if end else effects",
+        "[*effects, *end]",
+        "tests/nodes/test_core_shutdown.py",
+        "waits_when_its_core_ends",
+    ),
     Mutation(
         "LIMITS",
         "any head is taken",
--- a/tests/transport/test_connection_ends.py
+++ b/tests/transport/test_connection_ends.py
@@ -96,14 +96,16 @@
     play(story, well)
 
 
+@pytest.mark.parametrize("turn_count", [0, 1])
 @pytest.mark.parametrize("reason", [ConnectionEnd.IDLE, ConnectionEnd.SLOW_HEAD, ConnectionEnd.LEAVING])
-def test_a_request_on_a_connection_that_was_closed_here_before_it_began_is_not_passed_on(reason):
+def test_a_request_on_a_connection_that_was_closed_here_before_it_began_is_not_passed_on(reason, turn_count):
     """Given a request whose bytes were read, and a close that does not ask what is on the connection, no server gets the request: its
     client, who gets no answer, may send it again."""
 
     async def story(path, peer):
         _, writer, connection = await answered_connection(path)
         connection.data_received(SECOND_REQUEST)
+        await turns(turn_count)
         connection.end(reason)
         await turns(TURNS_TO_SETTLE)
         writer.close()
