--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -68,6 +68,15 @@
         """How many requests ended how."""
         return Counter(str(attempt.end) for attempt in self.attempts)
 
+    def counts(self) -> dict[str, int]:
+        """How much there was to judge, by kind."""
+        served = sum(attempt.end is AttemptEnd.COMPLETE and attempt.status == 200 for attempt in self.attempts)
+        return {
+            "requests served": served,
+            "requests on kept connections": sum(attempt.was_kept for attempt in self.attempts),
+            **{kind: self.actions[kind] for kind in ("restarts", "reloads", "configurations")},
+        }
+
     def describe(self) -> str:
         """One line of figures."""
         kept = sum(attempt.was_kept for attempt in self.attempts)
@@ -246,15 +255,7 @@
             for name, code in codes.items()
             if code and not self._was_stopped_at_start(name, code)
         ]
-        served = sum(attempt.end is AttemptEnd.COMPLETE and attempt.status == 200 for attempt in result.attempts)
-        counts = {
-            "requests served": served,
-            "requests on kept connections": sum(attempt.was_kept for attempt in result.attempts),
-            "restarts": result.actions["restarts"],
-            "reloads": result.actions["reloads"],
-            "configurations": result.actions["configurations"],
-        }
-        result.faults += find_unchecked(counts)
+        result.faults += find_unchecked(result.counts())
 
     def _faults_in_logs(self) -> list[str]:
         faults = []
--- a/sumachook/nodes/event_dispatcher.py
+++ b/sumachook/nodes/event_dispatcher.py
@@ -27,8 +27,8 @@
     >>> from sumachook.host.effects import Exit
     >>> from sumachook.host.events import Tick
     >>> dispatcher = EventDispatcher({Tick: lambda event, now: [Ping()], Ping: lambda event, now: [Exit(0)]})
-    >>> dispatcher.deliver(Tick(), timedelta(0))
-    [Exit(code=0)]
+    >>> dispatcher.deliver(Tick(), timedelta(0)) == [Exit(0)]
+    True
     """
 
     __slots__ = ("_handlers",)
--- a/tests/harness/test_vacuous_runs.py
+++ b/tests/harness/test_vacuous_runs.py
@@ -10,7 +10,19 @@
 
 import harness
 import harness.model_checking.__main__ as model
-from harness.experiments import allowances, chaos, days, digest, orders, replacements, scenarios, size, storms, twins
+from harness.experiments import (
+    allowances,
+    chaos,
+    days,
+    digest,
+    orders,
+    replacements,
+    scenarios,
+    size,
+    soak,
+    storms,
+    twins,
+)
 from harness.fuzzing.run import FuzzReport
 from harness.local_cluster import platform_city
 from harness.model_checking.explore import Report
@@ -256,6 +268,41 @@
     assert _exit_code(monkeypatch, size, "--stories", "rest", "--nodes", "20") == code
 
 
+def test_soak_without_a_seed_is_refused(monkeypatch):
+    """Given a last seed before the first, there is nothing to run, which is no success."""
+    monkeypatch.setattr(sys, "argv", ["command", "9", "3"])
+    with pytest.raises(SystemExit) as ended:
+        soak.main()
+    assert ended.value.code not in (0, None)
+
+
+@pytest.mark.parametrize(("faults", "code"), [([], 0), (["a fault"], 1)])
+def test_soak_with_a_fault_fails(monkeypatch, faults, code):
+    """Given a run with a fault, the command fails; given none, it does not."""
+
+    async def play_soak(spec, work):
+        return soak.SoakResult(spec, faults=faults)
+
+    monkeypatch.setattr(soak, "play_soak", play_soak)
+    monkeypatch.setattr(sys, "argv", ["command", "1", "1"])
+    with pytest.raises(SystemExit) as ended:
+        soak.main()
+    assert ended.value.code == code
+
+
+def test_soak_in_which_nothing_was_done_counts_nothing():
+    """Given a run without a request or a restart, each kind of what it judges is counted as none, which is a fault each."""
+    counts = soak.SoakResult(soak.SoakSpec(1)).counts()
+    assert set(counts) == {
+        "requests served",
+        "requests on kept connections",
+        "restarts",
+        "reloads",
+        "configurations",
+    }
+    assert len(find_unchecked(counts)) == len(counts)
+
+
 def test_every_check_is_known_to_these_tests():
     """Given the commands of the harness that end with a verdict, each is one whose emptiness is tested here or beside."""
     folder = Path(harness.__file__).parent
@@ -264,7 +311,7 @@
         for path in folder.rglob("*.py")
         if "raise SystemExit(" in path.read_text() or "sys.exit(" in path.read_text()
     }
-    tested = {module.__name__ for module in (*SEEDED, days, model, platform_city, replacements, scenarios, size)}
+    tested = {module.__name__ for module in (*SEEDED, days, model, platform_city, replacements, scenarios, size, soak)}
     tested_beside = {"harness.mutations.runner", "harness.fuzzing.__main__"}
     of_real_processes = {f"harness.local_cluster.{name}" for name in ("city", "trials", "processes")}
     of_measurements = {f"harness.experiments.scale.{name}" for name in ("__main__", "child", "socket_run")}
--- a/tests/short_forms.py
+++ b/tests/short_forms.py
@@ -58,7 +58,7 @@
     """The typed effect that a tuple stands for; anything else comes back as it is.
 
     >>> effect_of(("leave", 0))
-    Exit(code=0)
+    Exit(code=0, write_within=datetime.timedelta(seconds=2))
     """
     if not isinstance(effect, tuple) or effect[0] not in _EFFECTS:
         return effect
@@ -70,7 +70,7 @@
 
     >>> from sumachook.host.effects import Exit
     >>> tuple_of_effect(Exit(0))
-    ('leave', 0)
+    ('leave', 0, datetime.timedelta(seconds=2))
     """
     tag = _EFFECT_TAGS.get(type(effect))
     return effect if tag is None else (tag, *astuple(effect))
