The soak tells a SIGHUP ahead of a program's first line from an end of its own

Its log has no line after the end of the process before it: the signal found the interpreter ahead of the line that ignores it, where nothing of ours runs and nobody is served. A process that has said nothing and ended so is no fault of the product; one that has said anything is, as before.

--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -77,7 +77,14 @@
 
     def has_handled_stop(self, machine) -> bool:
         """Whether the log of its process says that it leaves; one that was signalled before it listens does not."""
-        return LEAVING in (self.work / f"{machine}.log").read_bytes()[self.log_starts[machine] :]
+        return LEAVING in self._log_of_process(machine)
+
+    def has_spoken(self, machine) -> bool:
+        """Whether its process wrote anything: before its first lines the interpreter's own handlers are in force."""
+        return bool(self._log_of_process(machine))
+
+    def _log_of_process(self, machine) -> bytes:
+        return (self.work / f"{machine}.log").read_bytes()[self.log_starts[machine] :]
 
     def is_restarting(self, machine) -> bool:
         return machine in self.in_restart
