A request that lies unread as its connection is closed: a failing test

Cause: whoever closes a client's connection asks it what was read. What came in during a long turn of the loop, or while reading is paused before the close, lies in the kernel's buffer and is reset.

--- a/tests/transport/test_connection_ends.py
+++ b/tests/transport/test_connection_ends.py
@@ -136,6 +136,26 @@
     play(story, well)
 
 
+@pytest.mark.parametrize("close", [sweep_resting, stop_accepting])
+def test_a_request_that_has_reached_this_node_unread_is_answered(close):
+    """Given a request that lies in the kernel's buffer of a connection which this node is about to close, its client gets a whole
+    answer: a busy turn of the loop, in which nothing is read, must not cut what came in during it."""
+
+    async def story(path, peer):
+        path.front.apply_limits(Limits())
+        reader, writer, _ = await answered_connection(path)
+        path.front._sweep(asyncio.get_running_loop().time())
+        writer.write(SECOND_REQUEST)
+        close(path.front)
+        answer = await reader.readuntil(b"done")
+        writer.close()
+        return answer, [request.id for request in peer.requests]
+
+    answer, requests = play(story, well)
+    status, _, body, is_whole = parted(answer)
+    assert (status, body, is_whole) == (200, b"done", True) and requests == ["q1", "q2"]
+
+
 def test_the_close_of_a_connection_with_a_request_on_it_is_logged_with_its_cause():
     """Given a head that never comes whole, and a connection that rests, the end of the former is a warning that says why; both are
     counted."""
