A request that lies unread in the kernel's buffer is on its connection; closes tell what they reset

Cause: whoever closes a client's connection asked it what was read; what came in during a long turn of the loop was reset. What comes in after the node has stopped stays unread, as before.

--- a/harness/mutations/shutdown.py
+++ b/harness/mutations/shutdown.py
@@ -35,6 +35,22 @@
         LEAVING,
         "in_hand_when_the_front",
     ),
+    Mutation(
+        "LOST",
+        "the sweep closes a connection whose request lies unread",
+        "return ConnectionEnd.IDLE if self.may_be_ended else None",
+        "return ConnectionEnd.IDLE",
+        CONNECTION_ENDS,
+        "unread_is_answered",
+    ),
+    Mutation(
+        "LOST",
+        "a shut front closes a connection whose request lies unread",
+        "if connection.may_be_ended]",
+        "if connection.is_resting]",
+        CONNECTION_ENDS,
+        "unread_is_answered",
+    ),
     Mutation(
         "LOST",
         "bytes of a request leave its connection resting until the handler begins",
@@ -119,8 +135,8 @@
     Mutation(
         "LOST",
         "half a head keeps its connection for ever",
-        "return ConnectionEnd.IDLE if self.is_resting else ConnectionEnd.SLOW_HEAD",
-        "return ConnectionEnd.IDLE if self.is_resting else None",
+        "            if not self.is_resting:\n                return ConnectionEnd.SLOW_HEAD\n",
+        "            if not self.is_resting:\n                return None\n",
         HTTP_ADDRESS,
         "whole_head",
     ),
--- a/sumachook/transport/client_connection.py
+++ b/sumachook/transport/client_connection.py
@@ -2,7 +2,8 @@
 
 The connection itself knows whether a request is on it, from the first byte that is read to the last byte of the answer.
 Whoever would close it asks the connection, and whoever would handle a request asks it too, so that between the reading
-of a request and the start of its handler, some turns of the event loop later, no third party can decide otherwise.
+of a request and the start of its handler, some turns of the event loop later, no third party can decide otherwise. What
+lies unread in the kernel's buffer is on the connection as well: a close would reset it.
 """
 
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 
 from sumachook.host.events import ConnectionEnd
 from sumachook.transport.connection_limits import ConnectionLimits
+from sumachook.transport.socket_buffers import unread_bytes
 
 
 def error_body(name: str, reason: str) -> bytes:
@@ -59,6 +61,20 @@
         """Whether nothing of a request is on it."""
         return self.state is ConnectionState.RESTING
 
+    @property
+    def may_be_ended(self) -> bool:
+        """Whether nothing of a request is on it, nor lies unread in the kernel, as when a turn of the loop was long.
+
+        What comes in later crosses the close on its way; it is not read, and its client may send it again.
+        """
+        return self.is_resting and not self.unread_byte_count
+
+    @property
+    def unread_byte_count(self) -> int:
+        """How many bytes wait in the kernel to be read."""
+        connected = self.transport.get_extra_info("socket") if self.transport is not None else None
+        return 0 if connected is None else unread_bytes(connected)
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether something that was written waits for its client to read."""
@@ -108,7 +124,9 @@
             self.swept_since = now
             return None
         if now - self.swept_since > max(self.idle_limit, limits.idle_timeout):
-            return ConnectionEnd.IDLE if self.is_resting else ConnectionEnd.SLOW_HEAD
+            if not self.is_resting:
+                return ConnectionEnd.SLOW_HEAD
+            return ConnectionEnd.IDLE if self.may_be_ended else None
         if self.head_since is not None and now - self.head_since > limits.header_timeout:
             return ConnectionEnd.SLOW_HEAD
         return None
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -118,20 +118,31 @@
     def _note_end(self, connection: ClientConnection) -> None:
         """Counts what ended a connection; tells of one that was closed here while something of a request was on it.
 
-        Where the machine cut an answer off, the request's own line tells of it.
+        Where the machine cut an answer off, the request's own line tells of it. What came in too late for the close is
+        reset, unread; what is on its way even then shows at its client alone.
         """
         ended_by = connection.ended_by or ConnectionEnd.CLIENT
         self.end_counts[ended_by] += 1
-        if self.log is None or ended_by not in ENDS_BY_CONNECTION or connection.is_resting:
+        if self.log is None or ended_by not in ENDS_BY_CONNECTION:
             return
+        unread = connection.unread_byte_count
+        if not connection.is_resting:
+            fields = self._describe_end(connection, ended_by, unread)
+            self.log("warning", "http-server", "A connection was closed with a request on it.", fields)
+        elif unread:
+            fields = self._describe_end(connection, ended_by, unread)
+            self.log("info", "http-server", "A connection was closed as bytes came in that nobody has read.", fields)
+
+    @staticmethod
+    def _describe_end(connection: ClientConnection, ended_by: ConnectionEnd, unread: int) -> dict[str, Any]:
         now = asyncio.get_running_loop().time()
-        fields = {
+        return {
             "by": str(ended_by),
             "state": connection.state.name.lower(),
             "readFor": None if connection.head_since is None else round(now - connection.head_since, 4),
             "idleLimit": connection.idle_limit,
+            "unreadBytes": unread,
         }
-        self.log("warning", "http-server", "A connection was closed with a request on it.", fields)
 
     def _sweep(self, now: float) -> None:
         """Closes a connection that rests for too long, and one on which a head has been coming in for too long."""
@@ -141,12 +152,15 @@
                 connection.end(reason)
 
     def stop_accepting(self) -> None:
-        """Takes no new connections; closes resting ones now, and the others once their request is answered."""
+        """Takes no new connections; closes resting ones now, and the others once their request is answered.
+
+        A request that has come in by now is answered, also one that lies unread in the kernel's buffer.
+        """
         if self.listener is None or self.server is None:
             return
         self.is_stopping = True
         self.listener.close()
-        resting = [connection for connection in self.server.open_connections() if connection.is_resting]
+        resting = [connection for connection in self.server.open_connections() if connection.may_be_ended]
         for connection in resting:
             connection.pause()  # what comes from now on stays unread, and may be sent elsewhere
         self._close_resting(resting, TURNS_LEFT_UNREAD)
--- a/tests/transport/test_connection_ends.py
+++ b/tests/transport/test_connection_ends.py
@@ -180,6 +180,26 @@
     assert level == "warning" and fields["by"] == ConnectionEnd.SLOW_HEAD and fields["state"] == "reading"
 
 
+def test_bytes_that_come_in_too_late_for_a_close_are_told_as_unread():
+    """Given a client whose request comes in after its connection was told to close, no server gets it, and a line says how many
+    bytes were left unread."""
+    lines = []
+
+    async def story(path, peer):
+        path.front.log = lambda *line: lines.append(line)
+        _, writer, connection = await answered_connection(path)
+        connection.end(ConnectionEnd.IDLE)
+        writer.write(SECOND_REQUEST)
+        await turns(TURNS_TO_SETTLE)
+        writer.close()
+        return [request.id for request in peer.requests]
+
+    assert play(story, well) == ["q1"]
+    ((level, _, _, fields),) = lines
+    assert level == "info" and fields["by"] == ConnectionEnd.IDLE and fields["state"] == "resting"
+    assert fields["unreadBytes"] == len(SECOND_REQUEST)
+
+
 SEEDS = range(40)
 CLIENTS, STEPS, MOST_TURNS_BETWEEN = 8, 60, 12
 IDLE_LIMITS_MS = (500.0, 5000.0, 15000.0)
