The soak explains each cut: a request that no server ran, too, is cut by a leaving edge alone

Cause: the soak judged the requests that a server had run; a cut beside no leaving of its edge and no idle limit passed for a crossing. Its clients wrote on connections that they could see were closed, so crossings and closed connections looked alike. Now a client looks before it writes, each cut is held against the leavings of its edge and the shortest idle limit, and a request with neither an answer nor a cut a second after its deadline is a fault.

--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -4,7 +4,8 @@
 connections until the process is gone. All that happens to the nodes is planned work: reloads, orderly ends, starts, and
 configurations that move routes and change the limits of clients' connections; a signal may come at any moment of a
 process's life, also before it serves, twice, or beside another. So no request that a server ran may be left without an
-answer, no process may end by itself or beyond its grace period, and the newest configuration is read back.
+answer, and none that reached a connection which no edge had a reason to close; no process may end by itself or beyond
+its grace period, and the newest configuration is read back.
 """
 
 import argparse
@@ -20,7 +21,7 @@
 from typing import Any
 
 from harness.fakes.deployment import FIRST, HOST, KINDS, ZONES, Deployment
-from harness.fakes.kept_client import AttemptEnd, KeptAttempt, KeptClient
+from harness.fakes.kept_client import AttemptEnd, IdleLimits, KeptAttempt, KeptClient
 from harness.fakes.request_kind import RequestKind
 from harness.local_cluster.nodes import GRACE
 from harness.run_checks import find_unchecked, seed_range
@@ -32,6 +33,7 @@
 EXTRA_ROUTES = 6
 ENDED_BY_TERM, ENDED_BY_HUP = -signal.SIGTERM, -signal.SIGHUP
 BEYOND_GRACE = 0.5  # seconds by which this machine may be late to see an end
+LATE_SIGHT = 0.5  # seconds by which a client may be late to see that a process has ended
 CLOSED_WITH_A_REQUEST = "A connection was closed with a request on it."
 ERROR_TEXTS = (
     "A task failed and is started again.",
@@ -54,6 +56,23 @@
         return max(24, min(160, 4 * self.edges))
 
 
+@dataclass(slots=True)
+class Leaving:
+    """A time in which an edge left: from its SIGTERM to the end of its process, by the loop's clock in seconds."""
+
+    edge: str
+    since: float
+    until: float = float("inf")
+
+    def explains(self, attempt: KeptAttempt) -> bool:
+        """Whether a request that nobody ran may have crossed the closing of this edge's connections."""
+        return (
+            self.edge == attempt.edge
+            and self.since <= attempt.ended_at
+            and attempt.started_at <= self.until + LATE_SIGHT
+        )
+
+
 @dataclass(slots=True)
 class SoakResult:
     """What one run did and found."""
@@ -61,6 +80,7 @@
     spec: SoakSpec
     actions: Counter = field(default_factory=Counter)
     attempts: list[KeptAttempt] = field(default_factory=list)
+    leavings: list[Leaving] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
 
     @property
@@ -80,11 +100,13 @@
     def describe(self) -> str:
         """One line of figures."""
         kept = sum(attempt.was_kept for attempt in self.attempts)
+        cut_kept = [attempt.rest.seconds for attempt in cut_attempts(self.attempts) if attempt.rest is not None]
+        rests = f", those on kept ones after {min(cut_kept):.3f} to {max(cut_kept):.3f} s of rest" if cut_kept else ""
         actions = ", ".join(f"{count} {name}" for name, count in sorted(self.actions.items()))
         ends = ", ".join(f"{count} {name}" for name, count in sorted(self.ends.items()))
         return (
             f"seed {self.spec.seed}: {self.spec.edges} edges, {len(self.attempts)} requests, {kept} on kept connections"
-            f" ({ends}); {actions}; {len(self.faults)} faults"
+            f" ({ends}{rests}); {actions}; {len(self.faults)} faults"
         )
 
 
@@ -99,6 +121,7 @@
         self.result = SoakResult(spec)
         self.until = 0.0
         self.base_routes = list(FIRST["routes"])
+        self.sent_idle_limit_ms = float(FIRST["limits"]["idle-timeout-ms"])  # of the change that was sent last
 
     async def play(self) -> SoakResult:
         """Starts everything, lets clients call while all is restarted and changed, and judges what was seen."""
@@ -126,9 +149,10 @@
         name = f"soak-{self.spec.seed}-{number}"
         return KeptClient(name, zone, HOST, KINDS, deployment.call_history, deployment.balancer, self._idle_limit)
 
-    def _idle_limit(self) -> float:
+    def _idle_limit(self) -> IdleLimits:
         limits: Any = self.deployment.document["limits"]
-        return float(limits["idle-timeout-ms"]) / 1000
+        known_ms = float(limits["idle-timeout-ms"])
+        return IdleLimits(known_ms / 1000, min(known_ms, self.sent_idle_limit_ms) / 1000)
 
     # planned work ---------------------------------------------------------------------------
 
@@ -186,7 +210,14 @@
             if not self._was_stopped_at_start(name, process.returncode):
                 self.result.faults.append(f"{name} had ended by itself with {process.returncode}")
             return
+        leaving = Leaving(self.deployment.nodes.front_address(name), asyncio.get_running_loop().time())
+        self.result.leavings.append(leaving)
         self.deployment.nodes.signal(name, signal.SIGTERM)
+        await self._see_end(name, variant, process)
+        leaving.until = asyncio.get_running_loop().time()
+
+    async def _see_end(self, name: str, variant: str, process: asyncio.subprocess.Process):
+        """Further signals, and the end of a process that was told to leave."""
         if variant == "second SIGTERM":
             await self._signal_within(name, signal.SIGTERM, 4.0)
         if variant == "SIGHUP while it leaves":
@@ -223,7 +254,9 @@
     async def _change_configuration(self):
         """Routes come and go, time-outs and the limits of clients' connections change, one configuration after the other."""
         while not self._is_over():
-            await self.deployment.configure("/Configuration.Replace", self._draw_configuration())
+            configuration = self._draw_configuration()
+            self.sent_idle_limit_ms = float(configuration["limits"]["idle-timeout-ms"])
+            await self.deployment.configure("/Configuration.Replace", configuration)
             self.result.actions["configurations"] += 1
             await asyncio.sleep(self.random.uniform(0.0, 0.8))
 
@@ -252,6 +285,8 @@
         result, history = self.result, self.deployment.call_history
         result.faults += history.violations()
         result.faults += lost_requests(result.attempts, history.runs)
+        result.faults += unexplained_cuts(result.attempts, history.runs, result.leavings)
+        result.faults += unanswered_requests(result.attempts)
         result.faults += self._faults_in_logs()
         codes = {name: process.returncode for name, process in self.deployment.nodes.running.items()}
         result.faults += [
@@ -272,13 +307,42 @@
         return faults
 
 
+def cut_attempts(attempts: list[KeptAttempt]) -> list[KeptAttempt]:
+    """Requests whose connection ended without a whole answer."""
+    return [attempt for attempt in attempts if attempt.end is AttemptEnd.CUT]
+
+
 def lost_requests(attempts: list[KeptAttempt], runs: dict) -> list[str]:
     """Requests that a server ran and whose connection ended without a whole answer."""
     return [
         f"LOST: {attempt.request_id} of {attempt.kind.name} ran, and its connection to {attempt.edge} ended without a whole answer"
         f" {attempt.ended_at - attempt.started_at:.3f} s after it was sent"
+        for attempt in cut_attempts(attempts)
+        if attempt.request_id in runs
+    ]
+
+
+def unexplained_cuts(attempts: list[KeptAttempt], runs: dict, leavings: list[Leaving]) -> list[str]:
+    """Requests that no server ran, cut by an edge that neither left nor had a limit by which their connection rested.
+
+    One that crosses the close of a connection is allowed: it was not passed on, and its client may send it again.
+    """
+    return [
+        f"CUT: {attempt.request_id} of {attempt.kind.name} got no answer from {attempt.edge}, which was not leaving"
+        f" ({attempt.ended_at - attempt.started_at:.3f} s after it was sent, {attempt.rest or 'on a new connection'})"
+        for attempt in cut_attempts(attempts)
+        if attempt.request_id not in runs
+        and not any(leaving.explains(attempt) for leaving in leavings)
+        and not (attempt.rest is not None and attempt.rest.seconds > attempt.rest.shortest_limit)
+    ]
+
+
+def unanswered_requests(attempts: list[KeptAttempt]) -> list[str]:
+    """Requests that got neither an answer nor the end of their connection by a second after their deadline."""
+    return [
+        f"UNANSWERED: {attempt.request_id} of {attempt.kind.name} at {attempt.edge}"
         for attempt in attempts
-        if attempt.end is AttemptEnd.CUT and attempt.request_id in runs
+        if attempt.end is AttemptEnd.UNANSWERED
     ]
 
 
--- a/harness/fakes/kept_client.py
+++ b/harness/fakes/kept_client.py
@@ -30,9 +30,29 @@
     UNANSWERED = "no whole answer a second after its deadline"
 
 
+class IdleLimits(NamedTuple):
+    """For how many seconds a connection may rest: by the limit that is acknowledged, which clients know, and by the
+    shortest that an edge may go by already.
+    """
+
+    known: float
+    shortest: float
+
+
+class Rest(NamedTuple):
+    """For how many seconds a connection had rested, and the shortest limit that an edge may have gone by."""
+
+    seconds: float
+    shortest_limit: float
+
+
 @dataclass(frozen=True, slots=True)
 class KeptAttempt:
-    """One request; times are the loop's, in seconds. `was_kept`: its connection had carried another one before."""
+    """One request; times are the loop's, in seconds.
+
+    `rest` is that of its connection since the answer before, None on a new connection. Its connection stood, for all
+    that the client could see, as the request was written.
+    """
 
     request_id: str
     kind: RequestKind
@@ -41,16 +61,36 @@
     ended_at: float
     end: AttemptEnd
     status: int
-    was_kept: bool
+    rest: Rest | None
+
+    @property
+    def was_kept(self) -> bool:
+        """Whether its connection had carried another request before."""
+        return self.rest is not None
 
 
 class _Connection:
-    """One connection, and how many answers came on it."""
+    """One connection; when it began to rest, and the shortest idle limit then."""
 
-    __slots__ = ("edge", "reader", "writer", "answers")
+    __slots__ = ("edge", "reader", "writer", "resting_since", "shortest_limit")
 
     def __init__(self, edge: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
-        self.edge, self.reader, self.writer, self.answers = edge, reader, writer, 0
+        self.edge, self.reader, self.writer = edge, reader, writer
+        self.resting_since: float | None = None  # None: no answer has come on it
+        self.shortest_limit = 0.0
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the other side has closed it, as far as has come through."""
+        return self.reader.at_eof() or self.reader.exception() is not None
+
+    def begin_rest(self, now: float, shortest_limit: float) -> None:
+        """An answer has come to its end."""
+        self.resting_since, self.shortest_limit = now, shortest_limit
+
+    def rest(self, now: float) -> Rest | None:
+        """How long it has rested since its last answer."""
+        return None if self.resting_since is None else Rest(now - self.resting_since, self.shortest_limit)
 
 
 class _Answer(NamedTuple):
@@ -79,7 +119,7 @@
     def __init__(self, name: str, zone: str, host: str, kinds, call_history: CallHistory, balancer, idle_limit):
         self.name, self.zone, self.host, self.kinds = name, zone, host, kinds
         self.call_history, self.balancer = call_history, balancer
-        self.idle_limit = idle_limit  # gives the idle limit that clients know now, in seconds
+        self.idle_limit = idle_limit  # gives the `IdleLimits` now
         self.random = Random(name)
         self.attempts: list[KeptAttempt] = []
         self.connection: _Connection | None = None
@@ -90,7 +130,7 @@
         weights = [kind.rate for kind in self.kinds]
         try:
             while loop.time() < until:
-                limit = self.idle_limit()
+                limit = self.idle_limit().known
                 (kind,) = self.random.choices(self.kinds, weights)
                 self.attempts.append(await self._ask(kind))
                 await asyncio.sleep(self._draw_rest(limit))
@@ -107,10 +147,12 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         request_id, raw = self._draw_request(kind)
+        if self.connection is not None and self.connection.has_ended:
+            self._drop()
         connection = self.connection or await self._connect()
         if connection is None:
-            return KeptAttempt(request_id, kind, "", started_at, loop.time(), AttemptEnd.UNSENT, 0, False)
-        was_kept = connection.answers > 0
+            return KeptAttempt(request_id, kind, "", started_at, loop.time(), AttemptEnd.UNSENT, 0, None)
+        rest = connection.rest(loop.time())
         end, answer = AttemptEnd.CUT, _Answer(0, True)
         try:
             async with asyncio.timeout(kind.deadline.total_seconds() + WAIT_AFTER_DEADLINE):
@@ -122,10 +164,10 @@
             end = AttemptEnd.UNANSWERED
         except (OSError, EOFError, ValueError):
             pass
-        connection.answers += 1
+        connection.begin_rest(loop.time(), self.idle_limit().shortest)
         if answer.is_last:
             self._drop()
-        return KeptAttempt(request_id, kind, connection.edge, started_at, loop.time(), end, answer.status, was_kept)
+        return KeptAttempt(request_id, kind, connection.edge, started_at, loop.time(), end, answer.status, rest)
 
     async def _connect(self) -> _Connection | None:
         edge = self.balancer.choose(self.zone, f"{self.name}/{self.random.random()}")
--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -59,6 +59,10 @@
         classes = {role["on"] for role in self.roles.values() if serves in role.get("serves", ())}
         return [(zone, f"{ip}:{PORTS[what]}") for kind, zone, ip in self.machines.values() if kind in classes]
 
+    def front_address(self, machine) -> str:
+        """Where a machine takes clients, if it does."""
+        return f"{self.machines[machine][2]}:{PORTS['front']}"
+
     async def start_all(self):
         for machine, (kind, _, _) in self.machines.items():
             for role, said in self.roles.items():
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -1,17 +1,30 @@
-"""The soak: what it takes for a fault, and a short run of real processes (docs/design/processes.md)."""
+"""The soak: what it takes for a fault, and short runs of real processes (docs/design/processes.md)."""
 
 import asyncio
 
-from harness.experiments.soak import SoakSpec, lost_requests, play_soak
+import pytest
+
+from harness.experiments.soak import (
+    Leaving,
+    SoakSpec,
+    lost_requests,
+    play_soak,
+    unanswered_requests,
+    unexplained_cuts,
+)
 from harness.fakes.deployment import KINDS
-from harness.fakes.kept_client import AttemptEnd, KeptAttempt
+from harness.fakes.kept_client import AttemptEnd, KeptAttempt, Rest
 
-SHORT_RUN_SEED, SHORT_RUN_S = 1, 15.0
+SHORT_RUN_SEEDS, SHORT_RUN_S = (1, 2), 15.0
 LOOKUP = next(kind for kind in KINDS if kind.name == "lookup")
+EDGE, OTHER_EDGE = "127.0.0.1:1", "127.0.0.2:1"
+SENT_AT, ENDED_AT = 5.0, 5.004
+RESTED, LIMIT = 0.3, 1.5
+SHORT_REST = Rest(RESTED, LIMIT)
 
 
-def attempt(request_id, end):
-    return KeptAttempt(request_id, LOOKUP, "127.0.0.1:1", 1.0, 1.004, end, 0, True)
+def attempt(request_id, end, rest=SHORT_REST):
+    return KeptAttempt(request_id, LOOKUP, EDGE, SENT_AT, ENDED_AT, end, 0, rest)
 
 
 def test_a_request_that_ran_and_whose_connection_was_closed_is_lost():
@@ -26,8 +39,42 @@
     assert "LOST: q3 of lookup" in fault
 
 
-def test_clients_that_keep_their_connections_lose_nothing_while_all_is_restarted_reloaded_and_changed(tmp_path):
+@pytest.mark.parametrize(
+    "leavings",
+    [
+        [],
+        [Leaving(OTHER_EDGE, 4.0)],
+        [Leaving(EDGE, 1.0, 4.0)],
+        [Leaving(EDGE, 6.0)],
+    ],
+)
+@pytest.mark.parametrize("rest", [None, Rest(RESTED, LIMIT)])
+def test_a_request_that_was_cut_while_its_edge_stayed_is_reported(leavings, rest):
+    """Given a cut request that no server ran, on a new connection or on one that may still rest, and an edge that was not leaving
+    then, it is reported."""
+    (fault,) = unexplained_cuts([attempt("q1", AttemptEnd.CUT, rest)], {}, leavings)
+    assert "CUT: q1 of lookup" in fault
+
+
+def test_a_request_that_crosses_a_close_is_no_fault():
+    """Given requests that no server ran, one cut while its edge left, one on a connection that had rested for longer than the limit that
+    its edge may have gone by, and one that was answered, none is reported."""
+    leaving = [Leaving(EDGE, 4.0)]
+    assert unexplained_cuts([attempt("q1", AttemptEnd.CUT)], {}, leaving) == []
+    assert unexplained_cuts([attempt("q1", AttemptEnd.CUT, Rest(LIMIT + 0.1, LIMIT))], {}, []) == []
+    assert unexplained_cuts([attempt("q1", AttemptEnd.COMPLETE)], {}, []) == []
+
+
+def test_a_request_that_nobody_answers_or_cuts_is_reported():
+    """Given a request without an answer a second after its deadline, and one that was answered, the first is reported."""
+    (fault,) = unanswered_requests([attempt("q1", AttemptEnd.UNANSWERED), attempt("q2", AttemptEnd.COMPLETE)])
+    assert "UNANSWERED: q1" in fault
+
+
+@pytest.mark.parametrize("seed", SHORT_RUN_SEEDS)
+def test_clients_that_keep_their_connections_lose_nothing_while_all_is_restarted_reloaded_and_changed(tmp_path, seed):
     """Given three cores and four edges as real processes under signals, restarts and changes in series that overlap, no request that
-    a server ran goes without an answer, no process ends by itself or too late, and the newest configuration is read back."""
-    result = asyncio.run(play_soak(SoakSpec(SHORT_RUN_SEED, SHORT_RUN_S), tmp_path))
+    a server ran goes without an answer, none is cut by an edge that stays, no process ends by itself or too late, and the newest
+    configuration is read back."""
+    result = asyncio.run(play_soak(SoakSpec(seed, SHORT_RUN_S), tmp_path))
     assert result.faults == [], result.describe()
