--- a/harness/fakes/kept_client.py
+++ b/harness/fakes/kept_client.py
@@ -63,6 +63,11 @@
     status: int
     rest: Rest | None
 
+    @property
+    def seconds(self) -> float:
+        """From its sending to its end."""
+        return self.ended_at - self.started_at
+
     @property
     def was_kept(self) -> bool:
         """Whether its connection had carried another request before."""
