Tests of real processes tell their nodes' warnings and this process's stalls with a failure

Cause: the test of a deployment failed once and its output was not kept; whoever looks later has no logs.

--- a/tests/harness/test_platform_fakes.py
+++ b/tests/harness/test_platform_fakes.py
@@ -12,10 +12,12 @@
 from harness.fakes.client import Client
 from harness.fakes.deployment import ENGINE, FIRST, HOST, KINDS, MODELS, Deployment, _free_network
 from harness.fakes.instance_list import InstanceList
+from harness.fakes.loop_stalls import LoopStalls
 from harness.fakes.model_server import ModelServer
 from harness.fakes.plain_server import PlainServer
 from harness.fakes.response_chunks import digest_of, event_data
 from harness.fakes.server import DEADLINE, EXPECTED, NOT_RUN, REQUEST, SEAL
+from harness.local_cluster.evidence import told_with_failures
 
 BOUND = 60.0
 KIND = {kind.name: kind for kind in KINDS}
@@ -230,10 +232,11 @@
 def test_a_deployment_of_real_processes_serves_every_kind_and_breaks_no_rule(tmp_path):
     """Given three cores and three edges as deploy/system.toml starts them, configured by the operator, each kind is served, also
     with models that nobody held; a route more is acknowledged and read back, and every process ends cleanly."""
-    deployment = None
+    deployment, stalls = None, LoopStalls()
 
     async def story():
         nonlocal deployment
+        stalls.begin()
         deployment = Deployment(tmp_path)
         async with deployment:
             await deployment.configure("/Configuration.Replace", FIRST)
@@ -243,13 +246,14 @@
             await deployment.read_back()
             assert all(process.returncode is None for process in deployment.nodes.running.values())
 
-    _play(story())
-    served = {
-        name: sum(outcome in ("in time", "late") for outcome, _, _ in found)
-        for name, found in deployment.outcomes.items()
-    }
-    assert deployment.call_history.violations() == []
-    assert set(served) == set(KIND) and all(served.values()), deployment.outcomes
-    assert {name: process.returncode for name, process in deployment.nodes.running.items()} == dict.fromkeys(
-        deployment.nodes.machines, 0
-    )
+    with told_with_failures(tmp_path, stalls):
+        _play(story())
+        served = {
+            name: sum(outcome in ("in time", "late") for outcome, _, _ in found)
+            for name, found in deployment.outcomes.items()
+        }
+        assert deployment.call_history.violations() == []
+        assert set(served) == set(KIND) and all(served.values()), deployment.outcomes
+        assert {name: process.returncode for name, process in deployment.nodes.running.items()} == dict.fromkeys(
+            deployment.nodes.machines, 0
+        )
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -15,6 +15,7 @@
 from harness.fakes.deployment import KINDS
 from harness.fakes.kept_client import AttemptEnd, KeptAttempt, Rest
 from harness.fakes.loop_stalls import LoopStalls, Stall
+from harness.local_cluster.evidence import told_with_failures
 
 SHORT_RUN_SEEDS, SHORT_RUN_S = (1, 2), 15.0
 LOOKUP = next(kind for kind in KINDS if kind.name == "lookup")
@@ -115,4 +116,5 @@
     a server ran goes without an answer, none is cut by an edge that stays, no process ends by itself or too late, and the newest
     configuration is read back."""
     result = asyncio.run(play_soak(SoakSpec(seed, SHORT_RUN_S), tmp_path))
-    assert result.faults == [], result.describe()
+    with told_with_failures(tmp_path, result.stalls):
+        assert result.faults == [], result.describe()
