--- a/tests/nodes/test_edge_shutdown.py
+++ b/tests/nodes/test_edge_shutdown.py
@@ -20,7 +20,7 @@
 from sumachook.transport.addresses import split_address
 from sumachook.transport.http_server import TURNS_LEFT_UNREAD
 from sumachook.transport.node_transport import NodeTransport
-from tests.forwarding.forwarding_fixtures import FixedTrust, catalogue, server
+from tests.forwarding.forwarding_fixtures import FixedTrust, catalogue, route, server
 from tests.short_forms import event_of, tuple_of_effect
 from tests.transport.proxy_fixtures import BOUND, SOON, head, play, sealed, well
 
@@ -28,12 +28,13 @@
 GRACE = 8.0
 CONNECTING_TAKES = 0.02  # seconds, on a network that is not loopback
 LAST_CALL = GRACE * SECOND - FINAL_ANSWERS_BEFORE_END
+LONG_STREAM_S = 4.2
 
 
 class Leaver:
     """A forwarding edge that is in touch, its pulses, and what it said and when, counted from the signal to leave."""
 
-    def __init__(self, grace=GRACE):
+    def __init__(self, grace=GRACE, routes=None):
         settings = NodeSettings(
             node="e1",
             address="127.0.0.1:1",
@@ -45,7 +46,7 @@
         )
         self.now = self.stop_at = Clock().mono()
         self.edge, self.said, self.number = Edge(settings, {}, 1, Clock(), Random(1)), [], 0
-        assert self.edge.state.apply(1, ("configure", "q", catalogue(), {}, False, 0))[0] == "ok"
+        assert self.edge.state.apply(1, ("configure", "q", catalogue(routes=routes), {}, False, 0))[0] == "ok"
         self.edge.state.servers = {"r1": server("records")}
         self.tick()
 
@@ -201,6 +202,29 @@
     )
 
 
+@pytest.mark.parametrize("taken_at", [0.5, 1.5, 2.5, 2.8, 3.1, 3.5, 3.9])
+def test_a_stream_that_lasts_for_seconds_is_whole_or_not_taken(taken_at):
+    """Given clients that go on coming, and a stream that lasts 4.2 s, at any moment after the signal to leave: it is passed on and reaches
+    its client whole, or its client is told at once that it has not run. None is taken that the end of the grace cuts off."""
+    leaver = Leaver(routes=[route("loose", "stream", timeoutMs=9000)]).stop()
+    leaver.run(SECOND * taken_at, asks_every=SECOND * 0.3)
+    before = len(leaver.when("forward"))
+    cid = leaver.ask("/loose/x", ("X-Deadline-Ms", "9000"))
+    if len(leaver.when("forward")) == before:
+        at, status, headers, body = leaver.reply(cid)
+        assert (status, headers["Connection"], msgspec.json.decode(body)["fault"]["run"]) == (503, "close", "no")
+        assert at <= SECOND * taken_at + TICK * 2
+        return
+    leaver.hear("sent")
+    pairs = (("X-Request-Id", f"q{cid[1]}"), ("X-Server-Seal", "s"), ("Content-Type", "text/event-stream"))
+    leaver.hear("head", 200, pairs)
+    leaver.hear("chunk", b"id: 1\ndata: a\n\n")
+    leaver.run(SECOND * (taken_at + LONG_STREAM_S))
+    leaver.hear("chunk", b"id: 2\ndata: b\n\n")
+    leaver.hear("end")
+    assert [effect[0] for _, effect in leaver.said if effect[1:2] == (cid,)] == ["head", "chunk", "chunk", "end"]
+
+
 def test_a_request_that_waits_for_the_routes_is_answered_before_the_edge_leaves():
     """Given an edge that does not know its routes any more, and a request that still waits for them when the front is shut, the edge
     refuses it as not run before it decides to leave."""
