A leaving edge takes no request that the end of its grace cuts off

Cause: the front was shut after half of the grace at the latest; what is taken after 3 s of 8 has less of it left than a long stream lasts. It is shut after 0.36 of the grace now (2.88 s of 8).

--- a/sumachook/nodes/edge_shutdown.py
+++ b/sumachook/nodes/edge_shutdown.py
@@ -11,7 +11,8 @@
 
 FINAL_ANSWERS_BEFORE_END = timedelta(seconds=0.8)  # of the grace period
 MIN_OPEN_TIME = timedelta(seconds=2.5)  # after the signal: until the readiness answer has reached who sends clients
-MAX_OPEN_FRACTION = 0.5  # of the grace period
+# Of the grace period: what is taken later has too little of it left, and its answer may be cut off at the end.
+MAX_OPEN_FRACTION = 0.36
 QUIET_TIME = timedelta(seconds=1)  # without a request: nobody sends clients any more
 INFERENCE_GRACE_STEP = timedelta(seconds=1)  # between two rounds of final answers
 
