--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -29,6 +29,7 @@
 
 LAST_MESSAGES = timedelta(seconds=0.2)  # for what was sent last to leave the process before it ends
 UNSENT_CHECK_INTERVAL = timedelta(seconds=0.02)
+STALL = timedelta(seconds=0.5)  # by which a tick is late when the process, or its machine, stood still
 SIGNAL_EVENTS: dict[signal.Signals, events.Event] = {
     signal.SIGTERM: events.StopRequested(),
     signal.SIGINT: events.StopRequested(),
@@ -155,11 +156,20 @@
         return getattr(self.machine, "tick_interval", TICK)
 
     async def _run_ticks(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            begun_at = loop.time()
             if self.disk:
                 self.disk.check_state()
             self._hear(events.Tick())
+            longest = max(self._tick_interval, TICK)
             await self._wait_for_next_tick()
+            self._note_lateness(timedelta(seconds=loop.time() - begun_at) - longest)
+
+    def _note_lateness(self, late: timedelta) -> None:
+        """Tells of a tick so late that this process stood still: what is late or cut then has its cause here."""
+        if late >= STALL:
+            self.log("warning", "daemon", "This process stood still.", {"seconds": round(late.total_seconds(), 3)})
 
     async def _wait_for_next_tick(self) -> None:
         """Waits as long as nothing in the machine waits for a tick, or until an event gives it something that does."""
--- a/tests/nodes/test_daemon.py
+++ b/tests/nodes/test_daemon.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.changefeed.messages import Follow
 from sumachook.host.effects import Exit, Reply, SendDatagram
@@ -158,3 +160,43 @@
         return []
 
     assert play(story, effects_for).endswith(b"whole")
+
+
+class Clockwork(asyncio.SelectorEventLoop):
+    """An event loop whose clock jumps ahead of the time that its callbacks wait for."""
+
+    ahead = 0.0
+
+    def time(self):
+        return super().time() + self.ahead
+
+
+@pytest.mark.parametrize(("stood_still", "is_told"), [(0.3, False), (2.0, True)])
+def test_a_process_that_stood_still_says_for_how_long(stood_still, is_told):
+    """Given a clock that runs on between two ticks while nothing is handled, as when the machine is frozen or its processors are taken,
+    a warning says for how long; a tick that is a little late is not worth one."""
+    loop = Clockwork()
+
+    async def story():
+        async with Process(lambda call_id: []) as process:
+            loop.ahead += stood_still
+            await asyncio.wait_for(next_tick(process), BOUND)
+            return process.lines
+
+    lines = loop.run_until_complete(story())
+    loop.close()
+    told = [fields["seconds"] for level, text, fields in lines if text == "This process stood still."]
+    assert len(told) == is_told and all(abs(seconds - stood_still) < 0.3 for seconds in told)
+
+
+async def next_tick(process):
+    """Returns when one more tick has come and its lateness is noted."""
+    came = asyncio.Event()
+    note = process.daemon._note_lateness
+
+    def noted(late):
+        note(late)
+        came.set()
+
+    process.daemon._note_lateness = noted
+    await came.wait()
