--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -10,7 +10,6 @@
 
 import argparse
 import asyncio
-import json
 import signal
 import tempfile
 from collections import Counter
@@ -20,6 +19,14 @@
 from random import Random
 from typing import Any
 
+from harness.experiments.soak_faults import (
+    Leaving,
+    cut_attempts,
+    faults_in_logs,
+    lost_requests,
+    unanswered_requests,
+    unexplained_cuts,
+)
 from harness.fakes.deployment import FIRST, HOST, KINDS, ZONES, Deployment
 from harness.fakes.kept_client import AttemptEnd, IdleLimits, KeptAttempt, KeptClient
 from harness.fakes.loop_stalls import LoopStalls
@@ -34,14 +41,6 @@
 EXTRA_ROUTES = 6
 ENDED_BY_TERM, ENDED_BY_HUP = -signal.SIGTERM, -signal.SIGHUP
 BEYOND_GRACE = 0.5  # seconds by which this machine may be late to see an end
-ANSWER_WITHIN = 0.5  # seconds beyond its deadline in which a client must see the answer to a request
-LATE_SIGHT = 0.5  # seconds by which a client may be late to see that a process has ended
-CLOSED_WITH_A_REQUEST = "A connection was closed with a request on it."
-ERROR_TEXTS = (
-    "A task failed and is started again.",
-    "An event could not be taken.",
-    "An effect could not be carried out.",
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,23 +57,6 @@
         return max(24, min(160, 4 * self.edges))
 
 
-@dataclass(slots=True)
-class Leaving:
-    """A time in which an edge left: from its SIGTERM to the end of its process, by the loop's clock in seconds."""
-
-    edge: str
-    since: float
-    until: float = float("inf")
-
-    def explains(self, attempt: KeptAttempt) -> bool:
-        """Whether a request that nobody ran may have crossed the closing of this edge's connections."""
-        return (
-            self.edge == attempt.edge
-            and self.since <= attempt.ended_at
-            and attempt.started_at <= self.until + LATE_SIGHT
-        )
-
-
 @dataclass(slots=True)
 class SoakResult:
     """What one run did and found."""
@@ -292,7 +274,7 @@
         result.faults += lost_requests(result.attempts, history.runs)
         result.faults += unexplained_cuts(result.attempts, history.runs, result.leavings)
         result.faults += unanswered_requests(result.attempts, result.stalls)
-        result.faults += self._faults_in_logs()
+        result.faults += faults_in_logs(self.work)
         codes = {name: process.returncode for name, process in self.deployment.nodes.running.items()}
         result.faults += [
             f"{name} ended with {code} at the end"
@@ -301,64 +283,6 @@
         ]
         result.faults += find_unchecked(result.counts())
 
-    def _faults_in_logs(self) -> list[str]:
-        faults = []
-        for log in sorted(self.work.glob("*.log")):
-            for line in log.read_text(errors="replace").splitlines():
-                if "Traceback" in line or any(text in line for text in ERROR_TEXTS):
-                    faults.append(f"{log.stem}: {line}")
-                elif CLOSED_WITH_A_REQUEST in line and json.loads(line)["state"] == "serving":
-                    faults.append(f"{log.stem}: {line}")
-        return faults
-
-
-def cut_attempts(attempts: list[KeptAttempt]) -> list[KeptAttempt]:
-    """Requests whose connection ended without a whole answer, before their deadline: at it, an answer may be cut off."""
-    return [
-        attempt
-        for attempt in attempts
-        if attempt.end is AttemptEnd.CUT and attempt.seconds < attempt.kind.deadline.total_seconds()
-    ]
-
-
-def lost_requests(attempts: list[KeptAttempt], runs: dict) -> list[str]:
-    """Requests that a server ran and whose connection ended without a whole answer."""
-    return [
-        f"LOST: {attempt.request_id} of {attempt.kind.name} ran, and its connection to {attempt.edge} ended without a whole answer"
-        f" {attempt.seconds:.3f} s after it was sent"
-        for attempt in cut_attempts(attempts)
-        if attempt.request_id in runs
-    ]
-
-
-def unexplained_cuts(attempts: list[KeptAttempt], runs: dict, leavings: list[Leaving]) -> list[str]:
-    """Requests that no server ran, cut by an edge that neither left nor had a limit by which their connection rested.
-
-    One that crosses the close of a connection is allowed: it was not passed on, and its client may send it again.
-    """
-    return [
-        f"CUT: {attempt.request_id} of {attempt.kind.name} got no answer from {attempt.edge}, which was not leaving"
-        f" ({attempt.seconds:.3f} s after it was sent, {attempt.rest or 'on a new connection'})"
-        for attempt in cut_attempts(attempts)
-        if attempt.request_id not in runs
-        and not any(leaving.explains(attempt) for leaving in leavings)
-        and not (attempt.rest is not None and attempt.rest.seconds > attempt.rest.shortest_limit)
-    ]
-
-
-def unanswered_requests(attempts: list[KeptAttempt], stalls: LoopStalls) -> list[str]:
-    """Requests that got neither an answer nor the end of their connection in time.
-
-    Time in which this process stood still counts for nothing: an answer may have come in and wait to be read.
-    """
-    return [
-        f"UNANSWERED: {attempt.request_id} of {attempt.kind.name} at {attempt.edge}"
-        for attempt in attempts
-        if attempt.end is AttemptEnd.UNANSWERED
-        and attempt.seconds - stalls.seconds_within(attempt.started_at, attempt.ended_at)
-        >= attempt.kind.deadline.total_seconds() + ANSWER_WITHIN
-    ]
-
 
 async def play_soak(spec: SoakSpec, work: Path) -> SoakResult:
     """One run in a folder of its own, bounded in time."""
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from harness.experiments.soak import (
+from harness.experiments.soak import SoakSpec, play_soak
+from harness.experiments.soak_faults import (
     Leaving,
-    SoakSpec,
+    faults_in_logs,
     lost_requests,
-    play_soak,
     unanswered_requests,
     unexplained_cuts,
 )
@@ -110,6 +110,18 @@
     assert stalls.seconds_within(0.0, 0.65) == pytest.approx(0.5)
 
 
+CLOSED = '{"level": "WARNING", "message": "A connection was closed with a request on it.", "state": "%s"}'
+
+
+def test_logs_tell_of_faults(tmp_path):
+    """Given a log with everyday lines, a failed task, a traceback, and connections that were closed while a head was coming in and while
+    a request was served, the head alone passes."""
+    lines = ['{"message": "edge: Starting."}', "Traceback (most recent call last):"]
+    lines += ['{"message": "daemon: A task failed and is started again."}', CLOSED % "reading", CLOSED % "serving"]
+    (tmp_path / "edge-1.log").write_text("\n".join(lines))
+    assert faults_in_logs(tmp_path) == [f"edge-1: {lines[number]}" for number in (1, 2, 4)]
+
+
 @pytest.mark.parametrize("seed", SHORT_RUN_SEEDS)
 def test_clients_that_keep_their_connections_lose_nothing_while_all_is_restarted_reloaded_and_changed(tmp_path, seed):
     """Given three cores and four edges as real processes under signals, restarts and changes in series that overlap, no request that
