Tests of the platform's adapters by subject; their folder is put on the path once

Cause: one file of 1,046 lines held names, settings, documents, operators and servers, and two files changed the path by themselves.

--- a/harness/mutations/control_plane.py
+++ b/harness/mutations/control_plane.py
@@ -180,7 +180,7 @@
         "replaced seeds wait for their turn",
         "                self.seeds = tuple(event.addresses)\n                return self._compare_views(now)",
         "                self.seeds = tuple(event.addresses)\n                return []",
-        "tests/platform_adapters/test_platform.py",
+        "tests/platform_adapters/test_platform_settings.py",
         "replaced_seeds",
     ),
     Mutation(
--- a/tests/platform_adapters/test_adapter_events.py
+++ b/tests/platform_adapters/test_adapter_events.py
@@ -1,21 +1,16 @@
 """What reaches a node's machine through the platform's adapters."""
 
-import sys
 from datetime import timedelta
-from pathlib import Path
 
 import pytest
+from node_adapter import NodeAdapter
+from operator_adapter import OperatorAdapter
 
 from sumachook.host.effects import Send
 from sumachook.ledger.events import RecordsSynced, RewriteSynced
 from sumachook.ledger.messages import RecordsOpened
 from sumachook.storage.events import DiskStateChanged
 
-sys.path.append(str(Path(__file__).parent.parent.parent / "platform"))  # at the end, as when a node is run
-
-from node_adapter import NodeAdapter  # noqa: E402
-from operator_adapter import OperatorAdapter  # noqa: E402
-
 DISK_EVENTS = [
     RecordsSynced(Send("127.0.0.1:1", RecordsOpened(()))),
     RewriteSynced(),
