--- a/tests/compatibility/test_wire_bytes.py
+++ b/tests/compatibility/test_wire_bytes.py
@@ -26,7 +26,7 @@
 from tests.deployment_fixtures import leader, settled
 from tests.forwarding.forwarding_fixtures import CHAT, NOT_RUN, ONCE, PLAIN
 from tests.forwarding.forwarding_fixtures import Scene as ForwardingScene
-from tests.platform_adapters import test_platform as platform_samples
+from tests.platform_adapters import adapters, platform_fixtures, test_platform_operator
 from tests.short_forms import effect_of
 
 FIXTURES = Path(__file__).parent.parent / "fixtures" / "wire"
@@ -159,7 +159,7 @@
             hand_over(box, effect)
 
         deployment._answer = keep
-        deployment.add("caller", "operator", lambda box: platform_samples.Operator(), "", "", "operator")
+        deployment.add("caller", "operator", lambda box: test_platform_operator.Operator(), "", "", "operator")
 
     def call(self, title, method, path, doc=b"", core="core-1", base=None):
         operator = self.deployment.boxes["caller"].machine
@@ -288,7 +288,7 @@
     """Orders to model servers, and what their answers and reports are read as."""
     transcript = Transcript()
     body = json.dumps(SERVER_REPORT).encode()
-    for port in (ServerPort, platform_samples.PlatformOrderPort):
+    for port in (ServerPort, adapters.PlatformOrderPort):
         title = "own" if port is ServerPort else "platform"
         orders = [port.report()]
         for verb in ("load", "unload"):
@@ -317,18 +317,18 @@
 
 def platform_documents() -> str:
     """Settings, documents and headers of the platform, translated and back."""
-    transcript, samples = Transcript(), platform_samples
+    transcript, samples = Transcript(), platform_fixtures
     zones, whole = tuple(samples.ZONES), samples.whole
     for title, text in (("edge", samples.SETTINGS), ("core", samples.CORE)):
-        transcript.note_json(f"settings of an {title}", samples.read_settings(text.encode()))
+        transcript.note_json(f"settings of an {title}", adapters.read_settings(text.encode()))
     for text in ("node-name = ", "node-name = 'n'", samples.SETTINGS.replace('"10.200.0.4:8142"', "7")):
-        transcript.note_json("settings that can't be used", samples.read_settings(text.encode()))
+        transcript.note_json("settings that can't be used", adapters.read_settings(text.encode()))
     more = {"routes": [{**samples.ROUTE, "tenant": {"a": [1, None, 1.0]}}], "extra": 5}
     for doc in (whole(), {**whole(), **more}, {"version": 9}):
-        ours = samples.from_platform(doc, zones)
+        ours = adapters.from_platform(doc, zones)
         transcript.note_json("document", ours)
-        transcript.note_json("document read back", samples.to_platform(json.loads(json.dumps(ours))))
-    for port in (RequestPort(), samples.PlatformRequestPort()):
+        transcript.note_json("document read back", adapters.to_platform(json.loads(json.dumps(ours))))
+    for port in (RequestPort(), adapters.PlatformRequestPort()):
         _note_port(transcript, port)
     return transcript.text()
 
@@ -357,8 +357,8 @@
 
 def platform_answers() -> str:
     """What the platform's operator is answered over a fleet, and what a node's readiness says."""
-    samples, transcript = platform_samples, Transcript()
-    scene = samples.Scene(301)
+    samples, transcript = platform_fixtures, Transcript()
+    scene = test_platform_operator.Scene(301)
     caller = ControlCaller(scene.deployment, transcript)
     ahead, behind = _leader_and_follower(scene.deployment)
     replace, update, read = "/Configuration.Replace", "/Configuration.Update", "/Configuration.Read"
@@ -367,8 +367,8 @@
     caller.call("read back", "GET", read, core=behind)
     caller.call("stale", "POST", replace, samples.whole(8), ahead, 3)
     caller.call("no base", "POST", replace, samples.whole(8), ahead, "x")
-    for title in sorted(samples.BAD):
-        caller.call(title, "POST", replace, samples.BAD[title], ahead, 7)
+    for title in sorted(test_platform_operator.BAD):
+        caller.call(title, "POST", replace, test_platform_operator.BAD[title], ahead, 7)
     part = {
         "version": 9,
         "upserts": {"routes": [{**samples.SINGLE, "name": "r-3", "path-prefix": "/z/"}]},
@@ -386,7 +386,7 @@
     for path in ("/readiness", "/condition", "/metrics"):
         caller.call("node", "GET", path, core=ahead)
     now = scene.deployment.now
-    edge = samples.NodeAdapter(scene.deployment.machines("edge")[0], "/nowhere/settings.toml")
+    edge = adapters.NodeAdapter(scene.deployment.machines("edge")[0], "/nowhere/settings.toml")
     readiness = HttpRequestReceived(1, "GET", "/readiness", {}, b"")
     transcript.note_effects("an edge's /readiness", edge.take(readiness, now))
     return transcript.text()
