Reread: a cut that comes later than a crossing takes is a fault; strikes around the acknowledgement

Cause: the soak took any cut of a request that no server ran for a crossing while its edge left, also of one that the edge had read and held; it has to come within the loss slack of 0.2 s now. A comment said that an acknowledgement takes some 20 ms in the tests of disks and power; run, it is there at 80 ms for two cores of three and at 150 ms for all: three moments more lie around it, and from 150 ms on it must be there. Names: log_excerpts and with_logs_on_failure for evidence and told_with_failures, JumpingClockLoop for Clockwork.

--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -272,7 +272,7 @@
         result, history = self.result, self.deployment.call_history
         result.faults += history.violations()
         result.faults += lost_requests(result.attempts, history.runs)
-        result.faults += unexplained_cuts(result.attempts, history.runs, result.leavings)
+        result.faults += unexplained_cuts(result.attempts, history.runs, result.leavings, result.stalls)
         result.faults += unanswered_requests(result.attempts, result.stalls)
         result.faults += faults_in_logs(self.work)
         codes = {name: process.returncode for name, process in self.deployment.nodes.running.items()}
--- a/harness/experiments/soak_faults.py
+++ b/harness/experiments/soak_faults.py
@@ -6,8 +6,10 @@
 
 from harness.fakes.kept_client import AttemptEnd, KeptAttempt
 from harness.fakes.loop_stalls import LoopStalls
+from harness.local_cluster.nodes import BOUNDS
 
 ANSWER_WITHIN = 0.5  # seconds beyond its deadline in which a client must see the answer to a request
+LOSS_SLACK = BOUNDS["loss-slack-ms"] / 1000  # seconds: what is cut later was read, and is lost whether it ran or not
 LATE_SIGHT = 0.5  # seconds by which a client may be late to see that a process has ended
 CLOSED_WITH_A_REQUEST = "A connection was closed with a request on it."
 ERROR_TEXTS = (
@@ -53,21 +55,28 @@
     ]
 
 
-def unexplained_cuts(attempts: list[KeptAttempt], runs: dict, leavings: list[Leaving]) -> list[str]:
-    """Requests that no server ran, cut by an edge that neither left nor had a limit by which their connection rested.
+def unexplained_cuts(attempts: list[KeptAttempt], runs: dict, leavings: list[Leaving], stalls: LoopStalls) -> list[str]:
+    """Requests that no server ran and that did not cross the close of their connection.
 
-    One that crosses the close of a connection is allowed: it was not passed on, and its client may send it again.
+    A crossing is allowed: the request was not passed on, and its client may send it again. It shows within the slack,
+    and its edge was leaving, or the connection had rested for longer than a limit by which the edge may have gone.
     """
     return [
-        f"CUT: {attempt.request_id} of {attempt.kind.name} got no answer from {attempt.edge}, which was not leaving"
+        f"CUT: {attempt.request_id} of {attempt.kind.name} got no answer from {attempt.edge}, and crossed no close"
         f" ({attempt.seconds:.3f} s after it was sent, {attempt.rest or 'on a new connection'})"
         for attempt in cut_attempts(attempts)
-        if attempt.request_id not in runs
-        and not any(leaving.explains(attempt) for leaving in leavings)
-        and not (attempt.rest is not None and attempt.rest.seconds > attempt.rest.shortest_limit)
+        if attempt.request_id not in runs and not _crossed_a_close(attempt, leavings, stalls)
     ]
 
 
+def _crossed_a_close(attempt: KeptAttempt, leavings: list[Leaving], stalls: LoopStalls) -> bool:
+    stalled = stalls.seconds_within(attempt.started_at, attempt.ended_at)
+    if attempt.seconds - stalled > LOSS_SLACK:
+        return False
+    has_rested_too_long = attempt.rest is not None and attempt.rest.seconds > attempt.rest.shortest_limit
+    return has_rested_too_long or any(leaving.explains(attempt) for leaving in leavings)
+
+
 def unanswered_requests(attempts: list[KeptAttempt], stalls: LoopStalls) -> list[str]:
     """Requests that got neither an answer nor the end of their connection in time.
 
@@ -88,11 +97,11 @@
         f"{log.stem}: {line}"
         for log in sorted(work.glob("*.log"))
         for line in log.read_text(errors="replace").splitlines()
-        if _tells_of_a_fault(line)
+        if _is_fault(line)
     ]
 
 
-def _tells_of_a_fault(line: str) -> bool:
+def _is_fault(line: str) -> bool:
     if "Traceback" in line or any(text in line for text in ERROR_TEXTS):
         return True
     return CLOSED_WITH_A_REQUEST in line and bool(json.loads(line)["state"] == "serving")
--- a/harness/local_cluster/evidence.py
+++ b/harness/local_cluster/log_excerpts.py
@@ -1,4 +1,4 @@
-"""What a run of real processes leaves behind, told with the failure of a test, since its logs are gone later."""
+"""Excerpts of nodes' logs, added to the failure of a test of real processes: the logs are gone later."""
 
 import contextlib
 from collections.abc import Iterator
@@ -12,7 +12,7 @@
 
 
 @contextlib.contextmanager
-def told_with_failures(work: Path, stalls: LoopStalls) -> Iterator[None]:
+def with_logs_on_failure(work: Path, stalls: LoopStalls) -> Iterator[None]:
     """Adds the noteworthy lines of all nodes' logs below `work` to a failure, and when this process stood still."""
     try:
         yield
--- a/tests/harness/test_evidence.py
+++ b/tests/harness/test_log_excerpts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from harness.fakes.loop_stalls import LoopStalls, Stall
-from harness.local_cluster.evidence import told_with_failures
+from harness.local_cluster.log_excerpts import with_logs_on_failure
 
 LOG = """{"time": "1", "level": "INFO", "message": "edge: Starting."}
 {"time": "2", "level": "INFO", "message": "transit: Request late or dropped."}
@@ -18,7 +18,7 @@
     (tmp_path / "edge-1.log").write_text(LOG)
     stalls = LoopStalls()
     stalls.stalls = [Stall(1.0, 4.0)]
-    with pytest.raises(kind) as failure, told_with_failures(tmp_path, stalls):
+    with pytest.raises(kind) as failure, with_logs_on_failure(tmp_path, stalls):
         raise kind("something else than was expected")
     (note,) = failure.value.__notes__
     first, *lines = note.splitlines()
@@ -29,5 +29,5 @@
 
 def test_what_does_not_fail_tells_nothing(tmp_path):
     """Given no failure, nothing is read."""
-    with told_with_failures(tmp_path / "missing", LoopStalls()):
+    with with_logs_on_failure(tmp_path / "missing", LoopStalls()):
         pass
--- a/tests/harness/test_platform_fakes.py
+++ b/tests/harness/test_platform_fakes.py
@@ -17,7 +17,7 @@
 from harness.fakes.plain_server import PlainServer
 from harness.fakes.response_chunks import digest_of, event_data
 from harness.fakes.server import DEADLINE, EXPECTED, NOT_RUN, REQUEST, SEAL
-from harness.local_cluster.evidence import told_with_failures
+from harness.local_cluster.log_excerpts import with_logs_on_failure
 
 BOUND = 60.0
 KIND = {kind.name: kind for kind in KINDS}
@@ -246,7 +246,7 @@
             await deployment.read_back()
             assert all(process.returncode is None for process in deployment.nodes.running.values())
 
-    with told_with_failures(tmp_path, stalls):
+    with with_logs_on_failure(tmp_path, stalls):
         _play(story())
         served = {
             name: sum(outcome in ("in time", "late") for outcome, _, _ in found)
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -15,7 +15,7 @@
 from harness.fakes.deployment import KINDS
 from harness.fakes.kept_client import AttemptEnd, KeptAttempt, Rest
 from harness.fakes.loop_stalls import LoopStalls, Stall
-from harness.local_cluster.evidence import told_with_failures
+from harness.local_cluster.log_excerpts import with_logs_on_failure
 
 SHORT_RUN_SEEDS, SHORT_RUN_S = (1, 2), 15.0
 LOOKUP = next(kind for kind in KINDS if kind.name == "lookup")
@@ -57,7 +57,7 @@
 def test_a_request_that_was_cut_while_its_edge_stayed_is_reported(leavings, rest):
     """Given a cut request that no server ran, on a new connection or on one that may still rest, and an edge that was not leaving
     then, it is reported."""
-    (fault,) = unexplained_cuts([attempt("q1", AttemptEnd.CUT, rest)], {}, leavings)
+    (fault,) = unexplained_cuts([attempt("q1", AttemptEnd.CUT, rest)], {}, leavings, LoopStalls())
     assert "CUT: q1 of lookup" in fault
 
 
@@ -65,9 +65,19 @@
     """Given requests that no server ran, one cut while its edge left, one on a connection that had rested for longer than the limit that
     its edge may have gone by, and one that was answered, none is reported."""
     leaving = [Leaving(EDGE, 4.0)]
-    assert unexplained_cuts([attempt("q1", AttemptEnd.CUT)], {}, leaving) == []
-    assert unexplained_cuts([attempt("q1", AttemptEnd.CUT, Rest(LIMIT + 0.1, LIMIT))], {}, []) == []
-    assert unexplained_cuts([attempt("q1", AttemptEnd.COMPLETE)], {}, []) == []
+    assert unexplained_cuts([attempt("q1", AttemptEnd.CUT)], {}, leaving, LoopStalls()) == []
+    assert unexplained_cuts([attempt("q1", AttemptEnd.CUT, Rest(LIMIT + 0.1, LIMIT))], {}, [], LoopStalls()) == []
+    assert unexplained_cuts([attempt("q1", AttemptEnd.COMPLETE)], {}, [], LoopStalls()) == []
+
+
+@pytest.mark.parametrize(("stalled", "is_reported"), [(0.0, True), (0.3, False)])
+def test_a_request_that_is_cut_later_than_a_crossing_takes_is_reported(stalled, is_reported):
+    """Given a request that no server ran, cut 0.4 s after it was sent by an edge that left, it was read and is reported; it is not if
+    this process stood still for most of that time."""
+    stalls = LoopStalls()
+    stalls.stalls = [Stall(SENT_AT, SENT_AT + stalled)]
+    held = attempt("q1", AttemptEnd.CUT, seconds=0.4)
+    assert bool(unexplained_cuts([held], {}, [Leaving(EDGE, 4.0)], stalls)) is is_reported
 
 
 def test_an_answer_that_is_cut_off_at_its_deadline_is_not_lost():
@@ -128,5 +138,5 @@
     a server ran goes without an answer, none is cut by an edge that stays, no process ends by itself or too late, and the newest
     configuration is read back."""
     result = asyncio.run(play_soak(SoakSpec(seed, SHORT_RUN_S), tmp_path))
-    with told_with_failures(tmp_path, result.stalls):
+    with with_logs_on_failure(tmp_path, result.stalls):
         assert result.faults == [], result.describe()
--- a/tests/nodes/test_daemon.py
+++ b/tests/nodes/test_daemon.py
@@ -162,7 +162,7 @@
     assert play(story, effects_for).endswith(b"whole")
 
 
-class Clockwork(asyncio.SelectorEventLoop):
+class JumpingClockLoop(asyncio.SelectorEventLoop):
     """An event loop whose clock jumps ahead of the time that its callbacks wait for."""
 
     ahead = 0.0
@@ -175,7 +175,7 @@
 def test_a_process_that_stood_still_says_for_how_long(stood_still, is_told):
     """Given a clock that runs on between two ticks while nothing is handled, as when the machine is frozen or its processors are taken,
     a warning says for how long; a tick that is a little late is not worth one."""
-    loop = Clockwork()
+    loop = JumpingClockLoop()
 
     async def story():
         async with Process(lambda call_id: []) as process:
--- a/tests/nodes/test_disks_and_power.py
+++ b/tests/nodes/test_disks_and_power.py
@@ -20,7 +20,8 @@
 )
 DOWN_S = 1.0
 RECOVERY_S = 12.0  # what the users' rules allow
-STRIKES_MS = (5, 12, 18, 24, 30, 45, 80, 150, 400)  # after the change was sent; an acknowledgement takes some 20 ms
+ACKNOWLEDGED_BY_MS = 150  # after the change was sent; 45 ms is too soon
+STRIKES_MS = (5, 12, 18, 24, 30, 45, 55, 62, 70, 80, ACKNOWLEDGED_BY_MS, 400)
 
 
 def lose_all(deployment, wiped):
@@ -84,7 +85,9 @@
     bring_back(deployment, lose_all(deployment, wiped))
     version = ask_until_clear(deployment, "GET", "/show/catalogue")[1]["catalogue"]["version"]
     assert version in (FIRST_VERSION, NEXT_VERSION)
-    if answer is not None and answer[0] == 200:
+    is_acknowledged = answer is not None and answer[0] == 200
+    assert is_acknowledged or strike_ms < ACKNOWLEDGED_BY_MS
+    if is_acknowledged:
         assert version == NEXT_VERSION
     status, _ = ask_until_clear(deployment, "POST", "/operator/configure", CHANGE)
     assert status == 200  # sent again as it was: taken now, or acknowledged as taken
