--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -9,8 +9,9 @@
 from sumachook.forwarding.quota_charge import ForwardingQuotaCharge
 from sumachook.forwarding.request_metadata import RequestMetadata
 from sumachook.forwarding.request_table import RequestTable
-from sumachook.host.effects import Reply
+from sumachook.host.effects import Log, Reply
 from sumachook.host.events import ProxyRequestReceived
+from sumachook.requests.call_ids import FORWARDING
 from sumachook.requests.failures import FailureKind, RequestFailure
 from sumachook.requests.request_table import MAX_REQUESTS
 
@@ -23,6 +24,10 @@
 RETRY_AFTER_DRAINING_S = 0.1
 RETRY_AFTER_NOT_READY_S = 0.3
 RETRY_AFTER_FULL_S = 1.0
+# Metrics of headers that are passed on unread: the label, and bounds on what clients can make of it.
+UNREAD_HEADER = "unread-header"
+MAX_UNREAD_HEADERS = 16
+MAX_HEADER_NAME_LENGTH = 64
 
 
 class Admit:
@@ -43,6 +48,29 @@
         table = self.table
         arrived_at = now if arrived_at is None else arrived_at
         metadata = table.port.read_request(event.headers)
+        if metadata.unread_headers:
+            return self._note_unread(metadata) + self._judge(event, metadata, now, arrived_at)
+        return self._judge(event, metadata, now, arrived_at)
+
+    def _note_unread(self, metadata: RequestMetadata) -> list[Any]:
+        """Counts headers that are passed on without being read, and logs each name once."""
+        counts = self.table.counts
+        effects: list[Any] = []
+        for name in metadata.unread_headers:
+            labels = (UNREAD_HEADER, name[:MAX_HEADER_NAME_LENGTH])
+            is_known = labels in counts
+            if not is_known and sum(known[0] == UNREAD_HEADER for known in counts) >= MAX_UNREAD_HEADERS:
+                continue
+            self.table.count(*labels)
+            if not is_known:
+                text = "A header is passed on that this version does not read."
+                effects.append(Log("warning", FORWARDING, text, {"header": labels[1]}))
+        return effects
+
+    def _judge(
+        self, event: ProxyRequestReceived, metadata: RequestMetadata, now: timedelta, arrived_at: timedelta
+    ) -> list[Any]:
+        table = self.table
         trust = table.follower.trust(now)
         if table.is_closed:
             failure = FailureKind.DRAINING.because("this node is leaving")
--- a/sumachook/forwarding/port.py
+++ b/sumachook/forwarding/port.py
@@ -1,5 +1,6 @@
 """How requests are spoken to services; another format is another such file."""
 
+from functools import cache
 from typing import Any
 
 import msgspec
@@ -40,6 +41,8 @@
     )
     INSTANCE, URGENCY, NOT_RUN, SEAL, COLD = "x-expect-instance", "x-urgency", "x-not-run", "x-server-seal", "x-cold-ms"
     LAST_EVENT = "last-event-id"
+    NAMESPACE = ""  # what begins the names of all headers of this format, where they have that in common
+    PASSED_ON: frozenset[str] = frozenset()  # those of the namespace that are for the server alone
 
     def read_request(self, headers: Any) -> RequestMetadata:
         """What the headers of a request say; counts that are no numbers are taken as 0.
@@ -67,8 +70,20 @@
             int(most) if is_counted else 0,
             parts,
             names.get(self.LAST_EVENT, ""),
+            self._unread_headers(names) if self.NAMESPACE else (),
         )
 
+    def _unread_headers(self, names: Any) -> tuple[str, ...]:
+        known = self._read_headers()
+        return tuple(name for name in names if name.startswith(self.NAMESPACE) and name not in known)
+
+    @classmethod
+    @cache
+    def _read_headers(cls) -> frozenset[str]:
+        """Names of a request's headers that this port reads or replaces, or knows to be for the server."""
+        own = (cls.REQUEST, cls.DEADLINE, cls.MODEL, cls.TOKENS, cls.PARTS, cls.INSTANCE, cls.URGENCY)
+        return cls.PASSED_ON.union(own)
+
     def write_request(
         self, headers: Any, host: str, instance: str, left_ms: int, urgency: int, last_event_id: str
     ) -> list[tuple[str, str]]:
--- a/sumachook/forwarding/request_metadata.py
+++ b/sumachook/forwarding/request_metadata.py
@@ -17,3 +17,4 @@
         tuple[str, int], ...
     ] = ()  # (id, tokens) of the prompt's parts in order; the last is the request's own
     last_event_id: str = ""
+    unread_headers: tuple[str, ...] = ()  # names of the port's own namespace that it does not know; passed on
--- a/sumachook/nodes/state_delivery.py
+++ b/sumachook/nodes/state_delivery.py
@@ -4,10 +4,19 @@
 from typing import TYPE_CHECKING, Any
 
 from sumachook.changefeed.events import EntryDelivered, ServeRequested, SnapshotRestored
+from sumachook.configuration.carried_fields import carried_fields
+from sumachook.configuration.difference import FIELDS, LISTS
 from sumachook.consensus import events as consensus_events
 from sumachook.consensus.effects import Compact, Deliver, Restore
 from sumachook.control_state.change_attempts import Attempt
-from sumachook.control_state.changes import OperatorCall, read_change, tag_of
+from sumachook.control_state.changes import (
+    Configure,
+    ConfigureByDifference,
+    OperatorCall,
+    OperatorChange,
+    read_change,
+    tag_of,
+)
 from sumachook.control_state.results import ChangeResult
 from sumachook.host.effects import Effect, Log
 from sumachook.placement.events import StateChanged
@@ -16,6 +25,9 @@
     from sumachook.nodes.core import Core
 
 
+MAX_CARRIED_SHOWN = 40  # names in one line of the log
+
+
 class StateDelivery:
     """Applies committed entries and snapshots; tells the change feed, placement and the operators' calls."""
 
@@ -39,7 +51,11 @@
     def _settle_call(self, number: int, call: OperatorCall, result: ChangeResult, now: timedelta) -> Log:
         attempt = Attempt(call.origin, call.number, call.seen)
         self.core.api.configuration_changes.delivered(number, attempt, result, self.core.state.version, now)
-        fields = {"number": number, "kind": tag_of(call.change), "result": result.outcome.value}
+        fields: dict[str, Any] = {"number": number, "kind": tag_of(call.change), "result": result.outcome.value}
+        content = _configuration_content(call.change)
+        if content is not None:
+            fields["version"] = self.core.state.version
+            fields["carried"] = carried_fields(content)[:MAX_CARRIED_SHOWN]
         return Log("info", "core", "Order delivered.", fields)
 
     def handle_restore(self, effect: Restore, now: timedelta) -> list[Any]:
@@ -67,3 +83,13 @@
         if not changes.orders:
             return []
         return changes.settle(core.peers.alive_edges(), core.source.confirmed, now)
+
+
+def _configuration_content(change: OperatorChange) -> Any:
+    """What a change of the configuration brings, as a document, or None for any other change."""
+    match change:
+        case Configure():
+            return change.document
+        case ConfigureByDifference():
+            return {**change.difference[FIELDS], **change.difference[LISTS]}
+    return None
--- a/tests/platform_adapters/test_platform_settings.py
+++ b/tests/platform_adapters/test_platform_settings.py
@@ -320,3 +320,17 @@
     leaver.hear("chunk", b"done")
     leaver.hear("end")
     assert leaver.reply(cid)[1] == 200 and leaver.edge.membership.seeds[0].startswith("10.1.0.15:")
+
+
+def test_rules_that_are_not_known_are_named_once(tmp_path):
+    """Given a settings file with rules in force that this version does not know, the first tick warns of them by name, and no later one."""
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.replace('contracts = ["base",', 'contracts = ["owners","base","of-later",'))
+    settings, _ = node_settings(file.read_text(), "edge")
+    adapter = NodeAdapter(Edge(settings, {}, 1, Clock(), Random(1)), str(file))
+    warnings = []
+    for turn in range(3):
+        effects = adapter.take(Tick(), timedelta(seconds=100 + turn))
+        warnings += [effect for effect in effects if isinstance(effect, Log) and "Rules are in force" in effect.text]
+    (warning,) = warnings
+    assert warning.fields == {"contracts": ("owners", "of-later")}
