--- a/tests/forwarding/forwarding_fixtures.py
+++ b/tests/forwarding/forwarding_fixtures.py
@@ -125,7 +125,9 @@
 class Scene:
     """A Transit with its table, and what it said."""
 
-    def __init__(self, doc=None, servers=None, credit=4.0, seed=1, trust=Trust.FRESH, held=("l1", "l2", "l3")):
+    def __init__(
+        self, doc=None, servers=None, credit=4.0, seed=1, trust=Trust.FRESH, held=("l1", "l2", "l3"), port=None
+    ):
         self.now, self.state, self.trust, self.places = START, State(), FixedTrust(trust), Places()
         self.retry_budget = RetryBudget(cap=4.0)
         if doc is not False:
@@ -140,7 +142,7 @@
             self.trust,
             self.retry_budget,
             Random(seed),
-            RequestPort(),
+            port or RequestPort(),
             self.places,
             ClusterClock(lambda: UNIX_EPOCH, START),
         )
