The failing tests of tenants: servers stand in a zone of their document

Two of them failed in part for another reason: their servers stood in a zone that the document does not name, so nothing ran at all. Now one fails because the key is in what the server gets, the other because requests with no key, or a wrong one, run.

--- a/tests/platform_adapters/tenant_fixtures.py
+++ b/tests/platform_adapters/tenant_fixtures.py
@@ -49,7 +49,7 @@
     """An edge under a document of the platform; answers of its servers bear the platform's names."""
 
     def __init__(self, tenants=(EAST, WEST), **more):
-        servers = {name: {**SERVERS[name], "service": SERVICE} for name in ("r1", "r2", "r3")}
+        servers = {name: {**SERVERS[name], "service": SERVICE, "area": "hall-a"} for name in ("r1", "r2", "r3")}
         doc = from_platform(tenants_document(tenants), tuple(ZONES))
         super().__init__(doc, servers, port=PlatformRequestPort(), **more)
 
