Tenants, their keys and public routes are read from the platform's configurations

What operators saw: a configuration with a key of two tenants was acknowledged; tenants were stored without being read. Cause: the adapters did not know the list, so it travelled as an unknown field.

Up to 10,000 tenants. A change of routes looks at tenants only where some own routes.

--- a/sumachook/configuration/catalogue.py
+++ b/sumachook/configuration/catalogue.py
@@ -121,7 +121,7 @@
     "routes": 5000,
     "services": 64,
     "httpRoutes": 20000,
-    "tenants": 400,
+    "tenants": 10000,
 }
 KEYED = tuple(BOUNDS)
 
--- a/sumachook/configuration/checked_document.py
+++ b/sumachook/configuration/checked_document.py
@@ -273,7 +273,7 @@
 def _concerns_tenants(base: CheckedDocument, routes: PartRevision | None) -> bool:
     """Whether a change of forwarding routes alone can break a tenant's reference: tenants refer to them by name."""
     return (
-        bool(base.catalogue.tenants)
+        any(tenant.http_routes for tenant in base.catalogue.tenants)
         and routes is not None
         and routes.items.index_by_name != base.items[HTTP_ROUTE_PART].index_by_name
     )
--- a/sumachook/configuration/http_route.py
+++ b/sumachook/configuration/http_route.py
@@ -19,7 +19,7 @@
     `targetMs`: milliseconds that are aimed at; `priority`: 0 (first) to 9; `tries`: how often a request may be sent
     in all; `sticky`: sessions stay with a server; `resumable`: a stream goes on elsewhere at its last event;
     `pauseMs`: milliseconds between two events that are aimed at, 0 for none; `split`: the services by weight;
-    `extra`: what else the operator wrote.
+    `public`: no tenant's key is needed; `extra`: what else the operator wrote.
     """
 
     name: ItemName
@@ -34,4 +34,5 @@
     sticky: bool = False
     resumable: bool = False
     pause_ms: Milliseconds = 0.0
+    public: bool = False
     extra: dict[str, Any] = {}
--- a/sumachook/configuration/tenancy.py
+++ b/sumachook/configuration/tenancy.py
@@ -23,6 +23,7 @@
     tenants = items_of(document, "tenants")
     for part, noun in OWNED_PARTS:
         yield from _ownership_issues(tenants, part, noun, names_of(document, part))
+    yield from _key_issues(tenants)
     yield from _rate_issues(tenants)
     yield from _capacity_issues(document, tenants)
 
@@ -43,10 +44,20 @@
             owners.setdefault(name, index)
 
 
+def _key_issues(tenants: Items) -> Iterator[ConfigurationIssue]:
+    """No key is of two tenants; a reason never shows one."""
+    holders: dict[str, int] = {}
+    for index, tenant in tenants:
+        listed = tenant.get("keys", ())
+        for position, key in enumerate(listed if isinstance(listed, (list, tuple)) else ()):
+            if isinstance(key, str) and holders.setdefault(key, index) != index:
+                yield ConfigurationIssue(f"tenants[{index}].keys[{position}]", f"a key of tenants[{holders[key]}]")
+
+
 def _rate_issues(tenants: Items) -> Iterator[ConfigurationIssue]:
-    """A tenant has a rate, and its floor is not above its ceiling."""
+    """A tenant has a rate, unless it is known by keys alone, and its floor is not above its ceiling."""
     for index, tenant in tenants:
-        if all(tenant.get(figure) is None for figure in FIGURES):
+        if "keys" not in tenant and all(tenant.get(figure) is None for figure in FIGURES):
             yield ConfigurationIssue(f"tenants[{index}]", "requestsPerS or tokensPerS is needed")
         floor, ceiling = tenant.get("floor", FLOOR), tenant.get("ceiling", CEILING)
         if is_number(floor) and is_number(ceiling) and floor > ceiling:
--- a/sumachook/quotas/terms.py
+++ b/sumachook/quotas/terms.py
@@ -35,14 +35,15 @@
         allowance = [UNBOUND if figure is None else figure for figure in (tenant.requests_per_s, tenant.tokens_per_s)]
         ceiling = Amounts(*(figure * tenant.ceiling for figure in allowance))
         floor = Amounts(*(figure * tenant.floor for figure in allowance))
-        burst = Amounts(*(max(MIN_BURST, figure * tenant.burst_s) for figure in ceiling))
-        floor_burst = Amounts(*(max(MIN_BURST, figure * tenant.burst_s) for figure in floor))
+        burst = _burst(ceiling, tenant, tenant.ceiling)
+        floor_burst = _burst(floor, tenant, tenant.floor)
         return cls(tenant.name, ceiling, floor, burst, floor_burst, tenant.over_ceiling == YIELD)
 
     @classmethod
     def by_tenant(cls, catalogue: Any) -> dict[str, Self]:
-        """The terms of all tenants of a configuration, which may be None."""
-        return {tenant.name: cls.of(tenant) for tenant in catalogue.tenants} if catalogue is not None else {}
+        """The terms of all tenants with a bound, of a configuration that may be None."""
+        tenants = catalogue.tenants if catalogue is not None else ()
+        return {tenant.name: cls.of(tenant) for tenant in tenants if _has_bound(tenant)}
 
     def shown_floor(self) -> dict[str, float | None]:
         """The floor for operators."""
@@ -53,5 +54,17 @@
         return _shown(self.ceiling)
 
 
+def _has_bound(tenant: Tenant) -> bool:
+    return tenant.requests_per_s is not None or tenant.tokens_per_s is not None
+
+
+def _burst(rates: Amounts, tenant: Tenant, part: float) -> Amounts:
+    """What may be saved up: `burstS` seconds of these rates, or this part of the requests that `burst` states."""
+    saved = Amounts(*(max(MIN_BURST, figure * tenant.burst_s) for figure in rates))
+    if tenant.burst is None or rates.requests == UNBOUND:
+        return saved
+    return saved._replace(requests=max(MIN_BURST, tenant.burst * part))
+
+
 def _shown(amounts: Amounts) -> dict[str, float | None]:
     return {"requestsPerS": shown(amounts.requests), "tokensPerS": shown(amounts.tokens)}
