A request's key tells its tenant; servers get the tenant's name and never the key

What callers saw: servers were handed clients' keys; a client's own tenant header reached them; requests ran without a key, under one that was never held, and for as long as anybody liked under one that had been taken away.

Cause: the headers of keys and tenants passed as any header does that no code names, and admission asked for no key.

Without a key (but on public routes), with one that is not held, or with two, a request is refused with 401; where the node can't be sure that it knows the newest configuration it waits, as one without a route does. The key is looked up again before every attempt under a newer configuration: a request that waits for a model, for its quota or for its next attempt ends when its key is taken away. Urgency at servers and the order of waiting go by the tenant's priority, then the route's. The ledger's caller is the tenant.

Why it holds: no attempt is sent but through one pass, and that asks by the configuration in force; both headers are dropped where requests to servers are written, whatever they hold.

--- a/sumachook/configuration/node_settings.py
+++ b/sumachook/configuration/node_settings.py
@@ -45,6 +45,8 @@
     resend_slack: Annotated[float, Meta(ge=0, le=100000)] | None = None  # resends over the ratio, all edges together
     cold_overshoot: Annotated[float, Meta(ge=1, le=100)] = COLD_OVERSHOOT  # times a cold server's rate
     cold_slack: Annotated[float, Meta(ge=0, le=100000)] = COLD_SLACK  # requests a second beyond that
+    # seconds for which an edge believes tenants' keys without word of a core; null for any time
+    key_lifetime: Annotated[float, Meta(gt=0, le=86400)] | None = None
     grace: Annotated[float, Meta(ge=1, le=600)] = 8.0  # seconds from the signal to leave to the one that kills
     wanted_voters: Annotated[int, Meta(ge=3, le=9)] = msgspec.field(default=3, name="wantedSeats")
     confirm_within: Annotated[float, Meta(ge=0, le=60)] = 2.0
--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from sumachook.changefeed.trust import Trust
+from sumachook.configuration.tenant import Tenant
 from sumachook.forwarding.entry import Entry
 from sumachook.forwarding.forwarded_request import ForwardedRequest
 from sumachook.forwarding.quota_charge import ForwardingQuotaCharge
@@ -31,7 +32,7 @@
 
 
 class Admit:
-    """Host and longest prefix pick the route, its weights the service."""
+    """Host and longest prefix pick the route, its weights the service; its key tells a request's tenant."""
 
     __slots__ = ("charge", "entry", "table")
 
@@ -83,16 +84,24 @@
             if trust is not Trust.FRESH:  # just woke or cut off: what it knows may be old, and a 404 is final
                 return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
             return self._refuse(event, metadata, 404, FailureKind.NOT_FOUND.because("no route"), None)
+        access = table.access.check(route, metadata.credentials)
+        if access.failure is not None:
+            if trust is not Trust.FRESH:  # a key may be new, and a 401 is final
+                return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
+            return self._refuse(event, metadata, access.failure.status, access.failure, None)
+        if access.tenant is not None and metadata.credentials and table.has_stale_credentials(now):
+            return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
         if len(table.requests) >= MAX_REQUESTS:
             failure = FailureKind.OVERLOAD.because(f"{MAX_REQUESTS} requests in hand")
             return self._refuse(event, metadata, 503, failure, RETRY_AFTER_FULL_S)
-        return self._admit(event, metadata, route, trust, now, arrived_at)
+        return self._admit(event, metadata, route, access.tenant, trust, now, arrived_at)
 
     def _admit(
         self,
         event: ProxyRequestReceived,
         metadata: RequestMetadata,
         route: Any,
+        tenant: Tenant | None,
         trust: Trust,
         now: timedelta,
         arrived_at: timedelta,
@@ -117,9 +126,11 @@
         request.needs_recheck = trust is Trust.UNPROVEN
         table.requests[request.number] = request
         table.by_call_id[request.call_id] = request.number
-        if route.name not in table.tenants:
+        request.checked_generation = table.generation
+        request.tenant_priority = table.access.priority_of(tenant)
+        if tenant is None:
             return self.entry.take(request)
-        request.tenant = table.tenants[route.name]
+        request.tenant = tenant.name
         request.charged_tokens = metadata.prompt_tokens + metadata.max_tokens
         return self.charge.claim(request, request.number, now)
 
--- a/sumachook/forwarding/forwarded_request.py
+++ b/sumachook/forwarding/forwarded_request.py
@@ -16,6 +16,7 @@
         "awaits_placement",
         "body",
         "buffer",
+        "checked_generation",
         "events",
         "first_byte_at",
         "first_token_at",
@@ -36,6 +37,7 @@
         "service",
         "stale_arrivals",
         "status",
+        "tenant_priority",
         "wanted_at",
     )
 
@@ -64,6 +66,8 @@
         self.is_stream = route.kind == "stream"
         self.is_repeatable = route.kind == "repeatable" or (self.is_stream and route.resumable)
         self.last_event_id = metadata.last_event_id
+        self.checked_generation = -1  # of the configuration by which its key was looked up last
+        self.tenant_priority = 0
         self.is_recorded = False  # whether the ledger knows that it is open
         # waiting
         self.awaits_placement = False  # nothing that it could run on stands anywhere
--- a/sumachook/forwarding/port.py
+++ b/sumachook/forwarding/port.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sumachook.calls.run_status import says_not_run
+from sumachook.forwarding.credential import Credential
 from sumachook.forwarding.request_metadata import RequestMetadata
 from sumachook.forwarding.response_metadata import ResponseMetadata
 from sumachook.requests.failures import RequestFailure
@@ -41,6 +42,7 @@
     )
     INSTANCE, URGENCY, NOT_RUN, SEAL, COLD = "x-expect-instance", "x-urgency", "x-not-run", "x-server-seal", "x-cold-ms"
     LAST_EVENT = "last-event-id"
+    CREDENTIAL, TENANT = "x-api-key", "x-tenant"  # the client's key, which no server gets; the tenant that holds it
     NAMESPACE = ""  # what begins the names of all headers of this format, where they have that in common
     PASSED_ON: frozenset[str] = frozenset()  # those of the namespace that are for the server alone
 
@@ -70,9 +72,14 @@
             int(most) if is_counted else 0,
             parts,
             names.get(self.LAST_EVENT, ""),
+            self._credentials(headers) if self.CREDENTIAL in names else (),
             self._unread_headers(names) if self.NAMESPACE else (),
         )
 
+    def _credentials(self, headers: Any) -> tuple[Credential, ...]:
+        """Each key that is stated; an empty one is none."""
+        return tuple(Credential(value) for name, value in headers if name.lower() == self.CREDENTIAL and value)
+
     def _unread_headers(self, names: Any) -> tuple[str, ...]:
         known = self._read_headers()
         return tuple(name for name in names if name.startswith(self.NAMESPACE) and name not in known)
@@ -81,20 +88,31 @@
     @cache
     def _read_headers(cls) -> frozenset[str]:
         """Names of a request's headers that this port reads or replaces, or knows to be for the server."""
-        own = (cls.REQUEST, cls.DEADLINE, cls.MODEL, cls.TOKENS, cls.PARTS, cls.INSTANCE, cls.URGENCY)
-        return cls.PASSED_ON.union(own)
+        read = (cls.REQUEST, cls.DEADLINE, cls.MODEL, cls.TOKENS, cls.PARTS, cls.INSTANCE, cls.URGENCY)
+        return cls.PASSED_ON.union(read, (cls.CREDENTIAL, cls.TENANT))
 
     def write_request(
-        self, headers: Any, host: str, instance: str, left_ms: int, urgency: int, last_event_id: str
+        self,
+        headers: Any,
+        host: str,
+        instance: str,
+        left_ms: int,
+        urgency: int,
+        last_event_id: str,
+        tenant: str | None = None,
     ) -> list[tuple[str, str]]:
         """The client's headers but for what concerns one connection, with what this node states instead.
 
-        `instance` is the server that the request is meant for, `left_ms` what is left of its time.
+        `instance` is the server that the request is meant for, `left_ms` what is left of its time, `tenant` the name
+        of the tenant whose key the request bears. A tenant that the client names itself says nothing, and its key is
+        for this node alone.
         """
-        own = {self.DEADLINE, self.INSTANCE, self.URGENCY, self.LAST_EVENT}
+        own = {self.DEADLINE, self.INSTANCE, self.URGENCY, self.LAST_EVENT, self.CREDENTIAL, self.TENANT}
         dropped = HOP_BY_HOP | own | _connection_options(headers)
         out = [("Host", host), *((name, value) for name, value in headers if name.lower() not in dropped)]
         out += [(self.DEADLINE, str(left_ms)), (self.INSTANCE, instance), (self.URGENCY, str(urgency))]
+        if tenant is not None:
+            out.append((self.TENANT, tenant))
         return out + [(self.LAST_EVENT, last_event_id)] if last_event_id else out
 
     def read_response(self, status: int, headers: Any) -> ResponseMetadata:
--- a/sumachook/forwarding/request_metadata.py
+++ b/sumachook/forwarding/request_metadata.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from sumachook.forwarding.credential import Credential
+
 
 class RequestMetadata(NamedTuple):
     """The facts of a request, whatever its headers are called."""
@@ -17,4 +19,5 @@
         tuple[str, int], ...
     ] = ()  # (id, tokens) of the prompt's parts in order; the last is the request's own
     last_event_id: str = ""
+    credentials: tuple[Credential, ...] = ()  # each API key that it bears; more than one is not to be believed
     unread_headers: tuple[str, ...] = ()  # names of the port's own namespace that it does not know; passed on
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from sumachook.forwarding.access import UrgencyScale
 from sumachook.forwarding.forwarded_request import ForwardedRequest
 from sumachook.forwarding.request_table import RequestTable
 from sumachook.host.effects import ConnectionReuse, ForwardRequest
@@ -10,7 +11,6 @@
 from sumachook.requests.in_flight_request import RequestState
 
 CONNECT_TIMEOUT = timedelta(seconds=0.4)
-LOWEST_URGENCY = 9  # of the urgencies that a route may name
 # A server gets twice the route's target for its first token, but no less than this, before another one is tried.
 MIN_FIRST_TOKEN_TIME = timedelta(seconds=0.3)
 TARGETS_TO_FIRST_TOKEN = 2
@@ -67,8 +67,9 @@
             self._host(request),
             name,
             max(1, int(remaining.total_seconds() * 1000)),
-            LOWEST_URGENCY if request.is_yielding else request.route.priority,
+            self._urgency(request),
             request.last_event_id,
+            request.tenant,
         )
         return ForwardRequest(
             call_id=request.attempt_id,
@@ -82,6 +83,11 @@
             max_kept_connections=self.table.max_kept_connections(request.service),
         )
 
+    def _urgency(self, request: ForwardedRequest) -> int:
+        if request.is_yielding:
+            return UrgencyScale.LOWEST_URGENCY
+        return self.table.urgency_scale.level(request.tenant_priority, request.route.priority)
+
     def _reuse(self, request: ForwardedRequest) -> ConnectionReuse:
         """On a connection that was used before only the id tells an answer from a late one."""
         if not request.metadata.request_id:
--- a/sumachook/forwarding/server_selection.py
+++ b/sumachook/forwarding/server_selection.py
@@ -68,8 +68,8 @@
             is_due = is_complete or request.number in newly_waiting or has_room_again
             if not is_due or request.not_before > now:
                 continue
-            if request.needs_recheck and not self._has_same_route(request):
-                failure = FailureKind.NOT_READY.because("its route changed while this node was away")
+            failure = self._recheck(request, now)
+            if failure is not None:
                 effects += self.settle.take(request, failure, now)
                 continue
             effects += self._select(request, self._candidates(request, servers, trust, now), now)
@@ -90,6 +90,26 @@
             known[request.service] = table.usable(request.service, trust, now)
         return known[request.service]
 
+    def _recheck(self, request: ForwardedRequest, now: timedelta) -> RequestFailure | None:
+        """Why a request that was admitted is not sent after all.
+
+        Its key is looked up again whenever the configuration is another one: it may have waited for a long time, and
+        each further attempt is one more use of its key.
+        """
+        table = self.table
+        if request.needs_recheck and not self._has_same_route(request):
+            return FailureKind.NOT_READY.because("its route changed while this node was away")
+        if request.metadata.credentials and request.tenant is not None and table.has_stale_credentials(now):
+            return FailureKind.NOT_READY.because("not in touch")
+        if request.checked_generation == table.generation:
+            return None
+        request.checked_generation = table.generation
+        access = table.access.check(request.route, request.metadata.credentials)
+        if access.failure is not None:
+            return access.failure
+        tenant = access.tenant.name if access.tenant is not None else None
+        return None if tenant == request.tenant else FailureKind.NOT_READY.because("its key is of another tenant now")
+
     def _has_same_route(self, request: ForwardedRequest) -> bool:
         """What a node admitted that just woke goes on only where the catalogue that it knows now leads it as well."""
         request.needs_recheck = False
@@ -237,9 +257,9 @@
         names[request.name] = (count + 1, min(soonest_ms, remaining_ms))
 
 
-def _priority(request: ForwardedRequest) -> tuple[bool, int, int]:
+def _priority(request: ForwardedRequest) -> tuple[bool, int, int, int]:
     """The order in which requests that wait are looked at."""
-    return request.is_yielding, request.route.priority, request.number
+    return request.is_yielding, request.tenant_priority, request.route.priority, request.number
 
 
 def _room_by(request: ForwardedRequest) -> timedelta:
--- a/sumachook/forwarding/settle.py
+++ b/sumachook/forwarding/settle.py
@@ -11,6 +11,7 @@
 from sumachook.requests.failures import FailureKind, RequestFailure
 
 DEFAULT_RETRY_AFTER_S = 0.3  # where nothing better is known
+FINAL_REFUSALS = frozenset({FailureKind.ALLOWANCE, FailureKind.UNKNOWN_CALLER})
 TIMEOUTS = frozenset(
     {FailureKind.DEADLINE, FailureKind.TOTAL_TIMEOUT, FailureKind.FIRST_TOKEN_TIMEOUT, FailureKind.WAKE_TIMEOUT}
 )
@@ -44,7 +45,7 @@
     if failure.kind is FailureKind.REFUSED and request.response is not None and has_not_run:
         if 400 <= request.status < 500:
             return request.status
-    if failure.kind is FailureKind.ALLOWANCE:
+    if failure.kind in FINAL_REFUSALS:
         return failure.status
     if has_not_run:
         return 503
--- a/tests/platform_adapters/tenant_fixtures.py
+++ b/tests/platform_adapters/tenant_fixtures.py
@@ -2,6 +2,8 @@
 
 from request_port import PlatformRequestPort
 
+from sumachook.quotas.effects import AdmissionGranted
+from sumachook.quotas.events import AdmissionRequested
 from tests.forwarding.forwarding_fixtures import SERVERS, Scene, event_of
 from tests.platform_adapters.adapters import from_platform
 from tests.platform_adapters.platform_fixtures import SINGLE, ZONES, whole
@@ -53,6 +55,14 @@
         doc = from_platform(tenants_document(tenants), tuple(ZONES))
         super().__init__(doc, servers, port=PlatformRequestPort(), **more)
 
+    def take_event(self, event):
+        """Every claim of a tenant's quota is granted at once."""
+        effects = super().take_event(event)
+        for effect in effects:
+            if isinstance(effect, AdmissionRequested):
+                effects = [*effects, *super().take_event(AdmissionGranted(effect.key, False))]
+        return effects
+
     def set_tenants(self, *tenants):
         self.configure(from_platform(tenants_document(tenants, self.state.version + 2), tuple(ZONES)))
 
--- a/tests/platform_adapters/test_platform_servers.py
+++ b/tests/platform_adapters/test_platform_servers.py
@@ -145,6 +145,7 @@
         (("5c1e07a2", 800), ("91bd3f06", 410), ("e4402b7d", 250)),
         "12",
         (),
+        (),
     )
     sent = port.write_request(pairs, "ficu95.example", "i-7f3a91c2", 4321, 1, "14")
     names = {name.lower(): value for name, value in sent}
--- a/tests/platform_adapters/test_tenants.py
+++ b/tests/platform_adapters/test_tenants.py
@@ -60,7 +60,10 @@
 
 def test_a_server_gets_the_tenants_name_and_never_the_key():
     """Given requests of every kind with a key, some with a tenant's name of the client's own, the server gets the name of the key's
-    tenant, once, and the key under no name; without a key, on a public route, it gets no tenant at all."""
+    tenant, once, and the key under no name; without a key, on a public route, it gets no tenant at all.
+
+    Cause: a header that no code names is passed along, and no code named these. Evidence: with a count of headers of the platform's
+    that are passed on unread, one name was counted, for each request that bore a key."""
     scene = TenantScene()
     forged = (("Sumachook-Tenant", "vole511"), ("sumachook-tenant", "root"))
     for path in (PLAIN, ONCE, STREAM, OPEN):
@@ -75,7 +78,10 @@
 
 def test_a_key_that_is_not_held_runs_nothing():
     """Given no key, an empty one, one that was never held, two at once, and one that is held until a change takes it away, none but
-    the last runs anything, and that one no more after the change; each is answered 401 at once."""
+    the last runs anything, and that one no more after the change; each is answered 401 at once.
+
+    Cause: the same; a request's key had no part in its admission. Evidence: on a trial day that wrote out which requests bear a key that
+    no configuration ever held, those that servers should not have run were among them, and every one of the others ran as well."""
     for path in (PLAIN, ONCE, STREAM):
         scene = TenantScene()
         key_lists = ((), ("",), ("never-held",), (EAST_KEY, WEST_KEY), (EAST_KEY, EAST_KEY))
