The soak's clients bear keys, some are taken away and some given while all is restarted

Tenants are part of the harness's deployment: each client bears a key that is held, is taken away or given for good in the series of changes, is never held, or none; some name a tenant themselves. Servers tell what they were handed. Faults: a key or a wrong tenant at a server (UNASKED), a run that no configuration in force allows (ROUTE, CONFIG), a 401 that none asks for (DENIED), more of a metered tenant than its quota (QUOTA). Changes of tenants alone are sent beside whole configurations. The test of the fakes has a router that keeps both rules, and two that break one each.

--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -31,6 +31,7 @@
 from harness.fakes.kept_client import AttemptEnd, IdleLimits, KeptAttempt, KeptClient
 from harness.fakes.loop_stalls import LoopStalls
 from harness.fakes.request_kind import RequestKind
+from harness.fakes.tenants import JOINING_KEYS, LEAVING_KEYS, Judged
 from harness.local_cluster.nodes import GRACE
 from harness.run_checks import find_unchecked, seed_range
 
@@ -39,6 +40,7 @@
 SETTLE_TIME = 1.5  # seconds between two cores' restarts: a vote is given back
 IDLE_LIMITS_MS = (400, 700, 1000, 1500, 15000)
 EXTRA_ROUTES = 6
+TENANT_CHANGE_PORTION, KEY_CHANGE_PORTION = 0.3, 0.35  # of changes
 ENDED_BY_TERM, ENDED_BY_HUP = -signal.SIGTERM, -signal.SIGHUP
 BEYOND_GRACE = 0.5  # seconds by which this machine may be late to see an end
 
@@ -66,6 +68,7 @@
     attempts: list[KeptAttempt] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
     stalls: LoopStalls = field(default_factory=LoopStalls)
+    tenant_counts: dict[str, int] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
 
     @property
@@ -80,6 +83,7 @@
             "requests served": served,
             "requests on kept connections": sum(attempt.was_kept for attempt in self.attempts),
             **{kind: self.actions[kind] for kind in ("restarts", "reloads", "configurations")},
+            **self.tenant_counts,
         }
 
     def describe(self) -> str:
@@ -87,11 +91,12 @@
         kept = sum(attempt.was_kept for attempt in self.attempts)
         cut_kept = [attempt.rest.seconds for attempt in cut_attempts(self.attempts) if attempt.rest is not None]
         rests = f", those on kept ones after {min(cut_kept):.3f} to {max(cut_kept):.3f} s of rest" if cut_kept else ""
+        counts = ", ".join(f"{count} {name}" for name, count in self.tenant_counts.items())
         actions = ", ".join(f"{count} {name}" for name, count in sorted(self.actions.items()))
         ends = ", ".join(f"{count} {name}" for name, count in sorted(self.ends.items()))
         return (
             f"seed {self.spec.seed}: {self.spec.edges} edges, {len(self.attempts)} requests, {kept} on kept connections"
-            f" ({ends}{rests}); {actions}; {len(self.faults)} faults; {self.stalls.describe()}"
+            f" ({ends}{rests}); {actions}; {counts}; {len(self.faults)} faults; {self.stalls.describe()}"
         )
 
 
@@ -107,6 +112,7 @@
         self.until = 0.0
         self.base_routes = list(FIRST["routes"])
         self.sent_idle_limit_ms = float(FIRST["limits"]["idle-timeout-ms"])  # of the change that was sent last
+        self.leaving_keys, self.joining_keys = len(LEAVING_KEYS), 0  # how many of them are held
 
     async def play(self) -> SoakResult:
         """Starts everything, lets clients call while all is restarted and changed, and judges what was seen."""
@@ -239,14 +245,39 @@
             await asyncio.sleep(self.random.uniform(0.05, 1.0))
 
     async def _change_configuration(self):
-        """Routes come and go, time-outs and the limits of clients' connections change, one configuration after the other."""
+        """Routes and keys come and go, the limits of clients' connections change, one configuration after the other."""
         while not self._is_over():
-            configuration = self._draw_configuration()
-            self.sent_idle_limit_ms = float(configuration["limits"]["idle-timeout-ms"])
-            await self.deployment.configure("/Configuration.Replace", configuration)
+            self._change_keys()
+            if self.random.random() < TENANT_CHANGE_PORTION:
+                await self.deployment.configure("/Configuration.Update", self._draw_change_of_tenants())
+                self.result.actions["changes of tenants alone"] += 1
+            else:
+                configuration = self._draw_configuration()
+                self.sent_idle_limit_ms = float(configuration["limits"]["idle-timeout-ms"])
+                await self.deployment.configure("/Configuration.Replace", configuration)
             self.result.actions["configurations"] += 1
             await asyncio.sleep(self.random.uniform(0.0, 0.8))
 
+    def _change_keys(self):
+        """Takes a key away for good, gives one for good, or leaves all as they are."""
+        what = self.random.random()
+        if what < KEY_CHANGE_PORTION:
+            self.leaving_keys = max(0, self.leaving_keys - 1)
+        elif what < 2 * KEY_CHANGE_PORTION:
+            self.joining_keys = min(len(JOINING_KEYS), self.joining_keys + 1)
+
+    def _tenants(self) -> list[dict[str, Any]]:
+        return self.deployment.call_history.tenant_keys.document(self.leaving_keys, self.joining_keys)
+
+    def _next_version(self) -> int:
+        return self.deployment.version + self.random.randint(1, 5)
+
+    def _draw_change_of_tenants(self) -> dict[str, Any]:
+        """Some tenants as they are to be, beside empty lists of other items."""
+        tenants = self._tenants()
+        kept = self.random.randint(0, 1)  # the first one does not change
+        return {"version": self._next_version(), "upserts": {"routes": [], "tenants": tenants[kept:]}, "removals": {}}
+
     def _draw_configuration(self) -> dict:
         random = self.random
         count = random.randint(0, EXTRA_ROUTES)
@@ -257,8 +288,8 @@
             for number in random.sample(range(100), count)
         ]
         limits = {**FIRST["limits"], "idle-timeout-ms": random.choice(IDLE_LIMITS_MS)}
-        version = self.deployment.version + random.randint(1, 5)
-        return {**FIRST, "version": version, "routes": [*self.base_routes, *extra], "limits": limits}
+        routes, tenants = [*self.base_routes, *extra], self._tenants()
+        return {**FIRST, "version": self._next_version(), "routes": routes, "limits": limits, "tenants": tenants}
 
     # judging --------------------------------------------------------------------------------
 
@@ -274,6 +305,12 @@
         result.faults += lost_requests(result.attempts, history.runs)
         result.faults += unexplained_cuts(result.attempts, history.runs, result.leavings, result.stalls)
         result.faults += unanswered_requests(result.attempts, result.stalls)
+        judged = [
+            Judged(each.request_id, each.kind, each.credential, each.started_at, each.ended_at, each.status)
+            for each in result.attempts
+        ]
+        result.faults += history.tenant_keys.violations(judged)
+        result.tenant_counts = history.tenant_keys.counts(judged)
         result.faults += faults_in_logs(self.work)
         codes = {name: process.returncode for name, process in self.deployment.nodes.running.items()}
         result.faults += [
--- a/harness/fakes/call_history.py
+++ b/harness/fakes/call_history.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from harness.fakes.request_kind import RequestKind
+from harness.fakes.tenants import TenantKeys
 
 CEILING_WINDOW, OVERSHOOT, SLACK = 5.0, 1.1, 3
 
@@ -15,6 +16,7 @@
     path: str
     digest: str
     is_promised_not_run: bool = False
+    credential: str = ""
 
 
 class CallHistory:
@@ -26,7 +28,7 @@
     ['UNASKED: i-1 ran t1, which no client sent so']
     """
 
-    __slots__ = ("attempts", "runs", "bodies", "noted", "loads", "loads_per_s")
+    __slots__ = ("attempts", "runs", "bodies", "noted", "loads", "loads_per_s", "tenant_keys")
 
     def __init__(self, loads_per_s: float):
         self.attempts, self.runs, self.bodies, self.noted, self.loads, self.loads_per_s = (
@@ -37,6 +39,7 @@
             [],
             loads_per_s,
         )
+        self.tenant_keys = TenantKeys()
 
     def ran(self, request: str, instance: str, service: str, path: str, digest: str):
         self.runs.setdefault(request, []).append((instance, service, path, digest))
@@ -52,6 +55,8 @@
                     yield f"UNASKED: {instance} ran {request}, which no client sent so"
                 elif service != asked.kind.service:
                     yield f"ROUTE: {instance} of {service} ran {request} of {asked.kind.name}"
+            if asked is not None:
+                yield from self.tenant_keys.told_wrong(request, asked.credential)
             if asked is not None and not asked.kind.is_repeatable:
                 if len(runs) > 1:
                     yield f"TWICE: {request} of {asked.kind.name} ran at {', '.join(run[0] for run in runs)}"
--- a/harness/fakes/client.py
+++ b/harness/fakes/client.py
@@ -11,6 +11,7 @@
 from harness.fakes.response_chunks import digest_of, event_count
 from harness.fakes.response_reader import ResponseReader
 from harness.fakes.server import DEADLINE, REQUEST, SEAL
+from harness.fakes.tenants import CREDENTIAL, STANDING_KEYS
 
 PROMISES, FINAL = (408, 421, 429, 503), (400, 401, 404, 413, 431)
 TRIES, CONNECT, FIRST_PAUSE = 5, 1.0, 0.03
@@ -75,7 +76,7 @@
     async def _try(self, kind, path, body, headers, reading, until, number) -> bool:
         """Whether a further try is allowed, if time is left."""
         request = f"{self.random.getrandbits(64):016x}"
-        asked = self.call_history.attempts[request] = Attempt(kind, path, digest_of(body))
+        asked = self.call_history.attempts[request] = Attempt(kind, path, digest_of(body), credential=STANDING_KEYS[0])
         left = until - asyncio.get_running_loop().time()
         front = self.balancer.choose(self.zone, f"{self.name}/{number}")
         sent = {
@@ -83,6 +84,7 @@
             "Host": self.host,
             REQUEST: request,
             DEADLINE: str(int(left * 1000)),
+            CREDENTIAL: STANDING_KEYS[0],
             "Accept-Encoding": "identity",
         }
         if reading.events and kind.is_resumable:
--- a/harness/fakes/deployment.py
+++ b/harness/fakes/deployment.py
@@ -18,6 +18,7 @@
 from harness.fakes.plain_server import PlainServer
 from harness.fakes.request_kind import RequestKind
 from harness.fakes.response_chunks import STRIDE
+from harness.fakes.tenants import TenantKeys
 from harness.local_cluster.nodes import Nodes
 
 MS = timedelta(milliseconds=1)
@@ -99,6 +100,7 @@
         tuple((f"{model}/a{number}", 1.0) for model in MODELS[:4] for number in (1, 2, 3)),
     ),
     RequestKind("lookup", "stamps", "/stamps/", "idempotent", 200 * MS, 2000 * MS, 20.0),
+    RequestKind("open", "stamps", "/open/", "idempotent", 200 * MS, 2000 * MS, 8.0, is_public=True),
     RequestKind("booking", "stamps", "/call_history/", "non_idempotent", 400 * MS, 3000 * MS, 4.0),
 )
 ADDED = RequestKind("added", "stamps", "/added/", "idempotent", 200 * MS, 2000 * MS, 4.0)
@@ -133,6 +135,7 @@
         "header-timeout-ms": 3000,
         "idle-timeout-ms": 15000,
     },
+    "tenants": TenantKeys().document(),
 }
 
 
@@ -205,20 +208,25 @@
 
     async def configure(self, path: str, doc: dict):
         """Sends an order of configuration until it is clearly answered, and keeps what stands from then on."""
+        tenant_keys = self.call_history.tenant_keys
+        wanted = self._with_change(doc)
+        tenant_keys.note_sent(wanted.get("tenants", []))
         answer = await self.operator.order("POST", path, {"Sumachook-Base-Version": str(self.version)}, doc)
         if answer is None or answer[0] != 200:
             self.call_history.noted.append(f"no acknowledgement of version {doc['version']}: {answer}")
             return
-        self.version = doc["version"]
-        self.document = (
-            doc
-            if "upserts" not in doc
-            else {
-                **self.document,
-                "version": doc["version"],
-                "routes": self.document["routes"] + doc["upserts"]["routes"],
-            }
-        )
+        self.version, self.document = doc["version"], wanted
+        tenant_keys.note_acknowledged()
+
+    def _with_change(self, doc: dict) -> dict:
+        """The whole that a change makes of the document that stands."""
+        if "upserts" not in doc:
+            return doc
+        changed = {**self.document, "version": doc["version"]}
+        for part, items in doc["upserts"].items():
+            replaced = {item["name"]: item for item in changed.get(part, [])}
+            changed[part] = list((replaced | {item["name"]: item for item in items}).values())
+        return changed
 
     async def add_route(self):
         """A route more, while clients ask."""
@@ -250,7 +258,14 @@
 
 
 def _sorted(doc):
-    return {**doc, **{part: sorted(doc[part], key=lambda item: item["name"]) for part in ("routes", "services")}}
+    return {
+        **doc,
+        **{
+            part: sorted(doc[part], key=lambda item: item["name"])
+            for part in ("routes", "services", "tenants")
+            if part in doc
+        },
+    }
 
 
 def _edge_address(net: str, place: int) -> str:
--- a/harness/fakes/kept_client.py
+++ b/harness/fakes/kept_client.py
@@ -10,12 +10,14 @@
 from harness.fakes.request_kind import RequestKind
 from harness.fakes.response_chunks import digest_of
 from harness.fakes.server import DEADLINE, REQUEST, SEAL
+from harness.fakes.tenants import CREDENTIAL, NO_KEY, TENANT, TenantKeys
 
 CONNECT_WITHIN = 1.0  # seconds
 WAIT_AFTER_DEADLINE = 1.0  # seconds, for the answer that tells of it
 SHORT_REST, LONG_REST_PORTION = 0.15, 0.25  # mean seconds of most rests; how many last up to the idle limit instead
 MAX_REST_OF_LIMIT = 0.8  # of the idle limit: what clients of the users' platform keep to
 LIMIT_BYTES = 1 << 25
+FORGED_TENANT_PORTION = 0.1  # of requests that name a tenant themselves
 SHARED_TOKENS = 200  # of each prompt
 HEAD_END, CHUNK_END = b"\r\n\r\n", b"\r\n"
 
@@ -62,6 +64,7 @@
     end: AttemptEnd
     status: int
     rest: Rest | None
+    credential: str = NO_KEY
 
     @property
     def seconds(self) -> float:
@@ -151,12 +154,13 @@
     async def _ask(self, kind: RequestKind) -> KeptAttempt:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        request_id, raw = self._draw_request(kind)
+        credential = TenantKeys.draw(self.random, kind)
+        request_id, raw = self._draw_request(kind, credential)
         if self.connection is not None and self.connection.has_ended:
             self._drop()
         connection = self.connection or await self._connect()
         if connection is None:
-            return KeptAttempt(request_id, kind, "", started_at, loop.time(), AttemptEnd.UNSENT, 0, None)
+            return KeptAttempt(request_id, kind, "", started_at, loop.time(), AttemptEnd.UNSENT, 0, None, credential)
         rest = connection.rest(loop.time())
         end, answer = AttemptEnd.CUT, _Answer(0, True)
         try:
@@ -172,7 +176,10 @@
         connection.begin_rest(loop.time(), self.idle_limit().shortest)
         if answer.is_last:
             self._drop()
-        return KeptAttempt(request_id, kind, connection.edge, started_at, loop.time(), end, answer.status, rest)
+        ended_at = loop.time()
+        return KeptAttempt(
+            request_id, kind, connection.edge, started_at, ended_at, end, answer.status, rest, credential
+        )
 
     async def _connect(self) -> _Connection | None:
         edge = self.balancer.choose(self.zone, f"{self.name}/{self.random.random()}")
@@ -190,7 +197,7 @@
             self.connection.writer.close()
             self.connection = None
 
-    def _draw_request(self, kind: RequestKind) -> tuple[str, bytes]:
+    def _draw_request(self, kind: RequestKind, credential: str) -> tuple[str, bytes]:
         """Its id, and its bytes."""
         request_id = f"{self.random.getrandbits(64):016x}"
         is_lookup = kind.form == "idempotent"
@@ -200,11 +207,13 @@
             "Host": self.host,
             REQUEST: request_id,
             DEADLINE: str(int(kind.deadline.total_seconds() * 1000)),
+            **({CREDENTIAL: credential} if credential else {}),
+            **({TENANT: "forged"} if self.random.random() < FORGED_TENANT_PORTION else {}),
             **({} if is_lookup else {"Content-Length": str(len(body))}),
             **(self._draw_prompt(kind) if kind.models else {}),
         }
         head = [f"{'GET' if is_lookup else 'POST'} {path} HTTP/1.1", *(f"{name}: {headers[name]}" for name in headers)]
-        self.call_history.attempts[request_id] = Attempt(kind, path, digest_of(body))
+        self.call_history.attempts[request_id] = Attempt(kind, path, digest_of(body), credential=credential)
         return request_id, "\r\n".join(head).encode() + HEAD_END + body
 
     def _draw_prompt(self, kind: RequestKind) -> dict[str, str]:
--- a/harness/fakes/model_server.py
+++ b/harness/fakes/model_server.py
@@ -159,6 +159,7 @@
         digest, total = digest_of(body), event_count(tokens_out)
         begin = int(request.headers.get("Last-Event-Id") or 0) + 1
         self.call_history.ran(name, self.instance, self.service, request.path_qs, digest)
+        self.call_history.tenant_keys.note_run(name, request.headers)
         headers = self._sealed(name)
         self.call_history.bodies[headers[SEAL]] = (digest, total)
         answer = web.StreamResponse(headers={"Content-Type": "text/event-stream", **headers})
--- a/harness/fakes/plain_server.py
+++ b/harness/fakes/plain_server.py
@@ -36,6 +36,7 @@
     async def _run(self, request, name, body, until):
         digest = digest_of(body)
         self.call_history.ran(name, self.instance, self.service, request.path_qs, digest)
+        self.call_history.tenant_keys.note_run(name, request.headers)
         if not await sleep_within(self.work, until):
             return web.Response(status=504, headers=self._sealed(name))
         headers = self._sealed(name)
--- a/harness/fakes/request_kind.py
+++ b/harness/fakes/request_kind.py
@@ -21,6 +21,7 @@
     is_resumable: bool = False
     gap: timedelta = timedelta(0)
     models: tuple = ()
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -44,5 +45,6 @@
             "priority": self.priority,
             "service": self.service,
             "max-attempts": 2,
+            "public": self.is_public,
             **stream,
         }
--- /dev/null
+++ b/harness/fakes/tenants.py
@@ -0,0 +1,199 @@
+"""Tenants of a fake deployment: the keys that its clients bear, and where what became of their requests breaks a rule.
+
+Some keys are held all the time, some are taken away for good, some are given once, and one is never held. A
+configuration may be in force from its sending until `APPLY_WITHIN_S` after the acknowledgement of its successor; what
+none of these allows is a fault.
+"""
+
+import asyncio
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, NamedTuple
+
+from harness.fakes.request_kind import RequestKind
+from harness.local_cluster.nodes import BOUNDS
+
+CREDENTIAL, TENANT = "Sumachook-Credential", "Sumachook-Tenant"
+UNAUTHORIZED = 401
+# cores are restarted all the time, so the bound for changes is the one of an unsettled core
+APPLY_WITHIN_S = (BOUNDS["config-apply-ms"] + BOUNDS["outer-bound-ms"]) / 1000
+QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK = 5.0, 0.1, 20
+METERED_RATE, METERED_BURST = 10, 10
+
+STANDING, METERED, LEAVING, JOINING = "standing", "metered", "leaving", "joining"
+PRIORITIES = {METERED: 1, LEAVING: 0, JOINING: 0, STANDING: 0}
+STANDING_KEYS = ("standing-key-1", "standing-key-2", "standing-key-3")
+METERED_KEYS = ("metered-key-1", "metered-key-2")
+LEAVING_KEYS = tuple(f"leaving-key-{number}" for number in range(1, 7))
+JOINING_KEYS = tuple(f"joining-key-{number}" for number in range(1, 7))
+NEVER_HELD, NO_KEY = "never-held-key", ""
+TENANT_BY_KEY = {
+    **dict.fromkeys(STANDING_KEYS, STANDING),
+    **dict.fromkeys(METERED_KEYS, METERED),
+    **dict.fromkeys(LEAVING_KEYS, LEAVING),
+    **dict.fromkeys(JOINING_KEYS, JOINING),
+}
+KEY_WEIGHTS = {
+    **dict.fromkeys(STANDING_KEYS, 4.0),
+    **dict.fromkeys(METERED_KEYS, 5.0),
+    **dict.fromkeys((*LEAVING_KEYS, *JOINING_KEYS), 1.0),
+    NEVER_HELD: 0.7,
+    NO_KEY: 0.7,
+}
+
+
+class Run(NamedTuple):
+    """A request at a server that ran it: when, and what it was told of the tenant."""
+
+    at: float
+    tenants: tuple[str, ...]
+    has_key: bool
+
+
+@dataclass(slots=True)
+class HeldKeys:
+    """The keys of one configuration; `replaced_at` is when its successor was acknowledged."""
+
+    keys: frozenset[str]
+    sent_at: float
+    replaced_at: float = float("inf")
+
+
+class Judged(NamedTuple):
+    """A request as its client saw it."""
+
+    request_id: str
+    kind: RequestKind
+    credential: str
+    sent_at: float
+    ended_at: float
+    status: int
+
+
+@dataclass(slots=True)
+class TenantKeys:
+    """The keys in force over time, and what ran under them."""
+
+    held: list[HeldKeys] = field(default_factory=list)
+    runs: dict[str, list[Run]] = field(default_factory=dict)
+
+    # the operator ---------------------------------------------------------------------------
+
+    def document(self, leaving: int = len(LEAVING_KEYS), joining: int = 0) -> list[dict[str, Any]]:
+        """The platform's list of tenants, with this many of the keys that leave and of those that join."""
+        keys = {
+            STANDING: STANDING_KEYS,
+            METERED: METERED_KEYS,
+            LEAVING: LEAVING_KEYS[len(LEAVING_KEYS) - leaving :],
+            JOINING: JOINING_KEYS[:joining],
+        }
+        quota = {"rate-per-s": METERED_RATE, "burst-size": METERED_BURST}
+        return [
+            {
+                "name": name,
+                "api-keys": list(keys[name]),
+                "priority": PRIORITIES[name],
+                **(quota if name == METERED else {}),
+            }
+            for name in keys
+        ]
+
+    def note_sent(self, tenants: list[dict[str, Any]]) -> None:
+        """A configuration with these tenants goes out for the first time."""
+        keys = frozenset(key for tenant in tenants for key in tenant["api-keys"])
+        self.held.append(HeldKeys(keys, asyncio.get_running_loop().time()))
+
+    def note_acknowledged(self) -> None:
+        """The one that was sent last is acknowledged."""
+        for earlier in self.held[:-1]:
+            earlier.replaced_at = min(earlier.replaced_at, asyncio.get_running_loop().time())
+
+    # clients and servers --------------------------------------------------------------------
+
+    @staticmethod
+    def draw(random: Random, kind: RequestKind) -> str:
+        """A client's key for a request of this kind; half of those on public routes bear none."""
+        if kind.is_public and random.random() < 0.5:
+            return NO_KEY
+        (key,) = random.choices(list(KEY_WEIGHTS), list(KEY_WEIGHTS.values()))
+        return str(key)
+
+    def note_run(self, request_id: str, headers: Mapping[str, str]) -> None:
+        """A server begins a request."""
+        told = tuple(value for name, value in headers.items() if name.lower() == TENANT.lower())
+        has_key = any(name.lower() == CREDENTIAL.lower() for name in headers)
+        self.runs.setdefault(request_id, []).append(Run(asyncio.get_running_loop().time(), told, has_key))
+
+    # judging --------------------------------------------------------------------------------
+
+    def told_wrong(self, request_id: str, credential: str) -> Iterator[str]:
+        """Runs of a request with this key, or none, whose server got the key, or another tenant's name."""
+        tenant = TENANT_BY_KEY.get(credential)
+        for run in self.runs.get(request_id, ()):
+            if run.has_key:
+                yield f"UNASKED: a server was handed the key of {request_id}"
+            if run.tenants != ((tenant,) if tenant is not None else ()):
+                yield f"UNASKED: a server was told {run.tenants} of {request_id}, whose tenant is {tenant}"
+
+    def violations(self, requests: list[Judged]) -> Iterator[str]:
+        """What ran or was refused as no configuration in force has it, and what went beyond a quota."""
+        for request in requests:
+            for run in self.runs.get(request.request_id, ()):
+                yield from self._of_run(request, run)
+            if request.status == UNAUTHORIZED and self._is_always_allowed(request):
+                yield f"DENIED: {request.request_id} of {request.kind.name} got 401 with {_shown(request)}"
+        yield from self._of_quota(requests)
+
+    def _of_run(self, request: Judged, run: Run) -> Iterator[str]:
+        what = f"{request.request_id} of {request.kind.name} with {_shown(request)}"
+        if not any(self._allows(held, request) for held in self._in_force(request.sent_at, run.at)):
+            yield f"ROUTE or CONFIG: a server ran {what}, sent at {request.sent_at:.3f} s"
+
+    def _in_force(self, since: float, until: float) -> list[HeldKeys]:
+        """Configurations that may be in force somewhere in a time."""
+        return [held for held in self.held if held.sent_at <= until and since <= held.replaced_at + APPLY_WITHIN_S]
+
+    @staticmethod
+    def _allows(held: HeldKeys, request: Judged) -> bool:
+        return request.credential in held.keys or (request.kind.is_public and request.credential == NO_KEY)
+
+    def _is_always_allowed(self, request: Judged) -> bool:
+        return all(self._allows(held, request) for held in self._in_force(request.sent_at, request.ended_at))
+
+    def _of_quota(self, requests: list[Judged]) -> Iterator[str]:
+        allowed = (METERED_RATE * QUOTA_WINDOW_S + METERED_BURST) * (1 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+        runs = sorted(
+            (request.sent_at, run.at)
+            for request in requests
+            if TENANT_BY_KEY.get(request.credential) == METERED
+            for run in self.runs.get(request.request_id, ())
+        )
+        for since, _ in runs:
+            count = sum(sent_at >= since and at <= since + QUOTA_WINDOW_S for sent_at, at in runs)
+            if count > allowed:
+                what = f"{count} requests of {METERED} were sent and run in {QUOTA_WINDOW_S:g} s"
+                yield f"QUOTA: {what} from {since:.3f} s, allowed {allowed:g}"
+                return
+
+    def counts(self, requests: list[Judged]) -> dict[str, int]:
+        """How much there was to judge, by kind."""
+        last = self.held[-1].keys if self.held else frozenset()
+        gone = {
+            key: min(each.replaced_at for each in self.held if key in each.keys and key not in last)
+            for key in LEAVING_KEYS
+            if key not in last and any(key in each.keys for each in self.held)
+        }
+        late = sum(
+            request.credential in gone and request.sent_at > gone[request.credential] + APPLY_WITHIN_S
+            for request in requests
+        )
+        return {
+            "requests refused for their key": sum(request.status == UNAUTHORIZED for request in requests),
+            "requests run for a tenant": sum(bool(run.tenants) for runs in self.runs.values() for run in runs),
+            "requests under keys long gone": late,
+        }
+
+
+def _shown(request: Judged) -> str:
+    return request.credential or "no key"
--- a/tests/harness/test_platform_fakes.py
+++ b/tests/harness/test_platform_fakes.py
@@ -17,6 +17,7 @@
 from harness.fakes.plain_server import PlainServer
 from harness.fakes.response_chunks import digest_of, event_data
 from harness.fakes.server import DEADLINE, EXPECTED, NOT_RUN, REQUEST, SEAL
+from harness.fakes.tenants import CREDENTIAL, STANDING, TENANT
 from harness.local_cluster.log_excerpts import with_logs_on_failure
 
 BOUND = 60.0
@@ -155,6 +156,8 @@
     "half a body": (lambda name, headers, body: (headers, body[: len(body) // 2]), "MIXED"),
     "twice": (lambda name, headers, body: (headers, body), "TWICE"),
     "refused though run": (lambda name, headers, body: None, "REFUSED"),
+    "key passed on": (None, "was handed the key"),
+    "another tenant": (None, "was told"),
 }
 
 
@@ -175,6 +178,9 @@
         async def route(request):
             server, body = servers[KIND[kind].service], await request.read()
             kept = {name: value for name, value in request.headers.items() if name.startswith("Sumachook-")}
+            kept[TENANT] = "somebody" if how == "another tenant" else STANDING
+            if how != "key passed on":
+                del kept[CREDENTIAL]
             async with aiohttp.ClientSession() as session:
                 for _ in range(1 + (how == "twice")):
                     async with session.post(
