Stored files are for their owner alone

The stored configuration has clients' keys in it, and its files could be read by every user of the machine. New files get mode 600; files that stand keep theirs until they are written anew.

--- a/sumachook/storage/file_system.py
+++ b/sumachook/storage/file_system.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 from typing import Protocol
 
+OWNER_ONLY = 0o600  # mode of new files: the stored configuration has clients' keys in it
+
 
 class FileSystem(Protocol):
     """One flat folder. Every operation that writes comes back only after its own sync.
@@ -125,7 +127,7 @@
 
     def _write(self, name: str, flags: int, raw: bytes) -> None:
         """One descriptor for write and sync, so that an error of the write-back is reported here."""
-        handle = os.open(self.path / name, flags, 0o644)
+        handle = os.open(self.path / name, flags, OWNER_ONLY)
         try:
             rest = memoryview(raw)
             while rest:
--- a/tests/storage/test_storage.py
+++ b/tests/storage/test_storage.py
@@ -551,3 +551,12 @@
     disk.lose_power(writes_kept=3)
     disk.open(ZERO)
     assert disk.files == {"log": [("a", 1), ("a", 2), ("a", 3)], "image": [("b", 2)]} and disk.unfinished == []
+
+
+def test_files_are_for_their_owner_alone(tmp_path):
+    """Given files that are made new, appended to and written in the place of others, nobody but their owner may read or write them."""
+    files = RealFileSystem(tmp_path)
+    files.write_new("log", b"a")
+    files.write_new("log.new", b"b")
+    files.rename("log.new", "log")
+    assert {path.stat().st_mode & 0o777 for path in tmp_path.iterdir()} == {0o600}
