A request that states a deciding header twice is refused

Of two hosts, ids, models, token counts, prompts or last events the edge took the last and passed on both. Such a request gets 400 and runs nowhere. (Of two keys neither is believed since the key is read; two deadlines were never passed on.)

--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -73,6 +73,9 @@
     ) -> list[Any]:
         table = self.table
         trust = table.follower.trust(now)
+        if metadata.repeated_headers:
+            failure = FailureKind.MALFORMED.because(f"stated twice: {', '.join(metadata.repeated_headers)}")
+            return self._refuse(event, metadata, failure.status, failure, None)
         if table.is_closed:
             failure = FailureKind.DRAINING.because("this node is leaving")
             return self._refuse(event, metadata, 503, failure, RETRY_AFTER_DRAINING_S)
--- a/sumachook/forwarding/port.py
+++ b/sumachook/forwarding/port.py
@@ -73,9 +73,16 @@
             parts,
             names.get(self.LAST_EVENT, ""),
             self._credentials(headers) if self.CREDENTIAL in names else (),
+            self._repeated_headers(headers) if len(names) < len(headers) else (),
             self._unread_headers(names) if self.NAMESPACE else (),
         )
 
+    def _repeated_headers(self, headers: Any) -> tuple[str, ...]:
+        """Of the headers by which this node decides and that servers read as well, those that are stated twice."""
+        stated = [name.lower() for name, _ in headers]
+        deciding = ("host", self.REQUEST, self.MODEL, self.TOKENS, self.PARTS, self.LAST_EVENT)
+        return tuple(name for name in deciding if stated.count(name) > 1)
+
     def _credentials(self, headers: Any) -> tuple[Credential, ...]:
         """Each key that is stated; an empty one is none."""
         return tuple(Credential(value) for name, value in headers if name.lower() == self.CREDENTIAL and value)
--- a/sumachook/forwarding/request_metadata.py
+++ b/sumachook/forwarding/request_metadata.py
@@ -20,4 +20,5 @@
     ] = ()  # (id, tokens) of the prompt's parts in order; the last is the request's own
     last_event_id: str = ""
     credentials: tuple[Credential, ...] = ()  # each API key that it bears; more than one is not to be believed
+    repeated_headers: tuple[str, ...] = ()  # names of headers that decide and are stated more than once
     unread_headers: tuple[str, ...] = ()  # names of the port's own namespace that it does not know; passed on
