A change with a field that nobody reads is refused; answers name what is carried

The class of the incident, on the operator's side: a change of named items whose field was misspelt was acknowledged, stored beside the configuration and changed nothing. The answer that accepts a configuration names the fields that are stored without being read (the same as the log's).

--- a/sumachook/configuration/carried_fields.py
+++ b/sumachook/configuration/carried_fields.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+MAX_CARRIED_SHOWN = 40  # names in one line of a log or one answer
 EXTRA = "extra"  # where documents keep them, on any level
 
 
--- a/sumachook/nodes/configuration_changes.py
+++ b/sumachook/nodes/configuration_changes.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Any
 
+from sumachook.configuration.carried_fields import MAX_CARRIED_SHOWN, carried_fields
 from sumachook.consensus.events import ReadRequested
 from sumachook.control_state.change_attempts import Attempt
 from sumachook.control_state.changes import Configure, Evacuate, OperatorCall, OperatorChange, Restore
@@ -199,6 +200,8 @@
             body["generation"] = result.revision
             body["confirmed"] = [node for node in live if node not in unconfirmed]
             body["unconfirmed"] = unconfirmed
+            if isinstance(order.change, Configure):
+                body["carried"] = carried_fields(order.change.document)[:MAX_CARRIED_SHOWN]
         else:
             body["faults"] = [{"path": path, "reason": reason} for path, reason in result.issues]
         return reply(order.call_id, STATUS[result.outcome], body)
--- a/sumachook/nodes/state_delivery.py
+++ b/sumachook/nodes/state_delivery.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING, Any
 
 from sumachook.changefeed.events import EntryDelivered, ServeRequested, SnapshotRestored
-from sumachook.configuration.carried_fields import carried_fields
+from sumachook.configuration.carried_fields import MAX_CARRIED_SHOWN, carried_fields
 from sumachook.configuration.difference import FIELDS, LISTS
 from sumachook.consensus import events as consensus_events
 from sumachook.consensus.effects import Compact, Deliver, Restore
@@ -25,9 +25,6 @@
     from sumachook.nodes.core import Core
 
 
-MAX_CARRIED_SHOWN = 40  # names in one line of the log
-
-
 class StateDelivery:
     """Applies committed entries and snapshots; tells the change feed, placement and the operators' calls."""
 
--- a/tests/platform_adapters/test_platform_servers.py
+++ b/tests/platform_adapters/test_platform_servers.py
@@ -146,6 +146,7 @@
         "12",
         (),
         (),
+        (),
     )
     sent = port.write_request(pairs, "ficu95.example", "i-7f3a91c2", 4321, 1, "14")
     names = {name.lower(): value for name, value in sent}
--- a/tests/platform_adapters/test_tenants.py
+++ b/tests/platform_adapters/test_tenants.py
@@ -92,3 +92,52 @@
         assert not any(scene.was_run(call) for call in refused)
         assert [scene.status(call) for call in refused] == [401] * 6
         assert scene.was_run(scene.call(EAST_SECOND_KEY, path=path)) and scene.was_run(scene.call(WEST_KEY, path=path))
+
+
+def test_a_change_with_a_field_that_nobody_reads_is_refused():
+    """Given changes of named items with a misspelt field, a field of whole configurations and one of a later protocol, each is refused by
+    its name and nothing changes; the answer to a valid one names what is stored without being read."""
+    scene = OperatorScene(312)
+    doc = tenants_document()
+    assert scene.replace(doc, 0)[0] == 200
+    for field in ("upsert", "routes", "overrides"):
+        status, body = scene.update({"version": 9, field: {"tenants": [WEST]}, "upserts": {}}, 7)
+        assert status == 400 and field in json.loads(body)["error"]
+    assert scene.read() == doc
+    status, body = scene.update({"version": 9, "upserts": {"tenants": [{**WEST, "allowed-regions": ["x"]}]}}, 7)
+    assert status == 200 and json.loads(body)["carried"] == ["tenants.allowed-regions"]
+
+
+def test_a_key_of_two_tenants_is_refused_as_a_whole_and_as_a_change():
+    """Given tenants in force, a change that gives a tenant another one's key is refused at any core, and so is a whole configuration; one
+    that moves the key in one step is taken."""
+    scene = OperatorScene(313)
+    doc = tenants_document()
+    assert scene.replace(doc, 0)[0] == 200
+    thief = {**WEST, "api-keys": [WEST_KEY, EAST_KEY]}
+    for core in ("core-1", "core-2", "core-3"):
+        status, body = scene.update({"version": 9, "upserts": {"tenants": [thief]}}, 7, core=core)
+        assert status == 400 and EAST_KEY.encode() not in body
+        status, body = scene.replace(tenants_document((EAST, thief), 9), 7, core=core)
+        assert status == 400 and EAST_KEY.encode() not in body
+    assert scene.read() == doc
+    moved = [{**EAST, "api-keys": [EAST_SECOND_KEY]}, thief]
+    assert scene.update({"version": 9, "upserts": {"tenants": moved}}, 7)[0] == 200
+    assert scene.read() == tenants_document(moved, 9)
+
+
+def test_a_header_that_decides_and_is_stated_twice_runs_nothing():
+    """Given requests that state their id, model, tokens, prompt, last event or host twice, each is refused with 400 and none runs: server
+    and edge might read another one of the two. Other headers may come twice."""
+    for name in ("Request-Id", "Model", "Token-Counts", "Prompt-Prefix"):
+        scene = TenantScene()
+        header = f"Sumachook-{name}"
+        call = scene.call(EAST_KEY, headers=((header, "a"), (header.lower(), "b")))
+        assert scene.status(call) == 400 and not scene.was_run(call)
+    for name in ("Host", "Last-Event-Id"):
+        scene = TenantScene()
+        call = scene.call(EAST_KEY, headers=((name, "ficu95.example"), (name.upper(), "ficu95.example")))
+        assert scene.status(call) == 400 and not scene.was_run(call)
+    scene = TenantScene()
+    call = scene.call(EAST_KEY, headers=(("Accept", "a"), ("Accept", "b")))
+    assert scene.forwarded(call)[0].count(("accept", "a")) == scene.forwarded(call)[0].count(("accept", "b")) == 1
