--- a/harness/mutations/quotas.py
+++ b/harness/mutations/quotas.py
@@ -171,7 +171,7 @@
     Mutation(
         13,
         "a refusal bears a status that is none of a tenant's",
-        "    if failure.kind is FailureKind.ALLOWANCE:\n        return failure.status\n",
+        "    if failure.kind in FINAL_REFUSALS:\n        return failure.status\n",
         "",
         ADMISSION,
         "denied_request",
@@ -196,8 +196,8 @@
     Mutation(
         13,
         "a row is sent before it has its leave",
-        "        if route.name not in table.tenants:",
-        "        if True:",
+        "        if tenant is None:\n            return self.entry.take(request)",
+        "        if True:\n            return self.entry.take(request)",
         ADMISSION,
         "waits_for_its_admission",
     ),
@@ -220,8 +220,8 @@
     Mutation(
         13,
         "what yields keeps its turn",
-        "return request.is_yielding, request.route.priority, request.number",
-        "return request.route.priority, request.number",
+        "return request.is_yielding, request.tenant_priority, request.route.priority, request.number",
+        "return request.tenant_priority, request.route.priority, request.number",
         ADMISSION,
         "yields_goes_last",
     ),
--- a/harness/mutations/runner.py
+++ b/harness/mutations/runner.py
@@ -16,6 +16,7 @@
 from harness.mutations.routing import ROUTING_MUTATIONS
 from harness.mutations.shutdown import SHUTDOWN_MUTATIONS
 from harness.mutations.storage import STORAGE_MUTATIONS
+from harness.mutations.tenants import TENANT_MUTATIONS
 
 MUTATIONS = (
     *ANSWERS_MUTATIONS,
@@ -27,6 +28,7 @@
     *REQUESTS_MUTATIONS,
     *CONTROL_PLANE_MUTATIONS,
     *QUOTAS_MUTATIONS,
+    *TENANT_MUTATIONS,
     *CONSENSUS_MUTATIONS,
     *MODEL_CHECKER_MUTATIONS,
 )
