--- /dev/null
+++ b/tests/quotas/test_quota_bound.py
@@ -0,0 +1,42 @@
+"""The users' bound on what a tenant's requests may sum to in any five seconds, through floods and faults (docs/design/quotas.md)."""
+
+from bisect import bisect_left, bisect_right
+
+import pytest
+
+from sumachook.configuration.tenant import Tenant
+from tests.quotas.quota_fixtures import SECOND, Offices
+
+WINDOW_S, OVERSHOOT, SLACK = 5.0, 0.1, 20
+VACANCY = SECOND * 1.5
+FLOOD = 5  # times the rate
+
+
+def most_in_a_window(offices):
+    times = sorted(call.ran_at.total_seconds() for call in offices.calls if call.ran_at is not None)
+    return max(bisect_right(times, since + WINDOW_S) - bisect_left(times, since) for since in times)
+
+
+@pytest.mark.parametrize(("rate", "edges"), [(6, 12), (62, 6)])
+@pytest.mark.parametrize("faults", [(), ("lost",), ("cut",), ("cut", "lost"), ("frozen", "lost")])
+def test_a_flood_is_let_in_within_the_bound_whatever_becomes_of_the_accountant(rate, edges, faults):
+    """Given a tenant with all its burst saved up that sends five times its rate from all edges, while the accountant's core is lost, a
+    third of the edges is cut off, or an edge stands still and wakes, no five seconds hold more than the users allow."""
+    offices = Offices([Tenant("t", keys=("k",), requests_per_s=float(rate), burst=float(rate))], edges=edges)
+    offices.run(2).offer("t", FLOOD * rate, 8.0)
+    offices.run(0.5)
+    names = [edge.name for edge in offices.edges]
+    if "cut" in faults:
+        cut_off = names[: edges // 3]
+        offices.cut(cut_off, [name for name in offices.nodes if name not in cut_off])
+    if "frozen" in faults:
+        offices.freeze(names[0])
+    if "lost" in faults:
+        offices.lose_holder(after=VACANCY)
+    offices.run(3)
+    if "frozen" in faults:
+        offices.wake(names[0])
+    offices.run(1).heal()
+    offices.run(4)
+    assert most_in_a_window(offices) <= (rate * WINDOW_S + rate) * (1 + OVERSHOOT) + SLACK
+    assert most_in_a_window(offices) > rate * WINDOW_S * 0.5
