Of a stated burst five requests at the most are let in uncounted

Cause: edges without an issuer save up their part of half of the burst, and each new issuer begins with half of it, though the burst may just have been used.

Change: of a burst that is stated in requests the floor's part is five at the most. Tenants with burstS are as they were.

--- a/harness/mutations/tenants.py
+++ b/harness/mutations/tenants.py
@@ -107,11 +107,19 @@
     Mutation(
         "QUOTA",
         "the burst that an operator states counts for nothing",
-        "if tenant.burst is None or rates.requests == UNBOUND:",
+        "if requests is None or rates.requests == UNBOUND:",
         "if True:",
         DOCUMENTS,
         "products_terms",
     ),
+    Mutation(
+        "QUOTA",
+        "the whole floor of a burst is let in uncounted",
+        "min(MAX_UNCOUNTED_BURST, tenant.burst * tenant.floor)",
+        "tenant.burst * tenant.floor",
+        "tests/quotas/test_quota_bound.py",
+        "within_the_bound",
+    ),
     Mutation(
         "CONFIG",
         "a route's priority goes before the tenant's",
--- a/sumachook/quotas/terms.py
+++ b/sumachook/quotas/terms.py
@@ -6,6 +6,8 @@
 from sumachook.quotas.amounts import UNBOUND, Amounts, shown
 
 MIN_BURST = 1.0  # a bucket that never holds one request would admit none
+# Requests of a stated burst that may be let in, or lent by a new issuer, without a count of what was let in before.
+MAX_UNCOUNTED_BURST = 5.0
 YIELD = "yield"  # the setting under which requests over the ceiling run where servers are free
 
 
@@ -35,8 +37,8 @@
         allowance = [UNBOUND if figure is None else figure for figure in (tenant.requests_per_s, tenant.tokens_per_s)]
         ceiling = Amounts(*(figure * tenant.ceiling for figure in allowance))
         floor = Amounts(*(figure * tenant.floor for figure in allowance))
-        burst = _burst(ceiling, tenant, tenant.ceiling)
-        floor_burst = _burst(floor, tenant, tenant.floor)
+        burst = _burst(ceiling, tenant, tenant.burst)
+        floor_burst = _burst(floor, tenant, _uncounted_burst(tenant))
         return cls(tenant.name, ceiling, floor, burst, floor_burst, tenant.over_ceiling == YIELD)
 
     @classmethod
@@ -58,12 +60,17 @@
     return tenant.requests_per_s is not None or tenant.tokens_per_s is not None
 
 
-def _burst(rates: Amounts, tenant: Tenant, part: float) -> Amounts:
-    """What may be saved up: `burstS` seconds of these rates, or this part of the requests that `burst` states."""
+def _burst(rates: Amounts, tenant: Tenant, requests: float | None) -> Amounts:
+    """What may be saved up: `burstS` seconds of these rates, or so many requests where they are stated."""
     saved = Amounts(*(max(MIN_BURST, figure * tenant.burst_s) for figure in rates))
-    if tenant.burst is None or rates.requests == UNBOUND:
+    if requests is None or rates.requests == UNBOUND:
         return saved
-    return saved._replace(requests=max(MIN_BURST, tenant.burst * part))
+    return saved._replace(requests=max(MIN_BURST, requests))
+
+
+def _uncounted_burst(tenant: Tenant) -> float | None:
+    """The floor's part of a stated burst: nobody knows by then how much of the burst has been used."""
+    return None if tenant.burst is None else min(MAX_UNCOUNTED_BURST, tenant.burst * tenant.floor)
 
 
 def _shown(amounts: Amounts) -> dict[str, float | None]:
