--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -47,11 +47,10 @@
         `arrived_at` is given for a request that was parked.
         """
         table = self.table
-        arrived_at = now if arrived_at is None else arrived_at
         metadata = table.port.read_request(event.headers)
-        if metadata.unread_headers:
-            return self._note_unread(metadata) + self._judge(event, metadata, now, arrived_at)
-        return self._judge(event, metadata, now, arrived_at)
+        if arrived_at is not None:
+            return self._decide(event, metadata, now, arrived_at)
+        return self._note_unread(metadata) + self._decide(event, metadata, now, now)
 
     def _note_unread(self, metadata: RequestMetadata) -> list[Any]:
         """Counts headers that are passed on without being read, and logs each name once."""
@@ -68,7 +67,7 @@
                 effects.append(Log("warning", FORWARDING, text, {"header": labels[1]}))
         return effects
 
-    def _judge(
+    def _decide(
         self, event: ProxyRequestReceived, metadata: RequestMetadata, now: timedelta, arrived_at: timedelta
     ) -> list[Any]:
         table = self.table
--- a/tests/platform_adapters/test_platform_settings.py
+++ b/tests/platform_adapters/test_platform_settings.py
@@ -334,3 +334,13 @@
         warnings += [effect for effect in effects if isinstance(effect, Log) and "Rules are in force" in effect.text]
     (warning,) = warnings
     assert warning.fields == {"contracts": ("owners", "of-later")}
+
+
+@pytest.mark.parametrize(("closed", "lifetime"), [("true", 5.0), ("false", None), (None, None)])
+def test_keys_must_be_vouched_for_where_the_settings_say_so(closed, lifetime):
+    """Given `revocation-closed`, true, false or left out, keys are believed without word of a core for `revocation-ms`, or for any time."""
+    bounds = "revocation-ms = 5000\n" + (f"revocation-closed = {closed}\n" if closed else "")
+    settings, _ = node_settings(SETTINGS.replace("[bounds]\n", "[bounds]\n" + bounds), "edge")
+    assert settings.key_lifetime == lifetime
+    table = Edge(settings, {}, 1, Clock(), Random(1)).proxy_pipeline.table
+    assert table.credential_lifetime == (None if lifetime is None else timedelta(seconds=lifetime))
