--- a/sumachook/forwarding/access.py
+++ b/sumachook/forwarding/access.py
@@ -1,6 +1,8 @@
 """Who may send requests on a route, and for which tenant."""
 
 from collections.abc import Iterable, Mapping
+from datetime import timedelta
+from random import Random
 from typing import Any, NamedTuple, Self
 
 from sumachook.configuration.http_route import HttpRoute
@@ -8,6 +10,8 @@
 from sumachook.forwarding.credential import Credential
 from sumachook.requests.failures import FailureKind, RequestFailure
 
+SECRET_BYTES = 32
+
 
 class Access(NamedTuple):
     """What was found of a request: its tenant, None where it has none, or why it is refused."""
@@ -91,3 +95,27 @@
     def level(self, tenant_priority: int, route_priority: int) -> int:
         """The urgency of a request; that of a pair of an earlier configuration may be the last."""
         return self.levels.get((tenant_priority, route_priority), self.LOWEST_URGENCY)
+
+
+class ClientAccess:
+    """What an edge goes by when clients come: rules and urgencies of its configuration, worked out once each.
+
+    `credential_lifetime` is for how long a key is believed without word of a core; None for any time.
+    """
+
+    __slots__ = ("random", "secret", "rules", "urgency_scale", "credential_lifetime")
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.secret = b""  # under which keys are compared; drawn with the first of them
+        self.rules = AccessRules.none()
+        self.urgency_scale = UrgencyScale((), ())
+        self.credential_lifetime: timedelta | None = None
+
+    def refresh(self, catalogue: Any) -> None:
+        """Another configuration is in force."""
+        if not self.secret and any(tenant.keys for tenant in catalogue.tenants):
+            self.secret = self.random.randbytes(SECRET_BYTES)
+        if catalogue.tenants is not self.rules.tenants:
+            self.rules = AccessRules(catalogue.tenants, self.secret)
+        self.urgency_scale = UrgencyScale.of(catalogue)
--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -86,7 +86,7 @@
             if trust is not Trust.FRESH:  # just woke or cut off: what it knows may be old, and a 404 is final
                 return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
             return self._refuse(event, metadata, 404, FailureKind.NOT_FOUND.because("no route"), None)
-        access = table.access.check(route, metadata.credentials)
+        access = table.access.rules.check(route, metadata.credentials)
         if access.failure is not None:
             if trust is not Trust.FRESH:  # a key may be new, and a 401 is final
                 return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
@@ -129,7 +129,7 @@
         table.requests[request.number] = request
         table.by_call_id[request.call_id] = request.number
         request.checked_generation = table.generation
-        request.tenant_priority = table.access.priority_of(tenant)
+        request.tenant_priority = table.access.rules.priority_of(tenant)
         if tenant is None:
             return self.entry.take(request)
         request.tenant = tenant.name
--- a/sumachook/forwarding/request_table.py
+++ b/sumachook/forwarding/request_table.py
@@ -7,7 +7,7 @@
 
 from sumachook.changefeed.trust import Trust
 from sumachook.configuration.node_settings import COLD_OVERSHOOT, COLD_SLACK
-from sumachook.forwarding.access import AccessRules, UrgencyScale
+from sumachook.forwarding.access import ClientAccess
 from sumachook.forwarding.cold_allowance import ColdAllowance
 from sumachook.forwarding.forwarded_request import ForwardedRequest
 from sumachook.forwarding.routes import Routes
@@ -19,7 +19,6 @@
 USED_FRACTION = 0.9  # of a server's connections; the rest is for edges that differ on how many they are
 UNEVEN_LOAD = 1.5  # an edge's part is more than the even one, so that uneven load finds room
 DEFAULT_CONNECTIONS = 2.0  # to a server of a service that the catalogue does not know
-SECRET_BYTES = 32
 MAX_KEPT_CONNECTIONS = 4  # idle ones to one server
 KEPT_CONNECTIONS_PART = 2  # idle connections take no more than this part of the share: a half
 
@@ -32,7 +31,6 @@
         "begun_by_service",
         "cold_allowance",
         "cold_until",
-        "credential_lifetime",
         "edges",
         "ejected_until",
         "has_freed_capacity",
@@ -45,9 +43,7 @@
         "rank",
         "routes",
         "running_by_service",
-        "secret",
         "services",
-        "urgency_scale",
         "waiting",
         "wanted_models",
     )
@@ -85,11 +81,7 @@
         self.wanted_models: dict[str, dict[str, tuple[int, float]]] = {}
         # of the catalogue
         self.routes = Routes({})
-        self.access = AccessRules.none()
-        self.urgency_scale = UrgencyScale((), ())
-        # for which a key is believed that no core has vouched for since; None for any time
-        self.credential_lifetime: timedelta | None = None
-        self.secret = b""  # under which keys are compared; drawn with the first of them
+        self.access = ClientAccess(random)
         self.services: dict[str, Any] = {}
         self.models: dict[str, dict[str, Any]] = {}
         # servers that all edges together spare
@@ -106,23 +98,16 @@
         self.generation = self.state.generation
         self.routes = Routes(self.state.checked.route_by_match)
         self.services = {service.name: service for service in catalogue.services}
-        self._refresh_access(catalogue)
+        self.access.refresh(catalogue)
         self.models = {
             service.name: {model.name: model for model in service.engine.models}
             for service in catalogue.services
             if service.engine
         }
 
-    def _refresh_access(self, catalogue: Any) -> None:
-        if not self.secret and any(tenant.keys for tenant in catalogue.tenants):
-            self.secret = self.random.randbytes(SECRET_BYTES)
-        if catalogue.tenants is not self.access.tenants:
-            self.access = AccessRules(catalogue.tenants, self.secret)
-        self.urgency_scale = UrgencyScale.of(catalogue)
-
     def has_stale_credentials(self, now: timedelta) -> bool:
         """Whether a key may have been taken away too long ago for this node not to have learnt of it."""
-        lifetime = self.credential_lifetime
+        lifetime = self.access.credential_lifetime
         return lifetime is not None and now - self.follower.proved_at > lifetime
 
     def connection_share(self, service: str) -> float:
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -86,7 +86,7 @@
     def _urgency(self, request: ForwardedRequest) -> int:
         if request.is_yielding:
             return UrgencyScale.LOWEST_URGENCY
-        return self.table.urgency_scale.level(request.tenant_priority, request.route.priority)
+        return self.table.access.urgency_scale.level(request.tenant_priority, request.route.priority)
 
     def _reuse(self, request: ForwardedRequest) -> ConnectionReuse:
         """On a connection that was used before only the id tells an answer from a late one."""
--- a/sumachook/forwarding/server_selection.py
+++ b/sumachook/forwarding/server_selection.py
@@ -104,7 +104,7 @@
         if request.checked_generation == table.generation:
             return None
         request.checked_generation = table.generation
-        access = table.access.check(request.route, request.metadata.credentials)
+        access = table.access.rules.check(request.route, request.metadata.credentials)
         if access.failure is not None:
             return access.failure
         tenant = access.tenant.name if access.tenant is not None else None
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -152,7 +152,7 @@
                 self.cluster_clock,
             )
             if settings.key_lifetime is not None:
-                table.credential_lifetime = timedelta(seconds=settings.key_lifetime)
+                table.access.credential_lifetime = timedelta(seconds=settings.key_lifetime)
             table.cold_allowance = ColdAllowance(settings.cold_overshoot, settings.cold_slack)
             self.proxy_pipeline = ProxyPipeline(table)
 
--- a/tests/platform_adapters/test_platform_settings.py
+++ b/tests/platform_adapters/test_platform_settings.py
@@ -343,4 +343,4 @@
     settings, _ = node_settings(SETTINGS.replace("[bounds]\n", "[bounds]\n" + bounds), "edge")
     assert settings.key_lifetime == lifetime
     table = Edge(settings, {}, 1, Clock(), Random(1)).proxy_pipeline.table
-    assert table.credential_lifetime == (None if lifetime is None else timedelta(seconds=lifetime))
+    assert table.access.credential_lifetime == (None if lifetime is None else timedelta(seconds=lifetime))
--- a/tests/platform_adapters/test_revoked_keys.py
+++ b/tests/platform_adapters/test_revoked_keys.py
@@ -164,7 +164,7 @@
     """Given that keys are believed for 2 s without word of a core, a request with a known key is neither admitted nor sent to a server
     later than that, while public routes go on; with word of a core it runs again."""
     scene = TenantScene(trust=Trust.DISCONNECTED)
-    scene.table.credential_lifetime = 2 * SECOND
+    scene.table.access.credential_lifetime = 2 * SECOND
     scene.trust.proved_at = scene.now
     assert scene.was_run(scene.call(EAST_KEY))
     servers, scene.state.servers = scene.state.servers, {}
@@ -242,7 +242,8 @@
             return super().get(digest, default)
 
     scene.table.refresh()
-    scene.table.access.tenant_by_digest = Counted(scene.table.access.tenant_by_digest)
+    rules = scene.table.access.rules
+    rules.tenant_by_digest = Counted(rules.tenant_by_digest)
     for number in (0, 7, 399):
         assert scene.tenants_told(scene.call(f"key-{number}-5")) == [[f"t{number}"]]
     assert len(probes) == 3
