--- a/tests/quotas/test_rate_limiter.py
+++ b/tests/quotas/test_rate_limiter.py
@@ -74,3 +74,18 @@
     requests = [message for message in sent if isinstance(message, LeaseRequest)]
     backs = [request.demands["shops"].returned_requests for request in requests]
     assert backs == [5.0] and rate_limiter.quotas["shops"].returned == NOTHING
+
+
+def test_an_edge_that_is_alone_asks_the_same_few_others():
+    """Given an edge among eighty that has no issuer, its requests beyond its own part are asked of eight others, the same ones each time.
+
+    Seen before: each of eighty edges asked all others for each request that waited while the accountant was away."""
+    now = SECOND * 100
+    limiter, _ = _limiter(now)
+    peers = tuple(f"edge-{number}" for number in range(2, 81))
+    limiter.take(LimiterTick(None, ("core-1",), peers, 80), now + SECOND)
+    asked = []
+    for turn in range(2, 6):
+        effects = limiter.take(_asked(turn), now + SECOND * turn)
+        asked.append([effect.address for effect in effects if isinstance(effect, Send)])
+    assert len(set(asked[0])) == 8 and asked.count(asked[0]) == len(asked)
