An edge without an issuer asks eight others at the most, the same ones each time

Cause: a cost that grows with the square of the number of edges: each edge asked all others for their parts while no core lends, over connections of their own. Change: eight others, chosen by the edge's start, the same ones each time. The bound on what is let in does not change: parts are lent, none is made; with more than nine edges a part may stay unused while the accountant is away.

--- a/sumachook/quotas/rate_limiter.py
+++ b/sumachook/quotas/rate_limiter.py
@@ -48,6 +48,7 @@
 # borrowing from other edges
 BORROW_INTERVAL = MILLISECOND * 50
 BORROW_LIFETIME = MILLISECOND * 1000  # an answer that comes later is not used
+MAX_LENDERS = 8  # other edges that are asked, so that the cost does not grow with their number
 
 REPORT_INTERVAL = MILLISECOND * 1000
 MIN_RETRY_AFTER_S = 0.1
@@ -86,6 +87,7 @@
         "ticked_at",
         "probe_at",
         "report_at",
+        "lender_offset",
     )
 
     def __init__(self, state: Any, restart_epoch: int, now: timedelta):
@@ -104,6 +106,7 @@
         self.ticked_at = now
         self.probe_at = now
         self.report_at = now
+        self.lender_offset = restart_epoch
 
     def take(self, event: Event, now: timedelta) -> Sequence[Output]:
         """Handles an event; `now` is monotonic time."""
@@ -300,7 +303,14 @@
         tokens = sum(pending.tokens for pending in quota.pending.values())
         wanted = Amounts(len(quota.pending) + ahead, tokens + ahead * quota.tokens_per_request)
         message = BorrowRequest(self.number, {quota.terms.name: wanted})
-        return [Send(peer, message) for peer in self.peers]
+        return [Send(peer, message) for peer in self._lenders()]
+
+    def _lenders(self) -> tuple[str, ...]:
+        """The edges that are asked: the same few each time, as each is one more connection to keep."""
+        if len(self.peers) <= MAX_LENDERS:
+            return self.peers
+        first = self.lender_offset % len(self.peers)
+        return (self.peers + self.peers)[first : first + MAX_LENDERS]
 
     def _on_borrow_request(self, address: str, message: BorrowRequest, now: timedelta) -> list[Output]:
         outputs = self._refresh_terms(now)
