Placement: forget the targets of models that a configuration takes out

Cause: the overloaded models stem from the last evaluation (every 250 ms); one that the engine no longer lists raised KeyError in CandidateScoring.load_seconds, before the next evaluation was reached. Change: a configuration drops the targets of unlisted models and services when it comes into force.

--- a/sumachook/placement/load_scheduler.py
+++ b/sumachook/placement/load_scheduler.py
@@ -1,6 +1,6 @@
 """Turns a chosen candidate into an order; shared by the request scheduler and the replica scheduler."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -8,6 +8,7 @@
 from sumachook.placement.candidates import CandidateScoring
 from sumachook.placement.demand import Demand
 from sumachook.placement.engine_server import EngineServer, Verb
+from sumachook.placement.free_capacity import FreeCapacity
 from sumachook.placement.model_names import model_of, split_name
 from sumachook.placement.order_executor import OrderExecutor
 from sumachook.placement.server_registry import ServerRegistry
@@ -28,6 +29,23 @@
     overloaded: dict[str, tuple[str, ...]] = field(default_factory=dict)
     predicted: dict[str, frozenset[str]] = field(default_factory=dict)
 
+    def retain(self, capacities: Mapping[str, FreeCapacity]) -> None:
+        """Drops services and models that the configuration no longer lists, before the next evaluation would."""
+        listed = {service: capacity.models for service, capacity in capacities.items()}
+        self.desired = {
+            service: {model: count for model, count in models.items() if model in listed[service]}
+            for service, models in self.desired.items()
+            if service in listed
+        }
+        self.overloaded = {
+            service: tuple(model for model in models if model in listed[service])
+            for service, models in self.overloaded.items()
+            if service in listed
+        }
+        self.predicted = {
+            service: models & listed[service].keys() for service, models in self.predicted.items() if service in listed
+        }
+
 
 class LoadScheduler:
     """Chooses a server and sends it one order: an unload if memory or a slot must be freed first, else the load."""
--- a/sumachook/placement/provisioner.py
+++ b/sumachook/placement/provisioner.py
@@ -94,6 +94,16 @@
         if fence:
             self._update_registry(now)
 
+    def restart(self, now: timedelta) -> list[Effect]:
+        """Starts anew under the same lease after a failure, which may have lost calls that count as unanswered.
+
+        Servers must report before their next order, and edges recognize the numbers of its updates by the incarnation.
+        """
+        self.incarnation += 1
+        self.has_new_request = False
+        self._start_lease(self.fence, now, self.calls.last_number)
+        return []
+
     def take(self, event: Event, now: timedelta) -> list[Effect]:
         """Handles an event; while this core holds the lease, also sends the calls, orders and updates that are due."""
         effects = self._handle(event, now)
@@ -176,6 +186,7 @@
 
     def _update_registry(self, now: timedelta) -> None:
         self.publisher.mark_changed(*self.registry.update(self.state, now))
+        self.targets.retain(self.registry.capacities)
 
     # due calls and loads -------------------------------------------------------------
 
--- a/tests/placement/provisioning_fixtures.py
+++ b/tests/placement/provisioning_fixtures.py
@@ -11,7 +11,7 @@
 from sumachook.calls.run_status import CallFailure
 from sumachook.host.effects import Fetch, Log, Send, WakeAfter
 from sumachook.host.events import CallFailed, DelayElapsed, MessageReceived, ResponseReceived
-from sumachook.placement.events import LeaseTick
+from sumachook.placement.events import LeaseTick, StateChanged
 from sumachook.placement.messages import ModelUsage, PlacementRequest
 from sumachook.placement.places import PlacementView
 from sumachook.placement.port import ServerPort
@@ -90,6 +90,15 @@
             "models": {},
         }
 
+    def configure(self, models, has_service=True):
+        """Puts a configuration in force whose engine lists the named models only, or that lacks the service."""
+        if not hasattr(self, "all_models"):
+            self.all_models = self.engine_config.models
+        engine = Item(**{**vars(self.engine_config), "models": tuple(m for m in self.all_models if m.name in models)})
+        service = Item(name="llm", connections=100, cold_ms=0.0, cold_per_s=0.0, engine=engine)
+        self.state.catalogue = Item(services=(service,) if has_service else ())
+        return self.handle(StateChanged())
+
     def take_over(self):
         """Transfers the lease to another core; calls of the previous holder stay in flight."""
         self.fence += 1
--- a/tests/placement/test_provisioning.py
+++ b/tests/placement/test_provisioning.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace as Item
 
 import msgspec
+import pytest
 
 from sumachook.calls.run_status import CallFailure
 from sumachook.host.effects import Send
@@ -390,3 +391,51 @@
     assert blank.is_known and blank.holders("m0") == ("i-0",) and old.holders("m9") == ("i-9",)
     simulation.run(timedelta(seconds=1.5))
     assert old.holders("m0") and blank.holders("m4")
+
+
+def test_overloaded_model_may_be_taken_out_of_its_service():
+    """A busy model whose replicas are overloaded is taken out of its service: no event fails (review case 1, KeyError)."""
+    simulation = ProvisionerSimulation(held={0: ("m0",)}, loads_per_s=0.5)
+    simulation.run(timedelta(seconds=1))
+    for _ in range(20):
+        simulation.report_usage({"m0": (200, 400)})
+        simulation.run(MS * 100)
+        if "m0" in simulation.holder.targets.overloaded.get("llm", ()):
+            break
+    else:
+        raise AssertionError("the model was never overloaded")
+    simulation.configure([f"m{number}" for number in range(1, 12)])
+    simulation.request("m0", "m0/a1", "m5")
+    simulation.report_usage({"m0": (200, 400)})
+    simulation.run(timedelta(seconds=2))
+    simulation.run_with_usage(4, {}, ("m5",))
+    assert simulation.edges[EDGES[0]].holders("m5")
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_models_and_services_may_be_taken_out_while_busy(seed):
+    """Models and the whole service are taken out and put back at random while requests, usage, loads and a takeover go on: no
+    event fails, no server is overloaded, and afterwards requested models are loaded."""
+    random = Random(seed)
+    simulation = ProvisionerSimulation(servers=4, models=10, seed=seed, loss=0.1 * (seed % 2))
+    names = [f"m{number}" for number in range(10)]
+    for _ in range(60):
+        busy = random.sample(names, 4)
+        simulation.report_usage({name: (random.randrange(60), random.randrange(80)) for name in busy})
+        simulation.request(*random.sample(names, 3), f"{random.choice(names)}/a{random.randrange(8)}")
+        simulation.run(MS * random.randrange(20, 400))
+        if random.random() < 0.5:
+            simulation.configure(random.sample(names, random.randrange(10)), has_service=random.random() < 0.8)
+        if random.random() < 0.05:
+            simulation.take_over()
+        if random.random() < 0.1:
+            server = random.choice(tuple(simulation.state.servers))
+            simulation.state.servers[server]["leaving"] = random.random() < 0.5
+            simulation.handle(StateChanged())
+    for server in simulation.state.servers.values():
+        server["leaving"] = False
+    simulation.configure(names)
+    simulation.loss = 0.0
+    simulation.run_with_usage(20, {}, ("m1", "m2"))
+    assert simulation.records("breach") == [] and simulation.is_store_rate_limit_kept()
+    assert simulation.holders("m1") and simulation.holders("m2")
