Nodes: the failure of a component leaves no hole in replicated state

Cause: an exception in any component dropped every effect that waited behind it in the same event, among them committed entries that consensus counted as delivered and records for the disk. Change: each component of a core and of an edge is called through a guard. Its exception costs its own effects only; it is logged with its place, counted in /metrics, and placement starts anew under its lease. A failure of consensus or of the ledger's replica stops the core, which exits and reads its data from the disk. An entry that the state can't apply is undone whole, kept with all that follow and retried; until then the core leaves the view, holds no lease, answers no read, serves no edge and compacts nothing. An entry out of order stops the core.

--- a/harness/mutations/control_plane.py
+++ b/harness/mutations/control_plane.py
@@ -81,8 +81,8 @@
     Mutation(
         5,
         "an older snapshot is restored",
-        "        if number <= self.number:\n            return []\n        self.state.restore",
-        "        self.state.restore",
+        "        if number <= self.number:\n            return []\n        with self",
+        "        with self",
         FEED,
         "never_goes_back",
     ),
--- a/harness/mutations/shutdown.py
+++ b/harness/mutations/shutdown.py
@@ -225,7 +225,7 @@
     Mutation(
         "LOST",
         "a core stops without answering pending operator requests",
-        "[*effects, *core.api.close(), *end] if end else effects",
+        '[*effects, *guard.run("api", core.api.close, event, now), *end] if end else effects',
         "[*effects, *end]",
         "tests/nodes/test_core_shutdown.py",
         "answered_when_their_core_exits",
--- a/harness/mutations/storage.py
+++ b/harness/mutations/storage.py
@@ -173,7 +173,7 @@
     Mutation(
         "DISK",
         "a core whose disk accepts no writes keeps its leases",
-        "        released = self.leases.take(lease_events.Quit(), now)\n        effects",
+        '        released = self.guard.take("leases", lease_events.Quit(), now)\n        effects',
         "        released = []\n        effects",
         "tests/nodes/test_disk_faults.py",
         "releases_its_role",
--- a/sumachook/changefeed/follower.py
+++ b/sumachook/changefeed/follower.py
@@ -162,7 +162,8 @@
     def _on_snapshot(self, address: str, number: int, packed: bytes, now: timedelta) -> list[Effect]:
         if number <= self.number:
             return []
-        self.state.restore(read_snapshot(packed))
+        with self.state.unchanged_on_failure():
+            self.state.restore(read_snapshot(packed))
         return [StateRestored(), *self._advance(address, now)]
 
     def _on_snapshot_part(self, address: str, part: SnapshotPart, now: timedelta) -> list[Effect]:
@@ -173,6 +174,7 @@
         return [] if packed is None else self._on_snapshot(address, part.number, packed, now)
 
     def _on_change_batch(self, address: str, batch: ChangeBatch, now: timedelta) -> list[Effect]:
+        self.number = self.state.number  # entries that were applied just before a failure are not applied again
         if batch.first > self.number + 1:  # an earlier entry was lost
             has_waited = now - self.asked_at > ANSWER_TIMEOUT
             return self._follow(now) if address == self.upstream and has_waited else []
@@ -180,8 +182,9 @@
         entries = tuple(batch.entries[first - batch.first :])
         if not entries:
             return []
-        for number, entry in enumerate(entries, first):
-            self.state.apply(number, read_entry(entry))
+        with self.state.unchanged_on_failure():
+            for number, entry in enumerate(entries, first):
+                self.state.apply(number, read_entry(entry))
         return [ChangesApplied(first, entries), *self._advance(address, now)]
 
     def _advance(self, address: str, now: timedelta) -> list[Effect]:
--- a/sumachook/changefeed/source.py
+++ b/sumachook/changefeed/source.py
@@ -89,8 +89,8 @@
         match event:
             case MessageReceived(sender, address, message):
                 return self._on_message(sender, address, message, now)
-            case EntryDelivered(_, entry):
-                self._handle_delivered(entry)
+            case EntryDelivered(number, entry):
+                self._handle_delivered(number, entry)
             case SnapshotRestored(number):
                 self._handle_restored(number)
             case ServeRequested():
@@ -111,13 +111,20 @@
 
     # keeping recent entries ---------------------------------------------------------------
 
-    def _handle_delivered(self, entry: bytes) -> None:
+    def _handle_delivered(self, number: int, entry: bytes) -> None:
+        if number != self._next_number:  # an entry is missing: followers that lack it get a snapshot
+            self._handle_restored(number - 1)
         self.entries.append(entry)
         self.entries_bytes += len(entry)
         while self._is_over_limit():
             self.entries_bytes -= len(self.entries.popleft())
             self.first_number += 1
 
+    @property
+    def _next_number(self) -> int:
+        """The number of the entry that follows the ones kept."""
+        return self.first_number + len(self.entries)
+
     def _is_over_limit(self) -> bool:
         is_too_large = self.entries_bytes > MAX_ENTRIES_BYTES and len(self.entries) > 1
         return is_too_large or len(self.entries) > MAX_ENTRIES
@@ -156,6 +163,8 @@
         """Returns the next entries for a follower, or a snapshot if these exceed a batch or some were evicted."""
         if follower.sent >= self.state.number or not self.is_fresh(now):
             return []
+        if self._next_number != self.state.number + 1:  # entries that the state applied are missing here
+            self._handle_restored(self.state.number)
         if follower.sent + 1 < self.first_number or self._exceeds_batch(follower.sent):
             return self._send_snapshot(follower)
         start = follower.sent + 1
--- a/sumachook/changefeed/state.py
+++ b/sumachook/changefeed/state.py
@@ -1,5 +1,6 @@
 """The interface of the replicated state that the source and the follower of the change feed use."""
 
+from contextlib import AbstractContextManager
 from typing import Any, Protocol
 
 
@@ -17,3 +18,6 @@
 
     def snapshot(self) -> dict[str, Any]:
         """Returns the complete state as plain data."""
+
+    def unchanged_on_failure(self) -> AbstractContextManager[None]:
+        """Undoes all changes of the block if it raises."""
--- a/sumachook/control_state/accepted_versions.py
+++ b/sumachook/control_state/accepted_versions.py
@@ -41,6 +41,10 @@
         """Returns whether this version may have been accepted and evicted since; it must be above its base version."""
         return version is not None and base_version < version <= self.forgotten
 
+    def copy(self) -> Self:
+        """Returns a copy that later records do not change."""
+        return type(self)(dict(self.digests), self.forgotten)
+
     def snapshot(self) -> dict[str, Any]:
         """Returns the digests and the highest evicted version as plain data for a snapshot of the state."""
         return {"digests": tuple(self.digests.items()), "forgotten": self.forgotten}
--- a/sumachook/control_state/fields.py
+++ b/sumachook/control_state/fields.py
@@ -1,5 +1,7 @@
 """The data of the replicated control state, which the handlers of its changes read and modify."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any, NamedTuple
 
 from sumachook.configuration.catalogue import Catalogue
@@ -11,6 +13,10 @@
 SINGLETON_ROLES = (PLACER, ACCOUNTANT)  # the singleton roles, each held by at most one core at a time
 
 
+# Fields that handlers modify in place; they replace the values of all others.
+_MUTABLE_FIELDS = ("accepted_versions", "evacuation_changed_at", "requests", "role_holders", "model_statuses")
+
+
 class RoleHolder(NamedTuple):
     """The holder of a role ("" if it is vacant) and the last fencing token that was issued for it."""
 
@@ -91,6 +97,18 @@
         self.pairs: dict[str, tuple[str, ...]] = {}
         self.model_statuses: dict[str, dict[str, str]] = {}
 
+    @contextmanager
+    def unchanged_on_failure(self) -> Iterator[None]:
+        """Undoes all changes of the block if it raises, so that a change is applied completely or not at all."""
+        before = {name: getattr(self, name) for name in StateFields.__slots__}
+        before |= {name: before[name].copy() for name in _MUTABLE_FIELDS}
+        try:
+            yield
+        except BaseException:
+            for name, value in before.items():
+                setattr(self, name, value)
+            raise
+
     @property
     def version(self) -> int:
         """The version that the configuration in force declares, 0 if there is no configuration."""
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -125,6 +125,8 @@
 
     def handle_readable(self, effect: Readable, now: timedelta) -> list[Any]:
         """Handles a completed linearizable read: answers a read of the catalogue, or continues a change."""
+        if not self.core.state_delivery.is_complete:  # the state lacks an entry that consensus counts as delivered
+            return self.handle_unreadable(Unreadable(effect.token, None), now)
         read = self.reads.finish(effect.token)
         if read is not None:
             return [reply(read.call_id, 200, show.show(show.CATALOGUE, self.core, now))]
@@ -239,6 +241,7 @@
             "ignored": core.ignored,
             "storeCredit": round(core.placer.budget, 2),
             "allowances": core.quota_lease_issuer.describe(now),
+            "failures": core.guard.counts,
         }
 
 
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -15,19 +15,21 @@
 from sumachook.consensus.views import Role
 from sumachook.control_state.effects import ProposeChange
 from sumachook.control_state.state import State
-from sumachook.host.effects import AppendRecords, Effect, Log
-from sumachook.host.events import Event, HttpRequestReceived, StopRequested
+from sumachook.host.effects import HOST_EFFECTS, AppendRecords, Effect, Exit, Log, Reply
+from sumachook.host.events import CallId, Event, HttpRequestReceived, StopRequested
 from sumachook.leases import Leases
 from sumachook.leases import events as lease_events
 from sumachook.ledger.replica_store import ReplicaStore
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.membership import Membership
-from sumachook.nodes.control_api import ControlApi, starting
+from sumachook.nodes.component_guard import ComponentGuard, Handler
+from sumachook.nodes.control_api import RETRY_AFTER_S, ControlApi, starting
 from sumachook.nodes.core_peers import CorePeers
 from sumachook.nodes.core_routing import CoreRouting
 from sumachook.nodes.core_shutdown import CoreShutdown
 from sumachook.nodes.core_tick import CoreTick
-from sumachook.nodes.event_dispatcher import EventDispatcher, Handler
+from sumachook.nodes.event_dispatcher import EventDispatcher
+from sumachook.nodes.replies import fault_reply
 from sumachook.nodes.state_delivery import StateDelivery
 from sumachook.nodes.tick_intervals import TICK
 from sumachook.outliers.detector import OutlierDetector
@@ -44,6 +46,7 @@
 from sumachook.storage.events import DiskStateChanged
 
 Records = Mapping[str, Sequence[Any]]
+INTERNAL_FAILURE = 70  # exit code of a core that stopped after a failure (EX_SOFTWARE of sysexits.h)
 VOTER_RECORD = "seat"  # kind of the log record that names the voter a data folder belongs to
 
 
@@ -90,6 +93,7 @@
         self.settings = settings
         self.restart_epoch = restart_epoch
         self.is_disk_available = True
+        self.is_suspended = False  # whether this core left the view since it could not apply a committed entry
         voter = stored_voter(records)
         self.is_new = not voter
         self.is_ready = not self.is_new
@@ -105,9 +109,10 @@
         self.shutdown = CoreShutdown(timedelta(seconds=settings.grace))
         self.api = ControlApi(self)
         self.state_delivery = StateDelivery(self)
+        self.guard = self._create_guard()
         self.ticks = CoreTick(self)
         self.routing = CoreRouting(self)
-        self.dispatcher = EventDispatcher(self.event_handlers())
+        self.dispatcher = EventDispatcher(self.event_handlers(), self.guard)
 
     def _create_replica(self, log: Sequence[Any], random: Random, now: timedelta) -> None:
         settings = self.settings
@@ -157,12 +162,21 @@
         self.quota_lease_issuer = QuotaLeaseIssuer(state, now)
         self.quota_usage = QuotaUsage(state)
 
+    def _create_guard(self) -> ComponentGuard:
+        """Creates the guard of the components; a lost vote, entry or record stops this core."""
+        guard = ComponentGuard(self, "core", essential=("consensus", "replica_store"))
+        guard.recover_with("placer", self.placer.restart)
+        guard.recover_with("provisioner", self.provisioner.restart)
+        return guard
+
     def event_handlers(self) -> dict[type, Handler]:
         """Returns the handler of each class of events, and of effects that one component sends to another."""
         return self.routing.event_handlers()
 
     def take(self, event: object, now: timedelta) -> list[Effect]:
         """Handles one event and returns its effects; raises `UnhandledEventError` for a class that no core handles."""
+        if self.guard.has_stopped:
+            return [_failed(event.call_id)] if isinstance(event, HttpRequestReceived) else []
         if not self.is_ready and not isinstance(event, DiskStateChanged):
             return self._start(event)
         served_number = self.state.number
@@ -170,6 +184,11 @@
         while served_number < self.state.number:  # entries delivered together are served to the followers in one batch
             served_number = self.state.number
             effects += self.dispatcher.deliver(ServeRequested(), now)
+        if not self.state_delivery.is_complete and not self.is_suspended:
+            effects += self._suspend(now)
+        if self.guard.has_stopped:
+            text = "Exiting: replicated data may be incomplete in memory; the next process reads it from the disk."
+            effects += [Log("error", "core", text, {"failures": self.guard.counts}), Exit(INTERNAL_FAILURE)]
         return effects
 
     def _start(self, event: object) -> list[Effect]:
@@ -193,9 +212,14 @@
         """The number of messages of other nodes that could not be decoded or that no component of a core handles."""
         return self.routing.ignored_messages
 
+    @property
+    def is_participating(self) -> bool:
+        """Whether this core takes part in consensus: its disk accepts writes, and its state has every entry."""
+        return self.is_disk_available and not self.is_suspended and self.state_delivery.is_complete
+
     def is_fresh(self, now: timedelta) -> bool:
-        """Returns whether this core is in a working view and its disk accepts writes, so that it can keep promises."""
-        return self.is_disk_available and self.consensus.is_fresh(now)
+        """Returns whether this core is in a working view, its disk accepts writes and its state has every entry."""
+        return self.is_participating and self.consensus.is_fresh(now)
 
     def other_cores(self) -> list[str]:
         """Returns the addresses of the other voters."""
@@ -209,8 +233,8 @@
             return []
         self.shutdown.begin(now)
         note = Log("info", "core", "Leaving: releasing the singleton roles and the vote.", {})
-        released = self.leases.take(lease_events.Quit(), now)
-        announced = self.membership.take(event, now)
+        released = self.guard.take("leases", lease_events.Quit(), now)
+        announced = self.guard.take("membership", event, now)
         # leaving the view comes last: a leader commits the released leases before it hands over
         return [note, *released, *announced, consensus_events.LeaveRequested()]
 
@@ -219,21 +243,55 @@
         self.shutdown.note_departed()
         return []
 
-    # disk failures (docs/design/storage.md) -----------------------------------------------------------
+    # disk failures (docs/design/storage.md) and failures to apply an entry ----------------------------
 
     def handle_disk_state(self, event: DiskStateChanged, now: timedelta) -> list[Any]:
         """While its disk accepts no writes, this core leaves the view, holds no lease and stores no ledger records."""
         if event.is_available:
             self.is_disk_available = True
-            return [] if self.shutdown.has_begun else self.leases.take(lease_events.Resume(), now)
-        released = self.leases.take(lease_events.Quit(), now)
+            return [] if self.is_suspended else self._resume_leases(now)
+        effects = [] if self.is_suspended else self._leave_view(now)
+        self.is_disk_available = False
+        return effects
+
+    def _suspend(self, now: timedelta) -> list[Effect]:
+        """Leaves the view until the state has applied every delivered entry; meanwhile, this core holds no lease."""
+        left = self._leave_view(now) if self.is_disk_available else []
+        self.is_suspended = True
+        waiting = len(self.state_delivery.waiting)
+        fields = {"number": self.state.number, "waiting": waiting}
+        effects: list[Effect] = [Log("error", "core", "Leaving the view: a committed entry cannot be applied.", fields)]
+        for effect in left:
+            effects += [effect] if type(effect) in HOST_EFFECTS else self.dispatcher.deliver(effect, now)
+        return effects
+
+    def resume_if_complete(self, now: timedelta) -> list[Any]:
+        """Applies the entries that wait, and takes part in the view again once none is left."""
+        if not self.is_suspended:
+            return []
+        effects = self.state_delivery.apply_waiting(now)
+        if not self.state_delivery.is_complete:
+            return effects
+        self.is_suspended = False
+        effects.append(Log("info", "core", "Every committed entry is applied again.", {"number": self.state.number}))
+        return effects + self._resume_leases(now) if self.is_disk_available else effects
+
+    def _resume_leases(self, now: timedelta) -> list[Any]:
+        return [] if self.shutdown.has_begun else self.guard.take("leases", lease_events.Resume(), now)
+
+    def _leave_view(self, now: timedelta) -> list[Any]:
+        """Releases the leases, and steps down if this core leads."""
+        released = self.guard.take("leases", lease_events.Quit(), now)
         effects: list[Any] = [effect for effect in released if not isinstance(effect, ProposeChange)]
         if self.consensus.role is Role.LEADING:
             # a leader steps back, so that the other voters need not wait until its heartbeats time out
-            effects += self.consensus.take(consensus_events.StepBackRequested(), now)
-        else:
-            for effect in released:
-                if isinstance(effect, ProposeChange):
-                    effects += self.consensus.take(consensus_events.ProposalMade(effect.change), now)
-        self.is_disk_available = False
+            return effects + self.guard.take("consensus", consensus_events.StepBackRequested(), now)
+        for effect in released:
+            if isinstance(effect, ProposeChange):
+                effects += self.guard.take("consensus", consensus_events.ProposalMade(effect.change), now)
         return effects
+
+
+def _failed(call_id: CallId) -> Reply:
+    """Returns the 503 response of a core that stopped after a failure and is about to exit."""
+    return fault_reply(call_id, 503, "failed", "this core has failed; ask another", RETRY_AFTER_S, applied="maybe")
--- a/sumachook/nodes/core_routing.py
+++ b/sumachook/nodes/core_routing.py
@@ -16,7 +16,8 @@
 from sumachook.ledger.messages import STORE_MESSAGES, FindRecord, RecordFound
 from sumachook.membership.effects import IncarnationRaised, MemberChanged
 from sumachook.membership.messages import MEMBERSHIP_MESSAGES
-from sumachook.nodes.event_dispatcher import Handler, ignore
+from sumachook.nodes.component_guard import Handler
+from sumachook.nodes.event_dispatcher import ignore
 from sumachook.outliers.effects import ServersEjected
 from sumachook.outliers.messages import EjectServers, OutcomeReport
 from sumachook.placement import call_ids
@@ -34,6 +35,7 @@
 CONSENSUS_MESSAGES = tuple(CONSENSUS_TYPES.values())
 # Messages whose response needs a durable write or is a promise; dropped while the disk accepts no writes.
 DISK_MESSAGES = frozenset({*CONSENSUS_MESSAGES, *STORE_MESSAGES})
+CONSENSUS_MESSAGE_TYPES = frozenset(CONSENSUS_MESSAGES)
 DISK_SYNCED_EVENTS = tuple(consensus_events.DiskSynced.__subclasses__())
 
 
@@ -46,21 +48,23 @@
         self.core = core
         self.message_handlers = self._message_handlers()
         self.ignored_messages = 0
+        handler = core.guard.handler
         self._call_handlers: dict[str, Handler] = {
-            call_ids.PROVISIONER: core.provisioner.take,
-            call_ids.PLACER: core.placer.take,
-            call_ids.INVENTORY_READER: core.inventory_reader.take,
+            call_ids.PROVISIONER: handler("provisioner"),
+            call_ids.PLACER: handler("placer"),
+            call_ids.INVENTORY_READER: handler("inventory_reader"),
         }
 
     def event_handlers(self) -> dict[type, Handler]:
         """Returns the handler of each class of events, and of effects that one component sends to another."""
         core = self.core
+        handler = core.guard.handler
         return {
             events.Tick: core.ticks.take,
             events.StopRequested: core.handle_stop,
             events.SettingsReloadRequested: ignore,
-            events.SeedsChanged: core.membership.take,
-            events.DelayElapsed: core.provisioner.take,
+            events.SeedsChanged: handler("membership"),
+            events.DelayElapsed: handler("provisioner"),
             events.MessageReceived: self._handle_message,
             events.UnreadableMessageReceived: self._handle_unreadable_message,
             events.HttpRequestReceived: core.api.http,
@@ -70,7 +74,7 @@
             events.CallFailed: self._handle_call,
             DiskStateChanged: core.handle_disk_state,
             **self._consensus_handlers(),
-            **dict.fromkeys((RecordsSynced, RewriteSynced), core.replica_store.take),
+            **dict.fromkeys((RecordsSynced, RewriteSynced), handler("replica_store")),
             ServeRequested: core.state_delivery.handle_serve,
             MemberChanged: ignore,
             IncarnationRaised: ignore,
@@ -81,11 +85,12 @@
     def _consensus_handlers(self) -> dict[type, Handler]:
         """Returns the handlers of requests to the consensus replica and of the effects that it returns."""
         core = self.core
+        handler = core.guard.handler
         return {
             ProposeChange: self._handle_propose_change,
             consensus_events.ReadRequested: self._handle_read_requested,
-            consensus_events.LeaveRequested: core.consensus.take,
-            **dict.fromkeys(DISK_SYNCED_EVENTS, core.consensus.take),
+            consensus_events.LeaveRequested: handler("consensus"),
+            **dict.fromkeys(DISK_SYNCED_EVENTS, handler("consensus")),
             consensus_effects.Deliver: core.state_delivery.handle_deliver,
             consensus_effects.Restore: core.state_delivery.handle_restore,
             consensus_effects.Compact: core.state_delivery.handle_compact,
@@ -98,27 +103,31 @@
 
     def _message_handlers(self) -> dict[type, Handler]:
         core = self.core
+        handler = core.guard.handler
         return {
-            **dict.fromkeys(MEMBERSHIP_MESSAGES, core.membership.take),
-            **dict.fromkeys(CONSENSUS_MESSAGES, core.consensus.take),
-            **dict.fromkeys(LEASE_MESSAGES, core.leases.take),
-            **dict.fromkeys(STORE_MESSAGES, core.replica_store.take),
+            **dict.fromkeys(MEMBERSHIP_MESSAGES, handler("membership")),
+            **dict.fromkeys(CONSENSUS_MESSAGES, handler("consensus")),
+            **dict.fromkeys(LEASE_MESSAGES, handler("leases")),
+            **dict.fromkeys(STORE_MESSAGES, handler("replica_store")),
             **dict.fromkeys((FindRecord, RecordFound), core.api.searches.take),
-            Follow: core.source.take,
+            Follow: handler("source"),
             **dict.fromkeys((Confirm, Confirmed), self._handle_confirmation),
-            **dict.fromkeys((PlacementRequest, ModelUsage, PlacementSnapshotRequest), core.provisioner.take),
-            DemandReport: core.placer.take,
-            OutcomeReport: core.outlier_detector.take,
-            CreditReport: core.retry_broker.take,
+            **dict.fromkeys((PlacementRequest, ModelUsage, PlacementSnapshotRequest), handler("provisioner")),
+            DemandReport: handler("placer"),
+            OutcomeReport: handler("outlier_detector"),
+            CreditReport: handler("retry_broker"),
             LeaseRequest: self._handle_lease_request,
-            UsageReport: core.quota_usage.take,
+            UsageReport: handler("quota_usage"),
         }
 
     # messages of other nodes ------------------------------------------------------
 
     def _handle_message(self, event: events.MessageReceived, now: timedelta) -> Any:
         message_type = type(event.message)
-        if not self.core.is_disk_available and message_type in DISK_MESSAGES:
+        core = self.core
+        if not core.is_disk_available and message_type in DISK_MESSAGES:
+            return []
+        if not core.is_participating and message_type in CONSENSUS_MESSAGE_TYPES:
             return []
         handle = self.message_handlers.get(message_type)
         if handle is None:
@@ -131,13 +140,15 @@
         return []
 
     def _handle_confirmation(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
-        return [*self.core.source.take(event, now), *self.core.state_delivery.answer_finished_changes(now)]
+        guard = self.core.guard
+        effects = guard.take("source", event, now)
+        return effects + guard.run("api", lambda: self.core.state_delivery.answer_finished_changes(now), event, now)
 
     def _handle_lease_request(self, event: events.MessageReceived, now: timedelta) -> list[Effect]:
         """Checks the role's lease now, as the message may have lain in a buffer since the last tick."""
         fence = self.core.leases.holds("accountant", now)
         request = LeaseRequestReceived(event.sender, event.address, event.message, fence)
-        return self.core.quota_lease_issuer.take(request, now)
+        return self.core.guard.take("quota_lease_issuer", request, now)
 
     # results of calls to servers and the platform ---------------------------------
 
@@ -147,14 +158,14 @@
     # effects of one component for another -----------------------------------------
 
     def _handle_propose_change(self, effect: ProposeChange, now: timedelta) -> list[Effect]:
-        if not self.core.is_disk_available:
+        if not self.core.is_participating:
             return []
-        return self.core.consensus.take(consensus_events.ProposalMade(effect.change), now)
+        return self.core.guard.take("consensus", consensus_events.ProposalMade(effect.change), now)
 
     def _handle_read_requested(self, event: consensus_events.ReadRequested, now: timedelta) -> list[Effect]:
-        if not self.core.is_disk_available:
+        if not self.core.is_participating:
             return [consensus_effects.Unreadable(event.token, None)]
-        return self.core.consensus.take(event, now)
+        return self.core.guard.take("consensus", event, now)
 
     def _handle_broadcast(self, effect: BroadcastToEdges, now: timedelta) -> list[Effect]:
         return self._send_to_edges(effect.message)
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -8,8 +8,8 @@
 
 from sumachook.host import effects, events
 from sumachook.host.machine import NodeMachine, StateMachine
+from sumachook.nodes.component_guard import error_replies, event_name
 from sumachook.nodes.inbox import Inbox
-from sumachook.nodes.replies import reply
 from sumachook.nodes.tick_intervals import TICK
 from sumachook.requests.call_ids import FORWARDING
 from sumachook.runtime.clock import NodeClock
@@ -199,11 +199,9 @@
         try:
             return self.machine.take(event, self.clock.mono())
         except Exception as error:
-            fields = {"kind": _class_name(event), "error": repr(error)}
+            fields = {"kind": event_name(event), "error": repr(error)}
             self.log("error", "daemon", "The state machine failed to process an event.", fields)
-            if isinstance(event, events.HttpRequestReceived | events.ProxyRequestReceived):
-                return [reply(event.call_id, 500, {"fault": {"class": "inner", "reason": "see the log"}})]
-            return []
+            return error_replies(event)
 
     # effects ----------------------------------------------------------------------------
 
@@ -276,8 +274,3 @@
         if not self.exiting.is_set():
             self.write_deadline = asyncio.get_running_loop().time() + effect.write_within.total_seconds()
         self.exiting.set()
-
-
-def _class_name(event: Any) -> str:
-    """Returns the class name of an event, or of the message that it contains, for the log."""
-    return type(event.message if isinstance(event, events.MessageReceived) else event).__name__
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -19,6 +19,7 @@
 from sumachook.ledger.writer import LedgerWriter
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.membership import Membership
+from sumachook.nodes.component_guard import ComponentGuard
 from sumachook.nodes.edge_peers import PEER_RETENTION, EdgePeers
 from sumachook.nodes.edge_routing import EdgeRouting
 from sumachook.nodes.edge_shutdown import EdgeShutdown
@@ -76,6 +77,7 @@
         "proxy_pipeline",
         "usage_report",
         "shutdown",
+        "guard",
         "ticks",
         "routing",
         "dispatcher",
@@ -106,9 +108,10 @@
         self._create_pipelines(random, request_port)
         self.usage_report = UsageReport(now)
         self.shutdown = EdgeShutdown(timedelta(seconds=settings.grace), now)
+        self.guard = ComponentGuard(self, "edge")
         self.ticks = EdgeTick(self, now)
         self.routing = EdgeRouting(self)
-        self.dispatcher = EventDispatcher(self.routing.event_handlers())
+        self.dispatcher = EventDispatcher(self.routing.event_handlers(), self.guard)
 
     def _create_membership(self, random: Random, now: timedelta) -> None:
         settings = self.settings
@@ -179,6 +182,11 @@
             return (self.inference_pipeline,)
         return self.inference_pipeline, self.proxy_pipeline
 
+    @property
+    def pipeline_names(self) -> tuple[str, ...]:
+        """The names of the components in `pipelines`."""
+        return ("inference_pipeline",) if self.proxy_pipeline is None else ("inference_pipeline", "proxy_pipeline")
+
     @property
     def ignored(self) -> int:
         """The number of messages of other nodes that could not be decoded or that no component of an edge handles."""
@@ -189,7 +197,7 @@
         if self.proxy_pipeline is None:
             raise TypeError("proxy request received by an edge without a proxy address")
         self.shutdown.note_request(now)
-        return self.proxy_pipeline.take(event, now)
+        return self.guard.take("proxy_pipeline", event, now)
 
     def handle_http_request(self, event: HttpRequestReceived, now: timedelta) -> list[Any]:
         """Answers /condition and /metrics; passes any other request at the HTTP address to the inference pipeline."""
@@ -197,7 +205,7 @@
             return [reply(event.call_id, *condition(self, now))]
         if event.path == "/metrics":
             return [reply(event.call_id, 200, metrics(self, now))]
-        return self.inference_pipeline.take(event, now)
+        return self.guard.take("inference_pipeline", event, now)
 
     def handle_stop(self, event: StopRequested, now: timedelta) -> list[Any]:
         """Starts the drain on a stop signal: requests in flight are finished, then the process exits.
@@ -207,12 +215,12 @@
         if self.shutdown.has_begun:
             return []
         self.shutdown.begin(now)
-        for pipeline in self.pipelines:
-            pipeline.take(DrainStarted(), now)
-        self.ledger_writer.take(LeaveRequested(), now)
+        for pipeline in self.pipeline_names:
+            self.guard.take(pipeline, DrainStarted(), now)
+        self.guard.take("ledger_writer", LeaveRequested(), now)
         in_flight = {"inHand": len(self.inference_pipeline.table.requests)}
         note = Log("info", "edge", "Leaving: draining the requests in flight.", in_flight)
-        return [note, *self.membership.take(event, now)]
+        return [note, *self.guard.take("membership", event, now)]
 
     def update_peers(self, now: timedelta) -> None:
         """Updates this edge's share of limits that all edges divide among them (docs/design/inference.md)."""
--- a/sumachook/nodes/edge_routing.py
+++ b/sumachook/nodes/edge_routing.py
@@ -12,7 +12,8 @@
 from sumachook.ledger.messages import WRITER_MESSAGES
 from sumachook.membership.effects import IncarnationRaised, MemberChanged
 from sumachook.membership.messages import MEMBERSHIP_MESSAGES
-from sumachook.nodes.event_dispatcher import Handler, ignore
+from sumachook.nodes.component_guard import Handler
+from sumachook.nodes.event_dispatcher import ignore
 from sumachook.outliers.messages import EjectServers
 from sumachook.placement.effects import PlacementsAdded
 from sumachook.placement.messages import PlacementRequest, PlacementUpdate, ServersLeaving, ServersWarmingUp
@@ -52,11 +53,12 @@
     def event_handlers(self) -> dict[type, Handler]:
         """Returns the handler of each class of events, and of effects that one component sends to another."""
         edge = self.edge
+        handler = edge.guard.handler
         return {
             events.Tick: edge.ticks.take,
             events.StopRequested: edge.handle_stop,
             events.SettingsReloadRequested: ignore,
-            events.SeedsChanged: edge.membership.take,
+            events.SeedsChanged: handler("membership"),
             events.DelayElapsed: ignore,
             events.MessageReceived: self._handle_message,
             events.UnreadableMessageReceived: self._handle_unreadable_message,
@@ -70,21 +72,22 @@
             PlacementRequest: self._handle_placement_request,
             ChangesApplied: self._handle_changes_applied,
             StateRestored: self._handle_state_restored,
-            **dict.fromkeys((RequestOpened, RequestClosed, RecordDeferred), edge.ledger_writer.take),
-            **dict.fromkeys((Recorded, Unrecorded, DuplicateKey), edge.inference_pipeline.take),
-            **dict.fromkeys((AdmissionRequested, UsageSettled), edge.rate_limiter.take),
+            **dict.fromkeys((RequestOpened, RequestClosed, RecordDeferred), handler("ledger_writer")),
+            **dict.fromkeys((Recorded, Unrecorded, DuplicateKey), handler("inference_pipeline")),
+            **dict.fromkeys((AdmissionRequested, UsageSettled), handler("rate_limiter")),
             **dict.fromkeys((AdmissionGranted, AdmissionDenied), self._handle_admission),
         }
 
     def _message_handlers(self) -> dict[type, Handler]:
         edge = self.edge
+        handler = edge.guard.handler
         return {
-            **dict.fromkeys(MEMBERSHIP_MESSAGES, edge.membership.take),
-            **dict.fromkeys(FOLLOWER_MESSAGES, edge.follower.take),
+            **dict.fromkeys(MEMBERSHIP_MESSAGES, handler("membership")),
+            **dict.fromkeys(FOLLOWER_MESSAGES, handler("follower")),
             FeedHeartbeat: self._handle_heartbeat,
-            **dict.fromkeys(WRITER_MESSAGES, edge.ledger_writer.take),
-            **dict.fromkeys((LendCredit, CreditTransfer), edge.retry_budget.take),
-            **dict.fromkeys((LeaseResponse, BorrowRequest, BorrowResponse), edge.rate_limiter.take),
+            **dict.fromkeys(WRITER_MESSAGES, handler("ledger_writer")),
+            **dict.fromkeys((LendCredit, CreditTransfer), handler("retry_budget")),
+            **dict.fromkeys((LeaseResponse, BorrowRequest, BorrowResponse), handler("rate_limiter")),
             PlacementUpdate: self._handle_placement_update,
             ServersLeaving: self._handle_servers_leaving,
             ServersWarmingUp: self._handle_servers_warming_up,
@@ -96,14 +99,14 @@
     def _handle_call(self, event: Any, now: timedelta) -> list[Any]:
         edge = self.edge
         if edge.proxy_pipeline is not None and is_proxied(event.call_id):
-            return edge.proxy_pipeline.take(event, now)
-        return edge.inference_pipeline.take(event, now)
+            return edge.guard.take("proxy_pipeline", event, now)
+        return edge.guard.take("inference_pipeline", event, now)
 
     def _handle_admission(self, decision: AdmissionDecision, now: timedelta) -> list[Any]:
         edge = self.edge
         if edge.proxy_pipeline is not None and decision.key.pipeline is Pipeline.PROXY:
-            return edge.proxy_pipeline.take(decision, now)
-        return edge.inference_pipeline.take(decision, now)
+            return edge.guard.take("proxy_pipeline", decision, now)
+        return edge.guard.take("inference_pipeline", decision, now)
 
     # messages of other nodes ------------------------------------------------------
 
@@ -120,15 +123,16 @@
 
     def _handle_heartbeat(self, event: events.MessageReceived, now: timedelta) -> list[Effect]:
         self.edge.cluster_clock.record_vote(event.sender, event.message.wall_clock_ms, now)
-        return self.edge.follower.take(event, now)
+        return self.edge.guard.take("follower", event, now)
 
     def _handle_placement_update(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
-        effects: list[Any] = self.edge.places.take(event, now)
+        effects: list[Any] = self.edge.guard.take("places", event, now)
         return effects + self._notify_proxy_pipeline(request_events.PlacesChanged(), now)
 
     def _handle_servers_leaving(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
         leaving = request_events.ServersLeaving(event.message.servers)
-        return [effect for pipeline in self.edge.pipelines for effect in pipeline.take(leaving, now)]
+        edge = self.edge
+        return [effect for pipeline in edge.pipeline_names for effect in edge.guard.take(pipeline, leaving, now)]
 
     def _handle_servers_warming_up(self, event: events.MessageReceived, now: timedelta) -> list[Any]:
         return self._notify_proxy_pipeline(request_events.ServersCold(event.message.servers), now)
@@ -137,12 +141,12 @@
         return self._notify_proxy_pipeline(request_events.ServersEjected(event.message.durations_ms), now)
 
     def _notify_proxy_pipeline(self, event: events.Event, now: timedelta) -> list[Any]:
-        return self.edge.proxy_pipeline.take(event, now) if self.edge.proxy_pipeline is not None else []
+        return self.edge.guard.take("proxy_pipeline", event, now) if self.edge.proxy_pipeline is not None else []
 
     # effects of one component for another -----------------------------------------
 
     def _handle_disk_state(self, event: DiskStateChanged, now: timedelta) -> Any:
-        return self.edge.ledger_writer.take(DiskAvailabilityChanged(event.is_available), now)
+        return self.edge.guard.take("ledger_writer", DiskAvailabilityChanged(event.is_available), now)
 
     def _handle_member_changed(self, effect: MemberChanged, now: timedelta) -> list[Any]:
         self.edge.update_peers(now)
--- a/sumachook/nodes/edge_status.py
+++ b/sumachook/nodes/edge_status.py
@@ -49,4 +49,5 @@
         "ignored": edge.ignored,
         "members": len(edge.membership.members) + 1,
         "allowances": edge.rate_limiter.describe(),
+        "failures": edge.guard.counts,
     }
--- a/sumachook/nodes/replies.py
+++ b/sumachook/nodes/replies.py
@@ -23,6 +23,11 @@
     return reply(call_id, status, {"fault": {"class": name, "reason": reason, **more}}, retry_after)
 
 
+def internal_error(call_id: CallId) -> Reply:
+    """Creates the 500 response to a request that failed because of an exception; the log has its cause."""
+    return fault_reply(call_id, 500, "inner", "see the log")
+
+
 def redirect(call_id: CallId, http_address: str, path: str) -> Reply:
     """Creates a 307 redirect to this path at another node; it states that nothing was applied."""
     body = {"fault": {"class": "redirected", "reason": f"ask {http_address}", "applied": "no"}}
--- a/sumachook/nodes/state_file.py
+++ b/sumachook/nodes/state_file.py
@@ -70,6 +70,7 @@
     def add(self, first: int, entries: Sequence[bytes]) -> None:
         """Records entries applied to the state; raises `ValueError` if they do not end at the state's number."""
         if first + len(entries) - 1 != self.state.number:
+            self.needs_snapshot = True
             raise ValueError(f"entries from number {first} do not end at state number {self.state.number}")
         if self.has_disk and not self.needs_snapshot:
             self.unsaved_entries += entries
@@ -88,8 +89,9 @@
         first = self.saved_number + 1
         entries = tuple(entry.decode() for entry in self.unsaved_entries)
         self._note_saved(now)
+        has_all_entries = first + len(entries) - 1 == self.saved_number
         is_long = self.saved_entry_count > MAX_ENTRIES or self.saved_bytes > MAX_ENTRY_BYTES
-        if not self.needs_snapshot and not is_long:
+        if has_all_entries and not self.needs_snapshot and not is_long:
             return [AppendRecords(FILE, ((ENTRIES, first, entries),))]
         self._note_rewritten()
         return [RewriteRecords(FILE, ((SNAPSHOT, self.state.snapshot()),))]
--- a/sumachook/placement/placer.py
+++ b/sumachook/placement/placer.py
@@ -106,10 +106,14 @@
         self.demand: dict[str, float] = {}
         self.demand_at = now
         self.needs_plan = True
+        self._watch_state()
+        self._start_lease(now)
+
+    def _watch_state(self) -> None:
+        """Requests a plan whenever its inputs change; the subscription ends with the first exception."""
         self.state_changes: Subject[Any] = Subject()
         plan_inputs = self.state_changes.pipe(ops.map(_plan_inputs))
         plan_inputs.pipe(ops.distinct_until_changed()).subscribe(self._request_plan)
-        self._start_lease(now)
 
     def _request_plan(self, _: Any) -> None:
         self.needs_plan = True
@@ -132,6 +136,20 @@
         self.unconfirmed: dict[str, UnconfirmedLoad] = {}
         self.refused: dict[ItemAtServer, Backoff] = {}
 
+    def restart(self, now: timedelta) -> list[Effect]:
+        """Starts anew under the same lease after a failure, which may have lost calls that count as unanswered.
+
+        Loads that may be running stay counted against the store's burst.
+        """
+        for server, gigabytes in self.unanswered.items():
+            self.unconfirmed.setdefault(server, UnconfirmedLoad(gigabytes, now))
+        unconfirmed = self.unconfirmed
+        self._start_lease(now)
+        self.unconfirmed = unconfirmed
+        self.needs_plan = True
+        self._watch_state()
+        return []
+
     def take(self, event: Event, now: timedelta) -> list[Effect]:
         """Handles a tick, a state change, a demand report, or the result of a call."""
         match event:
--- a/sumachook/simulation/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -13,6 +13,7 @@
 from sumachook.calls.run_status import CallFailure
 from sumachook.host import effects, events
 from sumachook.host.events import Event
+from sumachook.nodes.component_guard import FAILURE_TEXTS
 from sumachook.simulation.disk import Disk
 from sumachook.simulation.reachability import OBSERVE_EVERY, Reachability
 from sumachook.transport.codec import Codec, read_frame
@@ -26,6 +27,10 @@
 DISK_RETRY_DELAY = timedelta(seconds=0.25)  # between attempts of a process to read and repair a disk that refuses it
 
 
+class ComponentFailedError(Exception):
+    """Raised when a component of a simulated node raises an exception and `Fleet.tolerates_failures` is false."""
+
+
 class BoxClock:
     """The monotonic clock and the wall clock of one machine; the wall clock may jump by `jump`."""
 
@@ -187,6 +192,7 @@
         "holding",
         "held",
         "slow_links",
+        "tolerates_failures",
     )
 
     heap: list[tuple[timedelta, int, Callable[..., object], tuple[Any, ...]]]
@@ -214,6 +220,7 @@
         self.reachability, self.start_time = Reachability(self.now), DEFAULT_START_TIME
         self.holding, self.held = set(), {}  # cut links that hold what is sent, and the messages held
         self.slow_links = {}  # added latency of each slow link
+        self.tolerates_failures = False  # whether an exception in a component of a node does not end the run
         self._later(OBSERVE_EVERY, self._observe)
 
     # setup ----------------------------------------------------------------------
@@ -460,6 +467,8 @@
                 self._send_response(box, effect)
             case effects.Log(level, component, text, fields):
                 self.logs.append((self.now, box.name, level, component, text, fields))
+                if text in FAILURE_TEXTS and not self.tolerates_failures:
+                    raise ComponentFailedError(f"{box.name} at {self.now}: {fields}")
             case effects.Exit():
                 self.kill(box.name)
 
--- a/tests/changefeed/test_changefeed.py
+++ b/tests/changefeed/test_changefeed.py
@@ -3,8 +3,10 @@
 from datetime import timedelta
 from random import Random
 
+import msgspec
 import pytest
 
+from harness.fakes.raising_component import FailurePlan, FailurePoint, InjectedError, RaisingState
 from sumachook.changefeed.events import EntryDelivered, FollowerTick, ServeRequested, SnapshotRestored
 from sumachook.changefeed.follower import Follower
 from sumachook.changefeed.messages import ChangeBatch, Confirm, FeedHeartbeat, Follow, Snapshot, SnapshotPart
@@ -364,3 +366,42 @@
         if step > 10 and follower.upstream != first:
             break
     assert follower.upstream != first and now - (SECOND + TICK_INTERVAL * 11) < SECOND
+
+
+def test_source_that_missed_an_entry_sends_a_snapshot():
+    """An entry that the state applied is missing at the source, before or after others: a follower that lacks it gets a snapshot
+    and no entry under another's number (review case 1)."""
+    for missed in (2, 3):
+        core, follower = _Core(), Follower(State(), Random(1), NOW)
+        for number in range(1, 4):
+            routes = [route(each) for each in range(number)]
+            change = ("configure", f"q{number}", whole(number) | {"httpRoutes": routes}, {}, False, number - 1)
+            assert core.state.apply(number, change)[0] == "ok"
+            if number != missed:
+                core.source.take(EntryDelivered(number, pack_entry(change)), NOW)
+            if number == 1:
+                follower.upstream = "core:1"
+                _receive(follower, core.follow())
+                assert follower.number == 1
+        _receive(follower, core.serve())
+        assert follower.number == 3 and len(follower.state.doc["httpRoutes"]) == 3
+
+
+def test_batch_that_fails_is_applied_whole_or_not_at_all():
+    """The second of three entries of a batch fails once: the follower has none of them, and all after the core sends them again."""
+    core, follower = _Core(), Follower(State(), Random(1), NOW)
+    follower.upstream = "core:1"
+    _receive(follower, core.follow())
+    for number in range(3):
+        core.deliver(number)
+    plan = FailurePlan(2, FailurePoint.AFTER)
+    RaisingState.install(follower.state, plan)
+    (effect,) = core.serve()
+    batch = MessageReceived("core", "core:1", effect.message)
+    with pytest.raises(InjectedError):
+        follower.take(batch, NOW)
+    assert follower.state.number == follower.number == 0 and follower.state.catalogue is None
+    plan.is_active = False
+    follower.take(batch, NOW)
+    assert follower.number == 3
+    assert msgspec.json.encode(follower.state.snapshot()) == msgspec.json.encode(core.state.snapshot())
--- a/tests/control_state/test_state.py
+++ b/tests/control_state/test_state.py
@@ -1,6 +1,7 @@
 """Tests the replicated state: repeated, concurrent and stale changes, and snapshots."""
 
 import msgspec
+import pytest
 
 from sumachook.control_state import changes
 from sumachook.control_state.results import Outcome, accepted
@@ -60,3 +61,39 @@
     state.apply(4, changes.UpdateLoadedModels(1, {"v": None}))
     state.apply(5, changes.ReleaseRole("placer", 1))
     assert msgspec.json.encode(snapshot) == before
+
+
+def test_change_that_fails_after_its_work_leaves_the_state_as_it_was():
+    """Each kind of change is applied in a block that then raises: the state is the same as before, whatever the handler
+    modified (a hole or a change applied twice, review case 1)."""
+    state = State()
+    state.apply(1, changes.FoundCluster({"s": "x:1"}))
+    state.apply(2, changes.ApplyDocument("r1", _doc(), False, None))
+    state.apply(3, changes.UpdateServers(0, {"v": {"area": "a"}}))
+    state.apply(4, changes.AcquireRole("placer", "s", 1))
+    state.apply(5, changes.UpdateLoadedModels(1, {"v": {"m": "ready"}}))
+    state.apply(6, changes.Configure("r2", {**_doc(), "version": 3}, {}, False, 0))
+    before = state.snapshot()
+    for change in (
+        changes.AddVoter("t", "y:1"),
+        changes.ReplaceVoter("s", "t", "y:1"),
+        changes.RemoveVoter("s"),
+        changes.Configure("r3", {"version": 5}, {}, True, 3),
+        changes.ApplyDocument("r4", {"routes": [{"name": "x", "target": "m"}]}, True, None),
+        changes.Evacuate("r5", "b"),
+        changes.UpdateServers(3, {"w": {"area": "b"}}),
+        changes.PlaceReplicas(1, {"m": ("v", "")}),
+        changes.UpdateLoadedModels(1, {"v": None}),
+        changes.ReleaseRole("placer", 1),
+        changes.AcquireRole("accountant", "s", 1),
+    ):
+        with pytest.raises(ZeroDivisionError), state.unchanged_on_failure():
+            state.apply(7, change)
+            assert state.snapshot() != before, change
+            raise ZeroDivisionError
+        assert state.snapshot() == before, change
+    with pytest.raises(ZeroDivisionError), state.unchanged_on_failure():
+        state.restore(State().snapshot())
+        raise ZeroDivisionError
+    assert state.snapshot() == before
+    assert state.apply(7, changes.Evacuate("r6", "b")).outcome is Outcome.ACCEPTED
--- a/tests/nodes/test_edge_start.py
+++ b/tests/nodes/test_edge_start.py
@@ -165,3 +165,18 @@
     assert [record[0] for record in disk.records] == ["image", "entries"]
     restarted = Edge(node_settings, {FILE: disk.records}, 2, Clock(), Random(1))
     assert restarted.state.version == 2 and _same(restarted.state, core) and restarted.follower.number == 2
+
+
+def test_file_without_some_entries_gets_a_snapshot():
+    """Entries that were applied but not recorded, since a component failed, are not left out on the disk: the next write is a
+    snapshot, and a restart has them (review case 1)."""
+    disk, state = _Disk(), State()
+    file = StateFile(state, True, (), START)
+    _apply(state, file, [pack_entry(_change(1, 3))])
+    disk.take(file.save(START))
+    state.apply(2, _change(2))  # never recorded
+    _apply(state, file, [pack_entry(_change(3))])
+    disk.take(file.save(START + timedelta(seconds=3)))
+    restarted = State()
+    StateFile(restarted, True, disk.records, START)
+    assert disk.rewrites == 2 and _same(restarted, state) and restarted.number == 3
