Placement: marks of servers end with their reason, whatever the order of the list

Cause: a server that was added to the registry marked every other one at its address as replaced; a new lease adds all in the order of the list, which has none, and nothing lifted the mark. Change: only a server that was never listed before marks others, and only those that were known before it; servers that are new together are all asked. A mark ends when the servers listed at the address change, or by a report some seconds later. Same class, each with a test: a model that an edge forgot after one mistaken 421 was never published again; a call whose outcome was lost blocked its server, and an order of the placer too; one 412 stopped a holder that kept its lease for good.

--- a/harness/mutations/placement.py
+++ b/harness/mutations/placement.py
@@ -153,8 +153,8 @@
     Mutation(
         "ONE",
         "a superseded holder keeps sending orders",
-        "            self.is_superseded = True",
-        "            self.is_superseded = False",
+        "            self.superseded_until = now + LEASE.superseded_for",
+        "            self.superseded_until = now",
         PROVISION,
         "superseded_holder",
     ),
--- a/sumachook/placement/engine_server.py
+++ b/sumachook/placement/engine_server.py
@@ -55,7 +55,7 @@
         it, so the server rejects an order that was delayed or based on outdated contents.
     is_known : whether `models` is based on a report plus the orders since then.
     is_draining : whether the server is leaving or its zone is evacuated.
-    is_replaced : whether another server has taken over the address; no more calls are sent there.
+    is_replaced : whether another server seems to have taken over the address; only rare report requests are sent there.
     pending_call : the number of the one unanswered call, or 0.
     reserved_for : the model that others are being evicted for, or "".
     unused_since : {name: load time} of the models and adapters that no request has used since their load.
--- a/sumachook/placement/order_executor.py
+++ b/sumachook/placement/order_executor.py
@@ -29,10 +29,11 @@
     Attributes
     ----------
     store : the token bucket that limits loads from the weight store
-    is_superseded : whether a server has seen a higher fencing token, so another core holds the lease
+    superseded_until : the end of a time without orders, since a server has seen a higher fencing token; or None
+    rechecked : names of servers whose models are published again with their next report
     """
 
-    __slots__ = ("calls", "registry", "publisher", "load_times", "store", "is_superseded")
+    __slots__ = ("calls", "registry", "publisher", "load_times", "store", "superseded_until", "rechecked")
 
     def __init__(self, calls: ServerCalls, registry: ServerRegistry, publisher: PlacementPublisher, now: timedelta):
         self.calls = calls
@@ -40,7 +41,12 @@
         self.publisher = publisher
         self.load_times = LoadTimeEstimates()
         self.store = StoreTokenBucket(now)
-        self.is_superseded = False
+        self.superseded_until: timedelta | None = None
+        self.rechecked: set[str] = set()
+
+    def is_superseded(self, now: timedelta) -> bool:
+        """Returns whether another core seems to hold the lease, by the fencing token that a server has seen."""
+        return self.superseded_until is not None and now < self.superseded_until
 
     # sending calls -------------------------------------------------------------------
 
@@ -53,23 +59,33 @@
         server.start_order(order)
         server.poll_at = now
         self.publisher.mark_changed(server.name)
-        return self.calls.send_order(server, order)
+        return self.calls.send_order(server, order, now)
 
     def request_report(self, server: EngineServer, now: timedelta) -> Fetch:
         """Requests a report of the models that a server holds."""
         return self.calls.request_report(server, now)
 
+    def recheck(self, server: EngineServer, now: timedelta) -> Fetch:
+        """Requests a report of a server whose models an edge lacks, and publishes them again even if unchanged."""
+        self.rechecked.add(server.name)
+        return self.request_report(server, now)
+
+    def end_overdue_calls(self, now: timedelta) -> list[Effect]:
+        """Ends the calls whose outcome was lost, so that their servers are called again."""
+        servers = self.calls.overdue(self.registry.servers, now)
+        return [effect for server in servers for effect in self.on_failure(server, CallFailure.TIMEOUT, now)]
+
     def send_due_calls(self, now: timedelta) -> list[Effect]:
         """Requests the reports that are due, and polls the orders that should be complete by now."""
         effects: list[Effect] = []
         for server in self.registry.servers.values():
-            if server.pending_call or server.is_replaced:
+            if server.pending_call:
                 continue
             if not server.is_known:
                 if server.report_due_at is not None and server.report_due_at <= now:
                     effects.append(self.calls.request_report(server, now))
             elif server.order is not None and server.poll_at is not None and server.poll_at <= now:
-                effects.append(self.calls.send_order(server, server.order))
+                effects.append(self.calls.send_order(server, server.order, now))
         return effects
 
     def next_call_at(self) -> timedelta | None:
@@ -80,7 +96,7 @@
                 continue
             if server.order is not None:
                 due.append(server.poll_at)
-            if not server.is_known and not server.is_replaced:
+            if not server.is_known:
                 due.append(server.report_due_at)
         return min((at for at in due if at is not None), default=None)
 
@@ -125,9 +141,23 @@
         if self._is_outdated(server, report, now):
             return []
         server.apply_report(report)
+        server.is_replaced = False
         self.publisher.mark_changed(server.name)
+        if server.name in self.rechecked:
+            self.rechecked.discard(server.name)
+            self.publisher.publish_again(server.name)
         return []
 
+    def on_other_server(self, server: EngineServer, now: timedelta) -> None:
+        """Handles the answer of another server at a server's address: it may be any other one listed there."""
+        server.is_replaced = True
+        server.invalidate(now + CALLS.report_retry_replaced)
+        self.publisher.mark_changed(server.name)
+        for other in self.registry.servers.values():
+            if other is not server and other.address == server.address and other.is_replaced:
+                other.is_replaced = False
+                other.invalidate(now + CALLS.report_retry_unreachable)
+
     @staticmethod
     def _is_outdated(server: EngineServer, report: ServerReport, now: timedelta) -> bool:
         """Returns whether a report may predate the last completed order."""
@@ -203,13 +233,15 @@
         if order.is_from_store and not order.is_accepted:
             self.store.refund()
         if answer == OrderAnswer.FENCED:
-            self.is_superseded = True
+            self.superseded_until = now + LEASE.superseded_for
             details = {"server": server.name, "fence": self.calls.fence}
             return [Log("warning", COMPONENT, "Orders stopped: a server saw a higher fencing token.", details)]
         is_busy = answer == OrderAnswer.BUSY
-        server.invalidate(now + (CALLS.report_retry_busy if is_busy else CALLS.report_retry_unreachable))
-        self.publisher.mark_changed(server.name)
-        server.is_replaced = answer == OrderAnswer.OTHER_SERVER
+        if answer == OrderAnswer.OTHER_SERVER:
+            self.on_other_server(server, now)
+        else:
+            server.invalidate(now + (CALLS.report_retry_busy if is_busy else CALLS.report_retry_unreachable))
+            self.publisher.mark_changed(server.name)
         details = {**_details(server, order), "answer": answer.value}
         return [Log("warning", COMPONENT, "Order was not accepted.", details)]
 
--- a/sumachook/placement/placer.py
+++ b/sumachook/placement/placer.py
@@ -19,6 +19,7 @@
 from sumachook.placement.plan import Pair, plan_pairs
 from sumachook.requests.model_server_api import ModelServerApi
 
+ORDER_OUTCOME_WITHIN = ORDER_TIMEOUT * 3  # time after which the outcome of an order counts as lost
 POLL_TIMEOUT = timedelta(seconds=1.5)  # longer than the poll interval: a slow response still counts
 DEMAND_HALF_LIFE = timedelta(seconds=60)  # long enough that the plan does not follow short bursts
 MIN_DEMAND = 0.05  # decayed request counts below this are dropped
@@ -39,6 +40,13 @@
     reads: int
 
 
+class UnansweredOrder(NamedTuple):
+    """An order whose call has not ended, the gigabytes that it loads from the store, and when it was sent."""
+
+    gigabytes: float
+    sent_at: timedelta
+
+
 class UnconfirmedLoad(NamedTuple):
     """A load that may have begun although its call failed: its size stays counted against the store's burst."""
 
@@ -132,7 +140,7 @@
         self.budget = 0.0
         self.budget_at = now
         self.in_flight: dict[ItemAtServer, SentOrder] = {}
-        self.unanswered: dict[str, float] = {}
+        self.unanswered: dict[str, UnansweredOrder] = {}
         self.unconfirmed: dict[str, UnconfirmedLoad] = {}
         self.refused: dict[ItemAtServer, Backoff] = {}
 
@@ -141,8 +149,8 @@
 
         Loads that may be running stay counted against the store's burst.
         """
-        for server, gigabytes in self.unanswered.items():
-            self.unconfirmed.setdefault(server, UnconfirmedLoad(gigabytes, now))
+        for server, order in self.unanswered.items():
+            self.unconfirmed.setdefault(server, UnconfirmedLoad(order.gigabytes, now))
         unconfirmed = self.unconfirmed
         self._start_lease(now)
         self.unconfirmed = unconfirmed
@@ -195,17 +203,27 @@
 
     def _fill_budget(self, now: timedelta) -> None:
         """Refills the budget of gigabytes to load from the store; loads that may be running reduce the burst."""
+        self._end_overdue_orders(now)
         store = self.state.catalogue.store
         self.unconfirmed = {
             name: load
             for name, load in self.unconfirmed.items()
             if now - load.failed_at < self.UNCONFIRMED_TIMEOUT and name in self.state.servers
         }
-        taken = sum(self.unanswered.values()) + sum(load.gigabytes for load in self.unconfirmed.values())
+        taken = sum(order.gigabytes for order in self.unanswered.values()) + sum(
+            load.gigabytes for load in self.unconfirmed.values()
+        )
         earned = store.pace * (now - self.budget_at).total_seconds()
         self.budget = min(max(0.0, store.burst - taken), self.budget + earned)
         self.budget_at = now
 
+    def _end_overdue_orders(self, now: timedelta) -> None:
+        """Treats orders whose outcome was lost as unconfirmed, so that their servers get orders again."""
+        for server, order in list(self.unanswered.items()):
+            if now - order.sent_at > ORDER_OUTCOME_WITHIN:
+                del self.unanswered[server]
+                self.unconfirmed[server] = UnconfirmedLoad(order.gigabytes, now)
+
     def _servers(self) -> dict[str, dict[str, Any]]:
         return {name: server for name, server in self.state.servers.items() if server["kind"] == "model"}
 
@@ -347,7 +365,7 @@
             if order.server in self.unanswered:
                 self.budget += order.gigabytes if order.verb == LOAD else 0.0
                 continue
-            effects += self._send_order(order, servers[order.server])
+            effects += self._send_order(order, servers[order.server], now)
         return effects
 
     def _may_order(self, name: str, server: dict[str, Any]) -> bool:
@@ -360,8 +378,8 @@
             and self.state.is_open(server["area"])
         )
 
-    def _send_order(self, order: ServerOrder, server: dict[str, Any]) -> list[Effect]:
-        self.unanswered[order.server] = order.gigabytes
+    def _send_order(self, order: ServerOrder, server: dict[str, Any], now: timedelta) -> list[Effect]:
+        self.unanswered[order.server] = UnansweredOrder(order.gigabytes, now)
         self.in_flight[(order.server, order.item)] = SentOrder(order.verb, 0)
         self.call_number += 1
         call_id = OrderId(PLACER, self.fence, ORDER, order.server, order.verb, order.item, self.call_number)
@@ -376,7 +394,7 @@
         self, call_id: OrderId, event: ResponseReceived | CallFailed, now: timedelta
     ) -> list[Effect]:
         name, item = call_id.server, call_id.item
-        gigabytes = self.unanswered.pop(name, 0.0)
+        unanswered = self.unanswered.pop(name, UnansweredOrder(0.0, now))
         if isinstance(event, ResponseReceived) and event.status == 200:
             self.refused.pop((name, item), None)
             return []
@@ -384,7 +402,7 @@
         if not may_have_begun:
             self.in_flight.pop((name, item), None)
         elif call_id.verb == LOAD:
-            self.unconfirmed[name] = UnconfirmedLoad(gigabytes, now)
+            self.unconfirmed[name] = UnconfirmedLoad(unanswered.gigabytes, now)
         last_pause = self.refused.get((name, item), Backoff(now, self.RESEND_INTERVAL)).pause
         pause = min(self.MAX_BACKOFF, last_pause * 2)
         self.refused[(name, item)] = Backoff(now + pause, pause)
--- a/sumachook/placement/policy.py
+++ b/sumachook/placement/policy.py
@@ -20,6 +20,8 @@
     """Delay of the first evaluation after a lease starts, so that servers and edges have reported before it."""
     expiry_interval: timedelta = MS * 1000
     """Interval at which expired demand and placement requests are dropped."""
+    superseded_for: timedelta = MS * 4000
+    """Time without orders after a server saw a higher fencing token; a replaced holder has lost its lease by then."""
     first_snapshot_within: timedelta = MS * 700
     """Time after which a new lease holder publishes a snapshot even if some servers have not reported."""
 
@@ -32,6 +34,8 @@
     """Connect timeout; servers are in the same network, so a connection that takes longer will not succeed."""
     total_timeout: timedelta = MS * 600
     """Total timeout; a server acknowledges an order before it carries it out, so a later response counts as lost."""
+    outcome_within: timedelta = MS * 3000
+    """Time after which a call without any outcome counts as failed: far above `total_timeout`, so it was lost."""
     poll_interval: timedelta = MS * 28
     """Interval between polls of an order that should be complete by now: a small part of the shortest load."""
     poll_interval_late: timedelta = MS * 56
@@ -46,6 +50,8 @@
     """Delay before the next report request to a server that only reported being busy."""
     report_retry_unreachable: timedelta = MS * 500
     """Delay before the next report request to a server that did not respond or rejected an order."""
+    report_retry_replaced: timedelta = MS * 5000
+    """Delay before the next report request to a server at whose address another one answered."""
     busy_allowance_factor: float = 5.0
     """An accepted order may report busy for this multiple of its expected duration plus `busy_allowance`."""
     busy_allowance: timedelta = MS * 2000
--- a/sumachook/placement/port.py
+++ b/sumachook/placement/port.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from sumachook.calls.run_status import MISDIRECTED_REQUEST
+
 
 class HttpCall(NamedTuple):
     """The method, path, headers and body of an HTTP request to a server."""
@@ -54,12 +56,13 @@
     """
 
     __slots__ = ()
+    INSTANCE = "X-Expect-Instance"
     _ANSWERS = {
         200: OrderAnswer.COMPLETE,
         202: OrderAnswer.ACCEPTED,
         409: OrderAnswer.BUSY,
         412: OrderAnswer.FENCED,
-        421: OrderAnswer.OTHER_SERVER,
+        MISDIRECTED_REQUEST: OrderAnswer.OTHER_SERVER,
     }
 
     @staticmethod
@@ -67,6 +70,16 @@
         """Returns the request for a server's report."""
         return HttpCall("GET", "/report", {}, b"")
 
+    @classmethod
+    def instance_header(cls, instance: str) -> dict[str, str]:
+        """Returns the header that names the server a call is for; any other one answers 421 and does nothing."""
+        return {cls.INSTANCE: instance}
+
+    @staticmethod
+    def is_other_server(status: int) -> bool:
+        """Returns whether a response says that another server than the named one has this address."""
+        return status == MISDIRECTED_REQUEST
+
     @staticmethod
     def read_report(status: int, body: bytes) -> ServerReport | None:
         """Parses a report; returns None for a malformed body or a status other than 200."""
--- a/sumachook/placement/provisioner.py
+++ b/sumachook/placement/provisioner.py
@@ -115,7 +115,7 @@
         return effects + self._schedule_wake_up(now)
 
     def _holds_lease(self, now: timedelta) -> bool:
-        return bool(self.fence) and not self.executor.is_superseded and now - self.last_tick <= LEASE.lease
+        return bool(self.fence) and not self.executor.is_superseded(now) and now - self.last_tick <= LEASE.lease
 
     def _handle(self, event: Event, now: timedelta) -> list[Effect]:
         match event:
@@ -180,6 +180,9 @@
             return []
         if isinstance(event, CallFailed):
             return self.executor.on_failure(call.server, event.failure, now)
+        if call.kind == CallKind.REPORT and self.port.is_other_server(event.status):
+            self.executor.on_other_server(call.server, now)
+            return []
         if call.kind == CallKind.REPORT:
             return self.executor.on_report(call.server, self.port.read_report(event.status, event.body), now)
         return self.executor.on_answer(call.server, self.port.read_order(event.status, event.body), now)
@@ -193,7 +196,7 @@
     def _do_due_work(self, now: timedelta) -> list[Effect]:
         """Sends due calls, then loads for waiting requests, then loads of additional replicas."""
         self.executor.store.fill(self.registry.loads_per_s or UNLIMITED_LOADS_PER_S, now)
-        effects = self.executor.send_due_calls(now)
+        effects = [*self.executor.end_overdue_calls(now), *self.executor.send_due_calls(now)]
         effects += self.request_scheduler.serve(now)
         if now >= self.next_replication_at:
             self.next_replication_at = now + LEASE.replication_interval
--- a/sumachook/placement/publisher.py
+++ b/sumachook/placement/publisher.py
@@ -23,10 +23,21 @@
         distinguish two runs: it stays the same if the process restarts before its lease ends.
     published : {server: models} as last sent to the edges
     changed : names of servers whose models may differ from `published`
+    repeated : names of servers whose models are sent again even if they do not differ
     is_open : whether deltas are sent
     """
 
-    __slots__ = ("fence", "incarnation", "number", "published", "changed", "edges", "is_open", "heartbeat_at")
+    __slots__ = (
+        "fence",
+        "incarnation",
+        "number",
+        "published",
+        "changed",
+        "repeated",
+        "edges",
+        "is_open",
+        "heartbeat_at",
+    )
 
     HEARTBEAT_INTERVAL = timedelta(seconds=1)
 
@@ -36,6 +47,7 @@
         self.number = 0
         self.published: dict[str, Models] = {}
         self.changed: set[str] = set()
+        self.repeated: set[str] = set()
         self.edges: tuple[str, ...] = ()
         self.is_open = False
         self.heartbeat_at = now
@@ -44,6 +56,11 @@
         """Marks servers for comparison with what was published last."""
         self.changed.update(names)
 
+    def publish_again(self, name: str) -> None:
+        """Sends a server's models again with the next delta: an edge removes a model that the server denied once."""
+        self.mark_changed(name)
+        self.repeated.add(name)
+
     def open(self, servers: Servers, edges: tuple[str, ...], now: timedelta) -> list[Effect]:
         """Sends a snapshot to all edges, and enables deltas."""
         self._publish_all(servers)
@@ -93,7 +110,7 @@
         delta: PlacementsByServer = {}
         for name in self.changed:
             models = _usable_models(servers.get(name))
-            if models == self.published.get(name):
+            if models == self.published.get(name) and (models is None or name not in self.repeated):
                 continue
             delta[name] = models
             if models is None:
@@ -101,6 +118,7 @@
             else:
                 self.published[name] = models
         self.changed = set()
+        self.repeated = set()
         return delta
 
     def _snapshot(self) -> PlacementUpdate:
--- a/sumachook/placement/request_scheduler.py
+++ b/sumachook/placement/request_scheduler.py
@@ -98,7 +98,7 @@
                 continue
             known_since = max(server.loaded_at.get(model, server.report_requested_at), server.report_requested_at)
             if now - known_since > CALLS.recheck_after and (not adapter or adapter in server.ready[model]):
-                effects.append(self.scheduler.executor.request_report(server, now))
+                effects.append(self.scheduler.executor.recheck(server, now))
         self.requests.forget(service, full_name(model, adapter))  # edges repeat requests that are still waiting
         return effects
 
--- a/sumachook/placement/server_calls.py
+++ b/sumachook/placement/server_calls.py
@@ -20,10 +20,11 @@
 
 
 class PendingCall(NamedTuple):
-    """A call whose response has not arrived yet."""
+    """A call whose response has not arrived yet, and when it was sent."""
 
     server: str
     kind: CallKind
+    sent_at: timedelta
 
 
 class CompletedCall(NamedTuple):
@@ -48,26 +49,32 @@
         self.last_number = last_number
         self.pending: dict[int, PendingCall] = {}
 
-    def send_order(self, server: EngineServer, order: Order) -> Fetch:
+    def send_order(self, server: EngineServer, order: Order, now: timedelta) -> Fetch:
         """Sends a server's order in flight, for the first time or as a poll."""
         order.attempts += 1
         call = self.port.order(order.verb, order.model, order.adapter, self.node, self.fence, server.sequence)
-        return self._fetch(server, CallKind.ORDER, call)
+        return self._fetch(server, CallKind.ORDER, call, now)
 
     def request_report(self, server: EngineServer, now: timedelta) -> Fetch:
         """Requests a report of the models that a server holds."""
         server.report_requested_at = now
-        return self._fetch(server, CallKind.REPORT, self.port.report())
-
-    def _fetch(self, server: EngineServer, kind: CallKind, call: HttpCall) -> Fetch:
+        return self._fetch(server, CallKind.REPORT, self.port.report(), now)
+
+    def _fetch(
+        self,
+        server: EngineServer,
+        kind: CallKind,
+        call: HttpCall,
+        now: timedelta,
+    ) -> Fetch:
         self.last_number += 1
         server.pending_call = self.last_number
-        self.pending[self.last_number] = PendingCall(server.name, kind)
+        self.pending[self.last_number] = PendingCall(server.name, kind, now)
         return Fetch(
             call_id=ServerCallId(PROVISIONER, self.fence, self.last_number),
             method=call.method,
             url=f"http://{server.address}{call.path}",
-            headers=call.headers,
+            headers={**call.headers, **self.port.instance_header(server.name)},
             body=call.body,
             connect_timeout=CALLS.connect_timeout,
             total_timeout=CALLS.total_timeout,
@@ -78,9 +85,15 @@
         """Returns the call that has ended, or None if it belongs to an earlier lease or a removed server."""
         if call_id.fence != self.fence or call_id.number not in self.pending:
             return None
-        name, kind = self.pending.pop(call_id.number)
+        name, kind, _ = self.pending.pop(call_id.number)
         server = servers.get(name)
         if server is None or server.pending_call != call_id.number:
             return None
         server.pending_call = 0
         return CompletedCall(server, kind)
+
+    def overdue(self, servers: Mapping[str, EngineServer], now: timedelta) -> list[EngineServer]:
+        """Ends the calls whose outcome should have been reported long ago; returns their servers."""
+        late = [number for number, call in self.pending.items() if now - call.sent_at > CALLS.outcome_within]
+        completed = [self.complete(ServerCallId(PROVISIONER, self.fence, number), servers) for number in late]
+        return [call.server for call in completed if call is not None]
--- a/sumachook/placement/server_registry.py
+++ b/sumachook/placement/server_registry.py
@@ -1,5 +1,6 @@
 """Tracks the engine servers listed in the control state, and the capacity of their engines."""
 
+from collections.abc import Set
 from datetime import timedelta
 from typing import Any
 
@@ -18,12 +19,14 @@
     loads_per_s : rate limit of the weight store, in loads per second for all services together
     """
 
-    __slots__ = ("servers", "capacities", "loads_per_s")
+    __slots__ = ("servers", "capacities", "loads_per_s", "_names_by_address", "_seen")
 
     def __init__(self) -> None:
         self.servers: dict[str, EngineServer] = {}
         self.capacities: dict[str, FreeCapacity] = {}
         self.loads_per_s = 0.0
+        self._names_by_address: dict[str, set[str]] = {}  # the servers at each address, as of the last update
+        self._seen: set[str] = set()  # all servers that were listed so far
 
     def update(self, state: Any, now: timedelta) -> set[str]:
         """Applies the control state; returns the names of servers whose placements may have changed for the edges."""
@@ -34,21 +37,43 @@
         changed = {name for name in self.servers if name not in listed}
         for name in changed:
             del self.servers[name]
+        new = listed.keys() - self.servers.keys()
         for name, item in listed.items():
-            if name not in self.servers:
-                changed |= self._add(name, item, now)
+            if name in new:
+                self.servers[name] = EngineServer(name, item["service"], now)
             self._update_server(self.servers[name], item, state.evacuated, now)
+        changed |= new | self._review_addresses(new - self._seen, now)
+        self._seen |= new
         return changed
 
-    def _add(self, name: str, item: dict[str, Any], now: timedelta) -> set[str]:
-        changed = {name}
-        for other in self.servers.values():
-            if other.address == item["address"]:  # a new server has the address of one that is still listed
-                other.is_replaced = True
-                changed.add(other.name)
-        self.servers[name] = EngineServer(name, item["service"], now)
+    def _review_addresses(self, never_listed: Set[str], now: timedelta) -> set[str]:
+        """Marks servers as replaced, or lifts their marks, at each address where the listed servers have changed.
+
+        A server at whose address a new one is listed has ended: the list shows a crashed server for some seconds. The
+        list has no order, so nothing follows for servers that are new together: all are asked, and the one that is not
+        there is found by the answer of the other. Returns the names of servers whose placements may have changed.
+        """
+        names_by_address: dict[str, set[str]] = {}
+        for server in self.servers.values():
+            names_by_address.setdefault(server.address, set()).add(server.name)
+        changed: set[str] = set()
+        for address, names in names_by_address.items():
+            if names == self._names_by_address.get(address, set()):
+                continue
+            arrived = names & never_listed
+            for name in names - arrived:
+                changed |= self._mark(self.servers[name], bool(arrived), now)
+        self._names_by_address = names_by_address
         return changed
 
+    @staticmethod
+    def _mark(server: EngineServer, is_replaced: bool, now: timedelta) -> set[str]:
+        if server.is_replaced == is_replaced:
+            return set()
+        server.is_replaced = is_replaced
+        server.invalidate(now + CALLS.report_retry_replaced if is_replaced else now)
+        return {server.name}
+
     @staticmethod
     def _update_server(server: EngineServer, item: dict[str, Any], evacuated: Any, now: timedelta) -> None:
         server.address = item["address"]
--- a/tests/placement/provisioning_fixtures.py
+++ b/tests/placement/provisioning_fixtures.py
@@ -46,6 +46,7 @@
         self.loss = loss
         self.delay = lambda: MS * 2
         self.is_ticking = True
+        self.reports_check_name = False  # whether servers compare their name with the one that a report request names
         self.updates = []
         self.logs = []
         self.edges = {address: PlacementView() for address in EDGES}
@@ -90,6 +91,16 @@
             "models": {},
         }
 
+    def start_life(self, host, name, models=()):
+        """Starts a new life of a server at the address of a host: the former one has ended, but may still be listed."""
+        self.engines[host] = FakeEngineServer(name, self.engine_config, dict.fromkeys(models, ()))
+        return {"service": "llm", "address": f"{host}:1", "area": "a", "leaving": False, "slots": 64, "models": {}}
+
+    def list_servers(self, servers):
+        """Puts a list of servers, {name: entry} in this order, in force."""
+        self.state.servers = dict(servers)
+        return self.handle(StateChanged())
+
     def configure(self, models, has_service=True):
         """Puts a configuration in force whose engine lists the named models only, or that lacks the service."""
         if not hasattr(self, "all_models"):
@@ -154,12 +165,20 @@
         if name not in self.engines:
             self.schedule(self.delay(), "answer", holder, CallFailed(effect.call_id, CallFailure.REFUSED))
             return
-        status, answer = self.engines[name].take(effect.method, path, effect.body, self.now)
+        status, answer = self._answer_of(self.engines[name], effect, path)
         if self.random.random() < self.loss / 2:
             self.schedule(effect.total_timeout, "answer", holder, CallFailed(effect.call_id, CallFailure.TIMEOUT))
         else:
             self.schedule(self.delay(), "answer", holder, ResponseReceived(effect.call_id, status, {}, answer))
 
+    def _answer_of(self, engine, effect, path):
+        """Returns the status and body of a server's answer; 421 if the call names another one."""
+        is_checked = effect.method == "POST" or self.reports_check_name
+        name = getattr(engine, "name", None)
+        if is_checked and name is not None and effect.headers.get(getattr(ServerPort, "INSTANCE", ""), name) != name:
+            return 421, b""
+        return engine.take(effect.method, path, effect.body, self.now)
+
     def _answer(self, holder, event):
         self.handle(event, holder)
 
--- a/tests/placement/test_provisioning.py
+++ b/tests/placement/test_provisioning.py
@@ -439,3 +439,128 @@
     simulation.run_with_usage(20, {}, ("m1", "m2"))
     assert simulation.records("breach") == [] and simulation.is_store_rate_limit_kept()
     assert simulation.holders("m1") and simulation.holders("m2")
+
+
+def _two_lives(reports_check_name):
+    """Returns a simulation in which a server of host "h0" has ended and a new one holds m0 at its address, and both entries."""
+    simulation = ProvisionerSimulation(servers=0)
+    simulation.reports_check_name = reports_check_name
+    old = simulation.start_life("h0", "i-old", ("m0",))
+    simulation.list_servers({"i-old": old})
+    simulation.run(timedelta(seconds=1))
+    assert simulation.edges[EDGES[0]].holders("m0") == ("i-old",)
+    return simulation, old, simulation.start_life("h0", "i-new", ("m0", "m1"))
+
+
+@pytest.mark.parametrize("reports_check_name", (False, True))
+@pytest.mark.parametrize("is_newest_first", (False, True))
+def test_new_lease_uses_a_restarted_server_in_any_order_of_the_list(is_newest_first, reports_check_name):
+    """A new lease begins while the list shows two lives of a server at one address, in either order: the new life is used at
+    once and gets orders, also after the old one has left the list (review case 3)."""
+    simulation, old, new = _two_lives(reports_check_name)
+    lives = [("i-new", new), ("i-old", old)] if is_newest_first else [("i-old", old), ("i-new", new)]
+    simulation.list_servers(lives)
+    simulation.take_over()
+    simulation.run(timedelta(seconds=2))
+    assert "i-new" in simulation.edges[EDGES[0]].holders("m0")
+    simulation.run_with_usage(2, {}, ("m5",))
+    assert simulation.edges[EDGES[0]].holders("m5") == ("i-new",)
+    simulation.list_servers({"i-new": new})
+    simulation.run_with_usage(2, {}, ("m6",))
+    for model in ("m5", "m6"):
+        assert simulation.edges[EDGES[0]].holders(model) == ("i-new",)
+    assert simulation.records("breach") == []
+
+
+@pytest.mark.parametrize("reports_check_name", (False, True))
+def test_server_that_is_listed_again_does_not_replace_the_one_at_its_address(reports_check_name):
+    """A list shows the new life, then both, then the old one again beside it: the new life is used throughout."""
+    simulation, old, new = _two_lives(reports_check_name)
+    for listed in ({"i-new": new}, {"i-old": old, "i-new": new}, {"i-new": new}, {"i-new": new, "i-old": old}):
+        simulation.list_servers(listed)
+        simulation.run(timedelta(seconds=1))
+        assert "i-new" in simulation.edges[EDGES[0]].holders("m0")
+    simulation.run_with_usage(8, {}, ("m7",))
+    assert simulation.edges[EDGES[0]].holders("m7") == ("i-new",) and simulation.records("breach") == []
+
+
+def test_mark_of_a_replaced_server_ends_with_its_reason():
+    """A server answers one order as if it were another one, since its answer was spoiled: it is asked again and used."""
+    simulation = ProvisionerSimulation(servers=1, held={0: ("m0",)})
+    simulation.run(timedelta(seconds=1))
+    engine = simulation.engines["i-0"]
+    engine.name = "spoiled"
+    simulation.request("m3")
+    simulation.run(MS * 50)
+    engine.name = "i-0"
+    assert simulation.edges[EDGES[0]].holders("m0") == ()
+    simulation.run_with_usage(7, {}, ("m3",))
+    assert simulation.edges[EDGES[0]].holders("m0") == ("i-0",) == simulation.edges[EDGES[0]].holders("m3")
+
+
+def test_model_that_an_edge_forgot_is_published_again():
+    """A server denies a model once, by mistake, so that an edge removes it: once the edge requests the model and the server still
+    reports it, the edge gets it again, though nothing has changed."""
+    simulation = ProvisionerSimulation(servers=1, held={0: ("m0",)})
+    simulation.run(timedelta(seconds=3))
+    simulation.edges[EDGES[0]].forget("i-0", "m0")
+    simulation.run_with_usage(3, {}, ("m0",))
+    assert simulation.edges[EDGES[0]].holders("m0") == ("i-0",)
+
+
+def test_call_whose_outcome_is_lost_does_not_block_its_server():
+    """The event of a call's outcome never comes: the server is called again."""
+    simulation = ProvisionerSimulation(servers=1)
+    simulation.run(timedelta(seconds=1))
+    simulation._answer, answer = lambda holder, event: None, simulation._answer
+    simulation.request("m3")
+    simulation.run(MS * 300)
+    simulation._answer = answer
+    simulation.run_with_usage(5, {}, ("m3",))
+    assert simulation.edges[EDGES[0]].holders("m3") == ("i-0",)
+
+
+def test_holder_that_keeps_its_lease_orders_again_after_a_refused_fence():
+    """One server refuses an order as fenced, by mistake, but the holder keeps its lease: it sends orders again some seconds later."""
+    simulation = ProvisionerSimulation(servers=2)
+    simulation.run(timedelta(seconds=1))
+    for engine in simulation.engines.values():
+        engine.fence = 9
+    simulation.request("m3")
+    simulation.run(MS * 100)
+    for engine in simulation.engines.values():
+        engine.fence = 0
+    simulation.run_with_usage(8, {}, ("m3",))
+    assert simulation.edges[EDGES[0]].holders("m3")
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_restarted_servers_are_used_whatever_the_list_shows(seed):
+    """Servers restart at their addresses, the list shows former lives for a while in any order, and leases change: afterwards
+    every running server is used, and no server was overloaded."""
+    random = Random(seed)
+    simulation = ProvisionerSimulation(servers=0, models=8, seed=seed)
+    simulation.reports_check_name = bool(seed % 2)
+    hosts, lives, gone, number = [f"h{place}" for place in range(3)], {}, {}, 0
+    for host in hosts:
+        lives[host] = (f"i-{number}", simulation.start_life(host, f"i-{number}", (f"m{number}",)))
+        number += 1
+    for _ in range(40):
+        if random.random() < 0.4:
+            host = random.choice(hosts)
+            gone[lives[host][0]] = lives[host][1]
+            lives[host] = (f"i-{number}", simulation.start_life(host, f"i-{number}"))
+            number += 1
+        for name in [name for name in gone if random.random() < 0.2]:
+            del gone[name]
+        listed = [*lives.values(), *gone.items()]
+        random.shuffle(listed)
+        simulation.list_servers(listed)
+        if random.random() < 0.2:
+            simulation.take_over()
+        simulation.request(f"m{random.randrange(8)}")
+        simulation.run(MS * random.randrange(50, 900))
+    simulation.list_servers(lives.values())
+    simulation.run_with_usage(8, {}, ("m1",))
+    assert all(server.is_known and server.is_open for server in simulation.holder.registry.servers.values())
+    assert simulation.edges[EDGES[0]].holders("m1") and simulation.records("breach") == []
