Forwarding: a further attempt never uses the connection of an earlier one

Cause: a response is matched by the request id, which is the same in all attempts; rule 4 of calls/run_status.py promises a fresh connection for a further attempt, and ConnectionReuse.WHEN_ALIVE did not keep it. Change: a further attempt of a call that may not be repeated gets a new connection; one of any call does at a server that an earlier attempt reached, also a resumed stream. The first attempt of an order to load from the store gets a new connection, since a surplus answer could refund its token. A lookup refuses a response that names another one. Rule 5 states this; the docstrings of the client and the pass say the same.

--- a/harness/fuzzing/__main__.py
+++ b/harness/fuzzing/__main__.py
@@ -4,7 +4,8 @@
 import sys
 import time
 
-from harness.fuzzing.run import FAULT_FREE_SHARE, play_cases
+from harness.fuzzing.plan import ServerFault
+from harness.fuzzing.run import FAULT_FREE_SHARE, MAX_CONCURRENT_CASES, FuzzOptions, play_cases
 
 
 def main() -> int:
@@ -19,9 +20,19 @@
         default=FAULT_FREE_SHARE,
         help="share of requests that servers answer without a fault (0 to 1)",
     )
+    parser.add_argument(
+        "--fault",
+        action="append",
+        choices=[fault.name for fault in ServerFault],
+        help="a fault that servers inject, in place of all; may be given more than once",
+    )
+    parser.add_argument("--at-once", type=int, default=MAX_CONCURRENT_CASES, help="number of cases at a time")
     given = parser.parse_args()
+    faults = tuple(ServerFault[name] for name in given.fault or ()) or tuple(ServerFault)
     began = time.monotonic()
-    report = play_cases(given.seed, range(given.first, given.first + given.cases), given.calm)
+    report = play_cases(
+        given.seed, range(given.first, given.first + given.cases), FuzzOptions(given.calm, faults, given.at_once)
+    )
     print("\n".join(report.lines()))
     print(f"seed {given.seed}, {time.monotonic() - began:.1f} s")
     return 1 if report.faults() else 0
--- a/harness/fuzzing/oracle.py
+++ b/harness/fuzzing/oracle.py
@@ -123,9 +123,14 @@
             self._judge_success(request, response, seals)
         elif seals:
             self._judge_sealed_failure(request, response, seals)
-        elif response.status not in OWN_FAILURES:
+        elif response.status not in OWN_FAILURES and not self._was_refused_with(request, response.status):
             self.note("DENIED", f"{name} got {response.status} from the edge itself")
 
+    def _was_refused_with(self, request: PlannedRequest, status: int) -> bool:
+        """Returns whether a server refused the request with this status, which promises that it was not run."""
+        is_promise = status in NOT_RUN_PROMISES
+        return is_promise and any(answer.status == status for answer in self.answers.get(request.request_id, ()))
+
     def _judge_success(self, request: PlannedRequest, response: Response, seals: list[bytes]) -> None:
         name = request.request_id
         if len(seals) != 1:
--- a/harness/fuzzing/plan.py
+++ b/harness/fuzzing/plan.py
@@ -7,7 +7,7 @@
 ROUTE_KINDS = ("plain", "once", "loose", "chat")
 REPEATABLE = frozenset({"plain", "chat"})
 STREAMS = frozenset({"loose", "chat"})
-MAX_ATTEMPTS = {"plain": 2, "once": 2, "loose": 1, "chat": 3}
+MAX_ATTEMPTS = {"plain": 2, "once": 4, "loose": 2, "chat": 3}
 MAX_REQUESTS = 4
 LARGE_BODY = 300_000
 
@@ -26,6 +26,7 @@
     SURPLUS = "surplus"
     LATE_SURPLUS = "late surplus"
     HALF_SURPLUS = "half surplus"
+    LATE_COPY = "refusal, and a copy of it in the place of the next response"
     SWAP = "swap"
     EARLIER_ID = "earlier id"
     EARLY = "early"
@@ -152,10 +153,16 @@
     return PlannedRequest(request_id, route, method, body, is_chunked, answer_size)
 
 
-def draw_move(seed: int, request_id: str, arrival: int, fault_free_share: float) -> ServerMove:
+def draw_move(
+    seed: int,
+    request_id: str,
+    arrival: int,
+    fault_free_share: float,
+    faults: tuple[ServerFault, ...] = tuple(ServerFault),
+) -> ServerMove:
     """Draws how a server handles the n-th arrival of a request; `fault_free_share` of the arrivals have no fault."""
     random = Random(f"server/{seed}/{request_id}/{arrival}")
-    fault = ServerFault.NONE if random.random() < fault_free_share else random.choice(tuple(ServerFault))
+    fault = ServerFault.NONE if random.random() < fault_free_share else random.choice(faults)
     return ServerMove(
         fault,
         random.random(),
--- a/harness/fuzzing/run.py
+++ b/harness/fuzzing/run.py
@@ -9,13 +9,13 @@
 from harness.fuzzing.client import FuzzClient
 from harness.fuzzing.edge_host import TIMEOUT_MS, EdgeHost
 from harness.fuzzing.oracle import Oracle
-from harness.fuzzing.plan import MAX_ATTEMPTS, draw_case
+from harness.fuzzing.plan import MAX_ATTEMPTS, ServerFault, draw_case
 from harness.fuzzing.server import FaultyServer, yield_to_loop
 from harness.run_checks import find_unchecked
 
-SERVERS = 4
+SERVER_COUNTS = (4, 1, 2)  # of the edges, in turn; with few servers a request returns to one that refused it
 MAX_CONCURRENT_CASES = 40
-CASES_PER_EDGE = 400
+CASES_PER_EDGE = 200
 FAULT_FREE_SHARE = 0.35
 CASE_TIMEOUT = 20.0  # seconds after which a case counts as hanging
 
@@ -60,14 +60,27 @@
         ]
 
 
-async def _play_on_one_edge(seed: int, numbers: list[int], report: FuzzReport, fault_free_share: float) -> None:
+@dataclass(frozen=True, slots=True)
+class FuzzOptions:
+    """The share of requests that servers answer without a fault, the faults of all others, and the cases at a time."""
+
+    fault_free_share: float = FAULT_FREE_SHARE
+    faults: tuple[ServerFault, ...] = tuple(ServerFault)
+    concurrency: int = MAX_CONCURRENT_CASES
+
+
+async def _play_on_one_edge(seed: int, numbers: list[int], report: FuzzReport, options: FuzzOptions) -> None:
+    server_count = SERVER_COUNTS[(seed + numbers[0] // CASES_PER_EDGE) % len(SERVER_COUNTS)]
     oracle = Oracle()
-    servers = [FaultyServer(f"s{place}", seed, oracle, fault_free_share) for place in range(SERVERS)]
+    servers = [
+        FaultyServer(f"s{place}", seed, oracle, options.fault_free_share, options.faults)
+        for place in range(server_count)
+    ]
     for server in servers:
         await server.start()
     host = EdgeHost({server.name: server.address for server in servers}, MAX_ATTEMPTS, seed)
     await host.start()
-    concurrency = asyncio.Semaphore(MAX_CONCURRENT_CASES)
+    concurrency = asyncio.Semaphore(options.concurrency)
 
     async def play(number: int) -> None:
         async with concurrency:
@@ -87,11 +100,11 @@
     report.add(oracle)
 
 
-def play_cases(seed: int, numbers: Iterable[int], fault_free_share: float = FAULT_FREE_SHARE) -> FuzzReport:
-    """Runs the cases with these numbers, up to 400 on each edge, and returns the report."""
+def play_cases(seed: int, numbers: Iterable[int], options: FuzzOptions | None = None) -> FuzzReport:
+    """Runs the cases with these numbers, up to 200 on each edge, and returns the report."""
     report, left = FuzzReport(), list(numbers)
     while left:
         now, left = left[:CASES_PER_EDGE], left[CASES_PER_EDGE:]
-        asyncio.run(_play_on_one_edge(seed, now, report, fault_free_share))
+        asyncio.run(_play_on_one_edge(seed, now, report, options or FuzzOptions()))
         gc.collect()
     return report
--- a/harness/fuzzing/server.py
+++ b/harness/fuzzing/server.py
@@ -13,7 +13,8 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: (\d+)")
 CHUNKED = re.compile(rb"(?i)\r\ntransfer-encoding: chunked")
-NOT_RUN_STATUSES = (503, 429, 421)
+NOT_RUN_STATUSES = (503, 429, 421, 408)
+NOT_RUN_FAULTS = frozenset({ServerFault.NOT_RUN, ServerFault.LATE_COPY})
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +56,16 @@
 class FaultyServer:
     """A server on loopback that records every received request and every sent byte in the oracle."""
 
-    def __init__(self, name: str, seed: int, oracle: Oracle, fault_free_share: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        oracle: Oracle,
+        fault_free_share: float,
+        faults: tuple[ServerFault, ...] = tuple(ServerFault),
+    ) -> None:
         self.name, self.seed, self.oracle, self.fault_free_share = name, seed, oracle, fault_free_share
+        self.faults = faults
         self.address = ""
         self.connections: set[asyncio.Task[None]] = set()
         self.listener: asyncio.Server | None = None
@@ -101,6 +110,7 @@
     def __init__(self, server: FaultyServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.server, self.reader, self.writer = server, reader, writer
         self.idle_fault: ServerFault | None = None
+        self.late_copy = b""  # a response that is sent once more in the place of the next one
 
     async def run(self) -> None:
         """Serves requests until the connection is closed."""
@@ -111,7 +121,8 @@
     async def _serve_next(self, head: bytes) -> None:
         received = _read_head(head)
         oracle, name = self.server.oracle, received.request_id
-        move = draw_move(self.server.seed, name, len(oracle.arrivals[name]), self.server.fault_free_share)
+        server = self.server
+        move = draw_move(server.seed, name, len(oracle.arrivals[name]), server.fault_free_share, server.faults)
         arrival = Arrival(self.server.name, received.method, received.path, b"", False)
         if move.fault is ServerFault.EARLY and self.idle_fault is None:
             answer = self._compose(received, move)
@@ -119,9 +130,13 @@
             await yield_to_loop()
         arrival.body = await self._read_body(head)
         oracle.arrivals[name].append(arrival)
+        if self.late_copy:
+            self._write(None, self.late_copy)
+            self.late_copy = b""
+            await yield_to_loop()
         if self.idle_fault is not None:
             await self._fail_on_reuse(arrival, move)
-        arrival.has_run = move.fault is not ServerFault.NOT_RUN and (
+        arrival.has_run = move.fault not in NOT_RUN_FAULTS and (
             move.does_run or move.fault not in (ServerFault.RESET, ServerFault.CUT, ServerFault.HANG)
         )
         if move.fault is not ServerFault.EARLY:
@@ -194,6 +209,7 @@
             ServerFault.SURPLUS: self._surplus,
             ServerFault.LATE_SURPLUS: self._late_surplus,
             ServerFault.HALF_SURPLUS: self._half_surplus,
+            ServerFault.LATE_COPY: self._late_copy,
             ServerFault.SWAP: self._swap,
             ServerFault.EARLIER_ID: self._earlier_id,
             ServerFault.INFORMATIONAL: self._informational,
@@ -290,6 +306,10 @@
         await yield_to_loop(YIELDS_PER_PAUSE + self.move.byte % 8)
         self.connection.write(None, foreign[at:])
 
+    async def _late_copy(self) -> None:
+        self._send(self.answer.raw)
+        self.connection.late_copy = self.answer.raw
+
     async def _swap(self) -> None:
         self.connection.write(None, self._foreign(is_over=False))
         await yield_to_loop()
@@ -336,7 +356,7 @@
     size = entry.request.size if entry is not None else 1
     status, body, more = _content(received, move, seal, size)
     headers = [f"X-Request-Id: {name}"] if fault is not ServerFault.NO_ID else []
-    if fault not in (ServerFault.NO_SEAL, ServerFault.NOT_RUN):
+    if fault is not ServerFault.NO_SEAL and fault not in NOT_RUN_FAULTS:
         headers.append(f"X-Server-Seal: {seal}")
     headers += more
     framing, payload = _framed(received, move, body, status)
@@ -348,8 +368,8 @@
 def _content(received: Received, move: ServerMove, seal: str, size: int) -> tuple[int, bytes, list[str]]:
     """Returns (status, body, further headers) of the response."""
     fault, name = move.fault, received.request_id
-    if fault is ServerFault.NOT_RUN:
-        return NOT_RUN_STATUSES[move.byte % 3], b"", ["X-Not-Run: 1"]
+    if fault in NOT_RUN_FAULTS:
+        return NOT_RUN_STATUSES[move.byte % len(NOT_RUN_STATUSES)], b"", ["X-Not-Run: 1"]
     if fault is ServerFault.UNMARKED_REFUSAL:
         return (503, 429, 408)[move.byte % 3], b"unmarked", []
     if fault is ServerFault.FAILURE:
--- a/harness/mutations/answers.py
+++ b/harness/mutations/answers.py
@@ -116,7 +116,7 @@
     Mutation(
         "MIXED",
         "a non-repeatable request always uses a kept-alive connection",
-        "return ConnectionReuse.ALWAYS if request.is_repeatable else ConnectionReuse.WHEN_ALIVE",
+        "return ConnectionReuse.WHEN_ALIVE if request.attempt == 1 else ConnectionReuse.NEVER",
         "return ConnectionReuse.ALWAYS",
         KEPT,
         "closed or surplus or second_response",
--- a/sumachook/calls/run_status.py
+++ b/sumachook/calls/run_status.py
@@ -7,8 +7,13 @@
    the byte is still in the kernel's send buffer.
 3. Only an explicit statement of the server revokes that: a response to this very call, with a refusing status, that
    says it was not run. It covers one attempt; an earlier attempt that may have run still counts.
-4. A call that may not be repeated is sent again only while none of its attempts may have run, and always on a fresh
-   connection.
+4. A call that may not be repeated is sent again only while none of its attempts may have run, and always on a new
+   connection. Its first attempt may use a connection that the server is known to keep open.
+5. A call is never sent again on a connection that carried an earlier attempt of it: a response names the call, not the
+   attempt, and a surplus copy of the earlier response may still arrive there. An attempt at a server that an earlier
+   one reached therefore gets a new connection, whether or not the call may be repeated. Responses to orders name
+   nothing: the first attempt of an order to load from the store, whose outcome counts against the store's rate limit,
+   gets a new connection; the count of orders in every order exposes any other response that is taken for the wrong one.
 """
 
 from enum import StrEnum
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -89,10 +89,15 @@
         return self.table.access.urgency_scale.level(request.tenant_priority, request.route.priority)
 
     def _reuse(self, request: ForwardedRequest) -> ConnectionReuse:
-        """Forbids connection reuse without a request id, which alone identifies a response to an earlier request."""
-        if not request.metadata.request_id:
+        """Returns which connections an attempt may use: rules 4 and 5 of `calls/run_status.py`.
+
+        The request id is the same in all attempts of a request, and alone identifies a response to another request.
+        """
+        if not request.metadata.request_id or request.server in request.sent_to:
             return ConnectionReuse.NEVER
-        return ConnectionReuse.ALWAYS if request.is_repeatable else ConnectionReuse.WHEN_ALIVE
+        if request.is_repeatable:
+            return ConnectionReuse.ALWAYS
+        return ConnectionReuse.WHEN_ALIVE if request.attempt == 1 else ConnectionReuse.NEVER
 
     def _first_token_timeout(self, request: ForwardedRequest, remaining: timedelta) -> timedelta:
         if not (request.is_repeatable and request.attempt < request.route.tries):
--- a/sumachook/host/effects.py
+++ b/sumachook/host/effects.py
@@ -63,8 +63,22 @@
     call_id: CallId
 
 
+class ConnectionReuse(StrEnum):
+    """Policy for sending a call over a connection that was used before.
+
+    `WHEN_ALIVE` allows only a connection that the server is known to keep open, as for a call that may not run twice.
+    """
+
+    NEVER = "never"
+    WHEN_ALIVE = "when alive"
+    ALWAYS = "always"
+
+
 class Fetch(Effect, frozen=True):
-    """Call an HTTP server; `mode` "events" reads a stream of server-sent events, any other mode the complete body."""
+    """Call an HTTP server; `mode` "events" reads a stream of server-sent events, any other mode the complete body.
+
+    `reuse` applies to calls for which the host keeps connections; all others always get a new one.
+    """
 
     call_id: CallId
     method: str
@@ -74,17 +88,7 @@
     connect_timeout: timedelta
     total_timeout: timedelta
     mode: str
-
-
-class ConnectionReuse(StrEnum):
-    """Policy for sending a call over a connection that was used before.
-
-    `WHEN_ALIVE` allows only a connection that the server is known to keep open, as for a call that may not run twice.
-    """
-
-    NEVER = "never"
-    WHEN_ALIVE = "when alive"
-    ALWAYS = "always"
+    reuse: ConnectionReuse = ConnectionReuse.ALWAYS
 
 
 class ForwardRequest(Effect, frozen=True):
--- a/sumachook/inference/response_relay.py
+++ b/sumachook/inference/response_relay.py
@@ -92,6 +92,8 @@
         """Handles a complete, unstreamed response: the record for a lookup, a refusal for a prompt."""
         if request.kind == PROMPT:
             return self._handle_head(request, event, now)
+        if event.headers.get("x-request-id", request.request_id) != request.request_id:
+            return self.resend.take(request, FailureKind.RESET.because("an answer to another request"), now)
         if event.status not in (200, 404):
             return self.resend.take(request, _failure_of_status(event, request), now)
         self.end_attempt.take(request, None, now)
--- a/sumachook/placement/server_calls.py
+++ b/sumachook/placement/server_calls.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from sumachook.host.effects import Fetch
+from sumachook.host.effects import ConnectionReuse, Fetch
 from sumachook.placement.call_ids import PROVISIONER, ServerCallId
 from sumachook.placement.engine_server import EngineServer, Order
 from sumachook.placement.policy import CALLS
@@ -52,8 +52,11 @@
     def send_order(self, server: EngineServer, order: Order, now: timedelta) -> Fetch:
         """Sends a server's order in flight, for the first time or as a poll."""
         order.attempts += 1
+        # a surplus response to an earlier order must not decide whether a load counts against the store's rate limit
+        is_first_of_store_load = order.is_from_store and not order.is_accepted
+        reuse = ConnectionReuse.NEVER if is_first_of_store_load else ConnectionReuse.ALWAYS
         call = self.port.order(order.verb, order.model, order.adapter, self.node, self.fence, server.sequence)
-        return self._fetch(server, CallKind.ORDER, call, now)
+        return self._fetch(server, CallKind.ORDER, call, now, reuse)
 
     def request_report(self, server: EngineServer, now: timedelta) -> Fetch:
         """Requests a report of the models that a server holds."""
@@ -66,6 +69,7 @@
         kind: CallKind,
         call: HttpCall,
         now: timedelta,
+        reuse: ConnectionReuse = ConnectionReuse.ALWAYS,
     ) -> Fetch:
         self.last_number += 1
         server.pending_call = self.last_number
@@ -79,6 +83,7 @@
             connect_timeout=CALLS.connect_timeout,
             total_timeout=CALLS.total_timeout,
             mode="whole",
+            reuse=reuse,
         )
 
     def complete(self, call_id: ServerCallId, servers: Mapping[str, EngineServer]) -> CompletedCall | None:
--- a/sumachook/transport/http_client.py
+++ b/sumachook/transport/http_client.py
@@ -64,7 +64,8 @@
     Each prompt and each order of the placer gets a new connection. Lookups reuse connections, but never share one with
     a prompt. The provisioner's orders, which contain the expected count of orders, reuse connections too, in a pool
     separate from the reports of the same server: its responses carry no id, so only the connection tells the response
-    to an order from a report. The connection of an abandoned order is reset.
+    to an order from a report. An order whose `Fetch` forbids reuse gets a new connection, on which no surplus response
+    to an earlier order can arrive. The connection of an abandoned order is reset.
     """
 
     __slots__ = ()
@@ -92,7 +93,7 @@
         if pool is Pool.FRESH:
             self._begin_connecting(call_id, ConnectionReuse.NEVER, max_kept=0)
         else:
-            self._begin_connecting(call_id)
+            self._begin_connecting(call_id, effect.reuse)
         timeout = aiohttp.ClientTimeout(
             total=effect.total_timeout.total_seconds(), sock_connect=effect.connect_timeout.total_seconds()
         )
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -8,6 +8,7 @@
 from sumachook.changefeed.trust import Trust
 from sumachook.configuration.node_settings import NodeSettings
 from sumachook.forwarding.server_selection import PLACEMENT_WAIT_FRACTION
+from sumachook.host.effects import ConnectionReuse
 from sumachook.host.events import MessageReceived, Tick
 from sumachook.membership.member import MemberStatus, MemberUpdate
 from sumachook.membership.messages import MemberList
@@ -1073,3 +1074,60 @@
     logged = [effect[4] for effect in scene.out if effect[0] == "log"]
     assert [fields["tag"] for fields in logged] == [late]
     assert logged[0]["status"] == 200 and logged[0]["tokens"] == closed[late]["tokens"]
+
+
+@pytest.mark.parametrize("status", [421, 429, 503])
+@pytest.mark.parametrize("names", [("r1",), ("r1", "r2")])
+@pytest.mark.parametrize("path", [PLAIN, ONCE, LOOSE])
+def test_further_attempts_get_new_connections(path, names, status):
+    """Rules 4 and 5 of `calls/run_status.py`: a request that may not be repeated is sent again on a new connection only, any other
+    one on a new connection if its server was reached before; only the first attempt may use a kept one."""
+    doc = catalogue(
+        routes=[
+            route("plain", "repeatable", tries=4),
+            route("once", "once", tries=4),
+            route("loose", "stream", tries=4),
+        ]
+    )
+    scene = Scene(doc, {name: server("records") for name in names}, credit=40.0)
+    cid = scene.ask(path)
+    for _ in range(3):
+        scene.answer(cid, status, b"", NOT_RUN, seal=False)
+        scene.run(0.3)
+    attempts = [(scene.target_server(cid, place), send[8]) for place, send in enumerate(scene.sends(cid))]
+    assert len(attempts) >= 3
+    reached = set()
+    for number, (name, reuse) in enumerate(attempts):
+        if number == 0:
+            assert reuse is (ConnectionReuse.ALWAYS if path == PLAIN else ConnectionReuse.WHEN_ALIVE)
+        elif path != PLAIN or name in reached:
+            assert reuse is ConnectionReuse.NEVER
+        else:
+            assert reuse is ConnectionReuse.ALWAYS
+        reached.add(name)
+
+
+def test_resumed_stream_gets_a_new_connection_at_a_server_that_it_reached():
+    """A resumable stream that is refused, then goes to the same server again with its last event id, never uses the connection of
+    the refused attempt."""
+    doc = catalogue(routes=[route("chat", "stream", resumable=True, tries=4)])
+    scene = Scene(doc, {"r1": server("records")}, credit=40.0)
+    cid = scene.ask("/chat/x")
+    scene.stream(cid, 1)
+    scene.call_event(cid, "fault", "reset")
+    scene.run(0.5)
+    scene.answer(cid, 503, b"", NOT_RUN, seal=False)
+    scene.run(0.5)
+    first, *others = scene.sends(cid)
+    assert len(others) >= 2 and all(send[8] is ConnectionReuse.NEVER for send in others)
+    assert all(dict(send[4])["last-event-id"] == "1" for send in others)
+
+
+@pytest.mark.parametrize("path", [PLAIN, ONCE])
+def test_a_refusal_with_408_is_final(path):
+    """A server that says with 408 that it did not run a request is believed, and the request is not sent again."""
+    scene = Scene()
+    cid = scene.ask(path)
+    scene.answer(cid, 408, b"", NOT_RUN, seal=False)
+    scene.run(0.5)
+    assert len(scene.sends(cid)) == 1 and scene.status(cid) == 408
--- a/tests/harness/test_fuzz.py
+++ b/tests/harness/test_fuzz.py
@@ -4,8 +4,8 @@
 
 from harness.fuzzing.http_text import Response, read_responses
 from harness.fuzzing.oracle import Arrival, Oracle, ServedAnswer
-from harness.fuzzing.plan import PlannedRequest, draw_case, draw_move
-from harness.fuzzing.run import play_cases
+from harness.fuzzing.plan import PlannedRequest, ServerFault, draw_case, draw_move
+from harness.fuzzing.run import FuzzOptions, play_cases
 
 CASES = 150
 
@@ -19,6 +19,15 @@
     assert {"200", "502", "504"} <= set(report.outcomes), report.outcomes
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_late_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(seed):
+    """Servers refuse requests, and send the refusal once more in the place of the next response: no request that may run once
+    runs twice, and none that ran is answered as if it had not (review case 2)."""
+    report = play_cases(seed, range(CASES), FuzzOptions(0.5, (ServerFault.LATE_COPY,), concurrency=2))
+    assert report.violations == [] and report.cases == CASES
+    assert report.arrivals > report.requests  # some requests were sent again
+
+
 def test_same_seed_draws_the_same_cases():
     """A seed and a case number always give the same case and the same server faults."""
     assert [draw_case(7, number) for number in range(50)] == [draw_case(7, number) for number in range(50)]
--- a/tests/inference/test_requests.py
+++ b/tests/inference/test_requests.py
@@ -487,3 +487,37 @@
         first,
     )
     assert invariant_checker(deployment, callers).faults() == []
+
+
+def test_response_to_another_lookup_is_not_passed_on():
+    """The first response to a lookup, on a kept connection, is a surplus one that names another request: the caller gets the
+    record that it asked for, from a further attempt."""
+    deployment = settled(33)
+    callers = quiet(deployment)
+    _fill_retry_budgets(deployment)
+    spoiled = []
+
+    def spoil(take):
+        def take_spoiled(event, now):
+            effects = take(event, now)
+            for place, effect in enumerate(effects):
+                if isinstance(effect, Reply) and not spoiled:
+                    spoiled.append(effect)
+                    headers = {**effect.headers, "X-Request-Id": "another"}
+                    effects[place] = Reply(effect.call_id, 200, headers, b'{"record": "of another"}')
+            return effects
+
+        return take_spoiled
+
+    for box in [box for box in deployment.boxes.values() if box.role == "records"]:
+        box.machine = SpoiledServer(spoil(box.machine.take))
+    call = ask(deployment, callers, "stamps")
+    deployment.run(2)
+    assert spoiled and call.outcome == "ok" and "of another" not in call.text
+
+
+class SpoiledServer:
+    """A record server whose responses pass through a function that spoils them."""
+
+    def __init__(self, take):
+        self.take = take
--- a/tests/placement/test_provisioning.py
+++ b/tests/placement/test_provisioning.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sumachook.calls.run_status import CallFailure
-from sumachook.host.effects import Send
+from sumachook.host.effects import ConnectionReuse, Fetch, Send
 from sumachook.host.events import CallFailed, DelayElapsed, MessageReceived
 from sumachook.placement.events import LeaseTick, StateChanged
 from sumachook.placement.messages import PlacementSnapshotRequest, PlacementUpdate
@@ -564,3 +564,24 @@
     simulation.run_with_usage(8, {}, ("m1",))
     assert all(server.is_known and server.is_open for server in simulation.holder.registry.servers.values())
     assert simulation.edges[EDGES[0]].holders("m1") and simulation.records("breach") == []
+
+
+def test_load_from_the_store_never_uses_a_kept_connection():
+    """The first attempt of a load from the store gets a new connection, so that no surplus response to an earlier order refunds
+    its token; polls, unloads and loads from disk use kept ones."""
+    simulation, fetches = ProvisionerSimulation(servers=1, models=8), []
+    handle = simulation.handle
+
+    def recording_handle(event, holder=None):
+        effects = handle(event, holder)
+        fetches.extend(effect for effect in effects if isinstance(effect, Fetch) and effect.method == "POST")
+        return effects
+
+    simulation.handle = recording_handle
+    for model in ("m1", "m2", "m3", "m4", "m1"):
+        simulation.run_with_usage(3, {}, (model,))
+    orders = [(msgspec.json.decode(fetch.body), fetch.reuse) for fetch in fetches]
+    stored = [model for _, _, model in simulation.records("stored")]
+    new_connections = [order["model"] for order, reuse in orders if reuse is ConnectionReuse.NEVER]
+    assert new_connections == stored == ["m1", "m2", "m3", "m4"]
+    assert {order["verb"] for order, reuse in orders if reuse is ConnectionReuse.ALWAYS} == {"load", "unload"}
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -10,7 +10,7 @@
 import pytest
 
 from sumachook.calls.run_status import CallFailure
-from sumachook.host.effects import Fetch
+from sumachook.host.effects import ConnectionReuse, Fetch
 from sumachook.host.events import CallFailed, RequestSent, ResponseReceived
 from sumachook.transport.http_client import HttpClient
 
@@ -61,10 +61,10 @@
         if isinstance(event, ResponseReceived | CallFailed):
             self.done[event.call_id].set()
 
-    async def call(self, call, address, method="POST", connect=SOON):
+    async def call(self, call, address, method="POST", connect=SOON, reuse=ConnectionReuse.ALWAYS):
         """Runs a call; returns its last event."""
         self.done[call] = asyncio.Event()
-        self.http_client.fetch(Fetch(call, method, f"http://{address}/x", {}, b"", connect, SOON, "whole"))
+        self.http_client.fetch(Fetch(call, method, f"http://{address}/x", {}, b"", connect, SOON, "whole", reuse))
         await self.done[call].wait()
         return self.events[call][-1]
 
@@ -163,6 +163,19 @@
     assert run_scenario(scenario, ACCEPTED, OK) == (202, 200, 2)
 
 
+def test_order_that_forbids_reuse_gets_a_new_connection():
+    """An order that forbids reuse does not use the kept connection, where a surplus response to an earlier order may still
+    arrive; other orders do (review case 2)."""
+
+    async def scenario(client, peer):
+        statuses = []
+        for number, reuse in enumerate((ConnectionReuse.ALWAYS, ConnectionReuse.NEVER, ConnectionReuse.ALWAYS), 1):
+            statuses.append((await client.call(order(number), peer.address, reuse=reuse)).status)
+        return statuses, [number for number, _ in peer.requests][:2], peer.connections
+
+    assert run_scenario(scenario, ACCEPTED, OK, ACCEPTED) == ([202, 200, 202], [1, 2], 2)
+
+
 def test_cancelled_call_emits_no_events():
     """A call cancelled while its server works emits no further events, even if the response arrives."""
 
--- a/tests/transport/test_kept_connections.py
+++ b/tests/transport/test_kept_connections.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.transport.proxy_fixtures import request_head, reset, run_scenario, sealed_response
+from tests.forwarding.forwarding_fixtures import catalogue, route
+from tests.transport.proxy_fixtures import EVENTS, request_head, reset, run_scenario, sealed_response
 
 
 def test_request_survives_a_kept_connection_closed_by_the_server():
@@ -228,3 +229,40 @@
         (200, b"q1"),
         (200, b"q2"),
     ] and arrivals == forwards == 3
+
+
+REFUSALS = {421: b"421 Misdirected Request", 429: b"429 Too Many Requests", 503: b"503 Service Unavailable"}
+ROUTE_KINDS = {"plain": "repeatable", "once": "once", "loose": "stream", "chat": "stream"}
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+@pytest.mark.parametrize("tries", [2, 4])
+@pytest.mark.parametrize("name", ROUTE_KINDS)
+@pytest.mark.parametrize("status", REFUSALS)
+def test_second_refusal_is_not_taken_for_the_answer_to_the_next_attempt(status, name, tries):
+    """The only server refuses a request and sends its refusal once more in the place of the next response, while it runs the
+    next attempt: that attempt is answered by its own response, so a request that may run once runs once and is not answered as
+    if it had not run (review case 2)."""
+    runs = []
+    is_stream = ROUTE_KINDS[name] == "stream"
+
+    async def refuse_twice(server, request, reader, writer):
+        if len(server.requests) == 1:
+            server.refusal = sealed_response(request, b"", b"X-Not-Run: 1\r\n", REFUSALS[status])
+            server.refused_writer = writer
+            writer.write(server.refusal)
+            return True
+        if writer is server.refused_writer:
+            writer.write(server.refusal)
+            await asyncio.sleep(0.01)
+        runs.append(request.id)
+        writer.write(sealed_response(request, EVENT, EVENTS) if is_stream else sealed_response(request, b"ran"))
+        return True
+
+    async def scenario(proxy, peer):
+        return await proxy.ask(f"/{name}/x", number=1), peer.connections
+
+    routes = [route(name, kind, tries=tries, resumable=name == "chat") for name, kind in ROUTE_KINDS.items()]
+    (answer_status, _, body, _), connections = run_scenario(scenario, refuse_twice, doc=catalogue(routes=routes))
+    assert runs == ["q1"] and connections == 2
+    assert (answer_status, body) == (200, EVENT if is_stream else b"ran")
