--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -6,6 +6,12 @@
 life: before it serves, twice, or together with another one. Therefore every request that a server ran must get its
 response, and so must every request on a connection that no edge had a reason to close; no process may exit on its own
 or exceed its grace period, and the newest configuration must be read back at the end.
+
+Meanwhile servers restart and are listed beside their former lives, in any order; plain servers are full for moments, and
+send each of their refusals a second time in the place of the next response; models are taken out of their service and
+put back; and each core is asked for the configuration, which must never be older than one acknowledged a while before.
+At the end all servers, then all cores restart: each server must be called again. In every third seed a component of
+the cores raises exceptions, which may cost nothing but its own work.
 """
 
 import argparse
@@ -19,6 +25,7 @@
 from random import Random
 from typing import Any
 
+from harness.experiments.soak_events import LIST_LAG, LISTED_AFTER_END, LISTED_IN_FINALE, SoakEvents
 from harness.experiments.soak_faults import (
     EdgeShutdown,
     cut_attempts,
@@ -41,6 +48,9 @@
 IDLE_LIMITS_MS = (400, 700, 1000, 1500, 15000)
 EXTRA_ROUTES = 6
 TENANT_CHANGE_PORTION, KEY_CHANGE_PORTION = 0.3, 0.35  # fractions of the configuration changes
+MODEL_CHANGE_PORTION = 0.3  # fraction of the configuration changes
+RAISING_COMPONENTS = ("provisioner", "placer", "leases", "inventory_reader")
+RAISING_PERIOD, SEEDS_PER_RAISING_RUN = 7, 3
 SIGTERM_EXIT_CODE, SIGHUP_EXIT_CODE = -signal.SIGTERM, -signal.SIGHUP
 EXIT_SLACK = 0.5  # seconds by which this process may notice an exit late
 
@@ -53,6 +63,14 @@
     seconds: float = 20.0
     edges: int = 4
 
+    @property
+    def raising(self) -> str:
+        """The component of the cores that raises exceptions, with its period ("component:period"), or ""."""
+        if self.seed % SEEDS_PER_RAISING_RUN:
+            return ""
+        component = RAISING_COMPONENTS[self.seed // SEEDS_PER_RAISING_RUN % len(RAISING_COMPONENTS)]
+        return f"{component}:{RAISING_PERIOD}"
+
     @property
     def clients(self) -> int:
         """Number of clients, each with one open connection at a time: four per edge, at least 24 and at most 160."""
@@ -82,7 +100,10 @@
         return {
             "requests served": served,
             "requests on kept connections": sum(attempt.was_kept for attempt in self.attempts),
-            **{kind: self.actions[kind] for kind in ("restarts", "reloads", "configurations")},
+            **{
+                kind: self.actions[kind]
+                for kind in ("restarts", "reloads", "configurations", "server restarts", "reads")
+            },
             **self.tenant_counts,
         }
 
@@ -109,6 +130,8 @@
         self.deployment = Deployment(work, spec.edges)
         self.work = work
         self.result = SoakResult(spec)
+        self.deployment.nodes.raising = spec.raising
+        self.events = SoakEvents(self.deployment, self.random, self.result.actions, self.result.faults)
         self.until = 0.0
         self.base_routes = list(FIRST_CONFIGURATION["routes"])
         self.sent_idle_limit_ms = float(
@@ -132,6 +155,7 @@
                 for work in self._planned_operations():
                     running.create_task(work())
             self.result.stalls.end()
+            await self._restart_everything()
             await deployment.read_back()
             self._find_early_exits()
         self.result.attempts = [attempt for client in clients for attempt in client.attempts]
@@ -158,8 +182,40 @@
             self._restart_cores,
             self._reload_nodes,
             self._change_configuration,
+            self._restart_servers,
+            self._repeat(self.events.fill_plain_servers),
+            self._repeat(self.events.read_at_each_core),
         ]
 
+    def _repeat(self, work: Callable[[], Awaitable[None]]) -> Callable[[], Awaitable[None]]:
+        """Returns a task that does the work again and again until the run is over."""
+
+        async def repeat() -> None:
+            while not self._is_over():
+                await work()
+
+        return repeat
+
+    async def _restart_servers(self):
+        """Restarts one model server at a time, so that the others keep serving."""
+        while not self._is_over():
+            server = self.random.choice(self.events.model_servers())
+            await self.events.restart_model_server(server, LISTED_AFTER_END)
+            await asyncio.sleep(self.random.uniform(0.5, 3.0))
+
+    async def _restart_everything(self):
+        """Restarts all model servers, then each core: then each server must be called, whatever the list shows."""
+        servers = self.events.model_servers()
+        await asyncio.gather(*(self.events.restart_model_server(each, LISTED_IN_FINALE) for each in servers))
+        await asyncio.sleep(LIST_LAG)
+        since = asyncio.get_running_loop().time()
+        for name in self._machines("core"):
+            await self._shut_down(name, "plain")
+            await self.deployment.nodes.start(name)
+            await asyncio.sleep(SETTLE_TIME)
+        await asyncio.sleep(2 * SETTLE_TIME)
+        self.result.faults += self.events.unused_servers(since)
+
     def _is_over(self) -> bool:
         return asyncio.get_running_loop().time() >= self.until
 
@@ -253,13 +309,18 @@
         """Sends one configuration after the other, which change routes, tenant keys and the limits of client connections."""
         while not self._is_over():
             self._change_keys()
-            if self.random.random() < TENANT_CHANGE_PORTION:
+            if self.random.random() < MODEL_CHANGE_PORTION:
+                await self.deployment.configure(
+                    "/Configuration.Update", self.events.draw_change_of_models(self._next_version())
+                )
+            elif self.random.random() < TENANT_CHANGE_PORTION:
                 await self.deployment.configure("/Configuration.Update", self._draw_change_of_tenants())
                 self.result.actions["changes of tenants only"] += 1
             else:
                 configuration = self._draw_configuration()
                 self.sent_idle_limit_ms = float(configuration["limits"]["idle-timeout-ms"])
                 await self.deployment.configure("/Configuration.Replace", configuration)
+            self.events.note_acknowledged()
             self.result.actions["configurations"] += 1
             await asyncio.sleep(self.random.uniform(0.0, 0.8))
 
@@ -322,7 +383,7 @@
         ]
         result.faults += history.tenant_keys.violations(judged)
         result.tenant_counts = history.tenant_keys.counts(judged)
-        result.faults += faults_in_logs(self.work)
+        result.faults += faults_in_logs(self.work, bool(self.spec.raising))
         codes = {name: process.returncode for name, process in self.deployment.nodes.running.items()}
         result.faults += [
             f"{name} exited with code {code} at the end of the run"
--- a/harness/experiments/soak_faults.py
+++ b/harness/experiments/soak_faults.py
@@ -7,6 +7,7 @@
 from harness.fakes.kept_client import AttemptEnd, KeptAttempt
 from harness.fakes.loop_stalls import LoopStalls
 from harness.local_cluster.nodes import BOUNDS
+from sumachook.nodes.component_guard import COMPONENT_FAILED, COMPONENT_NOT_RECOVERED
 
 RESPONSE_SLACK = 0.5  # seconds after the deadline of a request within which its client must see the response
 LOSS_SLACK = (
@@ -18,6 +19,7 @@
     "A task failed and is restarted.",
     "The state machine failed to process an event.",
     "Failed to execute an effect.",
+    COMPONENT_NOT_RECOVERED,
 )
 
 
@@ -99,13 +101,16 @@
     ]
 
 
-def faults_in_logs(work: Path) -> list[str]:
-    """Returns the lines of the nodes' logs in `work` that report a fault of the product."""
+def faults_in_logs(work: Path, may_components_fail: bool = False) -> list[str]:
+    """Returns the lines of the nodes' logs in `work` that report a fault of the product.
+
+    In a run in which a component is made to raise, the lines about failed components are none.
+    """
     return [
         f"{log.stem}: {line}"
         for log in sorted(work.glob("*.log"))
         for line in log.read_text(errors="replace").splitlines()
-        if _is_fault(line)
+        if _is_fault(line) or (COMPONENT_FAILED in line and not may_components_fail)
     ]
 
 
--- a/harness/fakes/deployment.py
+++ b/harness/fakes/deployment.py
@@ -101,7 +101,7 @@
     ),
     RequestKind("lookup", "stamps", "/stamps/", "idempotent", 200 * MS, 2000 * MS, 20.0),
     RequestKind("open", "stamps", "/open/", "idempotent", 200 * MS, 2000 * MS, 8.0, is_public=True),
-    RequestKind("booking", "stamps", "/call_history/", "non_idempotent", 400 * MS, 3000 * MS, 4.0),
+    RequestKind("booking", "stamps", "/call_history/", "non_idempotent", 400 * MS, 3000 * MS, 4.0, max_attempts=4),
 )
 ADDED_KIND = RequestKind("added", "stamps", "/added/", "idempotent", 200 * MS, 2000 * MS, 4.0)
 SERVICES = [
--- a/harness/fakes/instance_list.py
+++ b/harness/fakes/instance_list.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from random import Random
 
 from aiohttp import web
 
@@ -13,7 +14,8 @@
 class InstanceList:
     """Serves `GET /instances` in pages, with the state of the servers from `lag` seconds ago.
 
-    The list is empty at first. Calls beyond `rate` per second are answered with status 429.
+    The list is empty at first, and each reading of it has another order. Calls beyond `rate` per second are answered
+    with status 429.
     """
 
     __slots__ = ("address", "servers", "rate", "calls", "history", "runner", "count")
@@ -46,7 +48,8 @@
         self.calls.append(now)
         self.count += 1
         zone, token = request.query.get("zone", ""), request.query.get("page-token", "")
-        start = int(token.removeprefix("p-")) if token.startswith("p-") else 0
+        start, order = map(int, token.split("-")[1:]) if token.count("-") == 2 else (0, self.count)
         entries = [entry for entry in self.history.shown() if zone in ("", entry["zone"])]
-        following = f"p-{start + PAGE}" if start + PAGE < len(entries) else None
+        entries.sort(key=lambda entry: Random(f"{order}/{entry['instance-id']}").random())
+        following = f"p-{start + PAGE}-{order}" if start + PAGE < len(entries) else None
         return web.json_response({"instances": entries[start : start + PAGE], "next-token": following})
--- a/harness/fakes/model_server.py
+++ b/harness/fakes/model_server.py
@@ -54,6 +54,7 @@
         await super().end()
 
     async def _report(self, request):
+        self.last_call_at = asyncio.get_running_loop().time()
         return web.json_response(self.history.shown())
 
     def _status(self):
@@ -75,6 +76,7 @@
     async def _take_order(self, request):
         if request.headers.get("Sumachook-Expect-Instance", self.instance) != self.instance:
             return web.Response(status=421)
+        self.last_call_at = asyncio.get_running_loop().time()
         try:
             doc = await request.json()
         except ValueError:
--- a/harness/fakes/request_kind.py
+++ b/harness/fakes/request_kind.py
@@ -25,6 +25,7 @@
     gap: timedelta = timedelta(0)
     models: tuple = ()
     is_public: bool = False
+    max_attempts: int = 2
 
     @property
     def is_repeatable(self) -> bool:
@@ -47,7 +48,7 @@
             "target-latency-ms": aim,
             "priority": self.priority,
             "service": self.service,
-            "max-attempts": 2,
+            "max-attempts": self.max_attempts,
             "public": self.is_public,
             **stream,
         }
--- a/harness/fakes/server.py
+++ b/harness/fakes/server.py
@@ -18,7 +18,18 @@
 class Server:
     """One incarnation of a fake server; `listen` starts it, `end` stops it abruptly, as a crash does."""
 
-    __slots__ = ("instance", "service", "address", "zone", "slots", "call_history", "runner", "seals")
+    __slots__ = (
+        "instance",
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "call_history",
+        "runner",
+        "seals",
+        "is_leaving",
+        "last_call_at",
+    )
 
     def __init__(self, service: str, address: str, zone: str, slots: int, call_history):
         self.instance, self.service, self.address, self.zone, self.slots = (
@@ -29,6 +40,8 @@
             slots,
         )
         self.call_history, self.runner, self.seals = call_history, None, count(1)
+        self.is_leaving = False  # whether every request is refused, before a planned restart
+        self.last_call_at = 0.0  # the loop's time of the last report request, order or request for this server
 
     async def listen(self):
         app = web.Application(client_max_size=8 << 20)
@@ -40,8 +53,9 @@
         await web.TCPSite(self.runner, host, int(port)).start()
 
     async def end(self):
-        if self.runner is not None:
-            await self.runner.cleanup()
+        runner, self.runner = self.runner, None
+        if runner is not None:
+            await runner.cleanup()
 
     def entry(self) -> dict:
         """Returns the entry for this server in the platform's list of instances."""
@@ -69,6 +83,9 @@
             return self._refuse(400, name)
         if request.headers.get(EXPECTED, self.instance) != self.instance:
             return self._refuse(421, name)
+        self.last_call_at = asyncio.get_running_loop().time()
+        if self.is_leaving:
+            return self._refuse(503, name)
         return await self._serve(request, name, await request.read(), self._left(request))
 
     def _left(self, request) -> float:
--- a/harness/local_cluster/nodes.py
+++ b/harness/local_cluster/nodes.py
@@ -49,11 +49,23 @@
     Settings, data and logs are stored under `work`. `machines` is {name: (class, zone, ip)}.
     """
 
-    __slots__ = ("work", "machines", "zones", "cloud", "running", "roles", "seeds", "in_restart", "log_starts")
+    __slots__ = (
+        "work",
+        "machines",
+        "zones",
+        "cloud",
+        "running",
+        "roles",
+        "seeds",
+        "in_restart",
+        "log_starts",
+        "raising",
+    )
 
     def __init__(self, work: Path, machines: dict, zones: dict, cloud: str):
         self.work, self.machines, self.zones, self.cloud, self.running = work, machines, zones, cloud, {}
         self.seeds, self.in_restart, self.log_starts = {}, set(), {}
+        self.raising = ""  # "component:period" of cores whose component raises (harness/fakes/raising_node.py)
         self.roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
 
     def addresses(self, serves: str, what: str) -> list:
@@ -143,6 +155,8 @@
         program, *arguments = role_spec["run"].split(" ")
         # this interpreter has the packages of requirements.txt
         program = sys.executable if program == "python3" else program
+        if self.raising:
+            arguments = ["-m", "harness.fakes.raising_node", *arguments[1:]]
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         with open(self.work / f"{machine}.log", "ab") as log:
             self.log_starts[machine] = log.tell()
@@ -150,7 +164,7 @@
                 program,
                 *arguments,
                 cwd=ROOT,
-                env={**kept, "SUMACHOOK_NODE_FILE": str(settings)},
+                env={**kept, "SUMACHOOK_NODE_FILE": str(settings), "HARNESS_RAISING": self.raising},
                 stdout=log,
                 stderr=log,
             )
--- a/harness/model_checking/__main__.py
+++ b/harness/model_checking/__main__.py
@@ -15,7 +15,7 @@
 from harness.model_checking.schedule import Schedule, load, play, save
 from harness.model_checking.shrink import Shrinker
 from harness.model_checking.steps import BEGINNINGS
-from harness.model_checking.walk import draw_lease_schedule, draw_read_schedule, draw_schedule
+from harness.model_checking.walk import draw_failure_schedule, draw_lease_schedule, draw_read_schedule, draw_schedule
 
 MAX_SEEDS = 20_000
 
@@ -162,6 +162,13 @@
         const=draw_read_schedule,
         help="read from cores whose incoming messages are delayed",
     )
+    drawing.add_argument(
+        "--failures",
+        dest="draw",
+        action="store_const",
+        const=draw_failure_schedule,
+        help="make components of cores raise exceptions",
+    )
     walks.add_argument("--jobs", type=int, default=3)
     walks.add_argument("--out", type=Path, help="folder to which counter-examples are written")
     walks.add_argument(
--- a/harness/model_checking/choices.py
+++ b/harness/model_checking/choices.py
@@ -135,6 +135,17 @@
     seconds: float
 
 
+class FailingComponent(Choice, frozen=True, kw_only=True, tag="failing-component"):
+    """Makes a component of the core raise an exception at every `period`-th event of each kind; "state" fails to apply
+    entries.
+    """
+
+    machine: str
+    component: Literal["membership", "leases", "source", "placer", "provisioner", "inventory_reader", "state"]
+    period: int
+    seconds: float
+
+
 class ClockStep(Choice, frozen=True, kw_only=True, tag="clock-step"):
     """Steps the wall clock of the machine by `jump` seconds."""
 
@@ -200,6 +211,7 @@
     | StalledDisk
     | SlowLink
     | SlowMachine
+    | FailingComponent
     | ClockStep
     | Order
     | Resend
--- a/harness/model_checking/faults.py
+++ b/harness/model_checking/faults.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
+from harness.fakes.raising_component import FailurePlan, FailurePoint, RaisingComponent, RaisingState
 from harness.model_checking import choices
 from harness.model_checking.control_deployment import ControlDeployment
 from harness.model_checking.losses import Losses
@@ -21,7 +22,7 @@
 
     def __init__(self, deployment: ControlDeployment, losses: Losses, is_wild: bool):
         self.deployment, self.losses, self.is_wild = deployment, losses, is_wild
-        self.armed, self.leaving, self.starting = [], set(), {}
+        self.armed, self.leaving, self.starting, self.failure_plans = [], set(), {}, []
         deployment.invariants.on_acknowledged = self._acknowledged
 
     @property
@@ -42,6 +43,8 @@
             self._start(name)
         for name in list(self.leaving):
             deployment.kill(name)
+        for plan in self.failure_plans:
+            self._end_failures(plan)
         deployment.heal()
         deployment.slow_links.clear()
         for name in deployment.names:
@@ -280,6 +283,27 @@
             self.deployment.remove(name)
             self._later(choice.seconds, self._add_missing)
 
+    # components ----------------------------------------------------------------------------
+
+    @apply.register
+    def _(self, choice: choices.FailingComponent):
+        name = self._begin_fault(choice.machine, choice.seconds)
+        core = self.deployment.boxes[name].machine if name is not None else None
+        if core is None:
+            return
+        self.deployment.tolerates_failures = True
+        plan = FailurePlan(choice.period, FailurePoint.BEFORE)
+        self.failure_plans.append(plan)
+        if choice.component == "state":
+            RaisingState.install(core.state, plan)
+        else:
+            setattr(core, choice.component, RaisingComponent(getattr(core, choice.component), plan))
+        self._later(choice.seconds, self._end_failures, plan)
+
+    @staticmethod
+    def _end_failures(plan):
+        plan.is_active = False
+
 
 def _duration(seconds):
     return timedelta(seconds=seconds)
--- a/harness/model_checking/walk.py
+++ b/harness/model_checking/walk.py
@@ -10,6 +10,7 @@
 SELECTORS = ("leader", "leader", "leader", "0", "1", "2", "3", "4")
 DURATIONS = (0.1, 0.3, 0.5, 0.7, 0.9, 1.1, 1.4, 1.6, 2.0, 3.0, 5.0)
 ROLES = ("placer", "accountant")
+COMPONENTS = ("membership", "leases", "source", "placer", "provisioner", "inventory_reader", "state", "state")
 LEASE_DURATIONS = (0.5, 1.1, 1.6, 2.0, 3.0, 5.0)
 INBOUND_DELAYS = (0.1, 0.2, 0.3, 0.5)  # seconds added to the latency of a machine's incoming messages
 READ_INTERVAL = 0.08  # seconds between two reads from a machine with delayed incoming messages
@@ -57,6 +58,14 @@
     return _draw_episodes(_ReadEpisode, Random(f"reads {seed} {voters}"), seed, voters, seconds)
 
 
+def draw_failure_schedule(seed: int, voters: int, seconds: float) -> Schedule:
+    """Draws a walk in which components of cores raise exceptions, beside few other faults, while operators send orders.
+
+    Such a component loses its own effects only: the committed entries that wait behind it must all be applied.
+    """
+    return _draw_episodes(_FailureEpisode, Random(f"failures {seed} {voters}"), seed, voters, seconds)
+
+
 def _draw_episodes(episode: type["_Episode"], random: Random, seed: int, voters: int, seconds: float) -> Schedule:
     """Draws a walk of these episodes, each followed by a recovery phase."""
     drawn, at = [], 0.0
@@ -336,3 +345,29 @@
             self._add(choices.Read, at, target=machine)
             at += READ_INTERVAL
         return end
+
+
+class _FailureEpisode(_Episode):
+    """Draws failing components, one or several at a time, and now and then a fault of another kind."""
+
+    def draw_all(self) -> list:
+        """Draws failing components, other faults and operator requests for the whole episode."""
+        at = self.start
+        while at < self.end:
+            for _ in range(self.random.choice((1, 1, 2))):
+                self._fail_component(at)
+            if self.random.random() < 0.3:
+                self._kill(at + self.random.uniform(0.1, 2.0))
+            at += self.random.uniform(0.5, 3.0)
+        self._orders()
+        return [choice for choice in self.drawn if choice.at < self.end]
+
+    def _fail_component(self, at):
+        return self._add(
+            choices.FailingComponent,
+            at,
+            self._seconds(),
+            machine=self._machine(),
+            component=self.random.choice(COMPONENTS),
+            period=self.random.choice((1, 2, 3, 7)),
+        )
--- a/harness/mutations/runner.py
+++ b/harness/mutations/runner.py
@@ -8,6 +8,7 @@
 from harness.mutations.configuration import CONFIGURATION_MUTATIONS
 from harness.mutations.consensus import CONSENSUS_MUTATIONS
 from harness.mutations.control_plane import CONTROL_PLANE_MUTATIONS
+from harness.mutations.failures import FAILURE_MUTATIONS
 from harness.mutations.model_checker import MODEL_CHECKER_MUTATIONS
 from harness.mutations.mutation import CAUGHT, Mutation
 from harness.mutations.placement import PLACEMENT_MUTATIONS
@@ -31,6 +32,7 @@
     *TENANT_MUTATIONS,
     *CONSENSUS_MUTATIONS,
     *MODEL_CHECKER_MUTATIONS,
+    *FAILURE_MUTATIONS,
 )
 
 
--- a/tests/harness/test_model_checker.py
+++ b/tests/harness/test_model_checker.py
@@ -10,12 +10,13 @@
 from harness.model_checking.schedule import Schedule, load, play, save
 from harness.model_checking.shrink import Shrinker
 from harness.model_checking.steps import BEGINNINGS, Kind, Step
-from harness.model_checking.walk import draw_lease_schedule, draw_read_schedule, draw_schedule
+from harness.model_checking.walk import draw_failure_schedule, draw_lease_schedule, draw_read_schedule, draw_schedule
 
 SCHEDULES = sorted((Path(__file__).parent.parent / "model").glob("*.json"))
 WALKS = [(3, seed) for seed in (4, *range(1001, 1006))] + [(5, seed) for seed in range(1101, 1104)]
 LEASE_WALKS = [(3, 2001), (3, 2002), (3, 2003), (5, 2101)]
 READ_WALKS = [(3, 3001), (5, 3101)]
+FAILURE_WALKS = [(3, 4001), (3, 4002), (3, 4003), (5, 4101)]
 SECONDS = 40.0
 ROUNDS, DEVIATIONS = 2, 1
 MAX_STATES = 2000  # limit for one starting state; a search within the bounds visits fewer
@@ -45,6 +46,15 @@
     assert outcome.counts["acknowledged"] > 0 and outcome.counts["reads"] > 100
 
 
+@pytest.mark.parametrize("voters, seed", FAILURE_WALKS)
+def test_walks_with_failing_components_break_no_rule(voters, seed):
+    """Components that raise exceptions must cost no core a committed entry, also through kills, snapshots and reads (review
+    case 1)."""
+    outcome = play(draw_failure_schedule(seed, voters, SECONDS))
+    assert outcome.findings == ()
+    assert outcome.counts["acknowledged"] > 0 and outcome.counts["delivered"] > 0
+
+
 @pytest.mark.parametrize("beginning", BEGINNINGS)
 def test_no_deviation_breaks_a_rule(beginning):
     """From each starting state, no single deviation from fault-free rounds may break an invariant of three replicas."""
--- a/tests/harness/test_platform_fakes.py
+++ b/tests/harness/test_platform_fakes.py
@@ -139,11 +139,15 @@
                     200,
                     {"instances": [], "next-token": None},
                 )  # the initial, empty list
-                found, token = [], ""
-                while token is not None:
-                    status, doc = await page(f"?zone=hall-a&page-token={token}")
-                    found, token = found + [entry["address"] for entry in doc["instances"]], doc["next-token"]
-                assert found == [server.address for server in servers if server.zone == "hall-a"]
+                readings = []
+                for _ in range(3):  # each reading has every server once, in an order of its own
+                    found, token = [], ""
+                    while token is not None:
+                        status, doc = await page(f"?zone=hall-a&page-token={token}")
+                        found, token = found + [entry["address"] for entry in doc["instances"]], doc["next-token"]
+                    assert sorted(found) == [server.address for server in servers if server.zone == "hall-a"]
+                    readings.append(found)
+                assert len({tuple(found) for found in readings}) > 1
                 assert 429 in [(await page(""))[0] for _ in range(9)]
         finally:
             await asyncio.gather(late.end(), listing.end())
--- a/tests/harness/test_soak.py
+++ b/tests/harness/test_soak.py
@@ -16,8 +16,9 @@
 from harness.fakes.kept_client import AttemptEnd, KeptAttempt, Rest
 from harness.fakes.loop_stalls import LoopStalls, Stall
 from harness.local_cluster.log_excerpts import with_logs_on_failure
+from sumachook.nodes.component_guard import COMPONENT_FAILED, COMPONENT_NOT_RECOVERED
 
-SHORT_RUN_SEEDS, SHORT_RUN_S = (1, 2), 15.0
+SHORT_RUN_SEEDS, SHORT_RUN_S = (1, 2, 3), 15.0  # the cores of the third run have a component that raises
 LOOKUP = next(kind for kind in KINDS if kind.name == "lookup")
 EDGE, OTHER_EDGE = "127.0.0.1:1", "127.0.0.2:1"
 SENT_AT, ENDED_AT = 5.0, 5.004
@@ -140,3 +141,13 @@
     result = asyncio.run(play_soak(SoakSpec(seed, SHORT_RUN_S), tmp_path))
     with with_logs_on_failure(tmp_path, result.stalls):
         assert result.faults == [], result.describe()
+
+
+def test_failed_component_is_a_fault_unless_it_was_made_to_raise(tmp_path):
+    """The line of a failed component is a fault of the product, except in a run in which a component is made to raise; one that
+    fails to recover is a fault in any run."""
+    failed, lost = (f'{{"message": "core: {text}"}}' for text in (COMPONENT_FAILED, COMPONENT_NOT_RECOVERED))
+    (tmp_path / "core-1.log").write_text(f"{failed}\n{lost}\n")
+    assert faults_in_logs(tmp_path) == [f"core-1: {failed}", f"core-1: {lost}"]
+    assert faults_in_logs(tmp_path, True) == [f"core-1: {lost}"]
+    assert SoakSpec(3).raising == "placer:7" and SoakSpec(4).raising == "" and SoakSpec(6).raising == "leases:7"
--- a/tests/harness/test_vacuous_runs.py
+++ b/tests/harness/test_vacuous_runs.py
@@ -297,6 +297,8 @@
         "requests served",
         "requests on kept connections",
         "restarts",
+        "server restarts",
+        "reads",
         "reloads",
         "configurations",
     }
--- a/tests/nodes/test_component_failures.py
+++ b/tests/nodes/test_component_failures.py
@@ -8,6 +8,8 @@
 import pytest
 
 from harness.fakes.raising_component import FailurePlan, FailurePoint, RaisingComponent, RaisingState
+from sumachook.host.effects import Log
+from sumachook.host.events import Tick
 from sumachook.nodes.component_guard import COMPONENT_FAILED
 from sumachook.nodes.core import INTERNAL_FAILURE
 from tests.deployment_fixtures import compact_after, found, leader
@@ -29,6 +31,7 @@
 POINTS = tuple(FailurePoint)
 LOG_LIMIT = 8  # delivered entries after which a log is compacted in these runs
 VOTER_AWAY = 4.0  # seconds of absence after which a core is replaced
+MARK = "mark"  # the source component of the log lines of `MarkingComponent`
 RESTART_DELAY = 0.5  # seconds from the exit of a process to its restart
 
 
@@ -237,6 +240,7 @@
     assert len(cores.acknowledged) == 6
     assert not failing.state_delivery.is_complete and failing.consensus.role != "leading"
     assert failing.consensus.log.base <= failing.state.number < failing.consensus.state.delivered
+    assert failing.state.number == failing.state_delivery.waiting[0].number - 1  # nothing of the failed entry is left
     assert not failing.is_fresh(deployment.now)
     assert failing.leases.holds("placer", deployment.now) == failing.leases.holds("accountant", deployment.now) == 0
     assert deployment.ask(name, "GET", "/show/catalogue", follows=False)[0] == 503
@@ -275,6 +279,36 @@
     return node.state.number
 
 
+@pytest.mark.parametrize("component", ISOLATED[:-1])
+def test_failing_component_costs_no_effect_of_another_in_the_same_tick(component):
+    """One component raises at a tick: the effects of all others for that tick, records for the disk among them, are carried
+    out."""
+    nodes = FailingNodes(component, FailurePlan(1, FailurePoint.BEFORE))
+    nodes.plan.is_active = False
+    core = leader(nodes.deployment)
+    ticked = ("membership", "consensus", "replica_store", *ISOLATED[1:-1])
+    for name in ticked:
+        if name != component:
+            setattr(core, name, MarkingComponent(getattr(core, name), name))
+    nodes.plan.is_active = True
+    effects = core.take(Tick(), nodes.deployment.now)
+    marks = {effect.text for effect in effects if isinstance(effect, Log) and effect.component == MARK}
+    assert marks == set(ticked) - {component}
+
+
+class MarkingComponent:
+    """Wraps a component, and adds a log line with its name to the effects of each event."""
+
+    def __init__(self, component, name):
+        self.component, self.name = component, name
+
+    def take(self, event, now):
+        return [*self.component.take(event, now), Log("info", MARK, self.name, {})]
+
+    def __getattr__(self, name):
+        return getattr(self.component, name)
+
+
 def test_missing_entry_stops_a_core():
     """An entry whose predecessor was not delivered is not applied: the core exits with an error."""
     from sumachook.consensus.effects import Deliver
