--- a/harness/model_checking/invariants.py
+++ b/harness/model_checking/invariants.py
@@ -128,7 +128,7 @@
         The bound is 0 s for a leader and 0.8 s (MAX_STALENESS) for a member.
         """
         self.now = now
-        if not observe.is_fresh(core, now):
+        if not observe.regards_state_as_fresh(core, now):
             return
         bound = NO_TIME if observe.is_leading(core) else MAX_STALENESS
         version, number = self.acknowledged.at(now - bound), self.numbers.at(now - bound)
--- a/harness/model_checking/observe.py
+++ b/harness/model_checking/observe.py
@@ -13,10 +13,18 @@
 
 
 def is_fresh(core, now) -> bool:
-    """Whether this core regards its state as fresh, so that it would answer reads from it and serve its feed."""
+    """Whether this core's replica is in a working view and has delivered every change acknowledged a while ago."""
     return core.consensus.is_fresh(now)
 
 
+def regards_state_as_fresh(core, now) -> bool:
+    """Whether this core regards its state as fresh, so that it would answer reads from it and serve its feed.
+
+    A core that failed to apply a delivered entry does not, whatever its replica says.
+    """
+    return core.is_fresh(now)
+
+
 def members(core) -> tuple:
     """Returns the members of the installed view."""
     return tuple(core.consensus.members)
