Nodes: a failing component starts anew at most once a second

Cause: a component that fails at every event was restarted at every event; each restart of placement makes all servers report. Change: RECOVERY_INTERVAL. Test: test_component_that_fails_at_every_event_starts_anew_once_a_second (over 50 failures in five seconds, three to six restarts).

--- a/sumachook/nodes/component_guard.py
+++ b/sumachook/nodes/component_guard.py
@@ -10,6 +10,7 @@
 from sumachook.host.events import HttpRequestReceived, MessageReceived, ProxyRequestReceived
 from sumachook.nodes.replies import internal_error
 
+RECOVERY_INTERVAL = timedelta(seconds=1)  # a component that fails at every event starts anew no more often than this
 COMPONENT_FAILED = "A component failed to process an event."
 COMPONENT_NOT_RECOVERED = "A component failed to recover."
 FAILURE_TEXTS = frozenset({COMPONENT_FAILED, COMPONENT_NOT_RECOVERED})
@@ -32,13 +33,14 @@
     essential : names of the components whose failure stops the node
     """
 
-    __slots__ = ("node", "source", "essential", "recoveries", "counts", "has_stopped")
+    __slots__ = ("node", "source", "essential", "recoveries", "recovered_at", "counts", "has_stopped")
 
     def __init__(self, node: object, source: str, essential: Collection[str] = ()) -> None:
         self.node = node
         self.source = source
         self.essential = frozenset(essential)
         self.recoveries: dict[str, Recovery] = {}
+        self.recovered_at: dict[str, timedelta] = {}
         self.counts: dict[str, int] = {}
         self.has_stopped = False
 
@@ -68,8 +70,9 @@
             self.stop()
             return effects
         recovery = self.recoveries.get(component)
-        if recovery is None:
+        if recovery is None or now - self.recovered_at.get(component, now - RECOVERY_INTERVAL) < RECOVERY_INTERVAL:
             return effects
+        self.recovered_at[component] = now
         try:
             return [*effects, *recovery(now)]
         except Exception as failure:
--- a/tests/nodes/test_component_failures.py
+++ b/tests/nodes/test_component_failures.py
@@ -339,3 +339,14 @@
     fields = line[5]
     assert (fields["part"], fields["kind"], fields["failures"]) == ("placer", "LeaseTick", 1)
     assert "InjectedError" in fields["error"] and fields["at"].startswith("raising_component.py:")
+
+
+def test_component_that_fails_at_every_event_starts_anew_once_a_second():
+    """Placement fails at each event for five seconds: it starts anew at most once a second, as each start makes all servers
+    report."""
+    nodes = FailingNodes("provisioner", FailurePlan(1, FailurePoint.AFTER))
+    core = leader(nodes.deployment)
+    before = core.provisioner.incarnation
+    nodes.deployment.run(5)
+    assert core.guard.counts["provisioner"] > 50
+    assert 3 <= core.provisioner.incarnation - before <= 6
