Platform: a route that names an unknown service beside its split is invalid

Tests: a case of test_invalid_configurations_are_rejected (red before), two samples of the round trip.

--- a/tests/platform_adapters/test_platform_documents.py
+++ b/tests/platform_adapters/test_platform_documents.py
@@ -59,6 +59,8 @@
         sample_document(tenants=[]),
         sample_document(routes=[{**ROUTE, "service": "huvo11a"}]),
         sample_document(routes=[{**SINGLE, "weighted-split": None}]),
+        sample_document(routes=[{**SINGLE, "weighted-split": [{"service": "huvo11a", "weight": 1}]}]),
+        sample_document(routes=[{**SINGLE, "weighted-split": [{"service": "wuno96b", "weight": 1}]}]),
         sample_document(services=[{"name": "s", "cold-start-s": 2, "cold-per-s": 1}]),
     ],
 )
--- a/tests/platform_adapters/test_platform_operator.py
+++ b/tests/platform_adapters/test_platform_operator.py
@@ -137,6 +137,9 @@
         9, [{**ROUTE, "weighted-split": [{"service": "huvo11a", "weight": 1}, {"service": "gone", "weight": 1}]}]
     ),
     "same host and prefix": sample_document(9, [ROUTE, {**ROUTE, "name": "r-9"}]),
+    "unknown service beside a split": sample_document(
+        9, [{**ROUTE, "service": "gone", "weighted-split": [{"service": "huvo11a", "weight": 1}]}]
+    ),
     "no weight": sample_document(9, [{**ROUTE, "weighted-split": [{"service": "huvo11a", "weight": 0}]}]),
     "no split": sample_document(9, [{**ROUTE, "weighted-split": []}]),
     "no time": sample_document(9, [{**ROUTE, "timeout-ms": 0}]),
