--- a/harness/client_crowds/trial.py
+++ b/harness/client_crowds/trial.py
@@ -9,6 +9,7 @@
 from harness.client_crowds.crowds import FEED_PREFIX, SIZED_PREFIX, CrowdSpec, Listener, Sizes
 from harness.client_crowds.process_meter import ProcessMeter, Usage
 from harness.client_crowds.sized_server import SizedServer
+from harness.fakes.client import Client
 from harness.fakes.deployment import FIRST_CONFIGURATION, HOST, KINDS, ZONES, Deployment
 from harness.fakes.request_kind import RequestKind
 from harness.local_cluster.nodes import DEFAULT_LIMITS, INNER, PORTS
@@ -22,6 +23,7 @@
 ANSWERED = ("in time", "late")
 SECOND = timedelta(seconds=1)
 SIZED_SERVERS = 2
+EDGE_ZONE = next(iter(ZONES))  # the zone of the only edge
 SERVER_SLOTS = 2000  # the crowd must wait for the node and not for its servers
 LOOKUP = next(kind for kind in KINDS if kind.name == "open")
 SIZED_KINDS = (
@@ -171,8 +173,11 @@
     async def _ask(self) -> bool:
         """Makes one ordinary request, as a client that follows the pages; returns whether it was served."""
         self.asked += 1
-        await self.deployment.ask(LOOKUP, self.asked)
-        return self.deployment.outcomes[LOOKUP.name][-1][0] in ANSWERED
+        deployment = self.deployment
+        client = Client(
+            f"ordinary-{self.asked}", EDGE_ZONE, HOST, deployment.call_history, deployment.balancer, deployment.session
+        )
+        return (await client.ask(LOOKUP))[0] in ANSWERED
 
     async def _answered_within(self, when: str):
         loop = asyncio.get_running_loop()
--- a/sumachook/configuration/node_settings.py
+++ b/sumachook/configuration/node_settings.py
@@ -55,6 +55,8 @@
     wanted_voters: Annotated[int, Meta(ge=3, le=9)] = msgspec.field(default=3, name="wantedSeats")
     confirm_within: Annotated[float, Meta(ge=0, le=60)] = 2.0
     order_within: Annotated[float, Meta(gt=0, le=600)] = 6.0
+    memory_mb: Annotated[float, Meta(gt=0, le=1 << 20)] = 300.0  # memory of the machine in MiB
+    descriptors: Annotated[int, Meta(ge=1, le=1 << 20)] = 4100  # descriptors that the process may open
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/sumachook/forwarding/admit.py
+++ b/sumachook/forwarding/admit.py
@@ -1,7 +1,7 @@
 """The pipeline pass that admits or refuses incoming requests, or parks them until the node has a configuration."""
 
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 from sumachook.changefeed.trust import Trust
 from sumachook.configuration.tenant import Tenant
@@ -10,8 +10,8 @@
 from sumachook.forwarding.quota_charge import ForwardingQuotaCharge
 from sumachook.forwarding.request_metadata import RequestMetadata
 from sumachook.forwarding.request_table import RequestTable
-from sumachook.host.effects import Log, Reply
-from sumachook.host.events import ProxyRequestReceived
+from sumachook.host.effects import Log, ReadBody, Reply
+from sumachook.host.events import CallId, ProxyHeadReceived, ProxyRequestReceived
 from sumachook.requests.call_ids import FORWARDING
 from sumachook.requests.failures import FailureKind, RequestFailure
 from sumachook.requests.request_table import MAX_REQUESTS
@@ -68,48 +68,62 @@
                 effects.append(Log("warning", FORWARDING, text, {"header": labels[1]}))
         return effects
 
+    def take_head(self, event: ProxyHeadReceived, now: timedelta) -> list[Any]:
+        """Refuses a request by its head, before its body is read, or asks the host for the body."""
+        metadata = self.table.port.read_request(event.headers)
+        checked = self._check(event.raw_path, metadata, now)
+        if isinstance(checked, Refusal) and not checked.may_change:
+            return self._refuse(event.call_id, metadata, checked)
+        return [ReadBody(event.call_id)]
+
     def _decide(
         self, event: ProxyRequestReceived, metadata: RequestMetadata, now: timedelta, arrived_at: timedelta
     ) -> list[Any]:
+        checked = self._check(event.raw_path, metadata, now)
+        if isinstance(checked, Admission):
+            return self._admit(event, metadata, checked, now, arrived_at)
+        if checked.may_change:
+            return self._park(event, metadata, checked, now, arrived_at)
+        return self._refuse(event.call_id, metadata, checked)
+
+    def _check(self, raw_path: str, metadata: RequestMetadata, now: timedelta) -> "Admission | Refusal":
+        """Returns the route and tenant of a request by its head, or why it is refused."""
         table = self.table
         trust = table.follower.trust(now)
         if metadata.repeated_headers:
             failure = FailureKind.MALFORMED.because(f"stated twice: {', '.join(metadata.repeated_headers)}")
-            return self._refuse(event, metadata, failure.status, failure, None)
+            return Refusal(failure.status, failure)
         if table.is_closed:
-            failure = FailureKind.DRAINING.because("this node is leaving")
-            return self._refuse(event, metadata, 503, failure, RETRY_AFTER_DRAINING_S)
+            return Refusal(503, FailureKind.DRAINING.because("this node is leaving"), RETRY_AFTER_DRAINING_S)
         if trust is Trust.EMPTY:
-            return self._park(event, metadata, FailureKind.NOT_READY.because("no catalogue yet"), now, arrived_at)
+            return _not_ready("no catalogue yet")
         table.refresh()
-        route = table.routes.find(metadata.host, event.raw_path)
+        route = table.routes.find(metadata.host, raw_path)
         if route is None:
             if trust is not Trust.FRESH:  # just restarted or cut off: routes may be outdated, a 404 is final
-                return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
-            return self._refuse(event, metadata, 404, FailureKind.NOT_FOUND.because("no route"), None)
+                return _not_ready("not in touch")
+            return Refusal(404, FailureKind.NOT_FOUND.because("no route"))
         access = table.access.rules.check(route, metadata.credentials)
         if access.failure is not None:
             if trust is not Trust.FRESH:  # the key may have been added since, and a 401 is final
-                return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
-            return self._refuse(event, metadata, access.failure.status, access.failure, None)
+                return _not_ready("not in touch")
+            return Refusal(access.failure.status, access.failure)
         if access.tenant is not None and metadata.credentials and table.has_stale_credentials(now):
-            return self._park(event, metadata, FailureKind.NOT_READY.because("not in touch"), now, arrived_at)
+            return _not_ready("not in touch")
         if len(table.requests) >= MAX_REQUESTS:
             failure = FailureKind.OVERLOAD.because(f"{MAX_REQUESTS} requests in hand")
-            return self._refuse(event, metadata, 503, failure, RETRY_AFTER_FULL_S)
-        return self._admit(event, metadata, route, access.tenant, trust, now, arrived_at)
+            return Refusal(503, failure, RETRY_AFTER_FULL_S)
+        return Admission(route, access.tenant, trust)
 
     def _admit(
         self,
         event: ProxyRequestReceived,
         metadata: RequestMetadata,
-        route: Any,
-        tenant: Tenant | None,
-        trust: Trust,
+        admission: "Admission",
         now: timedelta,
         arrived_at: timedelta,
     ) -> list[Any]:
-        table = self.table
+        table, route, tenant = self.table, admission.route, admission.tenant
         patience = route.timeout_ms if metadata.deadline_ms is None else min(metadata.deadline_ms, route.timeout_ms)
         table.number += 1
         request = ForwardedRequest(
@@ -126,7 +140,7 @@
         )
         request.service = self._choose_service(route)
         request.generation = table.generation
-        request.needs_recheck = trust is Trust.UNPROVEN
+        request.needs_recheck = admission.trust is Trust.UNPROVEN
         table.requests[request.number] = request
         table.by_call_id[request.call_id] = request.number
         request.checked_generation = table.generation
@@ -141,7 +155,7 @@
         self,
         event: ProxyRequestReceived,
         metadata: RequestMetadata,
-        failure: RequestFailure,
+        refusal: "Refusal",
         now: timedelta,
         arrived_at: timedelta,
     ) -> list[Any]:
@@ -151,7 +165,7 @@
         )
         parked = self.table.parked_requests
         if now - arrived_at >= min(MAX_PARK_TIME, patience * PARK_FRACTION) or len(parked) >= MAX_REQUESTS:
-            return self._refuse(event, metadata, 503, failure, RETRY_AFTER_NOT_READY_S)
+            return self._refuse(event.call_id, metadata, refusal)
         parked[event.call_id] = (event, arrived_at)
         return []
 
@@ -166,14 +180,31 @@
                 return str(part.service)
         return next(str(part.service) for part in reversed(route.split) if part.weight)
 
-    def _refuse(
-        self,
-        event: ProxyRequestReceived,
-        metadata: RequestMetadata,
-        status: int,
-        failure: RequestFailure,
-        retry_after: float | None,
-    ) -> list[Any]:
+    def _refuse(self, call_id: CallId, metadata: RequestMetadata, refusal: "Refusal") -> list[Any]:
+        failure = refusal.failure
         self.table.count("turned-away", failure.name)
-        status, headers, body = self.table.port.refusal(status, failure, metadata.request_id, "no", retry_after)
-        return [Reply(event.call_id, status, self.table.with_connection_close(headers), body)]
+        status, headers, body = self.table.port.refusal(
+            refusal.status, failure, metadata.request_id, "no", refusal.retry_after
+        )
+        return [Reply(call_id, status, self.table.with_connection_close(headers), body)]
+
+
+class Admission(NamedTuple):
+    """The route and tenant of a request that may be admitted, and how current the routes of this node are."""
+
+    route: Any
+    tenant: Tenant | None
+    trust: Trust
+
+
+class Refusal(NamedTuple):
+    """Why a request is not admitted; `may_change` if this node may find otherwise once it is in touch with a core."""
+
+    status: int
+    failure: RequestFailure
+    retry_after: float | None = None
+    may_change: bool = False
+
+
+def _not_ready(reason: str) -> Refusal:
+    return Refusal(503, FailureKind.NOT_READY.because(reason), RETRY_AFTER_NOT_READY_S, may_change=True)
--- a/sumachook/forwarding/forwarded_request.py
+++ b/sumachook/forwarding/forwarded_request.py
@@ -5,6 +5,7 @@
 
 from sumachook.forwarding.request_metadata import RequestMetadata
 from sumachook.forwarding.response_metadata import ResponseMetadata
+from sumachook.host.events import Body
 from sumachook.requests.in_flight_request import InFlightRequest, RequestState
 
 
@@ -48,7 +49,7 @@
         method: str,
         path: str,
         headers: tuple[tuple[str, str], ...],
-        body: bytes,
+        body: Body,
         metadata: RequestMetadata,
         route: Any,
         arrived_at: timedelta,
@@ -83,11 +84,20 @@
         self.status = 0
         self.response_headers: tuple[tuple[str, str], ...] = ()
         self.is_event_stream = False
-        self.buffer = b""
+        self.buffer: Body = b""
         self.events = 0  # server-sent events relayed; counted only if a tenant is charged
         self.first_token_at: timedelta | None = None  # when the current attempt received its first token
         self.first_byte_at: timedelta | None = None  # when the first byte was sent to the client
 
+    def gather(self, chunk: bytes) -> None:
+        """Appends a chunk to the buffer, without a copy of what is in it already."""
+        if not self.buffer:
+            self.buffer = chunk
+            return
+        if isinstance(self.buffer, bytes):
+            self.buffer = bytearray(self.buffer)
+        self.buffer += chunk
+
     @property
     def name(self) -> str:
         """The model or "model/adapter" that a server must hold to run this request."""
--- a/sumachook/forwarding/pipeline.py
+++ b/sumachook/forwarding/pipeline.py
@@ -16,7 +16,7 @@
 from sumachook.forwarding.settle import Settle
 from sumachook.forwarding.timeouts import Timeouts
 from sumachook.host.effects import CancelCall
-from sumachook.host.events import CallEvent, ClientDisconnected, ProxyRequestReceived, Tick
+from sumachook.host.events import CallEvent, ClientDisconnected, ProxyHeadReceived, ProxyRequestReceived, Tick
 from sumachook.placement.messages import PlacementRequest
 from sumachook.quotas.effects import AdmissionDecision
 from sumachook.requests.events import (
@@ -76,6 +76,8 @@
     def take(self, event: Any, now: timedelta) -> list[Any]:
         """Processes one event and returns its effects."""
         kind = type(event)
+        if kind is ProxyHeadReceived:
+            return self.admit.take_head(event, now)
         if kind is DrainStarted or kind is ProxyServerClosed:
             self.table.is_draining = True
             self.table.is_closed = self.table.is_closed or kind is ProxyServerClosed
--- a/sumachook/forwarding/response_relay.py
+++ b/sumachook/forwarding/response_relay.py
@@ -103,13 +103,13 @@
         return None
 
     def _handle_chunk(self, request: ForwardedRequest, event: Any, now: timedelta) -> list[Any]:
-        request.buffer += event.data
+        request.gather(event.data)
         if not request.is_event_stream:
             return []
         end = max(request.buffer.rfind(mark) + len(mark) if mark in request.buffer else 0 for mark in EVENT_TERMINATORS)
         if not end:
             return []
-        events, request.buffer = request.buffer[:end], request.buffer[end:]
+        events, request.buffer = bytes(request.buffer[:end]), bytes(request.buffer[end:])
         if request.tenant is not None:
             request.events += sum(events.count(mark) for mark in EVENT_TERMINATORS)
         if request.first_token_at is None:
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -81,6 +81,7 @@
             total_timeout=remaining,
             reuse=self._reuse(request),
             max_kept_connections=self.table.max_kept_connections(request.service),
+            reader=request.call_id,
         )
 
     def _urgency(self, request: ForwardedRequest) -> int:
--- a/sumachook/host/effects.py
+++ b/sumachook/host/effects.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sumachook.host.events import CallId
+from sumachook.host.events import Body, CallId
 
 
 class Effect(msgspec.Struct, frozen=True):
@@ -27,13 +27,19 @@
     message: Any
 
 
+class ReadBody(Effect, frozen=True):
+    """Read the body of the request whose head was received (`ProxyHeadReceived`), and deliver the whole request."""
+
+    call_id: CallId
+
+
 class Reply(Effect, frozen=True):
     """Send a complete response to a request."""
 
     call_id: CallId
     status: int
     headers: Any
-    body: bytes
+    body: Body
 
 
 class BeginResponse(Effect, frozen=True):
@@ -94,18 +100,20 @@
 class ForwardRequest(Effect, frozen=True):
     """Forward a client's request to a server unchanged.
 
-    Afterwards the host keeps at most `max_kept_connections` idle connections to that server.
+    Afterwards the host keeps at most `max_kept_connections` idle connections to that server. While the
+    client whose call is `reader` reads a streamed answer slowly, the host reads no more of it from the server.
     """
 
     call_id: CallId
     method: str
     url: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Body
     connect_timeout: timedelta
     total_timeout: timedelta
     reuse: ConnectionReuse
     max_kept_connections: int
+    reader: CallId = None
 
 
 class CancelCall(Effect, frozen=True):
@@ -177,6 +185,7 @@
     {
         Send,
         SendDatagram,
+        ReadBody,
         Reply,
         BeginResponse,
         SendChunk,
--- a/sumachook/host/events.py
+++ b/sumachook/host/events.py
@@ -8,6 +8,7 @@
 from sumachook.calls.run_status import CallFailure
 
 CallId = Any  # identifies a call within one node; opaque to hosts
+Body = bytes | bytearray  # long bodies are passed on as they were gathered, since a copy would double their memory
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -55,7 +56,7 @@
     method: str
     path: str
     headers: dict[str, str]
-    body: bytes
+    body: Body
 
 
 class ProxyRequestReceived(Event, frozen=True):
@@ -65,7 +66,22 @@
     method: str
     raw_path: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Body
+
+
+class ProxyHeadReceived(Event, frozen=True):
+    """The head of a client's request with a long body arrived; the effect `ReadBody` lets the body be read."""
+
+    call_id: CallId
+    method: str
+    raw_path: str
+    headers: tuple[tuple[str, str], ...]
+
+
+class MemoryMeasured(Event, frozen=True):
+    """The figures of the process's memory budget, in bytes and counts (`memory/budget.py`)."""
+
+    figures: dict[str, Any]
 
 
 class ConnectionEnd(StrEnum):
@@ -78,6 +94,7 @@
     SLOW_HEAD = "closed here: a head did not come whole"
     LEAVING = "closed here: the node takes no more clients"
     STOPPED = "closed here: the server has ended"
+    NO_ROOM = "closed here: memory or connections are short"
 
 
 class ClientDisconnected(Event, frozen=True):
--- a/sumachook/inference/quota_charge.py
+++ b/sumachook/inference/quota_charge.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from sumachook.host.events import Body
 from sumachook.inference.inference_request import InferenceRequest
 from sumachook.quotas.events import Pipeline
 from sumachook.requests.quota_charge import QuotaCharge
@@ -17,7 +18,7 @@
     def __init__(self) -> None:
         super().__init__(Pipeline.INFERENCE)
 
-    def estimate(self, request: InferenceRequest, body: bytes) -> int:
+    def estimate(self, request: InferenceRequest, body: Body) -> int:
         """Returns the estimated tokens of the prompt plus the maximum tokens of the answer; 0 for a lookup."""
         return -(-len(body) // CHARS_PER_TOKEN) + int(request.body["max_tokens"]) if request.body else 0
 
--- a/sumachook/nodes/change_request.py
+++ b/sumachook/nodes/change_request.py
@@ -14,6 +14,7 @@
     Restore,
 )
 from sumachook.exceptions import SumachookError
+from sumachook.host.events import Body
 
 KINDS = ("apply", "configure", "evacuate", "restore")
 PATHS = {f"/operator/{kind}": kind for kind in KINDS}
@@ -41,7 +42,7 @@
     return InvalidChangeError(ChangeProblem.REFUSED, reason)
 
 
-def read_change_request(path: str, body: bytes) -> OperatorChange:
+def read_change_request(path: str, body: Body) -> OperatorChange:
     """Parses the body of a POST to one of `PATHS` into a change; raises `InvalidChangeError`."""
     try:
         document = msgspec.json.decode(body)
--- a/sumachook/nodes/component_guard.py
+++ b/sumachook/nodes/component_guard.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from sumachook.host.effects import Effect, Log
-from sumachook.host.events import HttpRequestReceived, MessageReceived, ProxyRequestReceived
+from sumachook.host.events import HttpRequestReceived, MessageReceived, ProxyHeadReceived, ProxyRequestReceived
 from sumachook.nodes.replies import internal_error
 
 RECOVERY_INTERVAL = timedelta(seconds=1)  # a component that fails at every event starts anew no more often than this
@@ -106,7 +106,7 @@
 
 def error_replies(event: object) -> list[Effect]:
     """Returns the 500 response to a request whose handler failed; nothing for any other event."""
-    if isinstance(event, HttpRequestReceived | ProxyRequestReceived):
+    if isinstance(event, HttpRequestReceived | ProxyHeadReceived | ProxyRequestReceived):
         return [internal_error(event.call_id)]
     return []
 
--- a/sumachook/nodes/control_api.py
+++ b/sumachook/nodes/control_api.py
@@ -242,6 +242,7 @@
             "storeCredit": round(core.placer.budget, 2),
             "allowances": core.quota_lease_issuer.describe(now),
             "failures": core.guard.counts,
+            "memory": core.memory_figures,
         }
 
 
--- a/sumachook/nodes/core.py
+++ b/sumachook/nodes/core.py
@@ -16,7 +16,7 @@
 from sumachook.control_state.effects import ProposeChange
 from sumachook.control_state.state import State
 from sumachook.host.effects import HOST_EFFECTS, AppendRecords, Effect, Exit, Log, Reply
-from sumachook.host.events import CallId, Event, HttpRequestReceived, StopRequested
+from sumachook.host.events import CallId, Event, HttpRequestReceived, MemoryMeasured, StopRequested
 from sumachook.leases import Leases
 from sumachook.leases import events as lease_events
 from sumachook.ledger.replica_store import ReplicaStore
@@ -93,6 +93,7 @@
         self.settings = settings
         self.restart_epoch = restart_epoch
         self.is_disk_available = True
+        self.memory_figures: dict[str, Any] = {}
         self.is_suspended = False  # whether this core left the view since it could not apply a committed entry
         voter = stored_voter(records)
         self.is_new = not voter
@@ -238,6 +239,11 @@
         # leaving the view comes last: a leader commits the released leases before it hands over
         return [note, *released, *announced, consensus_events.LeaveRequested()]
 
+    def handle_memory_figures(self, event: MemoryMeasured, now: timedelta) -> list[Any]:
+        """Keeps the figures of the process's memory budget for the metrics."""
+        self.memory_figures = event.figures
+        return []
+
     def handle_departed(self, effect: Departed, now: timedelta) -> list[Any]:
         """Notes that the process may exit: the data of this replica is safe without it."""
         self.shutdown.note_departed()
--- a/sumachook/nodes/core_routing.py
+++ b/sumachook/nodes/core_routing.py
@@ -68,6 +68,7 @@
             events.MessageReceived: self._handle_message,
             events.UnreadableMessageReceived: self._handle_unreadable_message,
             events.HttpRequestReceived: core.api.http,
+            events.MemoryMeasured: core.handle_memory_figures,
             events.ClientDisconnected: core.api.handle_disconnect,
             events.RequestSent: self._handle_call,
             events.ResponseReceived: self._handle_call,
--- a/sumachook/nodes/daemon.py
+++ b/sumachook/nodes/daemon.py
@@ -8,16 +8,21 @@
 
 from sumachook.host import effects, events
 from sumachook.host.machine import NodeMachine, StateMachine
+from sumachook.memory.budget import budget_for
 from sumachook.nodes.component_guard import error_replies, event_name
 from sumachook.nodes.inbox import Inbox
+from sumachook.nodes.machine_limits import MachineLimits
+from sumachook.nodes.memory_reporter import MemoryReporter
 from sumachook.nodes.tick_intervals import TICK
 from sumachook.requests.call_ids import FORWARDING
 from sumachook.runtime.clock import NodeClock
 from sumachook.runtime.log_function import LogFunction
 from sumachook.runtime.supervisor import Supervisor
 from sumachook.transport.codec import Codec
+from sumachook.transport.connection_slots import ConnectionSlots, share_descriptors
+from sumachook.transport.exchange import ResponseEffect
 from sumachook.transport.http_client import HttpClient
-from sumachook.transport.http_server import HttpServer, ResponseEffect
+from sumachook.transport.http_server import HttpServer
 from sumachook.transport.node_messenger import NodeMessenger
 from sumachook.transport.node_transport import NodeTransport
 from sumachook.transport.proxy_server import ProxyServer
@@ -36,12 +41,14 @@
     signal.SIGHUP: events.SettingsReloadRequested(),
 }
 RESPONSE_EFFECTS = (
+    effects.ReadBody,
     effects.Reply,
     effects.BeginResponse,
     effects.SendChunk,
     effects.EndResponse,
     effects.AbortResponse,
 )
+DEFAULT_LIMITS = MachineLimits()
 WRITE_EFFECTS = (effects.AppendRecords, effects.RewriteRecords, effects.AppendDayLog)
 
 
@@ -50,7 +57,7 @@
 
     `http_address` serves operators and health checks; `address`, if given, receives messages of other nodes and needs a
     `NodeMachine`; `proxy_address`, if given, accepts client requests to forward; `folder`, if given, stores the node's
-    records.
+    records. `limits` are those of the machine: what all peers together may hold in memory and in open connections.
     """
 
     def __init__(
@@ -64,23 +71,38 @@
         folder: "DataFolder | None" = None,
         proxy_address: str | None = None,
         max_body_bytes: int | None = None,
+        limits: MachineLimits = DEFAULT_LIMITS,
     ) -> None:
         self.machine = machine
         self.clock = clock
         self.log = log
         self.exit_code = 0
         self.inbox: Inbox[Any, effects.Effect] = Inbox(self._process_event, self._execute_effect)
-        self.http_server = HttpServer(http_address, self._put_event, max_body_bytes, log)
-        self.http_client = HttpClient(self._put_event)
-        self.proxy_server = ProxyServer(proxy_address, self._put_event, log=log) if proxy_address else None
-        self.streaming_client = StreamingClient(self._put_event) if proxy_address else None
-        self.node_transport = NodeTransport(address, cluster, self._put_event) if address else None
+        self.budget = budget_for(limits.memory_mb)
+        self.memory_reporter = MemoryReporter(self.budget, self._put_event, log)
+        shares = share_descriptors(limits.descriptors)
+        http_slots, node_slots = ConnectionSlots(shares.http), ConnectionSlots(shares.nodes)
+        self.http_server = HttpServer(http_address, self._put_event, max_body_bytes, log, self.budget, http_slots)
+        self.http_client = HttpClient(self._put_event, self.budget)
+        self.proxy_server: ProxyServer | None = None
+        self.streaming_client: StreamingClient | None = None
+        if proxy_address:
+            self._create_proxy(proxy_address, shares.clients)
+        self.node_transport: NodeTransport | None = None
+        if address:
+            self.node_transport = NodeTransport(address, cluster, self._put_event, self.budget, node_slots)
         self.disk = self._disk_writer(folder) if folder else None
         self.effect_handlers = self._effect_handlers(cluster)
         self.exiting = asyncio.Event()
         self.write_deadline = 0.0  # the loop's time until which an exiting process waits for slow readers
         self.tick_requested = asyncio.Event()  # set while the machine needs a tick at the shortest interval
 
+    def _create_proxy(self, address: str, max_connections: int) -> None:
+        slots = ConnectionSlots(max_connections)
+        server = ProxyServer(address, self._put_event, log=self.log, budget=self.budget, slots=slots)
+        self.proxy_server = server
+        self.streaming_client = StreamingClient(self._put_event, self.budget, server.writable_of)
+
     def _disk_writer(self, folder: "DataFolder") -> "DiskWriter":
         # imported here: an edge without a data folder starts faster without these modules
         from sumachook.nodes.disk_writer import DiskWriter
@@ -162,6 +184,7 @@
             if self.disk:
                 self.disk.check_state()
             self._put_event(events.Tick())
+            self.memory_reporter.report(loop.time())
             longest = max(self._tick_interval, TICK)
             await self._wait_for_next_tick()
             self._log_stall(timedelta(seconds=loop.time() - begun_at) - longest)
--- a/sumachook/nodes/edge.py
+++ b/sumachook/nodes/edge.py
@@ -13,7 +13,13 @@
 from sumachook.forwarding.port import RequestPort
 from sumachook.forwarding.request_table import RequestTable
 from sumachook.host.effects import Effect, Log
-from sumachook.host.events import HttpRequestReceived, ProxyRequestReceived, StopRequested
+from sumachook.host.events import (
+    HttpRequestReceived,
+    MemoryMeasured,
+    ProxyHeadReceived,
+    ProxyRequestReceived,
+    StopRequested,
+)
 from sumachook.inference.pipeline import InferencePipeline
 from sumachook.ledger.events import LeaveRequested
 from sumachook.ledger.writer import LedgerWriter
@@ -81,6 +87,7 @@
         "ticks",
         "routing",
         "dispatcher",
+        "memory_figures",
     )
 
     def __init__(
@@ -108,6 +115,7 @@
         self._create_pipelines(random, request_port)
         self.usage_report = UsageReport(now)
         self.shutdown = EdgeShutdown(timedelta(seconds=settings.grace), now)
+        self.memory_figures: dict[str, Any] = {}
         self.guard = ComponentGuard(self, "edge")
         self.ticks = EdgeTick(self, now)
         self.routing = EdgeRouting(self)
@@ -192,8 +200,13 @@
         """The number of messages of other nodes that could not be decoded or that no component of an edge handles."""
         return self.routing.ignored_messages
 
-    def handle_proxy_request(self, event: ProxyRequestReceived, now: timedelta) -> list[Any]:
-        """Passes a client's request to the proxy pipeline; raises `TypeError` on an edge without a proxy address."""
+    def handle_memory_figures(self, event: MemoryMeasured, now: timedelta) -> list[Any]:
+        """Keeps the figures of the process's memory budget for the metrics."""
+        self.memory_figures = event.figures
+        return []
+
+    def handle_proxy_request(self, event: ProxyHeadReceived | ProxyRequestReceived, now: timedelta) -> list[Any]:
+        """Passes a request, or the head of one, to the proxy pipeline; raises `TypeError` without a proxy address."""
         if self.proxy_pipeline is None:
             raise TypeError("proxy request received by an edge without a proxy address")
         self.shutdown.note_request(now)
--- a/sumachook/nodes/edge_routing.py
+++ b/sumachook/nodes/edge_routing.py
@@ -64,6 +64,8 @@
             events.UnreadableMessageReceived: self._handle_unreadable_message,
             events.HttpRequestReceived: edge.handle_http_request,
             events.ProxyRequestReceived: edge.handle_proxy_request,
+            events.ProxyHeadReceived: edge.handle_proxy_request,
+            events.MemoryMeasured: edge.handle_memory_figures,
             **dict.fromkeys(CALL_EVENTS, self._handle_call),
             DiskStateChanged: self._handle_disk_state,
             MemberChanged: self._handle_member_changed,
--- a/sumachook/nodes/edge_status.py
+++ b/sumachook/nodes/edge_status.py
@@ -50,4 +50,5 @@
         "members": len(edge.membership.members) + 1,
         "allowances": edge.rate_limiter.describe(),
         "failures": edge.guard.counts,
+        "memory": edge.memory_figures,
     }
--- a/sumachook/nodes/serve.py
+++ b/sumachook/nodes/serve.py
@@ -12,6 +12,7 @@
 from sumachook.host.machine import NodeMachine
 from sumachook.nodes.daemon import Daemon
 from sumachook.nodes.logs import Logs
+from sumachook.nodes.machine_limits import MachineLimits
 from sumachook.runtime.clock import Clock
 
 # exit codes of all commands: refused by the cluster, wrong usage, no core reached
@@ -76,6 +77,7 @@
         folder,
         settings.front,
         MAX_OPERATOR_BODY_BYTES if role == "core" else None,
+        MachineLimits(settings.memory_mb, settings.descriptors),
     )
     fields = {
         "address": settings.address,
--- a/sumachook/simulation/fleet.py
+++ b/sumachook/simulation/fleet.py
@@ -594,7 +594,7 @@
         match effect:
             case effects.Reply(_, status, headers, body):
                 self._end_exchange(
-                    exchange, events.ResponseReceived(client_call_id, status, _lowercase_names(headers), body)
+                    exchange, events.ResponseReceived(client_call_id, status, _lowercase_names(headers), bytes(body))
                 )
             case effects.BeginResponse(_, status, headers):
                 head = events.ResponseHeadReceived(client_call_id, status, _lowercase_names(headers))
--- a/sumachook/simulation/model.py
+++ b/sumachook/simulation/model.py
@@ -8,7 +8,7 @@
 from assel import Event, send
 
 from sumachook.host.effects import BeginResponse, EndResponse, Exit, Reply, SendChunk
-from sumachook.host.events import ClientDisconnected, HttpRequestReceived, StopRequested, Tick
+from sumachook.host.events import Body, ClientDisconnected, HttpRequestReceived, StopRequested, Tick
 
 JSON = {"Content-Type": "application/json"}
 EVENTS_PER_RUN = 8
@@ -186,7 +186,7 @@
                 return [Exit(0)]
         return []
 
-    def _http(self, cid: Any, method: str, path: str, headers: Any, body: bytes, now: timedelta) -> list[Any]:
+    def _http(self, cid: Any, method: str, path: str, headers: Any, body: Body, now: timedelta) -> list[Any]:
         if self.is_dark:
             return []
         if path == "/models":
--- a/sumachook/transport/http_caller.py
+++ b/sumachook/transport/http_caller.py
@@ -1,7 +1,8 @@
 """Common base of the HTTP clients of a process: sessions, running calls, and the classification of failures."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from functools import partial
 from typing import Any
 
@@ -10,8 +11,13 @@
 from sumachook.calls.run_status import CallFailure
 from sumachook.host.effects import ConnectionReuse
 from sumachook.host.events import CallEvent, CallFailed, CallId, Event, RequestSent
+from sumachook.memory.account import Account, Purpose
+from sumachook.memory.budget import DEFAULT_MEMORY_MB, MemoryBudget, budget_for
+from sumachook.transport.answer_reader import READ_BUFFER_BYTES
 from sumachook.transport.server_connector import CURRENT_CALL, DEFAULT_MAX_KEPT, ConnectingCall, ServerConnector
 
+CALL_BYTES = 24 << 10  # memory of a call whose answer is being read: its task, connection and parser
+
 
 class HttpCaller:
     """Runs each HTTP call in its own task and emits its `CallEvent`s.
@@ -20,13 +26,15 @@
     reported only if no byte was sent, so that its receiver can rely on the call not having run.
     """
 
-    __slots__ = ("on_event", "tasks", "sent", "sessions")
+    __slots__ = ("on_event", "tasks", "sent", "sessions", "budget", "accounts")
 
-    def __init__(self, on_event: Callable[[Event], None]) -> None:
+    def __init__(self, on_event: Callable[[Event], None], budget: MemoryBudget | None = None) -> None:
         self.on_event = on_event
+        self.budget = budget or budget_for(DEFAULT_MEMORY_MB)
         self.tasks: dict[CallId, asyncio.Task[None]] = {}
         self.sent: set[CallId] = set()  # calls that may have sent a byte
         self.sessions: tuple[aiohttp.ClientSession, ...] = ()
+        self.accounts: dict[CallId, Account] = {}  # of calls whose answer is being gathered
 
     @property
     def is_open(self) -> bool:
@@ -56,7 +64,11 @@
 
     def _session(self, connector: ServerConnector, **options: Any) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar(), **options
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            read_bufsize=READ_BUFFER_BYTES,
+            **options,
         )
         # otherwise aiohttp silently retries idempotent methods such as GET and PUT, even on a new connection
         session._retry_connection = False
@@ -78,6 +90,24 @@
         self.sent.add(call_id)
         self.on_event(RequestSent(call_id, is_reused))
 
+    @contextmanager
+    def _account(self, call_id: CallId) -> Iterator[Account]:
+        """Opens the account of a call; under pressure, a call whose answer has stalled ends as if it were reset."""
+        account = self.accounts[call_id] = self.budget.open("answer of a server", partial(self._evict, call_id))
+        account.hold(CALL_BYTES, Purpose.SMALL)
+        try:
+            yield account
+        finally:
+            del self.accounts[call_id]
+            account.close()
+
+    def _evict(self, call_id: CallId) -> int:
+        task, account = self.tasks.get(call_id), self.accounts.get(call_id)
+        if task is None or account is None:
+            return 0
+        task.cancel()
+        return account.held_bytes
+
     def _start(self, call_id: CallId, call: Callable[[], Awaitable[CallEvent]]) -> None:
         task = asyncio.get_running_loop().create_task(self._report_outcome(call_id, call))
         self.tasks[call_id] = task
--- a/sumachook/transport/http_client.py
+++ b/sumachook/transport/http_client.py
@@ -21,7 +21,9 @@
     ResponseReceived,
     ServerEventReceived,
 )
+from sumachook.transport.answer_reader import AnswerReader, UnfinishedEvent
 from sumachook.transport.http_caller import HttpCaller
+from sumachook.transport.piecewise_payload import request_payload
 from sumachook.transport.server_connector import ServerConnector
 
 MAX_BODY_BYTES = 8 << 20  # far above the size of the longest report of a model server
@@ -101,7 +103,7 @@
             effect.method,
             effect.url,
             headers=effect.headers,
-            data=effect.body or None,
+            data=request_payload(effect.body),
             timeout=timeout,
             allow_redirects=False,
         ) as answer:
@@ -110,20 +112,20 @@
                 self.on_event(ResponseHeadReceived(call_id, answer.status, headers))
                 await self._forward_events(call_id, answer)
                 return ResponseEnded(call_id)
-            return ResponseReceived(call_id, answer.status, headers, await _read_body(answer))
+            body = await self._read_body(effect, answer)
+            return ResponseReceived(call_id, answer.status, headers, body)
+
+    async def _read_body(self, effect: Fetch, answer: aiohttp.ClientResponse) -> bytes:
+        """Reads the complete body; raises `ClientPayloadError` if it exceeds `MAX_BODY_BYTES`."""
+        with self._account(effect.call_id) as account:
+            reader = AnswerReader(answer, account, MAX_BODY_BYTES, effect.total_timeout)
+            return b"".join([chunk async for chunk in reader.chunks()])
 
     async def _forward_events(self, call_id: CallId, answer: aiohttp.ClientResponse) -> None:
         parser = Parser()
-        async for chunk in answer.content.iter_any():
-            for event in parser.receive_bytes(chunk):
-                self.on_event(ServerEventReceived(call_id, event.id, event.data))
-
-
-async def _read_body(answer: aiohttp.ClientResponse) -> bytes:
-    """Reads the complete body; raises `ClientPayloadError` if it exceeds `MAX_BODY_BYTES`."""
-    body = await answer.content.read(MAX_BODY_BYTES)
-    while not answer.content.at_eof():
-        body += await answer.content.read(MAX_BODY_BYTES)
-        if len(body) > MAX_BODY_BYTES:
-            raise aiohttp.ClientPayloadError("response body exceeds MAX_BODY_BYTES")
-    return body
+        with self._account(call_id) as account:
+            unfinished = UnfinishedEvent(account)
+            async for chunk in answer.content.iter_any():
+                unfinished.add(chunk)
+                for event in parser.receive_bytes(chunk):
+                    self.on_event(ServerEventReceived(call_id, event.id, event.data))
--- a/sumachook/transport/http_server.py
+++ b/sumachook/transport/http_server.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
-from typing import Any, ClassVar, NoReturn, TypeVar, cast
+from typing import Any, ClassVar, NoReturn, cast
 
 # importing all of aiohttp.web also loads file serving and applications, a tenth of the startup time
 from aiohttp.web_request import BaseRequest
@@ -13,16 +13,23 @@
 from multidict import CIMultiDict
 
 from sumachook.host.effects import AbortResponse, BeginResponse, EndResponse, Reply, SendChunk
-from sumachook.host.events import CallId, ClientDisconnected, ConnectionEnd, Event, HttpRequestReceived
+from sumachook.host.events import Body, CallId, ClientDisconnected, ConnectionEnd, Event, HttpRequestReceived
+from sumachook.memory.account import Purpose
+from sumachook.memory.budget import DEFAULT_MEMORY_MB, MemoryBudget, budget_for
+from sumachook.memory.json_size import parsed_bytes
 from sumachook.runtime.log_function import LogFunction
 from sumachook.transport.addresses import split_address
-from sumachook.transport.client_connection import ClientConnection, ConnectionFactory, error_body
+from sumachook.transport.body_reader import ROOM_TIMEOUT, SMALL_BODY_BYTES, BodyReader
+from sumachook.transport.client_connection import ClientConnection, ConnectionFactory
 from sumachook.transport.connection_limits import ConnectionLimits, header_size
-
-AnyResponse = TypeVar("AnyResponse", bound=StreamResponse)
-ResponseEffect = Reply | BeginResponse | SendChunk | EndResponse | AbortResponse
+from sumachook.transport.connection_slots import DEFAULT_DESCRIPTORS, ConnectionSlots, share_descriptors
+from sumachook.transport.exchange import Exchange, ResponseEffect, close_if_requested, write_reply
+from sumachook.transport.refusals import error_response, header_too_large, out_of_memory
+from sumachook.transport.socket_buffers import limit_receive_buffer
 
 MAX_BODY_BYTES = 1 << 20
+MAX_HEADER_BYTES = 64 << 10  # of a call to the node's own HTTP address
+READ_BUFFER_BYTES = 64 << 10  # of one body, between the parser and the handler; reading pauses at twice as many
 MAX_UNSENT_BYTES = 1 << 20
 SHUTDOWN_TIMEOUT = timedelta(seconds=0.2)  # time for requests in progress when the server is stopped
 LOOP_ITERATIONS_BEFORE_CLOSE = (
@@ -34,21 +41,6 @@
 LINGER_TIMEOUT, SWEEP_INTERVAL, IDLE_TIMEOUT = timedelta(seconds=1), timedelta(seconds=1), timedelta(seconds=15)
 
 
-class Exchange:
-    """A request in progress and the queue of its response effects; `unsent_bytes` counts the body bytes in it.
-
-    `transport` is set while the response is a stream and no effect is queued: chunks are then written directly.
-    """
-
-    __slots__ = ("effects", "unsent_bytes", "is_over", "transport")
-
-    def __init__(self) -> None:
-        self.effects: asyncio.Queue[ResponseEffect] = asyncio.Queue()
-        self.unsent_bytes = 0
-        self.is_over = False
-        self.transport: asyncio.Transport | None = None
-
-
 class HttpServer:
     """Serves HTTP on one address: emits an event for each request, and writes responses from effects.
 
@@ -68,9 +60,11 @@
         "is_stopping",
         "log",
         "end_counts",
+        "budget",
+        "slots",
     )
     OPTIONS: ClassVar[dict[str, Any]] = {}
-    LIMITS = ConnectionLimits(body_bytes=MAX_BODY_BYTES, idle_timeout=IDLE_TIMEOUT.total_seconds())
+    LIMITS = ConnectionLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, idle_timeout=IDLE_TIMEOUT.total_seconds())
 
     def __init__(
         self,
@@ -78,8 +72,12 @@
         on_event: Callable[[Event], None],
         max_body_bytes: int | None = None,
         log: LogFunction | None = None,
+        budget: MemoryBudget | None = None,
+        slots: ConnectionSlots | None = None,
     ) -> None:
         self.address = address
+        self.budget = budget or budget_for(DEFAULT_MEMORY_MB)
+        self.slots = slots or ConnectionSlots(share_descriptors(DEFAULT_DESCRIPTORS).clients)
         self.log = log
         self.end_counts: Counter[ConnectionEnd] = Counter()  # number of closed connections per reason
         self.on_event = on_event
@@ -95,14 +93,19 @@
         server = self.server = ConnectionFactory(
             self._serve,
             self._record_close,
-            lambda: self.limits.idle_timeout,
+            lambda: self.limits,
+            self.budget,
+            self.slots,
             handler_cancellation=True,
             access_log=None,
+            read_bufsize=READ_BUFFER_BYTES,
             lingering_time=LINGER_TIMEOUT.total_seconds(),
             **self.OPTIONS,
         )
         host, port = split_address(self.address)
         listener = self.listener = await asyncio.get_running_loop().create_server(server, host, port)
+        for listening in listener.sockets:
+            limit_receive_buffer(listening)
         try:
             await asyncio.Event().wait()
         finally:
@@ -198,11 +201,17 @@
         if unsent + len(effect.data) > MAX_UNSENT_BYTES:
             self._disconnect_slow_client(exchange, effect.call_id)
         elif is_direct:
-            _write_chunk(exchange, effect.data)
+            exchange.write_chunk(effect.data)
         else:
             exchange.unsent_bytes += len(effect.data)
+            exchange.count_unsent(exchange.unsent_bytes)
             exchange.effects.put_nowait(effect)
 
+    def writable_of(self, call_id: CallId) -> asyncio.Event | None:
+        """Returns the event that is set while the client of a call takes what is written; None for an ended call."""
+        exchange = self.exchanges.get(call_id)
+        return None if exchange is None else exchange.connection.writable
+
     def _disconnect_slow_client(self, exchange: Exchange, call_id: CallId) -> None:
         """Aborts the response to a client that does not read it."""
         exchange.is_over = True
@@ -232,62 +241,80 @@
         except ConnectionResetError:  # the client has disconnected
             raise asyncio.CancelledError from None
 
-    async def _read_body(self, request: BaseRequest) -> bytes | Response:
-        """Reads the complete body; returns an error response instead if it is too large or its transfer stalls."""
-        max_bytes, body = self.limits.body_bytes, bytearray()
-        if (request.content_length or 0) > max_bytes:
-            return _error_response(413, "too-large", f"at most {max_bytes} bytes")
-        try:
-            while len(body) <= max_bytes and not request.content.at_eof():
-                async with asyncio.timeout(self.limits.idle_timeout):
-                    body += await request.content.read(max_bytes + 1 - len(body))
-        except TimeoutError:
-            return _error_response(408, "body-stalled", f"nothing came for {self.limits.idle_timeout} s")
-        return (
-            bytes(body) if len(body) <= max_bytes else _error_response(413, "too-large", f"at most {max_bytes} bytes")
-        )
-
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         if header_size(request) > self.limits.header_bytes:
-            return _error_response(431, "header-too-large", f"at most {self.limits.header_bytes} bytes")
-        body = await self._read_body(request) if request.can_read_body else b""
-        if isinstance(body, Response):
-            return body
+            return header_too_large(self.limits.header_bytes)
+        if not self.budget.may_begin():
+            self.budget.note_refusal(Purpose.SMALL)
+            return out_of_memory()
         connection = cast(ClientConnection, request.protocol)
-        connection.mark_request_read()
         self.last_call_number += 1
-        call_id, event = self._event_of(request, body)
-        exchange = self.exchanges[call_id] = Exchange()
+        call_id = self._call_id()
+        exchange = self.exchanges[call_id] = Exchange(connection)
+        try:
+            early = await self._decide_by_head(request, call_id, exchange)
+            if early is not None:
+                return early
+            body = await BodyReader(request, connection, self.limits).read() if request.can_read_body else b""
+            if isinstance(body, Response):
+                return body
+            refusal = await self._reserve_parsed(connection, body)
+            if refusal is not None:
+                return refusal
+            connection.mark_request_read()
+            return await self._exchange(request, call_id, exchange, body)
+        finally:
+            del self.exchanges[call_id]
+
+    async def _decide_by_head(self, request: BaseRequest, call_id: CallId, exchange: Exchange) -> StreamResponse | None:
+        """Returns the response to a request that is refused before its body is read, or None."""
+        return None
+
+    async def _reserve_parsed(self, connection: ClientConnection, body: Body) -> Response | None:
+        """Reserves memory for the parsed form of a long JSON body; returns the refusal if there is none."""
+        if len(body) <= SMALL_BODY_BYTES:
+            return None
+        count = parsed_bytes(body)
+        if not self.budget.may_ever_fit(count):
+            return error_response(413, "too-large", "the document has too many parts for the memory of this node")
+        if not await connection.account.reserve(count, Purpose.BODY, ROOM_TIMEOUT):
+            return out_of_memory()
+        return None
+
+    async def _exchange(self, request: BaseRequest, call_id: CallId, exchange: Exchange, body: Body) -> StreamResponse:
+        """Delivers a whole request to the state machine, and its response to the client."""
         is_complete = False
         try:
-            self.on_event(event)
+            self.on_event(self._event_of(request, call_id, body))
+            del body  # the state machine holds it for as long as it is needed
             answer = await self._answer(request, exchange)
             is_complete = True
             return answer
         finally:
-            del self.exchanges[call_id]
             if not is_complete and not exchange.is_over:
-                self.on_event(ClientDisconnected(call_id, connection.ended_by or ConnectionEnd.CLIENT))
+                ended_by = exchange.connection.ended_by or ConnectionEnd.CLIENT
+                self.on_event(ClientDisconnected(call_id, ended_by))
 
-    def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
-        """Returns the call id of a request and the event for the state machine."""
+    def _call_id(self) -> CallId:
+        return self.last_call_number
+
+    def _event_of(self, request: BaseRequest, call_id: CallId, body: Body) -> Event:
+        """Returns the event that delivers a whole request to the state machine."""
         headers = {name.lower(): value for name, value in request.headers.items()}
-        return self.last_call_number, HttpRequestReceived(
-            self.last_call_number, request.method, request.path, headers, body
-        )
+        return HttpRequestReceived(call_id, request.method, request.path, headers, body)
 
     async def _answer(self, request: BaseRequest, exchange: Exchange) -> StreamResponse:
         effect = await exchange.effects.get()
-        if isinstance(effect, Reply):
-            headers = CIMultiDict(effect.headers)
-            return _close_if_requested(Response(status=effect.status, headers=headers, body=effect.body))
-        if isinstance(effect, AbortResponse):
-            self._abort(request)
-        if not isinstance(effect, BeginResponse):
-            raise TypeError(f"first response effect must be Reply, BeginResponse or AbortResponse, not {effect!r}")
-        answer = _close_if_requested(StreamResponse(status=effect.status, headers=CIMultiDict(effect.headers)))
-        answer.enable_chunked_encoding()
+        exchange.connection.is_writing = True
         try:
+            if isinstance(effect, Reply):
+                return await write_reply(request, exchange, effect)
+            if isinstance(effect, AbortResponse):
+                self._abort(request)
+            if not isinstance(effect, BeginResponse):
+                raise TypeError(f"first response effect must be Reply, BeginResponse or AbortResponse, not {effect!r}")
+            answer = close_if_requested(StreamResponse(status=effect.status, headers=CIMultiDict(effect.headers)))
+            answer.enable_chunked_encoding()
             return await self._stream(request, exchange, answer)
         except ConnectionResetError:  # the client disconnected between two writes
             raise asyncio.CancelledError from None
@@ -300,6 +327,8 @@
             if isinstance(effect, SendChunk):
                 await answer.write(effect.data)
                 exchange.unsent_bytes -= len(effect.data)
+                exchange.count_unsent(exchange.unsent_bytes)
+                exchange.connection.account.note_moved(len(effect.data))
                 if exchange.effects.empty() and answer.chunked and not exchange.is_over:
                     exchange.transport = request.transport
             elif isinstance(effect, EndResponse):
@@ -315,24 +344,3 @@
         """
         cast(ClientConnection, request.protocol).end(ConnectionEnd.ABORTED)
         raise asyncio.CancelledError
-
-
-def _write_chunk(exchange: Exchange, data: bytes) -> None:
-    """Writes data in chunked transfer coding; drops it if the client has just disconnected."""
-    transport = exchange.transport
-    if transport is not None and not transport.is_closing():
-        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
-
-
-def _close_if_requested(answer: AnyResponse) -> AnyResponse:
-    """Makes the response the last one on its connection if its headers say `Connection: close`."""
-    if answer.headers.get("Connection", "").lower() == "close":
-        answer.force_close()
-    return answer
-
-
-def _error_response(status: int, name: str, reason: str) -> Response:
-    """Builds an error response to a request that never reached the state machine; it closes the connection."""
-    answer = Response(status=status, body=error_body(name, reason), content_type="application/json")
-    answer.force_close()
-    return answer
--- a/sumachook/transport/proxy_server.py
+++ b/sumachook/transport/proxy_server.py
@@ -1,13 +1,18 @@
 """HTTP server for requests to be forwarded, whose path, headers and body are kept unchanged."""
 
 from aiohttp.web_request import BaseRequest
-from aiohttp.web_response import StreamResponse
+from aiohttp.web_response import Response, StreamResponse
 
 from sumachook.configuration.limits import Limits
-from sumachook.host.events import CallId, Event, ProxyRequestReceived
+from sumachook.host.effects import ReadBody, Reply
+from sumachook.host.events import Body, CallId, Event, ProxyHeadReceived, ProxyRequestReceived
 from sumachook.requests.call_ids import PROXY, ProxyCallId
+from sumachook.transport.body_reader import SMALL_BODY_BYTES
+from sumachook.transport.client_connection import ClientConnection
 from sumachook.transport.connection_limits import ConnectionLimits
-from sumachook.transport.http_server import HttpServer, _error_response
+from sumachook.transport.exchange import Exchange, write_reply
+from sumachook.transport.http_server import HttpServer
+from sumachook.transport.refusals import error_response, too_large
 from sumachook.transport.streaming_client import UNSENDABLE
 
 MAX_FIELD_BYTES = 1 << 20  # limit of the HTTP parser; the configured limits are lower
@@ -50,10 +55,32 @@
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         if reason := _reason_not_forwardable(request):
-            return _error_response(400, "malformed", reason)
+            return error_response(400, "malformed", reason)
         return await super()._handle(request)
 
-    def _event_of(self, request: BaseRequest, body: bytes) -> tuple[CallId, Event]:
-        call_id = ProxyCallId(PROXY, self.last_call_number)
+    async def _decide_by_head(self, request: BaseRequest, call_id: CallId, exchange: Exchange) -> StreamResponse | None:
+        """Asks the state machine about a long body before it is read; a short one is read at once."""
+        length = request.content_length
+        if not request.can_read_body or (length is not None and length <= SMALL_BODY_BYTES):
+            return None
+        if (length or 0) > self.limits.body_bytes:
+            return too_large(self.limits.body_bytes)
+        self.on_event(ProxyHeadReceived(call_id, request.method, request.raw_path, tuple(request.headers.items())))
+        effect = await exchange.effects.get()
+        if isinstance(effect, ReadBody):
+            return None
+        if not isinstance(effect, Reply):
+            raise TypeError(f"a head must be answered by ReadBody or Reply, not {effect!r}")
+        answer = await write_reply(request, exchange, effect)
+        answer.force_close()  # the body stays unread
+        return answer
+
+    async def _reserve_parsed(self, connection: ClientConnection, body: Body) -> Response | None:
+        return None  # a body is passed on and never parsed
+
+    def _call_id(self) -> CallId:
+        return ProxyCallId(PROXY, self.last_call_number)
+
+    def _event_of(self, request: BaseRequest, call_id: CallId, body: Body) -> Event:
         headers = tuple(request.headers.items())
-        return call_id, ProxyRequestReceived(call_id, request.method, request.raw_path, headers, body)
+        return ProxyRequestReceived(call_id, request.method, request.raw_path, headers, body)
--- a/sumachook/transport/server_connector.py
+++ b/sumachook/transport/server_connector.py
@@ -7,6 +7,7 @@
 the answer comes from the other host's kernel or a middlebox.
 """
 
+import asyncio
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -22,6 +23,7 @@
 from aiohttp.connector import Connection
 
 from sumachook.host.effects import ConnectionReuse
+from sumachook.transport.socket_buffers import limit_reads
 from sumachook.transport.tcp_timeouts import disable_tcp_timeouts, enable_tcp_timeouts
 
 # A server is assumed not to have dropped a connection that was idle for no longer than this.
@@ -96,6 +98,11 @@
     keep_alive_s: float | None = None  # idle timeout announced by the server
     max_kept = DEFAULT_MAX_KEPT
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limits the bytes that one read of the connection returns."""
+        super().connection_made(transport)
+        limit_reads(transport)
+
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the current call; aborts the connection if there is none."""
         if self.is_idle and data:
--- a/sumachook/transport/streaming_client.py
+++ b/sumachook/transport/streaming_client.py
@@ -1,5 +1,6 @@
 """HTTP client for an edge's forwarded requests: sends `ForwardRequest` effects and emits events for their progress."""
 
+import asyncio
 import re
 import socket
 from collections.abc import Callable
@@ -22,8 +23,18 @@
     ResponseEnded,
     ResponseHeadReceived,
 )
+from sumachook.memory.account import Account, Purpose
+from sumachook.memory.budget import MemoryBudget
+from sumachook.transport.answer_reader import (
+    SERVER_RECEIVE_BUFFER_BYTES,
+    WAITING_CALL_BYTES,
+    AnswerReader,
+    UnfinishedEvent,
+)
 from sumachook.transport.http_caller import HttpCaller
+from sumachook.transport.piecewise_payload import request_payload
 from sumachook.transport.server_connector import ServerConnector
+from sumachook.transport.socket_buffers import limit_receive_buffer
 from sumachook.transport.tcp_timeouts import set_probe_intervals
 
 KEEP_ALIVE = timedelta(seconds=8)
@@ -37,7 +48,9 @@
 
 def _socket_with_probes(address_info: Any) -> socket.socket:
     family, kind, proto, *_ = address_info
-    return set_probe_intervals(socket.socket(family, kind, proto))
+    opened = socket.socket(family, kind, proto)
+    limit_receive_buffer(opened, SERVER_RECEIVE_BUFFER_BYTES)
+    return set_probe_intervals(opened)
 
 
 def _has_delimited_body(answer: aiohttp.ClientResponse) -> bool:
@@ -64,10 +77,16 @@
     server or network path is no reason to end a response early.
     """
 
-    __slots__ = ("connector",)
+    __slots__ = ("connector", "writable_of")
 
-    def __init__(self, on_event: Callable[[Event], None]) -> None:
-        super().__init__(on_event)
+    def __init__(
+        self,
+        on_event: Callable[[Event], None],
+        budget: MemoryBudget | None = None,
+        writable_of: Callable[[CallId], asyncio.Event | None] | None = None,
+    ) -> None:
+        super().__init__(on_event, budget)
+        self.writable_of = writable_of  # returns the event that is set while the client of a call reads fast enough
         self.connector: ServerConnector | None = None
 
     def _open_sessions(self) -> tuple[aiohttp.ClientSession, ...]:
@@ -97,7 +116,7 @@
             effect.method,
             URL(effect.url, encoded=True),
             headers=CIMultiDict(effect.headers),
-            data=effect.body or None,
+            data=request_payload(effect.body),
             timeout=timeout,
             allow_redirects=False,
         ) as answer:
@@ -105,13 +124,28 @@
                 raise aiohttp.ClientPayloadError("response head cannot be forwarded unchanged")
             call.note_keep_alive(answer.headers.get("Keep-Alive", ""))
             self.on_event(ResponseHeadReceived(call_id, answer.status, tuple(answer.headers.items())))
-            await self._forward_body(call_id, answer)
+            await self._forward_body(effect, answer)
         return ResponseEnded(call_id) if _has_delimited_body(answer) else CallFailed(call_id, CallFailure.RESET)
 
-    async def _forward_body(self, call_id: CallId, answer: aiohttp.ClientResponse) -> None:
-        size = 0
+    async def _forward_body(self, effect: ForwardRequest, answer: aiohttp.ClientResponse) -> None:
+        with self._account(effect.call_id) as account:
+            if answer.status < 300 and answer.headers.get("Content-Type", "").startswith("text/event-stream"):
+                await self._relay(effect, answer, account)
+                return
+            async for chunk in AnswerReader(answer, account, MAX_BODY_BYTES, effect.total_timeout).chunks():
+                self.on_event(ResponseChunkReceived(effect.call_id, chunk))
+
+    async def _relay(self, effect: ForwardRequest, answer: aiohttp.ClientResponse, account: Account) -> None:
+        """Relays a stream; reads no more of it while the client has not taken what was written."""
+        writable = self.writable_of(effect.reader) if self.writable_of is not None else None
+        size, unfinished = 0, UnfinishedEvent(account)
         while chunk := await answer.content.readany():
             size += len(chunk)
             if size > MAX_BODY_BYTES:
                 raise aiohttp.ClientPayloadError("response body exceeds MAX_BODY_BYTES")
-            self.on_event(ResponseChunkReceived(call_id, chunk))
+            unfinished.add(chunk)
+            self.on_event(ResponseChunkReceived(effect.call_id, chunk))
+            if writable is not None and not writable.is_set():
+                account.hold(WAITING_CALL_BYTES, Purpose.SMALL)
+                await writable.wait()
+                account.release(WAITING_CALL_BYTES, Purpose.SMALL)
--- a/tests/harness/test_fuzz.py
+++ b/tests/harness/test_fuzz.py
@@ -8,6 +8,7 @@
 from harness.fuzzing.run import FuzzOptions, play_cases
 
 CASES = 150
+LITTLE_MEMORY_BYTES = 600 << 10  # far less than 40 clients at a time use
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -28,6 +29,15 @@
     assert report.arrivals > report.requests  # some requests were sent again
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_edge_breaks_no_rule_while_memory_is_short(seed):
+    """With memory for a few requests at a time, many are refused and some cut, but no rule is broken: what is refused never ran,
+    nothing runs twice, and no answer is mixed with another."""
+    report = play_cases(seed, range(CASES), FuzzOptions(memory_bytes=LITTLE_MEMORY_BYTES))
+    assert report.violations == [] and report.cases == CASES
+    assert {"200", "503"} <= set(report.outcomes), report.outcomes
+
+
 def test_same_seed_draws_the_same_cases():
     """A seed and a case number always give the same case and the same server faults."""
     assert [draw_case(7, number) for number in range(50)] == [draw_case(7, number) for number in range(50)]
--- a/tests/platform_adapters/test_platform_settings.py
+++ b/tests/platform_adapters/test_platform_settings.py
@@ -322,6 +322,22 @@
     assert stopping.reply(cid)[1] == 200 and stopping.edge.membership.seeds[0].startswith("10.1.0.15:")
 
 
+@pytest.mark.parametrize(("role", "field"), [("edge", "limits.memory-mb"), ("edge", "limits.file-descriptors")])
+def test_limits_of_the_machine_are_read(role, field):
+    """Memory and descriptors are those of the settings file; a file without them gives the defaults, and a limit that is no number
+    is named."""
+    from node import load_settings
+
+    text = SETTINGS.replace("memory-mb = 300", "memory-mb = 200\nfile-descriptors = 1000")
+    settings, _ = node_settings(text, role)
+    assert (settings.memory_mb, settings.descriptors) == (200, 1000)
+    settings, _ = node_settings(SETTINGS.replace("memory-mb = 300\n", ""), role)
+    assert (settings.memory_mb, settings.descriptors) == (300, 4100)
+    name = field.partition(".")[2]
+    wrong = SETTINGS.replace("memory-mb = 300", f"{name} = 'much'")
+    assert load_settings(wrong.encode(), role).reasons[0].startswith(field)
+
+
 def test_unimplemented_contracts_are_logged_once(tmp_path):
     """Contracts in the settings file that this version does not implement are logged by name at the first tick only."""
     file = tmp_path / "settings.toml"
--- a/tests/transport/test_client_limits.py
+++ b/tests/transport/test_client_limits.py
@@ -8,8 +8,8 @@
 
 from harness.local_cluster.loopback import free_address, wait_until_serving
 from sumachook.configuration.limits import Limits
-from sumachook.host.effects import ApplyClientLimits, Reply
-from sumachook.host.events import ProxyRequestReceived, Tick
+from sumachook.host.effects import ApplyClientLimits, ReadBody, Reply
+from sumachook.host.events import ProxyHeadReceived, ProxyRequestReceived, Tick
 from sumachook.transport.addresses import split_address
 from sumachook.transport.proxy_server import ProxyServer
 
@@ -25,6 +25,9 @@
         self.front.apply_limits(Limits(**LIMITS | limits))
 
     def handle_event(self, message):
+        if isinstance(message, ProxyHeadReceived):
+            self.front.answer(ReadBody(message.call_id))
+            return
         self.messages.append(message)
         if isinstance(message, ProxyRequestReceived):
             self.front.answer(Reply(message.call_id, 200, {}, b"ok"))
