--- a/tests/transport/test_proxy_sockets.py
+++ b/tests/transport/test_proxy_sockets.py
@@ -650,7 +650,7 @@
             await asyncio.sleep(0.05)
         return {record["class"] for record in proxy.scene.records(True)}, proxy.front.budget.held_bytes < 64 << 10
 
-    assert run_scenario(scenario, flood) == ({"", "deadline"}, True)
+    assert run_scenario(scenario, flood) == ({"", "cutoff"}, True)
 
 
 def test_client_that_does_not_read_is_disconnected():
