Connections: one that was closed is ended even if its client takes nothing

Callers: a client that read nothing of an answer that was cut off kept its connection, and the bytes written to it, for as long as it liked: aiohttp forgets the transport at its close, so that nothing could end it, and what it held was no longer counted. The connection now keeps its transport until it is lost. Seen red: test_server_of_an_endless_stream_is_held_up_and_the_stream_ends_at_its_deadline held more than 64 KiB after the stream's end on the commit before.

--- a/sumachook/transport/client_connection.py
+++ b/sumachook/transport/client_connection.py
@@ -66,6 +66,7 @@
         "limits",
         "slots",
         "account",
+        "wire",
         "writable",
         "is_reading_body",
         "is_writing",
@@ -98,6 +99,7 @@
         self.limits = limits
         self.slots = slots
         self.account = budget.open("client connection", self._evict)
+        self.wire: asyncio.Transport | None = None  # open until the connection is lost; `transport` ends with a close
         self.writable = asyncio.Event()
         self.writable.set()
         self.is_reading_body = False
@@ -133,11 +135,12 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether written bytes are still buffered because the client reads slowly."""
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+        return self.wire is not None and self.wire.get_write_buffer_size() > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Counts the connection; ends it at once if all of the listener's connections are in use."""
         super().connection_made(transport)
+        self.wire = cast(asyncio.Transport, transport)
         limit_reads(transport)
         self.account.hold(CONNECTION_BYTES, Purpose.SMALL)
         if not self.slots.take(self.account):
@@ -237,8 +240,11 @@
 
         A request that the state machine has is never ended here: a server may be running it. Returns the bytes freed.
         """
-        if self.transport is None or self.ended_by is not None:
+        if self.wire is None:
             return 0
+        if self.transport is None or self.ended_by is not None:  # closed, but not all that was written is taken
+            self.wire.abort()
+            return self.account.held_bytes
         if self.state is ConnectionState.SERVING and not self.is_writing:
             return self._evict_body() if self.is_reading_body else self._drop_further_requests()
         if self.has_unsent_bytes:
@@ -292,7 +298,7 @@
         self.idle_limit = idle_limit
         self._change_state(ConnectionState.RESTING if self.request_started_at is None else ConnectionState.READING)
         self.is_writing = False
-        if self.transport is None:
+        if self.wire is None:
             self.account.close()
             return
         self._count_rest()
@@ -302,7 +308,7 @@
     def _count_rest(self) -> None:
         """Releases what was held for the request; requests that were read beyond it stay counted."""
         if not self._messages and not self._held_back:
-            unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+            unsent = self.wire.get_write_buffer_size() if self.wire is not None else 0
             self.account.shrink_to(CONNECTION_BYTES + unsent)
 
     def _change_state(self, state: ConnectionState) -> None:
@@ -356,14 +362,15 @@
     def abort(self, reason: ConnectionEnd) -> None:
         """Closes the connection at once and drops what is not sent yet."""
         self.ended_by = reason
-        if self.transport is not None:
-            self.transport.abort()
+        if self.wire is not None:
+            self.wire.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Reports the close before aiohttp cancels the handler of a request on the connection."""
         if self.ended_by is None:
             self.ended_by = ConnectionEnd.CLIENT
         self.on_end(self)
+        self.wire = None
         self.slots.leave(self.account)
         self.writable.set()
         self._held_back = []
