Forwarding: what a client names is not kept beyond its request

Callers could fill an edge's and the cores' memory with small requests: each part of Sumachook-Prompt-Prefix made a tuple of all parts before it, kept for 30 s for each server (a head of 16 KiB with 1,600 parts: over ten megabytes, by reading), and the name of a model, of any length, went into ledger records, of which a core keeps 50,000, and into reports of demand.

Change: at most 32 parts and 1,024 characters of a prompt, and 1,024 prefixes a server, are remembered; names that no configuration can have (256 characters) are cut in records and not reported. test_what_a_client_names_is_not_kept_beyond_its_request has 20 prompts of 2,000 parts, 2,048 of two and a name of 15,000 characters.

--- a/sumachook/forwarding/entry.py
+++ b/sumachook/forwarding/entry.py
@@ -22,7 +22,7 @@
         table.newly_waiting.add(request.number)
         table.retry_budget.earn(service_key(request.service))
         table.count("admitted", request.route.kind)
-        if request.service in table.models:
+        if request.service in table.models and request.may_be_configured:
             begun = table.begun_by_service.setdefault(request.service, {})
             begun[request.name] = begun.get(request.name, 0) + 1
         return []
--- a/sumachook/forwarding/forwarded_request.py
+++ b/sumachook/forwarding/forwarded_request.py
@@ -8,6 +8,8 @@
 from sumachook.host.events import Body
 from sumachook.requests.in_flight_request import InFlightRequest, RequestState
 
+MAX_NAME_CHARS = 256  # of a model and its adapter; those of a configuration are shorter
+
 
 class ForwardedRequest(InFlightRequest):
     """Holds the state of a forwarded request from its admission to its final response."""
@@ -98,6 +100,11 @@
             self.buffer = bytearray(self.buffer)
         self.buffer += chunk
 
+    @property
+    def may_be_configured(self) -> bool:
+        """Whether a model and adapter may bear the names that the client states; longer ones are not kept."""
+        return len(self.metadata.model) + len(self.metadata.adapter) < MAX_NAME_CHARS
+
     @property
     def name(self) -> str:
         """The model or "model/adapter" that a server must hold to run this request."""
--- a/sumachook/forwarding/request_table.py
+++ b/sumachook/forwarding/request_table.py
@@ -9,7 +9,7 @@
 from sumachook.configuration.node_settings import COLD_OVERSHOOT, COLD_SLACK
 from sumachook.forwarding.access import ClientAccess
 from sumachook.forwarding.cold_allowance import ColdAllowance
-from sumachook.forwarding.forwarded_request import ForwardedRequest
+from sumachook.forwarding.forwarded_request import MAX_NAME_CHARS, ForwardedRequest
 from sumachook.forwarding.routes import Routes
 from sumachook.forwarding.server_window import ServerWindow
 from sumachook.outliers.outcome_counts import OutcomeCounts
@@ -147,7 +147,7 @@
             "caller": request.tenant or "",
             "line": request.route.name,
             "kind": "forward",
-            "asked": request.name,
+            "asked": request.name[:MAX_NAME_CHARS],
             "key": "",
             "edge": self.node,
             "incarnation": self.restart_epoch,
@@ -206,7 +206,7 @@
 
     def count_running(self, request: ForwardedRequest, delta: int) -> None:
         """Adds `delta` to the requests running per service, model and server, which are reported to the placer."""
-        if request.service not in self.models:
+        if request.service not in self.models or not request.may_be_configured:
             return
         names = self.running_by_service.setdefault(request.service, {})
         servers = names.setdefault(request.name, {})
--- a/sumachook/forwarding/send.py
+++ b/sumachook/forwarding/send.py
@@ -48,16 +48,13 @@
         request.pending_tokens = request.metadata.prompt_tokens
 
     def _count_at_server(self, request: ForwardedRequest, name: str, now: timedelta) -> None:
-        table, metadata = self.table, request.metadata
+        table = self.table
         server_window = table.server_window(name)
         server_window.begin(request.pending_tokens)
         if table.cold_until.get(name, now) > now:
             table.count_cold_request(server_window, request.service, now)
         table.count_running(request, 1)
-        prefix: tuple[str, ...] = ()
-        for part, _ in metadata.parts[:-1]:
-            prefix += (part,)
-            server_window.cached_prefixes[(metadata.model, metadata.adapter, prefix)] = now
+        server_window.note_sent_prefixes(request.metadata, now)
 
     def _forward(self, request: ForwardedRequest, name: str, now: timedelta) -> ForwardRequest:
         remaining = request.deadline - now
--- a/sumachook/forwarding/server_selection.py
+++ b/sumachook/forwarding/server_selection.py
@@ -7,7 +7,7 @@
 from sumachook.forwarding.forwarded_request import ForwardedRequest
 from sumachook.forwarding.request_table import RequestTable
 from sumachook.forwarding.send import SendAttempt
-from sumachook.forwarding.server_window import ServerWindow
+from sumachook.forwarding.server_window import MAX_PREFIX_PARTS, ServerWindow
 from sumachook.forwarding.settle import Settle
 from sumachook.requests.failures import FailureKind, RequestFailure
 from sumachook.retry_budget.budget import service_key
@@ -223,7 +223,7 @@
         metadata = request.metadata
         tokens = metadata.prompt_tokens
         prefix: tuple[str, ...] = ()
-        for part, count in metadata.parts[:-1]:
+        for part, count in metadata.parts[:-1][:MAX_PREFIX_PARTS]:
             prefix += (part,)
             sent_at = server_window.cached_prefixes.get((metadata.model, metadata.adapter, prefix))
             if sent_at is None or now - sent_at > PREFIX_CACHE_TIME:
@@ -255,6 +255,8 @@
     def _report_demand(self, request: ForwardedRequest, now: timedelta) -> None:
         """Reports to the placer how many requests wait for the model, and the shortest time left to a deadline."""
         request.wanted_at = now
+        if not request.may_be_configured:
+            return
         names = self.table.wanted_models.setdefault(request.service, {})
         count, soonest_ms = names.get(request.name, (0, NO_DEADLINE_MS))
         remaining_ms = (request.deadline - now).total_seconds() * 1000
--- a/sumachook/forwarding/server_window.py
+++ b/sumachook/forwarding/server_window.py
@@ -2,11 +2,16 @@
 
 from datetime import timedelta
 
+from sumachook.forwarding.request_metadata import RequestMetadata
 from sumachook.requests import server_window
 from sumachook.requests.server_window import BackoffPolicy
 
 # An idle connection counts as usable for this time; a little shorter than it is kept open.
 KEPT_CONNECTION_TIME = timedelta(seconds=6)
+# Prompt prefixes that are remembered for one server: parts and characters of one prompt, and prefixes in all.
+MAX_PREFIX_PARTS = 32
+MAX_PREFIX_CHARS = 1024
+MAX_CACHED_PREFIXES = 1024
 
 
 class ServerWindow(server_window.ServerWindow):
@@ -54,6 +59,17 @@
         self.kept_connections = 0
         self.kept_since = timedelta(0)
 
+    def note_sent_prefixes(self, metadata: RequestMetadata, now: timedelta) -> None:
+        """Records the prefixes of a prompt that is sent to the server, unless it names too many or too long parts."""
+        parts = [part for part, _ in metadata.parts[:-1]]
+        names = (metadata.model, metadata.adapter, *parts)
+        if len(parts) > MAX_PREFIX_PARTS or sum(map(len, names)) > MAX_PREFIX_CHARS:
+            return
+        for end in range(1, len(parts) + 1):
+            prefix = (metadata.model, metadata.adapter, tuple(parts[:end]))
+            if prefix in self.cached_prefixes or len(self.cached_prefixes) < MAX_CACHED_PREFIXES:
+                self.cached_prefixes[prefix] = now
+
     def is_unreachable(self, now: timedelta) -> bool:
         """Returns whether the last connection attempt failed recently; nothing is sent until the backoff ends."""
         return self.unreachable_until is not None and now < self.unreachable_until
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -7,7 +7,9 @@
 
 from sumachook.changefeed.trust import Trust
 from sumachook.configuration.node_settings import NodeSettings
+from sumachook.forwarding.forwarded_request import MAX_NAME_CHARS
 from sumachook.forwarding.server_selection import PLACEMENT_WAIT_FRACTION
+from sumachook.forwarding.server_window import MAX_CACHED_PREFIXES
 from sumachook.host.effects import ConnectionReuse
 from sumachook.host.events import MessageReceived, Tick
 from sumachook.membership.member import MemberStatus, MemberUpdate
@@ -926,6 +928,27 @@
     assert goals == {scene.target_server(first)}
 
 
+def test_what_a_client_names_is_not_kept_beyond_its_request():
+    """Given prompts with very many or very long parts and names of models that no configuration can have, the prefixes that are
+    remembered for a server stay few, and neither records nor reports of demand bear such a name."""
+    scene, many = Scene(held=("l1",)), ",".join(f"{number:x}:1" for number in range(2000))
+    for number in range(20):
+        cid = scene.ask(CHAT, parts=f"{number:x}{many}", tokens="6020,10")
+        scene.stream(cid, 1)
+        scene.call_event(cid, "end")
+    for number in range(2 * MAX_CACHED_PREFIXES):
+        cid = scene.ask(CHAT, parts=f"5c:10,{number:x}:20,1:1", tokens="40,10")
+        scene.stream(cid, 1)
+        scene.call_event(cid, "end")
+    windows = scene.table.server_windows.values()
+    assert 0 < sum(len(window.cached_prefixes) for window in windows) <= MAX_CACHED_PREFIXES
+    name = "m" * 15_000
+    scene.ask(CHAT, model=name)
+    scene.run(6)
+    assert len(scene.records(True)[-1]["asked"]) == MAX_NAME_CHARS
+    assert name not in scene.table.begun_by_service.get("llm", {}) and name not in str(scene.out)
+
+
 # retry budget, client disconnects, shutdown ------------------------------------------------------------
 
 
