--- a/harness/client_crowds/process_meter.py
+++ b/harness/client_crowds/process_meter.py
@@ -91,5 +91,14 @@
         return inodes, count
 
 
+def peak_resident_mb(pid: int) -> float:
+    """Returns the highest resident memory of a process so far, in MiB; 0 if it has ended."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return next((int(line.split()[1]) / 1024 for line in lines if line.startswith("VmHWM:")), 0.0)
+
+
 def _tcp_table() -> list[list[str]]:
     return [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
--- a/harness/experiments/soak.py
+++ b/harness/experiments/soak.py
@@ -10,6 +10,9 @@
 Meanwhile servers restart and are listed beside their former lives, in any order; plain servers are full for moments, and
 send each of their refusals a second time in the place of the next response; models are taken out of their service and
 put back; and each core is asked for the configuration, which must never be older than one acknowledged a while before.
+In every second seed crowds hold bodies one byte short of their end and unfinished heads at the edges: nobody else may notice,
+and no process may exceed the memory of its machine.
+
 At the end all servers, then all cores restart: each server must be called again. In every third seed a component of
 the cores raises exceptions, which may cost nothing but its own work.
 """
@@ -25,6 +28,8 @@
 from random import Random
 from typing import Any
 
+from harness.client_crowds.crowd_client import Crowd, Script, http_head
+from harness.client_crowds.process_meter import peak_resident_mb
 from harness.experiments.soak_events import LIST_LAG, LISTED_AFTER_END, LISTED_IN_FINALE, SoakEvents
 from harness.experiments.soak_faults import (
     EdgeShutdown,
@@ -38,7 +43,7 @@
 from harness.fakes.kept_client import AttemptEnd, IdleLimits, KeptAttempt, KeptClient
 from harness.fakes.loop_stalls import LoopStalls
 from harness.fakes.request_kind import RequestKind
-from harness.fakes.tenants import JOINING_KEYS, LEAVING_KEYS, JudgedRequest
+from harness.fakes.tenants import JOINING_KEYS, LEAVING_KEYS, STANDING_KEYS, JudgedRequest
 from harness.local_cluster.nodes import GRACE
 from harness.run_checks import find_unchecked, seed_range
 
@@ -51,7 +56,11 @@
 MODEL_CHANGE_PORTION = 0.3  # fraction of the configuration changes
 RAISING_COMPONENTS = ("provisioner", "placer", "leases", "inventory_reader")
 RAISING_PERIOD, SEEDS_PER_RAISING_RUN = 7, 3
+SEEDS_PER_CROWD_RUN = 2
+CROWD_CONNECTIONS, CROWD_HOLD_S = 30, 3.0
+CROWD_BODY_BYTES, CROWD_HEAD_BYTES = 4 << 20, 15 << 10
 SIGTERM_EXIT_CODE, SIGHUP_EXIT_CODE = -signal.SIGTERM, -signal.SIGHUP
+BOOKING = next(kind for kind in KINDS if kind.name == "booking")
 EXIT_SLACK = 0.5  # seconds by which this process may notice an exit late
 
 
@@ -71,6 +80,11 @@
         component = RAISING_COMPONENTS[self.seed // SEEDS_PER_RAISING_RUN % len(RAISING_COMPONENTS)]
         return f"{component}:{RAISING_PERIOD}"
 
+    @property
+    def has_crowds(self) -> bool:
+        """Whether crowds of clients that don't behave hold connections to the edges."""
+        return self.seed % SEEDS_PER_CROWD_RUN == 0
+
     @property
     def clients(self) -> int:
         """Number of clients, each with one open connection at a time: four per edge, at least 24 and at most 160."""
@@ -88,6 +102,7 @@
     stalls: LoopStalls = field(default_factory=LoopStalls)
     tenant_counts: dict[str, int] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)
+    peak_mb: float = 0.0  # highest resident memory of a process
 
     @property
     def ends(self) -> Counter:
@@ -117,7 +132,7 @@
         ends = ", ".join(f"{count} {name}" for name, count in sorted(self.ends.items()))
         return (
             f"seed {self.spec.seed}: {self.spec.edges} edges, {len(self.attempts)} requests, {kept} on kept connections"
-            f" ({ends}{rests}); {actions}; {counts}; {len(self.faults)} faults; {self.stalls.describe()}"
+            f" ({ends}{rests}); {actions}; {counts}; {self.peak_mb:.0f} MB at most; {len(self.faults)} faults; {self.stalls.describe()}"
         )
 
 
@@ -155,8 +170,10 @@
                 for work in self._planned_operations():
                     running.create_task(work())
             self.result.stalls.end()
+            self._check_memory()
             await self._restart_everything()
             await deployment.read_back()
+            self._check_memory()
             self._find_early_exits()
         self.result.attempts = [attempt for client in clients for attempt in client.attempts]
         self._check()
@@ -185,8 +202,28 @@
             self._restart_servers,
             self._repeat(self.events.fill_plain_servers),
             self._repeat(self.events.read_at_each_core),
+            *([self._hold_crowds] if self.spec.has_crowds else ()),
         ]
 
+    async def _hold_crowds(self):
+        """Holds one crowd after the other at a random edge, which may restart meanwhile."""
+        scripts = (_body_short_of_a_byte(), _unfinished_head())
+        while not self._is_over():
+            address = self.deployment.nodes.front_address(self.random.choice(self._machines("edge")))
+            async with Crowd(address, self.random.choice(scripts), CROWD_CONNECTIONS):
+                await asyncio.sleep(self.random.uniform(0.5, 1.0) * CROWD_HOLD_S)
+                self._check_memory()
+            self.result.actions["crowds"] += 1
+
+    def _check_memory(self):
+        """Records a fault for each running process whose resident memory was ever above that of its machine."""
+        limit_mb = self.deployment.nodes.limits["memory-mb"]
+        for name, process in self.deployment.nodes.running.items():
+            peak_mb = peak_resident_mb(process.pid) if process.returncode is None else 0.0
+            self.result.peak_mb = max(self.result.peak_mb, peak_mb)
+            if peak_mb > limit_mb:
+                self.result.faults.append(f"{name} used {peak_mb:.0f} MB of {limit_mb}")
+
     def _repeat(self, work: Callable[[], Awaitable[None]]) -> Callable[[], Awaitable[None]]:
         """Returns a task that does the work again and again until the run is over."""
 
@@ -393,6 +430,19 @@
         result.faults += find_unchecked(result.counts())
 
 
+def _crowd_head(size: int) -> bytes:
+    headers = (("Sumachook-Credential", STANDING_KEYS[0]), ("Content-Length", str(size)))
+    return http_head("POST", f"{BOOKING.prefix}1", HOST, headers)
+
+
+def _body_short_of_a_byte() -> Script:
+    return Script((_crowd_head(CROWD_BODY_BYTES) + b"x" * (CROWD_BODY_BYTES - 1),), insists=True)
+
+
+def _unfinished_head() -> Script:
+    return Script((_crowd_head(0)[:-2] + b"Filler: " + b"x" * CROWD_HEAD_BYTES,), insists=True)
+
+
 async def play_soak(spec: SoakSpec, work: Path) -> SoakResult:
     """Runs one seed in its own folder; raises TimeoutError if it exceeds its time limit."""
     work.mkdir(parents=True, exist_ok=True)
