--- a/harness/client_crowds/__main__.py
+++ b/harness/client_crowds/__main__.py
@@ -11,9 +11,7 @@
 from pathlib import Path
 
 from harness.client_crowds.crowds import CROWD_BY_NAME, MEBIBYTE
-from harness.client_crowds.trial import CrowdTrial, MachineLimits
-
-PLAY_TIMEOUT_S = 300.0
+from harness.client_crowds.trial import MachineLimits, play_crowd
 
 
 async def play(names: list[str], given: argparse.Namespace, work: Path) -> int:
@@ -25,8 +23,7 @@
         spec = CROWD_BY_NAME[name]
         descriptors = given.descriptors or spec.descriptors
         limits = MachineLimits(given.memory_mb, descriptors, int(given.body_mb * MEBIBYTE))
-        trial = CrowdTrial(spec, limits, folder)
-        result = await asyncio.wait_for(trial.play(), PLAY_TIMEOUT_S)
+        result = await play_crowd(spec, limits, folder)
         faulty += bool(result.faults)
         print(result.describe(), *result.faults, sep="\n  ", flush=True)
     return faulty
--- a/harness/client_crowds/trial.py
+++ b/harness/client_crowds/trial.py
@@ -16,6 +16,7 @@
 from harness.run_checks import find_unchecked
 
 START_TIMEOUT_S = 60.0
+PLAY_TIMEOUT_S = 300.0
 ANSWER_TIMEOUT_S = 40.0  # far above the time in which an ordinary request is answered
 ANSWER_BESIDE_TIMEOUT_S = 12.0  # below the idle timeout, at whose end the node may close the crowd's connections
 ASK_INTERVAL_S = 0.2
@@ -81,6 +82,11 @@
         )
 
 
+async def play_crowd(spec: CrowdSpec, limits: MachineLimits, work: Path) -> CrowdResult:
+    """Plays one crowd with its own deployment below `work`; raises TimeoutError if it exceeds its time limit."""
+    return await asyncio.wait_for(CrowdTrial(spec, limits, work).play(), PLAY_TIMEOUT_S)
+
+
 class CrowdTrial:
     """`play` starts the deployment, holds the crowd, and returns what was measured."""
 
